--- /dev/null
+++ b/libraries/configuration/json.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "configuration/types.h"
+
+namespace lovagecleat::configuration {
+
+enum class ProblemKind {
+  kMalformedJson,
+  kMissingKey,
+  kUnknownKey,
+  kWrongType,
+  kOutOfRange,
+  kUnknownReference,
+  kDuplicate,
+  kEmpty,
+};
+
+// One thing wrong with a document.
+struct Problem {
+  ProblemKind kind = ProblemKind::kMalformedJson;
+  std::string key;       // JSON pointer, such as "/classes/0/pipeline"
+  std::string value;     // what stood there, as JSON, shortened
+  std::string expected;  // what should stand there
+};
+
+// Reads a whole configuration document; collects all problems at once.
+class ConfigurationReader {
+ public:
+  // Returns nothing unless every part is valid; see problems().
+  std::optional<Configuration> Read(std::string_view json);
+
+  const std::vector<Problem>& problems() const { return problems_; }
+
+ private:
+  std::vector<Problem> problems_;
+};
+
+std::string WriteConfiguration(const Configuration& configuration);
+
+// "file: /key: found VALUE, expected EXPECTED", for people.
+std::string DescribeProblem(std::string_view file, const Problem& problem);
+
+// --- Operators' changes -----------------------------------------------------
+
+struct SetTargets {
+  ClassId request_class;
+  std::vector<HourlyTarget> targets;
+};
+struct SetZoneState {
+  ZoneId zone;
+  ZoneState state = ZoneState::kIn;
+};
+enum class ServerService { kIn, kOut };
+struct SetServerState {
+  ServerId server;
+  ServerService state = ServerService::kIn;
+};
+// Used once, to bring a first configuration into an empty table, and to
+// replace classes, pipelines and services as a whole.
+struct ReplaceConfiguration {
+  Configuration configuration;
+};
+using Change = std::variant<SetTargets, SetZoneState, SetServerState,
+                            ReplaceConfiguration>;
+
+// Reads a change: {"kind": "set_targets" | "zone" | "server" | "replace", ...}.
+class ChangeReader {
+ public:
+  std::optional<Change> Read(std::string_view json);
+  const std::vector<Problem>& problems() const { return problems_; }
+
+ private:
+  std::vector<Problem> problems_;
+};
+
+std::string WriteChange(const Change& change);
+
+// Applies changes to a configuration; the revision rises by one.
+class ChangeApplier {
+ public:
+  std::optional<Configuration> Apply(const Configuration& before,
+                                     const Change& change);
+  const std::vector<Problem>& problems() const { return problems_; }
+
+ private:
+  std::vector<Problem> problems_;
+};
+
+}  // namespace lovagecleat::configuration
--- /dev/null
+++ b/libraries/metrics/metrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/base.h"
+
+// The public header of the metrics library: counters, gauges and quantiles,
+// written as Prometheus text.
+namespace lovagecleat::metrics {
+
+// Label names and values; few distinct ones for each metric.
+using Labels = std::map<std::string, std::string>;
+
+// All metrics of one process. Every name has at most kMaximumSeries label
+// sets; what comes after is counted under the label overflow="true".
+class Registry {
+ public:
+  static constexpr std::size_t kMaximumSeries = 500;
+
+  Registry();
+  ~Registry();
+
+  void Count(std::string_view name, const Labels& labels = {},
+             std::uint64_t amount = 1);
+  void SetGauge(std::string_view name, const Labels& labels, double value);
+
+  // Adds a sample in milliseconds to quantiles 0.5, 0.95 and 0.99.
+  void Observe(std::string_view name, const Labels& labels, Duration sample);
+
+  std::string PrometheusText() const;
+
+ private:
+  class State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace lovagecleat::metrics
--- /dev/null
+++ b/libraries/policy/policy.h
@@ -0,0 +1,8 @@
+#pragma once
+
+// The public header of the policy library: the decisions of an entry host, as
+// a pure function of events and times.
+#include "policy/commands.h"  // IWYU pragma: export
+#include "policy/core.h"      // IWYU pragma: export
+#include "policy/events.h"    // IWYU pragma: export
+#include "policy/types.h"     // IWYU pragma: export
--- /dev/null
+++ b/libraries/policy/types.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "configuration/configuration.h"
+
+namespace lovagecleat::policy {
+
+enum class MemberState { kLive, kLeaving };
+
+// One entry host in the platform's list.
+struct HostInfo {
+  HostId id;
+  ZoneId zone;
+  std::string peer_address;  // "127.0.0.1:7101"
+  MemberState state = MemberState::kLive;
+};
+
+// One backend server in the platform's list.
+struct ServerInfo {
+  ServerId id;
+  ServiceId service;
+  ZoneId zone;
+  std::string address;  // "127.0.0.1:8101"
+  MemberState state = MemberState::kLive;
+  std::uint32_t cold_limit = 1;  // calls at once during a cold start
+  std::uint32_t warm_limit = 1;  // calls at once when warm
+};
+
+// The platform's lagging list of hosts and servers.
+struct Inventory {
+  std::uint64_t sequence = 0;
+  std::vector<HostInfo> hosts;
+  std::vector<ServerInfo> servers;
+};
+
+enum class Warmth { kCold, kWarm };
+
+// What a backend server says of itself with an answer or in a load report.
+struct ServerReport {
+  std::uint64_t generation = 0;  // rises with each restart or loss of warmth
+  Warmth warmth = Warmth::kCold;
+  std::uint32_t in_flight = 0;  // as of the report, all senders
+  Duration age{};               // how old a load report is
+};
+
+// How one try of one stage ended.
+enum class AttemptOutcome {
+  kOk,
+  kNotSent,          // no byte reached a server
+  kRefused,          // the server answered that it did not run it
+  kServerError,      // the server answered that it failed
+  kConnectionLost,   // sent; the connection broke before the end
+  kNoProgress,       // sent; nothing came for the bound
+  kDeadlineReached,  // given up since the time was over
+  kCancelled,
+};
+
+// True where the server cannot have run the attempt.
+bool IsSurelyNotRun(AttemptOutcome outcome);
+
+// Why a request was not served.
+enum class RefusalReason {
+  kMalformed,
+  kBodyTooLarge,
+  kUnknownClass,
+  kDeadlineOutOfRange,
+  kMissingIdempotencyKey,
+  kDuplicateInFlight,
+  kTooManyCalls,
+  kCannotMeetDeadline,
+  kNoServer,
+  kNotConfigured,
+  kStopping,
+  kStoreUnavailable,
+  kStageFailed,
+  kDeadlinePassed,
+  kKeyReusedForOtherRequest,
+};
+
+// What may be said of a request that got no answer.
+enum class RequestOutcome { kDone, kNotRun, kUnknown, kFailed };
+
+// One stage of one request, as the caller's trace shows it.
+struct StageTrace {
+  std::string stage;
+  ServerId server;
+  ZoneId zone;
+  std::uint32_t attempts = 0;
+  Duration queued{};
+  Duration served{};
+};
+
+std::string_view ToString(AttemptOutcome outcome);
+std::string_view ToString(RefusalReason reason);
+std::string_view ToString(RequestOutcome outcome);
+
+}  // namespace lovagecleat::policy
--- /dev/null
+++ b/meta/common.sh
@@ -0,0 +1,25 @@
+# Sourced by the scripts beside it: installs, configures and builds.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+export CCACHE_DIR="${CCACHE_DIR:-${HOME:-/root}/.cache/lovagecleat-ccache}"
+
+# Installs what meta/packages.txt names and this machine lacks.
+install_packages() {
+  local missing=()
+  local package
+  while read -r package; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+  done < meta/packages.txt
+  [ ${#missing[@]} -eq 0 ] && return 0
+  echo "installing: ${missing[*]}"
+  apt-get update -qq
+  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" > /dev/null
+}
+
+# build_tree FOLDER TARGET [CMAKE OPTIONS]
+build_tree() {
+  local folder="$1" target="$2"
+  shift 2
+  cmake -S . -B "$folder" -G Ninja "$@" > /dev/null
+  cmake --build "$folder" --target "$target"
+}
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
