--- a/meta/common.sh
+++ b/meta/common.sh
@@ -2,6 +2,8 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 export CCACHE_DIR="${CCACHE_DIR:-${HOME:-/root}/.cache/lovagecleat-ccache}"
+# Checkouts in different folders share the cache.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1 CCACHE_SLOPPINESS=pch_defines,time_macros
 
 # Installs what meta/packages.txt names and this machine lacks.
 install_packages() {
