--- /dev/null
+++ b/tests/stand_ins/backend_model.cc
@@ -0,0 +1,278 @@
+#include "tests/stand_ins/backend_model.h"
+
+#include <algorithm>
+#include <cassert>
+#include <nlohmann/json.hpp>
+
+#include "tests/stand_ins/answers.h"
+
+namespace lovagecleat::stand_ins {
+
+using policy::Warmth;
+
+BackendModel::BackendModel(BackendSettings settings, TimePoint now)
+    : settings_(std::move(settings)),
+      random_(StableHash(settings_.id.value(), settings_.seed)),
+      cache_(settings_.cache),
+      cold_counted_from_(now) {
+  if (settings_.starts_warm) {
+    warmth_ = Warmth::kWarm;
+    warm_up_done_ = settings_.warm_up_calls;
+  }
+  NoteLoad(now);
+}
+
+StartResult BackendModel::Start(const BackendCall& call, TimePoint now) {
+  assert(!running_.contains(call.number));
+  if (willingness_ == Willingness::kRefuses) return StartResult::kRefused;
+  Running running;
+  running.call = call;
+  running.start = now;
+  running.record = runs_.size();
+  runs_.push_back(RunRecord{call.request, call.stage, call.attempt,
+                            call.idempotency_key, now, now,
+                            CallOutcome::kRunning});
+  Running& stored =
+      running_.emplace(call.number, std::move(running)).first->second;
+  NoteInFlight(now);
+  stored.fate = DrawFate();
+  if (!IsEngine()) {
+    Schedule(stored, now + StepTime(settings_.call_time));
+    return StartResult::kStarted;
+  }
+  const std::uint32_t most =
+      call.max_tokens == 0 ? settings_.default_tokens : call.max_tokens;
+  stored.phase = Phase::kWaiting;
+  stored.total_tokens = TokenCount(call.input, most);
+  stored.next_token = call.offset;
+  waiting_.emplace(call.priority, ++arrivals_, call.number);
+  StartNextPrefill(now);
+  return StartResult::kStarted;
+}
+
+void BackendModel::Cancel(CallNumber call, TimePoint now) {
+  if (!running_.contains(call)) return;
+  Finish(call, CallOutcome::kCancelled, now, nullptr);
+}
+
+std::vector<BackendEvent> BackendModel::Advance(TimePoint now) {
+  std::vector<BackendEvent> events;
+  while (!due_.empty() && due_.begin()->first <= now) {
+    Step(due_.begin()->second, events);
+  }
+  return events;
+}
+
+std::optional<TimePoint> BackendModel::NextDue() const {
+  if (due_.empty()) return std::nullopt;
+  return due_.begin()->first;
+}
+
+bool BackendModel::IsEngine() const {
+  return settings_.kind == configuration::ServiceKind::kEngine;
+}
+
+std::uint32_t BackendModel::in_flight() const {
+  return static_cast<std::uint32_t>(running_.size());
+}
+
+std::uint32_t BackendModel::Carries() const {
+  if (warmth_ == Warmth::kWarm) return settings_.warm_limit;
+  const std::uint32_t rise = settings_.warm_limit - settings_.cold_limit;
+  const std::uint32_t calls = std::max(settings_.warm_up_calls, 1U);
+  return settings_.cold_limit + rise * warm_up_done_ / calls;
+}
+
+// The time of one step depends on the calls in flight as it starts. This
+// stands for continuous batching: each token of every call is slower in a
+// larger batch.
+Duration BackendModel::StepTime(Duration base) {
+  const std::uint32_t calls = std::max(in_flight(), 1U);
+  double factor = slow_factor_ * (1.0 + settings_.batch_slope * (calls - 1));
+  if (warmth_ == Warmth::kCold) factor *= settings_.cold_factor;
+  if (calls > Carries()) factor *= settings_.overload_factor;
+  if (random_.Unit() < settings_.tail_rate) factor *= settings_.tail_factor;
+  const auto time =
+      static_cast<Duration::rep>(static_cast<double>(base.count()) * factor);
+  return std::max(random_.Jitter(Duration(time), settings_.jitter),
+                  Duration(1));
+}
+
+BackendModel::Fate BackendModel::DrawFate() {
+  const bool is_overloaded = in_flight() > Carries();
+  if (is_overloaded) ++overloads_;
+  const double rate = is_overloaded
+                          ? std::max(error_rate_, settings_.overload_error_rate)
+                          : error_rate_;
+  return random_.Unit() < rate ? Fate::kFails : Fate::kSucceeds;
+}
+
+void BackendModel::Schedule(Running& running, TimePoint due) {
+  running.due = due;
+  due_.emplace(due, running.call.number);
+}
+
+void BackendModel::StartNextPrefill(TimePoint now) {
+  if (prefilling_ || waiting_.empty()) return;
+  const CallNumber number = std::get<CallNumber>(*waiting_.begin());
+  waiting_.erase(waiting_.begin());
+  prefilling_ = number;
+  Running& running = running_.at(number);
+  running.phase = Phase::kPrefill;
+  const CacheUse use = cache_.Use(PrefixOf(running.call.input), random_, now);
+  Duration time = settings_.call_time;
+  if (use == CacheUse::kHit) {
+    time = std::chrono::duration_cast<Duration>(time * settings_.cached_factor);
+  }
+  Schedule(running, now + StepTime(time));
+}
+
+void BackendModel::Step(CallNumber number, std::vector<BackendEvent>& events) {
+  Running& running = running_.at(number);
+  const TimePoint now = running.due;
+  due_.erase({now, number});
+  if (running.fate == Fate::kFails) {
+    Finish(number, CallOutcome::kFailed, now, &events);
+    return;
+  }
+  if (!IsEngine()) {
+    Finish(number, CallOutcome::kDone, now, &events);
+    return;
+  }
+  if (running.phase == Phase::kPrefill) {
+    running.phase = Phase::kDecoding;
+    prefilling_.reset();
+    StartNextPrefill(now);
+  }
+  ProduceToken(running, now, events);
+}
+
+void BackendModel::ProduceToken(Running& running, TimePoint now,
+                                std::vector<BackendEvent>& events) {
+  const CallNumber number = running.call.number;
+  if (running.next_token < running.total_tokens) {
+    events.push_back(
+        TokenProduced{number, running.next_token,
+                      TokenText(running.call.input, running.next_token)});
+    ++running.next_token;
+  }
+  if (running.next_token >= running.total_tokens) {
+    Finish(number, CallOutcome::kDone, now, &events);
+    return;
+  }
+  Schedule(running, now + StepTime(settings_.token_time));
+}
+
+void BackendModel::Finish(CallNumber number, CallOutcome outcome, TimePoint now,
+                          std::vector<BackendEvent>* events) {
+  const auto found = running_.find(number);
+  const Running& running = found->second;
+  RunRecord& record = runs_[running.record];
+  record.end = now;
+  record.outcome = outcome;
+  if (events != nullptr) {
+    CallFinished finished{number, outcome, {}};
+    if (outcome == CallOutcome::kDone) {
+      const std::string& input = running.call.input;
+      finished.output =
+          IsEngine()
+              ? nlohmann::json{{"text", WholeText(input, running.total_tokens)},
+                               {"tokens", running.total_tokens}}
+                    .dump()
+              : PlainAnswer(settings_.kind, input);
+    }
+    events->push_back(std::move(finished));
+  }
+  due_.erase({running.due, number});
+  std::erase_if(waiting_, [number](const PrefillKey& key) {
+    return std::get<CallNumber>(key) == number;
+  });
+  const bool was_prefilling = prefilling_ == number;
+  running_.erase(found);
+  if (outcome == CallOutcome::kDone) NoteCompletion();
+  NoteLoad(now);
+  if (!was_prefilling) return;
+  prefilling_.reset();
+  StartNextPrefill(now);
+}
+
+void BackendModel::NoteCompletion() {
+  if (warmth_ == Warmth::kWarm) return;
+  ++warm_up_done_;
+  if (warm_up_done_ >= settings_.warm_up_calls) warmth_ = Warmth::kWarm;
+}
+
+// Work sent before the first sign of a cold start is not held against the
+// sender, so only calls started after it count towards the cold maximum.
+void BackendModel::NoteInFlight(TimePoint now) {
+  NoteLoad(now);
+  if (warmth_ == Warmth::kWarm) {
+    maximum_warm_ = std::max(maximum_warm_, in_flight());
+    return;
+  }
+  if (!cold_counted_from_ || now < *cold_counted_from_) return;
+  const auto counted = std::count_if(
+      running_.begin(), running_.end(), [this](const auto& entry) {
+        return entry.second.start >= *cold_counted_from_;
+      });
+  maximum_cold_ = std::max(maximum_cold_, static_cast<std::uint32_t>(counted));
+}
+
+policy::ServerReport BackendModel::Report() const {
+  return policy::ServerReport{generation_, warmth_, in_flight(), Duration{}};
+}
+
+void BackendModel::NoteLoad(TimePoint now) {
+  const auto queued = static_cast<std::uint32_t>(waiting_.size());
+  load_history_.emplace_back(
+      now, LoadReport{generation_, warmth_, in_flight(), queued, Duration{}});
+  // The newest entry older than the lag has to stay: it is what is reported.
+  while (load_history_.size() > 1 &&
+         load_history_[1].first <= now - settings_.load_lag) {
+    load_history_.pop_front();
+  }
+}
+
+LoadReport BackendModel::Load(TimePoint now) const {
+  const TimePoint seen = now - settings_.load_lag;
+  LoadReport report = load_history_.front().second;
+  for (const auto& [time, entry] : load_history_) {
+    if (time > seen) break;
+    report = entry;
+  }
+  report.age = settings_.load_lag;
+  return report;
+}
+
+std::vector<CacheEvent> BackendModel::CacheEvents(std::uint64_t after,
+                                                  TimePoint now) const {
+  return cache_.EventsAfter(after, now);
+}
+
+void BackendModel::NoteSignSent(TimePoint now) {
+  if (cold_counted_from_) return;
+  cold_counted_from_ = now + settings_.sign_grace;
+}
+
+OrderResult BackendModel::LoadWeights(std::uint64_t fencing_token,
+                                      TimePoint now) {
+  const bool is_stale = fencing_token < highest_token_;
+  if (is_stale &&
+      settings_.fencing == configuration::FencingSupport::kChecked) {
+    return OrderResult{false, highest_token_};
+  }
+  highest_token_ = std::max(highest_token_, fencing_token);
+  TurnCold(now);
+  return OrderResult{true, highest_token_};
+}
+
+void BackendModel::TurnCold(TimePoint now) {
+  ++generation_;
+  warmth_ = Warmth::kCold;
+  warm_up_done_ = 0;
+  cold_counted_from_.reset();
+  cache_.Clear();
+  NoteLoad(now);
+}
+
+}  // namespace lovagecleat::stand_ins
--- /dev/null
+++ b/tests/stand_ins/backend_model.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/base.h"
+#include "policy/policy.h"
+#include "tests/stand_ins/cache_model.h"
+
+// One backend server as the system's tests see it: pure and seeded, with the
+// time passed in, so that processes and virtual-time tests share it.
+namespace lovagecleat::stand_ins {
+
+struct BackendSettings {
+  ServerId id;
+  configuration::ServiceKind kind = configuration::ServiceKind::kPlain;
+  configuration::FencingSupport fencing =
+      configuration::FencingSupport::kIgnored;
+  std::uint32_t cold_limit = 1;  // calls at once that a cold server carries
+  std::uint32_t warm_limit = 4;  // calls at once that a warm server carries
+  Duration call_time = std::chrono::milliseconds(5);   // engines: prefill
+  Duration token_time = std::chrono::milliseconds(5);  // engines, batch of one
+  double batch_slope = 0.05;   // share of time that each other call adds
+  double jitter = 0.1;         // share by which times vary either way
+  double tail_rate = 0.0;      // share of steps that take tail_factor as long
+  double tail_factor = 4.0;    // see tail_rate
+  double cold_factor = 2.0;    // how much slower a cold server is
+  double cached_factor = 0.2;  // prefill time with the prefix in the cache
+  std::uint32_t warm_up_calls = 10;   // completions that end a cold start
+  double overload_factor = 8.0;       // how much slower when overloaded
+  double overload_error_rate = 0.5;   // share of calls that then fail
+  std::uint32_t default_tokens = 16;  // engines, where max_tokens is 0
+  CacheSettings cache;                // engines
+  Duration load_lag = std::chrono::milliseconds(200);
+  // One message between hosts: until then senders may not know of a cold start.
+  Duration sign_grace = std::chrono::milliseconds(50);
+  bool starts_warm = false;
+  std::uint64_t seed = 1;
+};
+
+// A call at one backend server, numbered by whoever drives the model.
+using CallNumber = NumberId<struct ModelCallTag>;
+
+struct BackendCall {
+  CallNumber number;
+  std::string request;
+  std::string stage;
+  std::string attempt;
+  std::string idempotency_key;
+  std::string input;  // JSON text
+  std::uint32_t max_tokens = 0;
+  std::uint64_t offset = 0;
+  std::uint32_t priority = 0;
+};
+
+enum class StartResult { kStarted, kRefused };
+enum class CallOutcome { kRunning, kDone, kFailed, kCancelled };
+
+struct TokenProduced {
+  CallNumber call;
+  std::uint64_t offset = 0;
+  std::string text;
+};
+
+struct CallFinished {
+  CallNumber call;
+  CallOutcome outcome = CallOutcome::kDone;
+  std::string output;  // JSON text if kDone
+};
+
+using BackendEvent = std::variant<TokenProduced, CallFinished>;
+
+// One execution, kept for the checks.
+struct RunRecord {
+  std::string request;
+  std::string stage;
+  std::string attempt;
+  std::string idempotency_key;
+  TimePoint start{};
+  TimePoint end{};
+  CallOutcome outcome = CallOutcome::kRunning;
+};
+
+struct LoadReport {
+  std::uint64_t generation = 0;
+  policy::Warmth warmth = policy::Warmth::kCold;
+  std::uint32_t in_flight = 0;
+  std::uint32_t queued = 0;
+  Duration age{};
+};
+
+struct OrderResult {
+  bool accepted = true;
+  std::uint64_t highest_token = 0;
+};
+
+class BackendModel {
+ public:
+  BackendModel(BackendSettings settings, TimePoint now);
+
+  // --- Calls ---
+  StartResult Start(const BackendCall& call, TimePoint now);
+  void Cancel(CallNumber call, TimePoint now);
+  // Everything that happens up to `now`, in order of time.
+  std::vector<BackendEvent> Advance(TimePoint now);
+  std::optional<TimePoint> NextDue() const;
+
+  // --- Reports ---
+  policy::ServerReport Report() const;
+  LoadReport Load(TimePoint now) const;
+  std::vector<CacheEvent> CacheEvents(std::uint64_t after, TimePoint now) const;
+  // To be called when a report of the current generation leaves the server.
+  void NoteSignSent(TimePoint now);
+  OrderResult LoadWeights(std::uint64_t fencing_token, TimePoint now);
+
+  // --- Faults ---
+  void TurnCold(TimePoint now);
+  void SetSlowFactor(double factor) { slow_factor_ = factor; }
+  void SetErrorRate(double rate) { error_rate_ = rate; }
+  enum class Willingness { kServes, kRefuses };
+  void SetWillingness(Willingness willingness) { willingness_ = willingness; }
+
+  // --- Records ---
+  const std::vector<RunRecord>& runs() const { return runs_; }
+  std::uint32_t in_flight() const;
+  std::uint32_t maximum_in_flight_cold() const { return maximum_cold_; }
+  std::uint32_t maximum_in_flight_warm() const { return maximum_warm_; }
+  std::uint64_t overloads() const { return overloads_; }
+  // How many calls at once the server carries just now.
+  std::uint32_t Carries() const;
+  const BackendSettings& settings() const { return settings_; }
+
+ private:
+  enum class Fate { kSucceeds, kFails };
+  enum class Phase { kWaiting, kPrefill, kDecoding, kServing };
+  struct Running {
+    BackendCall call;
+    Phase phase = Phase::kServing;
+    Fate fate = Fate::kSucceeds;
+    std::uint64_t next_token = 0;
+    std::uint64_t total_tokens = 0;
+    std::size_t record = 0;
+    TimePoint start{};
+    TimePoint due{};
+  };
+  // Urgent calls are prefilled first, equal ones in order of arrival.
+  using PrefillKey = std::tuple<std::uint32_t, std::uint64_t, CallNumber>;
+
+  Duration StepTime(Duration base);
+  Fate DrawFate();
+  bool IsEngine() const;
+  void Schedule(Running& running, TimePoint due);
+  void StartNextPrefill(TimePoint now);
+  void Step(CallNumber number, std::vector<BackendEvent>& events);
+  void ProduceToken(Running& running, TimePoint now,
+                    std::vector<BackendEvent>& events);
+  void Finish(CallNumber number, CallOutcome outcome, TimePoint now,
+              std::vector<BackendEvent>* events);
+  void NoteCompletion();
+  void NoteInFlight(TimePoint now);
+  void NoteLoad(TimePoint now);
+
+  BackendSettings settings_;
+  Random random_;
+  CacheModel cache_;
+  std::map<CallNumber, Running> running_;
+  std::set<std::pair<TimePoint, CallNumber>> due_;
+  std::set<PrefillKey> waiting_;
+  std::optional<CallNumber> prefilling_;
+  std::uint64_t arrivals_ = 0;
+  std::uint64_t generation_ = 1;
+  std::uint32_t warm_up_done_ = 0;
+  policy::Warmth warmth_ = policy::Warmth::kCold;
+  // Calls started from then on count towards the cold maximum.
+  std::optional<TimePoint> cold_counted_from_;
+  std::deque<std::pair<TimePoint, LoadReport>> load_history_;
+  std::uint64_t highest_token_ = 0;
+  double slow_factor_ = 1.0;
+  double error_rate_ = 0.0;
+  Willingness willingness_ = Willingness::kServes;
+  std::vector<RunRecord> runs_;
+  std::uint32_t maximum_cold_ = 0;
+  std::uint32_t maximum_warm_ = 0;
+  std::uint64_t overloads_ = 0;
+};
+
+}  // namespace lovagecleat::stand_ins
