--- /dev/null
+++ b/libraries/transport/http_server.cc
@@ -0,0 +1,483 @@
+#include "transport/http_server.h"
+
+#include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "transport/release_with.h"
+
+namespace lovagecleat::transport {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr const char* kProblemType = "application/problem+json";
+constexpr const char* kRetryAfterSeconds = "1";
+
+// After a body has been found too large, this many times the limit is still
+// read and dropped, so that the sender can read its 413; then the connection
+// is closed.
+constexpr std::size_t kDiscardFactor = 16;
+
+template <typename Type>
+using ObjectPointer = std::unique_ptr<Type, ReleaseWith<g_object_unref>>;
+
+// The answers that the server gives by itself. Nothing was run for any.
+struct BuiltInProblem {
+  int status;
+  const char* type;
+  const char* title;
+};
+constexpr BuiltInProblem kNotFound{404, "not_found", "No such path"};
+constexpr BuiltInProblem kMethodNotAllowed{405, "method_not_allowed",
+                                           "The path has no such method"};
+constexpr BuiltInProblem kBodyTooLarge{413, "body_too_large",
+                                       "The body is too large"};
+constexpr BuiltInProblem kHeadersTooLarge{431, "headers_too_large",
+                                          "The header fields are too large"};
+constexpr BuiltInProblem kTooManyCalls{503, "too_many_calls",
+                                       "Too many calls are open"};
+
+std::string ProblemBody(const BuiltInProblem& problem) {
+  std::string body = R"({"type": "urn:lovagecleat:)";
+  body.append(problem.type).append(R"(", "title": ")").append(problem.title);
+  body.append(R"(", "status": )").append(std::to_string(problem.status));
+  body.append(R"(, "outcome": "not_run"})");
+  return body;
+}
+
+void RespondProblem(SoupServerMessage* message, const BuiltInProblem& problem) {
+  const std::string body = ProblemBody(problem);
+  soup_server_message_set_status(message, problem.status, nullptr);
+  soup_server_message_set_response(message, kProblemType, SOUP_MEMORY_COPY,
+                                   body.data(), body.size());
+  auto* headers = soup_server_message_get_response_headers(message);
+  if (problem.status == kTooManyCalls.status)
+    soup_message_headers_replace(headers, "Retry-After", kRetryAfterSeconds);
+}
+
+std::size_t HeaderBytes(SoupServerMessage* message) {
+  constexpr std::size_t kSeparatorBytes = 4;  // ": " and CR LF
+  std::size_t total = 0;
+  SoupMessageHeadersIter iterator;
+  const char* name = nullptr;
+  const char* value = nullptr;
+  soup_message_headers_iter_init(
+      &iterator, soup_server_message_get_request_headers(message));
+  while (soup_message_headers_iter_next(&iterator, &name, &value)) {
+    total += std::string_view(name).size() + std::string_view(value).size();
+    total += kSeparatorBytes;
+  }
+  return total;
+}
+
+// Both directions end at once; the peer sees the end of the stream without the
+// last chunk, so it cannot take a part of an answer for the whole.
+void ShutDown(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr || g_socket_is_closed(socket)) return;
+  g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+}
+
+// Counts the bytes of one request's body as they arrive, since a chunked body
+// does not say its length beforehand.
+struct BodyCounter {
+  std::size_t limit = 0;
+  std::size_t received = 0;
+
+  bool IsOver() const { return received > limit; }
+};
+constexpr const char* kBodyCounterKey = "lovagecleat-body-counter";
+
+void CountChunk(SoupServerMessage* message, GBytes* chunk, gpointer data) {
+  auto* counter = static_cast<BodyCounter*>(data);
+  counter->received += g_bytes_get_size(chunk);
+  if (!counter->IsOver()) return;
+  auto* body = soup_server_message_get_request_body(message);
+  soup_message_body_set_accumulate(body, FALSE);
+  if (counter->received > counter->limit * kDiscardFactor) ShutDown(message);
+}
+
+void AttachBodyCounter(SoupServerMessage* message, std::size_t limit) {
+  auto* counter = new BodyCounter{limit};
+  g_object_set_data_full(
+      G_OBJECT(message), kBodyCounterKey, counter,
+      [](gpointer data) { delete static_cast<BodyCounter*>(data); });
+  g_signal_connect(message, "got-chunk", G_CALLBACK(CountChunk), counter);
+}
+
+bool IsBodyTooLarge(SoupServerMessage* message) {
+  const auto* counter = static_cast<BodyCounter*>(
+      g_object_get_data(G_OBJECT(message), kBodyCounterKey));
+  return counter != nullptr && counter->IsOver();
+}
+
+std::string RequestBody(SoupServerMessage* message) {
+  auto* body = soup_server_message_get_request_body(message);
+  GBytes* bytes = soup_message_body_flatten(body);
+  gsize size = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  std::string text = data == nullptr ? std::string() : std::string(data, size);
+  g_bytes_unref(bytes);
+  return text;
+}
+
+class SoupCall final : public HttpServerCall {
+ public:
+  explicit SoupCall(SoupServerMessage* message)
+      : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))),
+        method_(soup_server_message_get_method(message)),
+        path_(g_uri_get_path(soup_server_message_get_uri(message))),
+        body_(RequestBody(message)) {
+    SetNoDelay();
+    WatchPeer();
+    soup_server_message_pause(message);
+  }
+
+  ~SoupCall() override { StopWatching(); }
+
+  const std::string& method() const override { return method_; }
+  const std::string& path() const override { return path_; }
+  const std::string& body() const override { return body_; }
+
+  std::string Header(std::string_view name) const override {
+    const char* value = soup_message_headers_get_list(
+        soup_server_message_get_request_headers(message_.get()),
+        std::string(name).c_str());
+    return value == nullptr ? std::string() : std::string(value);
+  }
+
+  std::string QueryParameter(std::string_view name) const override {
+    GUri* uri = soup_server_message_get_uri(message_.get());
+    const char* query = g_uri_get_query(uri);
+    if (query == nullptr) return {};
+    GHashTable* form = soup_form_decode(query);
+    const auto* value = static_cast<const char*>(
+        g_hash_table_lookup(form, std::string(name).c_str()));
+    std::string text = value == nullptr ? std::string() : std::string(value);
+    g_hash_table_unref(form);
+    return text;
+  }
+
+  void Respond(int status, std::string_view content_type, std::string_view body,
+               const std::map<std::string, std::string>& headers) override {
+    if (progress_ != Progress::kWaiting) return;
+    progress_ = Progress::kAnswered;
+    soup_server_message_set_status(message_.get(), status, nullptr);
+    SetHeaders(headers);
+    soup_server_message_set_response(
+        message_.get(), std::string(content_type).c_str(), SOUP_MEMORY_COPY,
+        body.data(), body.size());
+    soup_server_message_unpause(message_.get());
+  }
+
+  void StartStream(const std::map<std::string, std::string>& headers) override {
+    if (progress_ != Progress::kWaiting) return;
+    progress_ = Progress::kStreaming;
+    soup_server_message_set_status(message_.get(), SOUP_STATUS_OK, nullptr);
+    SetHeaders(headers);
+    auto* response = soup_server_message_get_response_headers(message_.get());
+    soup_message_headers_replace(response, "Content-Type", "text/event-stream");
+    soup_message_headers_replace(response, "Cache-Control", "no-cache");
+    soup_message_headers_set_encoding(response, SOUP_ENCODING_CHUNKED);
+    // Chunks that have been written are freed, so a long stream stays small.
+    soup_message_body_set_accumulate(ResponseBody(), FALSE);
+    soup_server_message_unpause(message_.get());
+  }
+
+  void WriteEvent(const ServerSentEvent& event) override {
+    if (progress_ != Progress::kStreaming) return;
+    const std::string text = FormatServerSentEvent(event);
+    soup_message_body_append(ResponseBody(), SOUP_MEMORY_COPY, text.data(),
+                             text.size());
+    soup_server_message_unpause(message_.get());
+  }
+
+  void EndStream() override {
+    if (progress_ != Progress::kStreaming) return;
+    progress_ = Progress::kAnswered;
+    soup_message_body_complete(ResponseBody());
+    soup_server_message_unpause(message_.get());
+  }
+
+  void Abort() override {
+    if (progress_ == Progress::kGone) return;
+    on_disconnected_ = nullptr;
+    Break();
+  }
+
+  void OnDisconnected(std::function<void()> callback) override {
+    if (progress_ == Progress::kGone) return;
+    on_disconnected_ = std::move(callback);
+  }
+
+  // The library is done with the message, whole or not.
+  void Finish() {
+    StopWatching();
+    const Progress before = std::exchange(progress_, Progress::kGone);
+    const auto callback = std::exchange(on_disconnected_, nullptr);
+    if (before == Progress::kAnswered || before == Progress::kGone) return;
+    if (callback) callback();
+  }
+
+  // Shuts the connection and lets the library find that out and clean up.
+  void Break() {
+    StopWatching();
+    progress_ = Progress::kGone;
+    ShutDown(message_.get());
+    if (soup_server_message_get_status(message_.get()) == 0)
+      soup_server_message_set_status(
+          message_.get(), SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+    soup_message_body_complete(ResponseBody());
+    soup_server_message_unpause(message_.get());
+  }
+
+ private:
+  enum class Progress { kWaiting, kStreaming, kAnswered, kGone };
+
+  void SetNoDelay() {
+    GSocket* socket = soup_server_message_get_socket(message_.get());
+    if (socket == nullptr) return;
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  }
+
+  // The library reads nothing while a message is paused, so the end of the
+  // peer's stream has to be watched here. POLLRDHUP tells it from further
+  // requests that wait in the socket. A caller that closes only its sending
+  // side counts as gone too.
+  void WatchPeer() {
+    GSocket* socket = soup_server_message_get_socket(message_.get());
+    if (socket == nullptr) return;
+    watch_ = g_socket_create_source(
+        socket, static_cast<GIOCondition>(POLLRDHUP), nullptr);
+    const GSocketSourceFunc on_hang_up = [](GSocket*, GIOCondition,
+                                            gpointer data) -> gboolean {
+      static_cast<SoupCall*>(data)->OnHangUp();
+      return G_SOURCE_REMOVE;
+    };
+    g_source_set_callback(watch_, G_SOURCE_FUNC(on_hang_up), this, nullptr);
+    g_source_attach(watch_, nullptr);
+  }
+
+  void StopWatching() {
+    if (watch_ == nullptr) return;
+    g_source_destroy(watch_);
+    g_source_unref(watch_);
+    watch_ = nullptr;
+  }
+
+  void OnHangUp() {
+    if (progress_ == Progress::kAnswered) return;
+    const auto callback = std::exchange(on_disconnected_, nullptr);
+    Break();
+    if (callback) callback();
+  }
+
+  void SetHeaders(const std::map<std::string, std::string>& headers) {
+    auto* response = soup_server_message_get_response_headers(message_.get());
+    for (const auto& [name, value] : headers)
+      soup_message_headers_replace(response, name.c_str(), value.c_str());
+  }
+
+  SoupMessageBody* ResponseBody() {
+    return soup_server_message_get_response_body(message_.get());
+  }
+
+  ObjectPointer<SoupServerMessage> message_;
+  std::string method_;
+  std::string path_;
+  std::string body_;
+  Progress progress_ = Progress::kWaiting;
+  GSource* watch_ = nullptr;
+  std::function<void()> on_disconnected_;
+};
+
+struct RouteEntry {
+  std::string method;
+  std::string path;  // without the '*'
+  enum class Match { kExact, kPrefix } match = Match::kExact;
+  HttpServer::Handler handler;
+
+  bool Matches(std::string_view other) const {
+    if (match == Match::kExact) return other == path;
+    return other.starts_with(path);
+  }
+};
+
+}  // namespace
+
+class HttpServer::State {
+ public:
+  explicit State(const HttpServerLimits& limits)
+      : limits_(limits),
+        server_(soup_server_new("server-header", "lovagecleat", nullptr)) {
+    soup_server_add_early_handler(server_.get(), nullptr, OnHeaders, this,
+                                  nullptr);
+    soup_server_add_handler(server_.get(), nullptr, OnRequest, this, nullptr);
+  }
+
+  ~State() {
+    soup_server_remove_handler(server_.get(), nullptr);
+    for (const auto& [message, call] : calls_) {
+      g_signal_handlers_disconnect_by_data(message, this);
+      call->Abort();
+    }
+    soup_server_disconnect(server_.get());
+  }
+
+  void Route(std::string_view method, std::string_view path, Handler handler) {
+    RouteEntry entry;
+    entry.method = method;
+    entry.handler = std::move(handler);
+    if (path.ends_with('*')) {
+      entry.match = RouteEntry::Match::kPrefix;
+      path.remove_suffix(1);
+    }
+    entry.path = path;
+    routes_.push_back(std::move(entry));
+  }
+
+  // The socket is made here, since the library's own has a backlog of ten and
+  // a burst of callers beyond it would wait for a second SYN.
+  std::optional<std::uint16_t> Listen(std::string_view address,
+                                      std::uint16_t port) {
+    const ObjectPointer<GInetAddress> ip(
+        g_inet_address_new_from_string(std::string(address).c_str()));
+    if (!ip) return Fail(ListenError::kNotAnIpNumber);
+    const ObjectPointer<GSocketAddress> place(
+        g_inet_socket_address_new(ip.get(), port));
+    GError* error = nullptr;
+    ObjectPointer<GSocket> socket(
+        g_socket_new(g_inet_address_get_family(ip.get()), G_SOCKET_TYPE_STREAM,
+                     G_SOCKET_PROTOCOL_TCP, &error));
+    if (!socket) return Fail(error);
+    g_socket_set_listen_backlog(socket.get(), kListenBacklog);
+    const bool is_listening =
+        g_socket_bind(socket.get(), place.get(), TRUE, &error) &&
+        g_socket_listen(socket.get(), &error) &&
+        soup_server_listen_socket(server_.get(), socket.get(),
+                                  static_cast<SoupServerListenOptions>(0),
+                                  &error);
+    if (!is_listening) return Fail(error);
+    return BoundPort(socket.get());
+  }
+
+  void StopListening() {
+    GSList* listeners = soup_server_get_listeners(server_.get());
+    for (GSList* item = listeners; item != nullptr; item = item->next)
+      g_socket_close(G_SOCKET(item->data), nullptr);
+    g_slist_free(listeners);
+  }
+
+  ListenError last_error() const { return last_error_; }
+  std::size_t open_calls() const { return calls_.size(); }
+
+ private:
+  std::nullopt_t Fail(ListenError error) {
+    last_error_ = error;
+    return std::nullopt;
+  }
+
+  std::nullopt_t Fail(GError* error) {
+    const bool is_in_use =
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_ADDRESS_IN_USE);
+    g_clear_error(&error);
+    return Fail(is_in_use ? ListenError::kAddressInUse : ListenError::kOther);
+  }
+
+  std::optional<std::uint16_t> BoundPort(GSocket* socket) {
+    const ObjectPointer<GSocketAddress> bound(
+        g_socket_get_local_address(socket, nullptr));
+    if (!bound) return Fail(ListenError::kOther);
+    last_error_ = ListenError::kNone;
+    return g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound.get()));
+  }
+
+  // Runs before the body is read; a status set here keeps OnRequest away.
+  static void OnHeaders(SoupServer* /*server*/, SoupServerMessage* message,
+                        const char* /*path*/, GHashTable* /*query*/,
+                        gpointer data) {
+    const auto* state = static_cast<State*>(data);
+    const HttpServerLimits& limits = state->limits_;
+    auto* headers = soup_server_message_get_request_headers(message);
+    const auto length = soup_message_headers_get_content_length(headers);
+    AttachBodyCounter(message, limits.maximum_body_bytes);
+    if (HeaderBytes(message) > limits.maximum_header_bytes)
+      return RespondProblem(message, kHeadersTooLarge);
+    if (std::cmp_greater(length, limits.maximum_body_bytes))
+      return RespondProblem(message, kBodyTooLarge);
+  }
+
+  static void OnRequest(SoupServer* /*server*/, SoupServerMessage* message,
+                        const char* path, GHashTable* /*query*/,
+                        gpointer data) {
+    auto* state = static_cast<State*>(data);
+    if (IsBodyTooLarge(message)) return RespondProblem(message, kBodyTooLarge);
+    if (state->calls_.size() >= state->limits_.maximum_open_calls)
+      return RespondProblem(message, kTooManyCalls);
+    state->Dispatch(message, path);
+  }
+
+  void Dispatch(SoupServerMessage* message, std::string_view path) {
+    const std::string_view method = soup_server_message_get_method(message);
+    const auto has_path = [&](const RouteEntry& r) { return r.Matches(path); };
+    const auto fits = [&](const RouteEntry& r) {
+      return r.method == method && r.Matches(path);
+    };
+    const auto route = std::find_if(routes_.begin(), routes_.end(), fits);
+    if (route != routes_.end()) return Open(message, route->handler);
+    const bool is_known = std::any_of(routes_.begin(), routes_.end(), has_path);
+    RespondProblem(message, is_known ? kMethodNotAllowed : kNotFound);
+  }
+
+  void Open(SoupServerMessage* message, const Handler& handler) {
+    const auto call = std::make_shared<SoupCall>(message);
+    calls_.emplace(message, call);
+    g_signal_connect(message, "finished", G_CALLBACK(OnFinished), this);
+    handler(call);
+  }
+
+  static void OnFinished(SoupServerMessage* message, gpointer data) {
+    auto* state = static_cast<State*>(data);
+    const auto found = state->calls_.find(message);
+    if (found == state->calls_.end()) return;
+    const auto call = found->second;
+    state->calls_.erase(found);
+    call->Finish();
+  }
+
+  HttpServerLimits limits_;
+  ListenError last_error_ = ListenError::kNone;
+  ObjectPointer<SoupServer> server_;
+  std::vector<RouteEntry> routes_;
+  std::unordered_map<SoupServerMessage*, std::shared_ptr<SoupCall>> calls_;
+};
+
+HttpServer::HttpServer(Loop& /*loop*/, const HttpServerLimits& limits)
+    : state_(std::make_unique<State>(limits)) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::Route(std::string_view method, std::string_view path,
+                       Handler handler) {
+  state_->Route(method, path, std::move(handler));
+}
+
+std::optional<std::uint16_t> HttpServer::Listen(std::string_view address,
+                                                std::uint16_t port) {
+  return state_->Listen(address, port);
+}
+
+void HttpServer::StopListening() { state_->StopListening(); }
+
+ListenError HttpServer::last_error() const { return state_->last_error(); }
+
+std::size_t HttpServer::open_calls() const { return state_->open_calls(); }
+
+}  // namespace lovagecleat::transport
--- a/libraries/transport/peer_link.h
+++ b/libraries/transport/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
@@ -43,6 +44,9 @@
 
   void OnMessage(MessageCallback callback);
 
+  // Received messages that were dropped since they could not be read.
+  std::uint64_t malformed_messages() const;
+
  private:
   class State;
   std::unique_ptr<State> state_;
--- a/libraries/transport/server_sent_events.h
+++ b/libraries/transport/server_sent_events.h
@@ -37,6 +37,7 @@
   std::size_t maximum_event_bytes_;
   std::string line_;
   bool has_data_ = false;
+  bool after_carriage_return_ = false;
   ServerSentEvent current_;
   EventParseError last_error_ = EventParseError::kNone;
 };
