--- a/libraries/transport/http_client.h
+++ b/libraries/transport/http_client.h
@@ -42,7 +42,7 @@
   Duration progress_bound = std::chrono::seconds(5);
   std::optional<TimePoint> send_before;
   std::optional<TimePoint> deadline;
-  std::size_t maximum_body_bytes = 4 * 1024 * 1024;
+  std::size_t maximum_body_bytes = std::size_t{4} * 1024 * 1024;
 };
 
 struct HttpResponse {
--- a/libraries/transport/http_server.cc
+++ b/libraries/transport/http_server.cc
@@ -16,6 +16,7 @@
 
 namespace {
 
+constexpr std::size_t kSeparatorBytes = 4;  // ": " and CR LF
 constexpr int kListenBacklog = 1024;
 constexpr const char* kProblemType = "application/problem+json";
 constexpr const char* kRetryAfterSeconds = "1";
@@ -63,7 +64,6 @@
 }
 
 std::size_t HeaderBytes(SoupServerMessage* message) {
-  constexpr std::size_t kSeparatorBytes = 4;  // ": " and CR LF
   std::size_t total = 0;
   SoupMessageHeadersIter iterator;
   const char* name = nullptr;
--- a/libraries/transport/http_server.h
+++ b/libraries/transport/http_server.h
@@ -46,9 +46,9 @@
 };
 
 struct HttpServerLimits {
-  std::size_t maximum_body_bytes = 256 * 1024;   // more: 413
-  std::size_t maximum_header_bytes = 16 * 1024;  // more: 431
-  std::size_t maximum_open_calls = 4000;         // more: 503 with Retry-After
+  std::size_t maximum_body_bytes = std::size_t{256} * 1024;   // more: 413
+  std::size_t maximum_header_bytes = std::size_t{16} * 1024;  // more: 431
+  std::size_t maximum_open_calls = 4000;  // more: 503 with Retry-After
 };
 
 enum class ListenError { kNone, kNotAnIpNumber, kAddressInUse, kOther };
--- a/libraries/transport/peer_link.h
+++ b/libraries/transport/peer_link.h
@@ -28,7 +28,7 @@
  public:
   using MessageCallback = std::function<void(const messages::PeerMessage&)>;
 
-  static constexpr std::size_t kMaximumMessageBytes = 1024 * 1024;
+  static constexpr std::size_t kMaximumMessageBytes = std::size_t{1024} * 1024;
 
   PeerLink(Loop& loop, HostId self);
   ~PeerLink();
--- a/tests/transport/server_sent_events_test.cc
+++ b/tests/transport/server_sent_events_test.cc
@@ -11,9 +11,12 @@
                                           std::size_t piece_bytes) {
   ServerSentEventParser parser(kMaximumEventBytes);
   std::vector<ServerSentEvent> all;
-  for (; !text.empty(); text.remove_prefix(std::min(piece_bytes, text.size())))
-    for (auto& event : *parser.Feed(text.substr(0, piece_bytes)))
-      all.push_back(std::move(event));
+  while (!text.empty()) {
+    const auto events = parser.Feed(text.substr(0, piece_bytes));
+    REQUIRE(events);
+    all.insert(all.end(), events->begin(), events->end());
+    text.remove_prefix(std::min(piece_bytes, text.size()));
+  }
   return all;
 }
 
