--- a/libraries/policy/policy.h
+++ b/libraries/policy/policy.h
@@ -5,6 +5,7 @@
 #include "policy/commands.h"                // IWYU pragma: export
 #include "policy/configuration_follower.h"  // IWYU pragma: export
 #include "policy/core.h"                    // IWYU pragma: export
+#include "policy/credits.h"                 // IWYU pragma: export
 #include "policy/decision_log.h"            // IWYU pragma: export
 #include "policy/events.h"                  // IWYU pragma: export
 #include "policy/intent.h"                  // IWYU pragma: export
