Policy: Carry out operators' changes and hold drains while the table is down

A read or conflict whose answer names no row counts as a failed operation in IntentRun, so that it cannot loop.

--- a/libraries/policy/intent.cc
+++ b/libraries/policy/intent.cc
@@ -67,7 +67,6 @@
     HandleFailedOperation(step, answer.outcome, now);
     return step;
   }
-  failures_in_a_row_ = 0;
   if (phase_ == Phase::kClaiming) {
     HandleClaimAnswer(step, answer, now);
   } else if (phase_ == Phase::kClosing) {
@@ -209,6 +208,15 @@
   retry_at_ = now + RetryDelay(failures_in_a_row_, maximum);
 }
 
+// Some tables do not name the row that stands in the way of a write.
+void IntentRun::HandleMissingRow(IntentStep& step, TimePoint now) {
+  if (is_reading_) {
+    HandleFailedOperation(step, TableOutcome::kUnavailable, now);
+    return;
+  }
+  IssueRead(step, now);
+}
+
 void IntentRun::HandleClaimAnswer(IntentStep& step, const TableAnswered& answer,
                                   TimePoint now) {
   if (answer.outcome == TableOutcome::kOk && !is_reading_) {
@@ -218,7 +226,7 @@
   }
   const TableRow* row = FindRow(answer);
   if (row == nullptr) {
-    IssueRead(step, now);
+    HandleMissingRow(step, now);
     return;
   }
   JudgeRowInClaim(step, *row, now);
@@ -278,6 +286,7 @@
   }
   phase_ = Phase::kCalling;
   is_claim_uncertain_ = false;
+  failures_in_a_row_ = 0;
   is_call_outstanding_ = true;
   ++calls_;
   step.send_call = SendCall::kYes;
@@ -317,7 +326,7 @@
   }
   const TableRow* row = FindRow(answer);
   if (row == nullptr) {
-    IssueRead(step, now);
+    HandleMissingRow(step, now);
     return;
   }
   JudgeRowInClose(step, *row, now);
--- a/libraries/policy/intent.h
+++ b/libraries/policy/intent.h
@@ -77,6 +77,7 @@
                          TimePoint now);
   void HandleFailedOperation(IntentStep& step, TableOutcome outcome,
                              TimePoint now);
+  void HandleMissingRow(IntentStep& step, TimePoint now);
   void JudgeRowInClaim(IntentStep& step, const TableRow& row, TimePoint now);
   void JudgeRowOfOther(IntentStep& step, const TableRow& row,
                        const IntentRow& intent, TimePoint now);
--- /dev/null
+++ b/libraries/policy/operator_changes.cc
@@ -0,0 +1,315 @@
+#include "policy/operator_changes.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "policy/operator_answers.h"
+
+namespace lovagecleat::policy {
+namespace {
+
+using configuration::Configuration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kMaximumActivities = 32;
+constexpr std::size_t kMaximumAuditQueries = 32;
+constexpr std::uint64_t kAuditPage = 20;
+constexpr Duration kAuditBound = seconds(2);
+constexpr Duration kSpreadInterval = seconds(2);
+// The host that the operator asked brings a drain into the table; the others
+// try seldom, in case that host is gone.
+constexpr Duration kOwnDrainRetry = seconds(1);
+constexpr Duration kOtherDrainRetry = seconds(10);
+constexpr std::uint64_t kOtherDrainSpreadMs = 20000;
+// The host that was asked tells all its peers; those pass it on to a few.
+constexpr std::size_t kForwardedCopies = 8;
+
+RecordDecision Record(std::string_view change_id, std::string_view text) {
+  return {RequestId(), "operator",
+          "change " + std::string(change_id) + ": " + std::string(text)};
+}
+
+std::optional<std::uint64_t> ReadRevision(std::string_view text) {
+  std::uint64_t revision = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, revision);
+  if (error != std::errc() || rest != end) return std::nullopt;
+  return revision;
+}
+
+std::string_view Describe(ChangeResult result) {
+  switch (result) {
+    case ChangeResult::kAccepted:
+      return "accepted";
+    case ChangeResult::kConflict:
+      return "refused, another change took the revision";
+    case ChangeResult::kInvalid:
+      return "refused, it does not fit the configuration";
+    case ChangeResult::kStoreUnavailable:
+      return "not run, the table does not answer";
+    case ChangeResult::kUnknown:
+      break;
+  }
+  return "unknown, the table does not answer";
+}
+
+bool IsUnsettled(ChangeResult result) {
+  return result == ChangeResult::kStoreUnavailable ||
+         result == ChangeResult::kUnknown;
+}
+
+}  // namespace
+
+OperatorChanges::OperatorChanges(HostId self, OperationCounter& counter)
+    : self_(std::move(self)), counter_(counter) {}
+
+std::vector<Command> OperatorChanges::Submit(
+    const OperatorChangeSubmitted& submitted, TimePoint now,
+    WallTime wall_now) {
+  const ChangeRequest request{
+      submitted.change_id, submitted.who, submitted.expected_revision,
+      submitted.change,    wall_now,      self_};
+  if (drains_.Find(request.change_id) != nullptr) {
+    return {AnswerPending(submitted.call, request)};
+  }
+  if (activities_.size() >= kMaximumActivities) {
+    return {AnswerNotRun(submitted.call, request, "too many changes at once")};
+  }
+  std::vector<Command> commands;
+  Begin(request, submitted.call, now, commands);
+  return commands;
+}
+
+std::vector<Command> OperatorChanges::Query(const OperatorQueryArrived& query,
+                                            TimePoint now) {
+  if (query.kind != OperatorQueryKind::kAudit) {
+    return {
+        AnswerConfiguration(query.call, drains_.current(), drains_.drains())};
+  }
+  if (audit_queries_.size() >= kMaximumAuditQueries) {
+    return {AnswerAuditUnavailable(query.call)};
+  }
+  const std::uint64_t newest =
+      ReadRevision(query.argument).value_or(drains_.current().revision);
+  const std::uint64_t from = newest < kAuditPage ? 1 : newest - kAuditPage + 1;
+  const OperationId operation = counter_.Next();
+  audit_queries_[operation] = {query.call, now + kAuditBound};
+  return {ScanTable{operation, std::string(kAuditRowPrefix), AuditRowKey(from),
+                    static_cast<std::uint32_t>(kAuditPage)}};
+}
+
+std::vector<Command> OperatorChanges::HandleTable(const TableAnswered& answer,
+                                                  TimePoint now) {
+  std::vector<Command> commands;
+  const auto query = audit_queries_.find(answer.operation);
+  if (query != audit_queries_.end()) {
+    commands.emplace_back(
+        answer.outcome == TableOutcome::kOk
+            ? AnswerAudit(query->second.call, answer.rows, kAuditPage)
+            : AnswerAuditUnavailable(query->second.call));
+    audit_queries_.erase(query);
+    return commands;
+  }
+  const auto found = std::find_if(
+      activities_.begin(), activities_.end(), [&](const auto& entry) {
+        return entry.second.run.Owns(answer.operation);
+      });
+  if (found == activities_.end()) return commands;
+  Take(found->first, found->second.run.HandleTable(answer, now), now, commands);
+  return commands;
+}
+
+std::vector<Command> OperatorChanges::HandleDrains(
+    const messages::ProvisionalDrains& message, TimePoint now) {
+  std::vector<Command> commands;
+  for (const messages::ProvisionalDrain& item : message.drains()) {
+    const std::optional<ChangeRequest> drain = ReadDrain(item);
+    if (drain) HoldIfDrain(*drain, now, commands);
+  }
+  return commands;
+}
+
+std::vector<Command> OperatorChanges::HandleTimer(TimePoint now) {
+  std::vector<Command> commands;
+  std::vector<std::uint64_t> due;
+  for (const auto& [id, activity] : activities_) {
+    const std::optional<TimePoint> at = activity.run.NextDue();
+    if (at && *at <= now) due.push_back(id);
+  }
+  for (const std::uint64_t id : due) {
+    Take(id, activities_.at(id).run.HandleTimer(now), now, commands);
+  }
+  std::erase_if(audit_queries_, [&](const auto& entry) {
+    if (now < entry.second.bound) return false;
+    commands.emplace_back(AnswerAuditUnavailable(entry.second.call));
+    return true;
+  });
+  RetryDrains(now, commands);
+  Spread(now);
+  return commands;
+}
+
+std::vector<Command> OperatorChanges::ObserveConfiguration(
+    const Configuration& configuration) {
+  std::vector<Command> commands;
+  for (const ChangeRequest& drain :
+       drains_.ObserveConfiguration(configuration)) {
+    drain_retries_.erase(drain.change_id);
+    commands.emplace_back(
+        Record(drain.change_id, "no longer pending, revision " +
+                                    std::to_string(configuration.revision) +
+                                    " is in force"));
+  }
+  return commands;
+}
+
+bool OperatorChanges::Owns(OperationId operation) const {
+  return audit_queries_.contains(operation) ||
+         std::any_of(activities_.begin(), activities_.end(),
+                     [operation](const auto& entry) {
+                       return entry.second.run.Owns(operation);
+                     });
+}
+
+std::optional<TimePoint> OperatorChanges::NextDue() const {
+  std::optional<TimePoint> due;
+  const auto consider = [&due](std::optional<TimePoint> instant) {
+    if (instant) due = due ? std::min(*due, *instant) : *instant;
+  };
+  for (const auto& [id, activity] : activities_) {
+    consider(activity.run.NextDue());
+  }
+  for (const auto& [operation, query] : audit_queries_) consider(query.bound);
+  for (const auto& [change_id, at] : drain_retries_) {
+    if (!IsActive(change_id)) consider(at);
+  }
+  if (!drains_.drains().empty()) consider(spread_due_);
+  return due;
+}
+
+std::vector<OutgoingMessage> OperatorChanges::TakeOutgoing() {
+  return std::exchange(outgoing_, {});
+}
+
+std::optional<Configuration> OperatorChanges::TakeAccepted() {
+  return std::exchange(accepted_, std::nullopt);
+}
+
+void OperatorChanges::Begin(const ChangeRequest& request,
+                            std::optional<CallId> call, TimePoint now,
+                            std::vector<Command>& commands) {
+  const std::uint64_t id = ++last_activity_;
+  const auto [entry, inserted] =
+      activities_.emplace(id, Activity{ChangeRun(request, counter_), call});
+  Take(id, entry->second.run.Start(now), now, commands);
+}
+
+void OperatorChanges::Take(std::uint64_t id, ChangeStep step, TimePoint now,
+                           std::vector<Command>& commands) {
+  for (Command& command : step.commands) {
+    commands.push_back(std::move(command));
+  }
+  const Activity& activity = activities_.at(id);
+  // A drain holds from the first sign of trouble on, while its fate in the
+  // table is still open: operators take a zone out because it harms now.
+  if (activity.run.HasMetFailure()) {
+    HoldIfDrain(activity.run.request(), now, commands);
+  }
+  if (!step.conclusion) return;
+  const Activity finished = activity;
+  activities_.erase(id);
+  Finish(finished, *step.conclusion, now, commands);
+}
+
+void OperatorChanges::Finish(const Activity& activity,
+                             const ChangeConclusion& conclusion, TimePoint now,
+                             std::vector<Command>& commands) {
+  const ChangeRequest& request = activity.run.request();
+  const bool is_held = drains_.Find(request.change_id) != nullptr;
+  if (is_held && IsUnsettled(conclusion.result)) {
+    drain_retries_[request.change_id] = now + RetryDelay(request);
+    if (activity.call) {
+      commands.emplace_back(AnswerPending(*activity.call, request));
+    }
+    return;
+  }
+  commands.emplace_back(Record(request.change_id, Describe(conclusion.result)));
+  if (activity.call) {
+    commands.emplace_back(AnswerChange(*activity.call, request, conclusion));
+  }
+  const bool is_overtaken = conclusion.result == ChangeResult::kConflict &&
+                            conclusion.revision > request.expected_revision;
+  if (is_held && is_overtaken && !activity.call) {
+    // Whether the other change ends this drain is known when its
+    // configuration comes into force here.
+    drain_retries_[request.change_id] = now + RetryDelay(request);
+    return;
+  }
+  drain_retries_.erase(request.change_id);
+  if (conclusion.configuration) {
+    // A held drain ends when this configuration comes into force.
+    accepted_ = conclusion.configuration;
+    return;
+  }
+  drains_.Drop(request.change_id);
+}
+
+void OperatorChanges::HoldIfDrain(const ChangeRequest& request, TimePoint now,
+                                  std::vector<Command>& commands) {
+  if (drains_.Hold(request) != ProvisionalDrains::HoldResult::kHeld) return;
+  commands.emplace_back(
+      Record(request.change_id, "held provisionally, the table is down"));
+  drain_retries_[request.change_id] = now + RetryDelay(request);
+  spread_due_ = now + kSpreadInterval;
+  const bool is_origin = request.host == self_;
+  SendDrains(is_origin ? peers_.size() : kForwardedCopies);
+}
+
+void OperatorChanges::SendDrains(std::size_t copies) {
+  for (std::size_t i = 0; i < std::min(copies, peers_.size()); ++i) {
+    const HostId& peer = peers_[next_peer_++ % peers_.size()];
+    outgoing_.push_back({peer, drains_.ToMessage()});
+  }
+}
+
+void OperatorChanges::RetryDrains(TimePoint now,
+                                  std::vector<Command>& commands) {
+  std::vector<ChangeRequest> due;
+  for (const ChangeRequest& drain : drains_.drains()) {
+    const auto retry = drain_retries_.find(drain.change_id);
+    if (retry != drain_retries_.end() && retry->second <= now &&
+        !IsActive(drain.change_id)) {
+      due.push_back(drain);
+    }
+  }
+  for (const ChangeRequest& drain : due) {
+    drain_retries_[drain.change_id] = now + RetryDelay(drain);
+    Begin(drain, std::nullopt, now, commands);
+  }
+}
+
+// Hosts that came up or were cut off when a drain was first spread learn of it
+// from one message in each interval, to one peer after the other.
+void OperatorChanges::Spread(TimePoint now) {
+  if (drains_.drains().empty() || !spread_due_ || now < *spread_due_) return;
+  spread_due_ = now + kSpreadInterval;
+  SendDrains(1);
+}
+
+bool OperatorChanges::IsActive(const std::string& change_id) const {
+  return std::any_of(activities_.begin(), activities_.end(),
+                     [&](const auto& entry) {
+                       return entry.second.run.request().change_id == change_id;
+                     });
+}
+
+Duration OperatorChanges::RetryDelay(const ChangeRequest& drain) const {
+  if (drain.host == self_) return kOwnDrainRetry;
+  const std::uint64_t spread =
+      StableHash(self_.value() + drain.change_id) % kOtherDrainSpreadMs;
+  return kOtherDrainRetry + milliseconds(spread);
+}
+
+}  // namespace lovagecleat::policy
--- a/libraries/policy/policy.h
+++ b/libraries/policy/policy.h
@@ -10,4 +10,5 @@
 #include "policy/events.h"                  // IWYU pragma: export
 #include "policy/intent.h"                  // IWYU pragma: export
 #include "policy/operation_counter.h"       // IWYU pragma: export
+#include "policy/operator_changes.h"        // IWYU pragma: export
 #include "policy/types.h"                   // IWYU pragma: export
