Stand-ins: Serve the platform and backend servers, lay out the deployments

One process serves many backend servers, each with its own port and state. meta/deployment.py runs a placed deployment and ends it by process id.

--- /dev/null
+++ b/meta/demo.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# demo.sh [qureshi|rwanda] [BASE PORT]: builds all, runs the deployment on this machine and shows it at work.
+source "$(dirname "$0")/common.sh"
+name="${1:-qureshi}"
+[ -d "deployments/$name" ] || { echo "no deployment $name"; exit 2; }
+if [ -z "${LOVAGECLEAT_BUILT:-}" ]; then
+  install_packages
+  build_tree build all
+fi
+exec python3 meta/demo.py "$name" "${@:2}"
--- /dev/null
+++ b/meta/deployment.py
@@ -0,0 +1,187 @@
+"""Runs one deployment on this machine: platform and backend stand-ins, entry hosts, tools."""
+
+import json
+import os
+import pathlib
+import re
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BINARIES = pathlib.Path(os.environ.get("LOVAGECLEAT_BUILD", ROOT / "build")) / "bin"
+POLL_SECONDS = 0.02
+START_SECONDS = 30
+STOP_SECONDS = 20
+ADDRESS = "127.0.0.1"
+
+
+class DeploymentError(Exception):
+    """A deployment did not start, answer or stop as it should."""
+
+
+def get(port, path, seconds=5):
+    """The JSON at a loopback port, or None where there is no whole 200 answer."""
+    try:
+        with urllib.request.urlopen(f"http://{ADDRESS}:{port}{path}", timeout=seconds) as answer:
+            return json.loads(answer.read() or b"{}")
+    except (urllib.error.URLError, OSError):
+        return None
+    except ValueError:
+        return {}
+
+
+def post(port, path, body, seconds=5):
+    request = urllib.request.Request(
+        f"http://{ADDRESS}:{port}{path}",
+        data=json.dumps(body).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+    with urllib.request.urlopen(request, timeout=seconds) as answer:
+        return json.loads(answer.read() or b"{}")
+
+
+def wait_until(is_so, what, seconds=START_SECONDS):
+    end = time.monotonic() + seconds
+    while not is_so():
+        if time.monotonic() > end:
+            raise DeploymentError(f"{what}: not within {seconds} s")
+        time.sleep(POLL_SECONDS)
+
+
+def place(source, target, base_port, entry_settings=None, stand_in_settings=None):
+    """Copies a deployment's files with their ports moved to start at base_port."""
+    own_base = int(json.loads((source / "stand_ins.json").read_text())["platform"]["address"].split(":")[1])
+    shift = base_port - own_base
+
+    def moved(match):
+        return f"{match.group(1)}{int(match.group(2)) + shift}"
+
+    for file in sorted(source.rglob("*.json")):
+        text = re.sub(rf"({re.escape(ADDRESS)}:)(\d+)", moved, file.read_text())
+        text = re.sub(r'("port": )(\d+)', moved, text)
+        document = json.loads(text)
+        if file.parent.name == "entry":
+            document.update(entry_settings or {})
+        if file.name == "stand_ins.json":
+            for service, changes in (stand_in_settings or {}).items():
+                document["services"][service].update(changes)
+        copy = target / file.relative_to(source)
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        copy.write_text(json.dumps(document, indent=1))
+
+
+class Deployment:
+    """All processes of one placed deployment; a context manager that ends them."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.inventory = json.loads((folder / "inventory.json").read_text())
+        self.entries = [json.loads(file.read_text()) for file in sorted((folder / "entry").glob("*.json"))]
+        self.processes = {}
+        address = json.loads((folder / "stand_ins.json").read_text())["platform"]["address"]
+        self.platform_port = int(address.split(":")[1])
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    @property
+    def zones(self):
+        return sorted({host["zone"] for host in self.inventory["hosts"]})
+
+    @property
+    def caller_ports(self):
+        return [entry["callers"]["port"] for entry in self.entries]
+
+    def entry_port(self, host):
+        return next(entry["callers"]["port"] for entry in self.entries if entry["host"] == host)
+
+    def start(self):
+        self.start_stand_ins()
+        self.start_entries()
+        self.load_configuration()
+
+    def start_stand_ins(self):
+        files = ["--settings", self.folder / "stand_ins.json", "--inventory", self.folder / "inventory.json"]
+        self._start("platform", [BINARIES / "stand_in_platform", *files])
+        for zone in self.zones:
+            self._start(f"backends-{zone}", [BINARIES / "stand_in_backend", *files, "--zone", zone])
+        wait_until(lambda: get(self.platform_port, "/v1/inventory") is not None, "platform")
+        for server in self.inventory["servers"]:
+            port = int(server["address"].split(":")[1])
+            wait_until(lambda: get(port, "/v1/load") is not None, server["id"])
+
+    def start_entries(self):
+        for entry in self.entries:
+            self.start_entry(entry["host"])
+        for entry in self.entries:
+            wait_until(lambda: get(entry["callers"]["port"], "/livez") is not None, entry["host"])
+
+    def start_entry(self, host):
+        settings = self.folder / "entry" / f"{host}.json"
+        self._start(host, [BINARIES / "lovagecleat-entry", "--settings", settings])
+
+    def load_configuration(self):
+        self.ctl("replace", self.folder / "configuration.json")
+        for entry in self.entries:
+            self.wait_ready(entry["host"])
+
+    def wait_ready(self, host):
+        port = self.entry_port(host)
+        wait_until(lambda: get(port, "/readyz") is not None, f"{host} ready")
+
+    def ctl(self, *arguments, port=None):
+        """Runs lovagecleat-ctl; gives its output, raises unless it says done."""
+        host = f"{ADDRESS}:{port or self.caller_ports[0]}"
+        return run([BINARIES / "lovagecleat-ctl", "--host", host, *arguments])
+
+    def control(self, server, **faults):
+        address = next(one["address"] for one in self.inventory["servers"] if one["id"] == server)
+        post(int(address.split(":")[1]), "/control", faults)
+
+    def records(self):
+        """What each backend server ran, by its id."""
+        result = {}
+        for server in self.inventory["servers"]:
+            records = get(int(server["address"].split(":")[1]), "/records", seconds=30)
+            if records is None:
+                raise DeploymentError(f"{server['id']} gives no records")
+            result[server["id"]] = records
+        return result
+
+    def stop(self):
+        """Ends what was started, entry hosts first; says which had to be killed or failed."""
+        failures = []
+        for name, process in reversed(list(self.processes.items())):
+            if process.poll() is not None:
+                failures.append(f"{name} had ended with {process.returncode}")
+                continue
+            process.terminate()
+        for name, process in self.processes.items():
+            try:
+                if process.wait(timeout=STOP_SECONDS) != 0:
+                    failures.append(f"{name} ended with {process.returncode}")
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+                failures.append(f"{name} did not stop")
+        self.processes = {}
+        return failures
+
+    def _start(self, name, command):
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [str(part) for part in command], stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+
+def run(command, accepted=(0,)):
+    """Runs a tool to its end and gives its standard output."""
+    done = subprocess.run([str(part) for part in command], capture_output=True, text=True, timeout=60, check=False)
+    if done.returncode not in accepted:
+        raise DeploymentError(f"{' '.join(map(str, command))}: {done.returncode}\n{done.stdout}{done.stderr}")
+    return done.stdout
--- /dev/null
+++ b/tests/stand_ins/backend/backend_server.cc
@@ -0,0 +1,278 @@
+#include "tests/stand_ins/backend/backend_server.h"
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace lovagecleat::stand_ins {
+
+namespace {
+
+using Json = nlohmann::json;
+using policy::Warmth;
+using Call = std::shared_ptr<transport::HttpServerCall>;
+
+constexpr std::string_view kJsonType = "application/json";
+
+void Respond(const Call& call, int status, const Json& body,
+             const std::map<std::string, std::string>& headers = {}) {
+  call->Respond(status, kJsonType, body.dump(), headers);
+}
+
+// Runs `handler` with the body; answers 400 where it is not what is expected.
+void WithBody(const Call& call,
+              const std::function<void(const Json&)>& handler) {
+  try {
+    handler(Json::parse(call->body()));
+  } catch (const Json::exception& error) {
+    Respond(call, 400, Json{{"error", error.what()}});
+  }
+}
+
+std::string_view NameOf(Warmth warmth) {
+  return warmth == Warmth::kWarm ? "warm" : "cold";
+}
+
+std::string_view NameOf(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kRunning:
+      return "running";
+    case CallOutcome::kDone:
+      return "done";
+    case CallOutcome::kFailed:
+      return "failed";
+    case CallOutcome::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+std::int64_t Milliseconds(TimePoint instant) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             instant.time_since_epoch())
+      .count();
+}
+
+std::uint64_t NumberIn(const std::string& text) {
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+Json ToJson(const RunRecord& run) {
+  return Json{{"request", run.request},
+              {"stage", run.stage},
+              {"attempt", run.attempt},
+              {"idempotency_key", run.idempotency_key},
+              {"start_ms", Milliseconds(run.start)},
+              {"end_ms", Milliseconds(run.end)},
+              {"outcome", NameOf(run.outcome)}};
+}
+
+}  // namespace
+
+BackendServerProcess::BackendServerProcess(transport::Loop& loop,
+                                           const BackendServer& server)
+    : loop_(loop),
+      endpoint_(server.endpoint),
+      server_(loop, transport::HttpServerLimits{}),
+      model_(server.settings, loop.clock().Now()) {
+  server_.Route("POST", "/v1/stage",
+                [this](const Call& call) { HandleStage(call); });
+  server_.Route("GET", "/v1/load",
+                [this](const Call& call) { HandleLoad(call); });
+  server_.Route("GET", "/v1/cache_events",
+                [this](const Call& call) { HandleCacheEvents(call); });
+  server_.Route("POST", "/v1/orders",
+                [this](const Call& call) { HandleOrder(call); });
+  server_.Route("POST", "/control",
+                [this](const Call& call) { HandleControl(call); });
+  server_.Route("GET", "/records",
+                [this](const Call& call) { HandleRecords(call); });
+}
+
+bool BackendServerProcess::Listen() {
+  return server_.Listen(endpoint_.address, endpoint_.port).has_value();
+}
+
+void BackendServerProcess::OnExit(std::function<void()> callback) {
+  on_exit_ = std::move(callback);
+}
+
+void BackendServerProcess::HandleStage(const Call& call) {
+  WithBody(call, [&](const Json& body) {
+    BackendCall one;
+    one.input = body.at("input").dump();
+    one.max_tokens = body.value("max_tokens", 0U);
+    one.offset = body.value("offset", std::uint64_t{0});
+    one.number = CallNumber(++last_call_);
+    one.request = call->Header("x-request-id");
+    one.stage = call->Header("x-stage");
+    one.attempt = call->Header("x-attempt");
+    one.idempotency_key = call->Header("idempotency-key");
+    one.priority =
+        static_cast<std::uint32_t>(NumberIn(call->Header("x-priority")));
+    const CallNumber number = one.number;
+    if (model_.Start(one, loop_.clock().Now()) == StartResult::kRefused) {
+      auto headers = ReportHeaders();
+      headers["X-Not-Run"] = "true";
+      Respond(call, 503, Json{{"error", "refused"}}, headers);
+      return;
+    }
+    open_.emplace(number, OpenCall{call, StreamState::kNotStarted});
+    call->OnDisconnected([this, number] {
+      open_.erase(number);
+      model_.Cancel(number, loop_.clock().Now());
+      Pump();
+    });
+    Pump();
+  });
+}
+
+// Delivers what is due and sets the timer for what is due next.
+void BackendServerProcess::Pump() {
+  for (const BackendEvent& event : model_.Advance(loop_.clock().Now())) {
+    std::visit([this](const auto& one) { Deliver(one); }, event);
+  }
+  if (timer_) loop_.Cancel(*timer_);
+  timer_.reset();
+  const std::optional<TimePoint> due = model_.NextDue();
+  if (!due) return;
+  timer_ = loop_.At(*due, [this] {
+    timer_.reset();
+    Pump();
+  });
+}
+
+void BackendServerProcess::Deliver(const TokenProduced& token) {
+  const auto found = open_.find(token.call);
+  if (found == open_.end() || silenced_.contains(token.call)) return;
+  OpenCall& open = found->second;
+  if (open.stream == StreamState::kNotStarted) {
+    open.call->StartStream(ReportHeaders());
+    open.stream = StreamState::kStarted;
+  }
+  open.call->WriteEvent({"token", std::to_string(token.offset),
+                         Json{{"text", token.text}}.dump()});
+}
+
+void BackendServerProcess::Deliver(const CallFinished& finished) {
+  const auto found = open_.find(finished.call);
+  if (found == open_.end() || silenced_.contains(finished.call)) return;
+  const OpenCall open = found->second;
+  open_.erase(found);
+  const bool is_done = finished.outcome == CallOutcome::kDone;
+  if (open.stream == StreamState::kStarted) {
+    if (!is_done) {
+      open.call->Abort();
+      return;
+    }
+    open.call->WriteEvent({"done", "", finished.output});
+    open.call->EndStream();
+    return;
+  }
+  if (!is_done) {
+    Respond(open.call, 500, Json{{"error", "failed"}}, ReportHeaders());
+    return;
+  }
+  open.call->Respond(200, kJsonType, finished.output, ReportHeaders());
+}
+
+std::map<std::string, std::string> BackendServerProcess::ReportHeaders() {
+  const policy::ServerReport report = model_.Report();
+  model_.NoteSignSent(loop_.clock().Now());
+  return {{"X-Server-Generation", std::to_string(report.generation)},
+          {"X-Server-Warmth", std::string(NameOf(report.warmth))},
+          {"X-Server-In-Flight", std::to_string(report.in_flight)}};
+}
+
+void BackendServerProcess::HandleLoad(const Call& call) {
+  const TimePoint now = loop_.clock().Now();
+  const LoadReport load = model_.Load(now);
+  if (load.generation == model_.Report().generation) model_.NoteSignSent(now);
+  Respond(call, 200,
+          Json{{"generation", load.generation},
+               {"warmth", NameOf(load.warmth)},
+               {"in_flight", load.in_flight},
+               {"queued", load.queued},
+               {"age_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(load.age)
+                    .count()}});
+}
+
+void BackendServerProcess::HandleCacheEvents(const Call& call) {
+  const std::uint64_t after = NumberIn(call->QueryParameter("after"));
+  std::uint64_t next = after;
+  Json events = Json::array();
+  for (const CacheEvent& event :
+       model_.CacheEvents(after, loop_.clock().Now())) {
+    next = event.sequence;
+    events.push_back(
+        {{"sequence", event.sequence},
+         {"prefix", event.prefix},
+         {"kind",
+          event.kind == CacheEventKind::kStored ? "stored" : "evicted"}});
+  }
+  Respond(call, 200, Json{{"next", next}, {"events", events}});
+}
+
+void BackendServerProcess::HandleOrder(const Call& call) {
+  WithBody(call, [&](const Json& body) {
+    const auto token = body.at("fencing_token").get<std::uint64_t>();
+    const OrderResult result = model_.LoadWeights(token, loop_.clock().Now());
+    if (result.accepted) {
+      Respond(call, 200, Json::object());
+      return;
+    }
+    Respond(call, 409,
+            Json{{"error", "stale_fencing_token"},
+                 {"highest", result.highest_token}});
+  });
+}
+
+void BackendServerProcess::HandleControl(const Call& call) {
+  WithBody(call, [&](const Json& body) {
+    using Willingness = BackendModel::Willingness;
+    if (body.value("cold", false)) model_.TurnCold(loop_.clock().Now());
+    if (body.contains("slow_factor")) {
+      model_.SetSlowFactor(body.at("slow_factor").get<double>());
+    }
+    if (body.contains("error_rate")) {
+      model_.SetErrorRate(body.at("error_rate").get<double>());
+    }
+    if (body.contains("refuse")) {
+      model_.SetWillingness(body.at("refuse").get<bool>()
+                                ? Willingness::kRefuses
+                                : Willingness::kServes);
+    }
+    if (body.value("silent_connections", false)) Silence();
+    Respond(call, 200, Json::object());
+    if (body.value("exit", false)) Exit();
+  });
+}
+
+void BackendServerProcess::Silence() {
+  for (const auto& [number, open] : open_) silenced_.insert(number);
+}
+
+void BackendServerProcess::Exit() {
+  server_.StopListening();
+  const auto open = std::exchange(open_, {});
+  for (const auto& [number, one] : open) {
+    model_.Cancel(number, loop_.clock().Now());
+    one.call->Abort();
+  }
+  if (on_exit_) on_exit_();
+}
+
+void BackendServerProcess::HandleRecords(const Call& call) {
+  Json runs = Json::array();
+  for (const RunRecord& run : model_.runs()) runs.push_back(ToJson(run));
+  Respond(call, 200,
+          Json{{"server", model_.settings().id.value()},
+               {"runs", runs},
+               {"maximum_in_flight_cold", model_.maximum_in_flight_cold()},
+               {"maximum_in_flight_warm", model_.maximum_in_flight_warm()},
+               {"overloads", model_.overloads()}});
+}
+
+}  // namespace lovagecleat::stand_ins
