--- /dev/null
+++ b/libraries/command_line/command_line.h
@@ -0,0 +1,7 @@
+#pragma once
+
+// The public header of the command-line library: what the small utilities
+// share, from arguments to tables.
+#include "command_line/arguments.h"  // IWYU pragma: export
+#include "command_line/files.h"      // IWYU pragma: export
+#include "command_line/render.h"     // IWYU pragma: export
--- /dev/null
+++ b/libraries/command_line/files.cc
@@ -0,0 +1,21 @@
+#include "command_line/files.h"
+
+#include <fstream>
+#include <vector>
+
+namespace lovagecleat::command_line {
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  if (!stream.is_open()) return std::nullopt;
+  // One byte more than allowed tells a file of just the size from a larger one.
+  std::string text(kMaximumFileBytes + 1, '\0');
+  stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (stream.bad()) return std::nullopt;
+  const auto size = static_cast<std::size_t>(stream.gcount());
+  if (size > kMaximumFileBytes) return std::nullopt;
+  text.resize(size);
+  return text;
+}
+
+}  // namespace lovagecleat::command_line
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <charconv>
 #include <utility>
 
 #include "configuration/object_reader.h"
@@ -84,6 +85,27 @@
 
 }  // namespace
 
+std::optional<Endpoint> ParseEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::string_view address = text.substr(0, colon);
+  const std::string_view digits = text.substr(colon + 1);
+  const bool bracketed =
+      address.size() > 2 && address.front() == '[' && address.back() == ']';
+  // Only a number of version 6 has colons of its own, and needs the brackets.
+  const bool has_colon = address.find(':') != std::string_view::npos;
+  if (bracketed != has_colon) return std::nullopt;
+  if (bracketed) address = address.substr(1, address.size() - 2);
+  Endpoint endpoint{std::string(address), 0};
+  const auto [stop, error] = std::from_chars(
+      digits.data(), digits.data() + digits.size(), endpoint.port);
+  const bool is_port = error == std::errc{} &&
+                       stop == digits.data() + digits.size() &&
+                       endpoint.port != 0;
+  if (!is_port || !IsIpNumber(endpoint.address)) return std::nullopt;
+  return endpoint;
+}
+
 std::optional<EntrySettings> SettingsReader::Read(std::string_view json) {
   problems_.clear();
   const std::optional<Json> value = ParseJson(json, problems_);
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -18,6 +18,9 @@
   std::uint16_t port = 0;
 };
 
+// Reads "127.0.0.1:7001" or "[::1]:7001"; the port is at least 1.
+std::optional<Endpoint> ParseEndpoint(std::string_view text);
+
 // The settings of one entry process. They hold from its start to its end.
 struct EntrySettings {
   HostId host;
--- /dev/null
+++ b/tests/command_line/arguments_test.cc
@@ -0,0 +1,123 @@
+#include <array>
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <sstream>
+#include <vector>
+
+#include "command_line/command_line.h"
+
+namespace lovagecleat::command_line {
+namespace {
+
+Interface AnyInterface() {
+  Interface interface;
+  interface.program = "tool";
+  interface.summary = "does a thing";
+  interface.usages = {"--host IP:PORT WORD..."};
+  interface.options = {{"host", "IP:PORT", "where", Need::kRequired},
+                       {"who", "NAME", "who asks"}};
+  interface.switches = {{"json", "prints JSON"}};
+  interface.exit_codes = {{kExitDone, "done"}, {kExitUsage, "wrong usage"}};
+  return interface;
+}
+
+// Takes what is written to a stream until it is destroyed.
+class Capture {
+ public:
+  explicit Capture(std::ostream& stream)
+      : stream_(stream), before_(stream.rdbuf(text_.rdbuf())) {}
+  ~Capture() { stream_.rdbuf(before_); }
+  Capture(const Capture&) = delete;
+  Capture& operator=(const Capture&) = delete;
+
+  std::string text() const { return text_.str(); }
+
+ private:
+  std::ostringstream text_;
+  std::ostream& stream_;
+  std::streambuf* before_;
+};
+
+std::optional<Arguments> Parse(ArgumentParser& parser,
+                               const std::vector<const char*>& words) {
+  return parser.Parse(words);
+}
+
+TEST_CASE("Options, switches and operands are told apart in any order") {
+  ArgumentParser parser(AnyInterface());
+  const auto arguments = Parse(
+      parser, {"tool", "zone", "--host", "127.0.0.1:1", "out", "--json", "z"});
+  REQUIRE(arguments.has_value());
+  CHECK(arguments->operands == std::vector<std::string>{"zone", "out", "z"});
+  CHECK(arguments->Value("host") == "127.0.0.1:1");
+  CHECK_FALSE(arguments->Value("who").has_value());
+  CHECK(arguments->Has("json"));
+}
+
+TEST_CASE("Wrong usage ends with its exit code and a word on standard error") {
+  const std::vector<std::vector<const char*>> wrong = {
+      {"tool", "status"},
+      {"tool", "--host"},
+      {"tool", "--host", "a", "--host", "b"},
+      {"tool", "--host", "a", "--colour", "blue"},
+      {}};
+  for (const auto& words : wrong) {
+    const Capture standard_error(std::cerr);
+    ArgumentParser parser(AnyInterface());
+    CHECK_FALSE(Parse(parser, words).has_value());
+    CHECK(parser.exit_code() == kExitUsage);
+    CHECK(standard_error.text().find("see tool --help") != std::string::npos);
+  }
+}
+
+TEST_CASE("Help names options and exit codes, and the process may end well") {
+  const Capture standard_output(std::cout);
+  ArgumentParser parser(AnyInterface());
+  CHECK_FALSE(Parse(parser, {"tool", "--help"}).has_value());
+  CHECK(parser.exit_code() == kExitDone);
+  CHECK(standard_output.text() ==
+        "tool: does a thing\n\n"
+        "Usage:\n  tool --host IP:PORT WORD...\n\n"
+        "Options:\n"
+        "  --host IP:PORT              where\n"
+        "  --who NAME                  who asks\n"
+        "  --json                      prints JSON\n"
+        "  --help                      prints this text\n"
+        "  --version                   prints the version\n\n"
+        "Exit codes:\n"
+        "  0                           done\n"
+        "  2                           wrong usage\n");
+}
+
+TEST_CASE("The version is printed") {
+  const Capture standard_output(std::cout);
+  ArgumentParser parser(AnyInterface());
+  CHECK_FALSE(Parse(parser, {"tool", "--version"}).has_value());
+  CHECK(parser.exit_code() == kExitDone);
+  CHECK(standard_output.text() == "tool " LOVAGECLEAT_VERSION "\n");
+}
+
+TEST_CASE("Whole numbers have nothing before or behind them") {
+  CHECK(ParseInteger("-17") == -17);
+  CHECK_FALSE(ParseInteger(""));
+  CHECK_FALSE(ParseInteger(" 1"));
+  CHECK_FALSE(ParseInteger("1ms"));
+  CHECK_FALSE(ParseInteger("99999999999999999999"));
+}
+
+TEST_CASE("Documents are shown as lines and tables") {
+  CHECK(RenderDocument(R"({"host": "a", "ready": true, "zones": [],
+      "servers": [{"service": "llm", "id": "llm-1", "limit": 4},
+                  {"service": "encoder", "id": "é", "slowness": 1.5}]})") ==
+        "host: a\n"
+        "ready: yes\n"
+        "zones: -\n"
+        "\nservers\n"
+        "id     limit  service  slowness\n"
+        "llm-1  4      llm\n"
+        "é             encoder  1.50\n");
+  CHECK(RenderDocument("no JSON") == "no JSON\n");
+}
+
+}  // namespace
+}  // namespace lovagecleat::command_line
