--- a/libraries/metrics/metrics.cc
+++ b/libraries/metrics/metrics.cc
@@ -109,7 +109,8 @@
     std::ostringstream quantile;
     quantile << kQuantiles.at(i);
     with_quantile["quantile"] = quantile.str();
-    out << name << FormatLabels(with_quantile) << " " << estimates[i] << "\n";
+    out << name << FormatLabels(with_quantile) << " "
+        << estimates[static_cast<std::ptrdiff_t>(i)] << "\n";
   }
   out << name << "_sum" << FormatLabels(labels) << " "
       << accumulators::sum(quantiles) << "\n";
