Transport: Add the peer link and the platform's clients

The server answers a stated length far over the limit past libsoup, which would first wait for the whole body: without that the test of a stated length ran into its 20 s watchdog, with it 413 comes at once.

--- /dev/null
+++ b/libraries/platform/table_client.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/base.h"
+#include "policy/policy.h"
+#include "transport/transport.h"
+
+namespace lovagecleat::platform {
+
+// Executes reads and writes of the platform's table (docs/PROTOCOLS.md). Each
+// goes by POST on a connection of its own and is answered exactly once.
+class TableClient {
+ public:
+  using AnswerCallback = std::function<void(const policy::TableAnswered&)>;
+
+  // After this long without an answer the outcome is unknown.
+  static constexpr Duration kAnswerBound = std::chrono::seconds(2);
+  static constexpr std::size_t kMaximumAnswerBytes =
+      std::size_t{8} * 1024 * 1024;
+
+  TableClient(transport::HttpClient& http, const Clock& clock,
+              std::string address, AnswerCallback on_answer);
+
+  void Read(const policy::ReadTable& command);
+  void Scan(const policy::ScanTable& command);
+  void Write(const policy::WriteTable& command);
+
+ private:
+  void Post(OperationId operation, std::string path, std::string body);
+
+  transport::HttpClient& http_;
+  const Clock& clock_;
+  std::string address_;
+  AnswerCallback on_answer_;
+};
+
+}  // namespace lovagecleat::platform
--- a/libraries/transport/http_server.cc
+++ b/libraries/transport/http_server.cc
@@ -85,6 +85,20 @@
   g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
+// Answers past the library, which would first wait for the whole body.
+void RespondAndShutDown(SoupServerMessage* message,
+                        const BuiltInProblem& problem) {
+  const std::string body = ProblemBody(problem);
+  std::string text = "HTTP/1.1 " + std::to_string(problem.status) + " ";
+  text.append(problem.title).append("\r\nContent-Type: ").append(kProblemType);
+  text.append("\r\nContent-Length: ").append(std::to_string(body.size()));
+  text.append("\r\nConnection: close\r\n\r\n").append(body);
+  GSocket* socket = soup_server_message_get_socket(message);
+  g_socket_send(socket, text.data(), text.size(), nullptr, nullptr);
+  ShutDown(message);
+  soup_server_message_set_status(message, problem.status, nullptr);
+}
+
 // Counts the bytes of one request's body as they arrive, since a chunked body
 // does not say its length beforehand.
 struct BodyCounter {
@@ -171,8 +185,9 @@
     progress_ = Progress::kAnswered;
     soup_server_message_set_status(message_.get(), status, nullptr);
     SetHeaders(headers);
+    const std::string type(content_type);
     soup_server_message_set_response(
-        message_.get(), std::string(content_type).c_str(), SOUP_MEMORY_COPY,
+        message_.get(), type.empty() ? nullptr : type.c_str(), SOUP_MEMORY_COPY,
         body.data(), body.size());
     soup_server_message_unpause(message_.get());
   }
@@ -410,6 +425,8 @@
     AttachBodyCounter(message, limits.maximum_body_bytes);
     if (HeaderBytes(message) > limits.maximum_header_bytes)
       return RespondProblem(message, kHeadersTooLarge);
+    if (std::cmp_greater(length, limits.maximum_body_bytes * kDiscardFactor))
+      return RespondAndShutDown(message, kBodyTooLarge);
     if (std::cmp_greater(length, limits.maximum_body_bytes))
       return RespondProblem(message, kBodyTooLarge);
   }
--- /dev/null
+++ b/libraries/transport/peer_link.cc
@@ -0,0 +1,274 @@
+#include "transport/peer_link.h"
+
+#include <glib-unix.h>
+#include <glib.h>
+#include <zmq.h>
+
+#include <cerrno>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "transport/release_with.h"
+
+namespace lovagecleat::transport {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kSendHighWaterMark = 1000;      // messages to one peer
+constexpr int kReceiveHighWaterMark = 10000;  // messages of one peer
+constexpr milliseconds kHeartbeatInterval{1000};
+constexpr milliseconds kHeartbeatTimeout{3000};
+constexpr milliseconds kReconnectInterval{100};
+constexpr milliseconds kMaximumReconnectInterval{1000};
+constexpr milliseconds kConnectTimeout{2000};
+
+// Messages that are taken in one go, before the loop runs other callbacks.
+constexpr int kBatchMessages = 200;
+
+using ContextPointer = std::unique_ptr<void, ReleaseWith<zmq_ctx_term>>;
+using SocketPointer = std::unique_ptr<void, ReleaseWith<zmq_close>>;
+
+void SetOption(void* socket, int option, int value) {
+  zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+void SetOption(void* socket, int option, milliseconds value) {
+  SetOption(socket, option, static_cast<int>(value.count()));
+}
+
+// What both kinds of socket have in common.
+void SetCommonOptions(void* socket) {
+  SetOption(socket, ZMQ_LINGER, 0);
+  SetOption(socket, ZMQ_SNDHWM, kSendHighWaterMark);
+  SetOption(socket, ZMQ_RCVHWM, kReceiveHighWaterMark);
+  SetOption(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatInterval);
+  SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeout);
+  const auto maximum =
+      static_cast<std::int64_t>(PeerLink::kMaximumMessageBytes);
+  zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &maximum, sizeof(maximum));
+}
+
+bool IsIpNumber(const std::string& address) {
+  return g_hostname_is_ip_address(address.c_str()) != FALSE;
+}
+
+std::string Endpoint(std::string_view address_and_port) {
+  return "tcp://" + std::string(address_and_port);
+}
+
+// One part of a message; closed at the end of its scope.
+class Frame {
+ public:
+  Frame() { zmq_msg_init(&message_); }
+  ~Frame() { zmq_msg_close(&message_); }
+  Frame(const Frame&) = delete;
+  Frame& operator=(const Frame&) = delete;
+
+  bool Receive(void* socket) {
+    return zmq_msg_recv(&message_, socket, ZMQ_DONTWAIT) >= 0;
+  }
+  bool HasMore() const { return zmq_msg_more(&message_) != 0; }
+  std::size_t size() const { return zmq_msg_size(&message_); }
+  const void* data() { return zmq_msg_data(&message_); }
+
+ private:
+  zmq_msg_t message_;
+};
+
+struct Peer {
+  std::string address;
+  SocketPointer socket;
+};
+
+}  // namespace
+
+// Each process receives on one ROUTER and sends on one DEALER for each peer, so
+// that a full queue to one peer holds up no other.
+class PeerLink::State {
+ public:
+  State(Loop& loop, HostId self)
+      : loop_(loop),
+        self_(std::move(self)),
+        context_(zmq_ctx_new()),
+        router_(zmq_socket(context_.get(), ZMQ_ROUTER)) {
+    SetCommonOptions(router_.get());
+    SetOption(router_.get(), ZMQ_ROUTER_MANDATORY, 1);
+  }
+
+  ~State() {
+    if (watch_ != 0) g_source_remove(watch_);
+    loop_.Cancel(rest_timer_);
+  }
+
+  bool Bind(std::string_view address, std::uint16_t port) {
+    const std::string ip(address);
+    if (!IsIpNumber(ip)) return Fail(PeerLinkError::kNotAnIpNumber);
+    const std::string place = Endpoint(ip + ":" + std::to_string(port));
+    if (zmq_bind(router_.get(), place.c_str()) != 0)
+      return Fail(errno == EADDRINUSE ? PeerLinkError::kAddressInUse
+                                      : PeerLinkError::kOther);
+    last_error_ = PeerLinkError::kNone;
+    Watch();
+    return true;
+  }
+
+  PeerLinkError last_error() const { return last_error_; }
+  std::uint64_t malformed_messages() const { return malformed_messages_; }
+
+  void SetPeers(std::span<const PeerAddress> peers) {
+    std::map<HostId, Peer> kept;
+    for (const auto& [host, address] : peers) {
+      if (host == self_) continue;
+      const auto found = peers_.find(host);
+      const bool is_same =
+          found != peers_.end() && found->second.address == address;
+      Peer peer = is_same ? std::move(found->second) : Connect(address);
+      if (peer.socket) kept.insert_or_assign(host, std::move(peer));
+    }
+    peers_ = std::move(kept);
+  }
+
+  bool Send(const HostId& host, const messages::PeerMessage& message) {
+    const auto found = peers_.find(host);
+    if (found == peers_.end()) return false;
+    const std::string bytes = message.SerializeAsString();
+    if (bytes.size() > kMaximumMessageBytes) return false;
+    const int sent = zmq_send(found->second.socket.get(), bytes.data(),
+                              bytes.size(), ZMQ_DONTWAIT);
+    return sent >= 0;
+  }
+
+  void OnMessage(MessageCallback callback) {
+    on_message_ = std::move(callback);
+  }
+
+ private:
+  bool Fail(PeerLinkError error) {
+    last_error_ = error;
+    return false;
+  }
+
+  // With ZMQ_IMMEDIATE nothing is queued while there is no connection, so that
+  // a peer which comes back is not met with old messages.
+  Peer Connect(const std::string& address) {
+    Peer peer;
+    peer.address = address;
+    peer.socket.reset(zmq_socket(context_.get(), ZMQ_DEALER));
+    void* socket = peer.socket.get();
+    if (socket == nullptr) return peer;
+    SetCommonOptions(socket);
+    SetOption(socket, ZMQ_IMMEDIATE, 1);
+    SetOption(socket, ZMQ_RECONNECT_IVL, kReconnectInterval);
+    SetOption(socket, ZMQ_RECONNECT_IVL_MAX, kMaximumReconnectInterval);
+    SetOption(socket, ZMQ_CONNECT_TIMEOUT, kConnectTimeout);
+    if (zmq_connect(socket, Endpoint(address).c_str()) != 0)
+      peer.socket.reset();
+    return peer;
+  }
+
+  void Watch() {
+    if (watch_ != 0) return;
+    int descriptor = -1;
+    std::size_t size = sizeof(descriptor);
+    zmq_getsockopt(router_.get(), ZMQ_FD, &descriptor, &size);
+    const GUnixFDSourceFunc on_readable = [](gint, GIOCondition,
+                                             gpointer data) -> gboolean {
+      static_cast<State*>(data)->Drain();
+      return G_SOURCE_CONTINUE;
+    };
+    watch_ = g_unix_fd_add(descriptor, G_IO_IN, on_readable, this);
+    ScheduleRest();
+  }
+
+  // The descriptor tells only of changes, so all that has come must be taken
+  // before the loop waits on it again. A long rest is taken by a timer, which
+  // lets other callbacks run in between.
+  void Drain() {
+    for (int i = 0; i < kBatchMessages; ++i) {
+      if (!IsReadable()) return;
+      TakeMessage();
+    }
+    ScheduleRest();
+  }
+
+  void ScheduleRest() {
+    loop_.Cancel(rest_timer_);
+    rest_timer_ = loop_.After(Duration::zero(), [this] { Drain(); });
+  }
+
+  bool IsReadable() {
+    int events = 0;
+    std::size_t size = sizeof(events);
+    zmq_getsockopt(router_.get(), ZMQ_EVENTS, &events, &size);
+    return (events & ZMQ_POLLIN) != 0;
+  }
+
+  // A message is the sender's routing id and one payload.
+  void TakeMessage() {
+    Frame routing_id;
+    if (!routing_id.Receive(router_.get())) return;
+    if (!routing_id.HasMore()) return CountMalformed();
+    Frame payload;
+    if (!payload.Receive(router_.get())) return CountMalformed();
+    if (payload.HasMore()) {
+      DropRest();
+      return CountMalformed();
+    }
+    messages::PeerMessage message;
+    const auto size = static_cast<int>(payload.size());
+    if (!message.ParseFromArray(payload.data(), size)) return CountMalformed();
+    if (message.sender().empty()) return CountMalformed();
+    if (on_message_) on_message_(message);
+  }
+
+  void DropRest() {
+    Frame frame;
+    while (frame.Receive(router_.get()) && frame.HasMore()) continue;
+  }
+
+  void CountMalformed() { ++malformed_messages_; }
+
+  Loop& loop_;
+  HostId self_;
+  PeerLinkError last_error_ = PeerLinkError::kNone;
+  ContextPointer context_;
+  SocketPointer router_;
+  std::map<HostId, Peer> peers_;
+  MessageCallback on_message_;
+  std::uint64_t malformed_messages_ = 0;
+  guint watch_ = 0;
+  TimerId rest_timer_;
+};
+
+PeerLink::PeerLink(Loop& loop, HostId self)
+    : state_(std::make_unique<State>(loop, std::move(self))) {}
+
+PeerLink::~PeerLink() = default;
+
+bool PeerLink::Bind(std::string_view address, std::uint16_t port) {
+  return state_->Bind(address, port);
+}
+
+PeerLinkError PeerLink::last_error() const { return state_->last_error(); }
+
+void PeerLink::SetPeers(std::span<const PeerAddress> peers) {
+  state_->SetPeers(peers);
+}
+
+bool PeerLink::Send(const HostId& host, const messages::PeerMessage& message) {
+  return state_->Send(host, message);
+}
+
+void PeerLink::OnMessage(MessageCallback callback) {
+  state_->OnMessage(std::move(callback));
+}
+
+std::uint64_t PeerLink::malformed_messages() const {
+  return state_->malformed_messages();
+}
+
+}  // namespace lovagecleat::transport
--- /dev/null
+++ b/tests/transport/http_server_test.cc
@@ -0,0 +1,251 @@
+#include <atomic>
+#include <thread>
+
+#include "tests/transport/loop_fixture.h"
+#include "tests/transport/raw_server.h"
+
+namespace lovagecleat::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr HttpServerLimits kSmallLimits{.maximum_body_bytes = 100,
+                                        .maximum_header_bytes = 500,
+                                        .maximum_open_calls = 2};
+
+using CallPointer = std::shared_ptr<HttpServerCall>;
+
+class ServerFixture : public LoopFixture {
+ public:
+  ServerFixture() {
+    server_.Route("POST", "/echo", [](const CallPointer& call) {
+      call->Respond(200, "application/json", call->body(),
+                    {{"X-Query", call->QueryParameter("until")},
+                     {"X-Team", call->Header("x-team")}});
+    });
+    server_.Route("POST", "/hold",
+                  [this](CallPointer call) { held_ = std::move(call); });
+    server_.Route("GET", "/v1/objects/*", [](const CallPointer& call) {
+      call->Respond(200, "text/plain", call->path(), {});
+    });
+    port_ = *server_.Listen("127.0.0.1", 0);
+  }
+
+  HttpRequest Request(const std::string& path) const {
+    HttpRequest request;
+    request.address = "127.0.0.1:" + std::to_string(port_);
+    request.path = path;
+    request.body = "{}";
+    return request;
+  }
+
+  HttpResponse Call(HttpRequest request) {
+    std::optional<HttpResponse> answer;
+    client_.Start(std::move(request),
+                  [&](const HttpResponse& r) { answer = r; });
+    RunUntil([&] { return answer.has_value(); });
+    return *answer;
+  }
+
+  // Runs the loop while `exchange` blocks on sockets in another thread.
+  std::string Beside(const std::function<std::string()>& exchange) {
+    std::atomic<bool> is_done = false;
+    std::string text;
+    std::thread thread([&] {
+      text = exchange();
+      is_done = true;
+    });
+    RunUntil([&] { return is_done.load(); });
+    thread.join();
+    return text;
+  }
+
+  // Keeps one call open at /hold and returns once the server has it.
+  void Hold(const HttpClient::EventCallback& on_event = nullptr) {
+    held_.reset();
+    answer_.reset();
+    call_ = client_.Start(
+        Request("/hold"), [this](const HttpResponse& r) { answer_ = r; },
+        on_event);
+    RunUntil([this] { return held_ != nullptr; });
+  }
+
+  HttpServer server_{loop(), kSmallLimits};
+  HttpClient client_{loop()};
+  std::uint16_t port_ = 0;
+  CallPointer held_;
+  HttpCallId call_;
+  std::optional<HttpResponse> answer_;
+};
+
+TEST_CASE_METHOD(ServerFixture, "An answer carries status, headers and body") {
+  HttpRequest request = Request("/echo?until=7&x=y");
+  request.headers["X-Team"] = "north";
+  const auto answer = Call(request);
+  REQUIRE(answer.status == 200);
+  REQUIRE(answer.body == "{}");
+  REQUIRE(answer.headers.at("content-type") == "application/json");
+  REQUIRE(answer.headers.at("x-query") == "7");
+  REQUIRE(answer.headers.at("x-team") == "north");
+  HttpRequest object = Request("/v1/objects/a/b");
+  object.method = "GET";
+  REQUIRE(Call(object).body == "/v1/objects/a/b");
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "Unknown paths and methods are typed problems") {
+  const auto unknown = Call(Request("/nothing"));
+  REQUIRE(unknown.status == 404);
+  REQUIRE(unknown.headers.at("content-type") == "application/problem+json");
+  REQUIRE(unknown.body.find("not_run") != std::string::npos);
+  HttpRequest request = Request("/echo");
+  request.method = "DELETE";
+  REQUIRE(Call(request).status == 405);
+}
+
+TEST_CASE_METHOD(ServerFixture, "Limits on bodies, headers and open calls") {
+  HttpRequest large = Request("/echo");
+  large.body = std::string(101, 'x');
+  REQUIRE(Call(large).status == 413);
+  HttpRequest headers = Request("/echo");
+  headers.headers["X-Long"] = std::string(600, 'x');
+  REQUIRE(Call(headers).status == 431);
+  Hold();
+  const auto first = held_;
+  Hold();
+  const auto refused = Call(Request("/echo"));
+  REQUIRE(refused.status == 503);
+  REQUIRE(refused.headers.at("retry-after") == "1");
+  held_->Respond(204, "", "", {});
+  first->Respond(204, "", "", {});
+  RunUntil([&] { return server_.open_calls() == 0; });
+  REQUIRE(Call(Request("/echo")).status == 200);
+}
+
+TEST_CASE_METHOD(ServerFixture, "A chunked body over the limit gets its 413") {
+  const auto answer = Beside([&] {
+    const RawClient raw(port_);
+    raw.Write(
+        "POST /echo HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string piece(60, 'x');
+    for (int i = 0; i < 3; ++i) raw.Write("3c\r\n" + piece + "\r\n");
+    raw.Write("0\r\n\r\n");
+    return raw.ReadToEnd();
+  });
+  REQUIRE(answer.starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE_METHOD(ServerFixture, "A stated length over the limit gets its 413") {
+  const auto answer = Beside([&] {
+    const RawClient raw(port_);
+    raw.Write(
+        "POST /echo HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        "Content-Length: 1000000\r\n\r\n");
+    return raw.ReadToEnd();
+  });
+  REQUIRE(answer.starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE_METHOD(ServerFixture, "An endless body is cut off") {
+  const auto answer = Beside([&] {
+    const RawClient raw(port_);
+    raw.Write(
+        "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string piece(60, 'x');
+    for (int i = 0; i < 100; ++i) raw.Write("3c\r\n" + piece + "\r\n");
+    return raw.ReadToEnd();
+  });
+  REQUIRE(answer.find("200 OK") == std::string::npos);
+}
+
+TEST_CASE_METHOD(ServerFixture, "Bytes that are no HTTP end the connection") {
+  const auto answer = Beside([&] {
+    const RawClient raw(port_);
+    raw.Write("\x16\x03\x01 no HTTP\r\n\r\n");
+    return raw.ReadToEnd();
+  });
+  REQUIRE(answer.find("200 OK") == std::string::npos);
+  REQUIRE(Call(Request("/echo")).status == 200);
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "Each event arrives before the next is written") {
+  std::vector<std::string> seen;
+  Hold([&](const ServerSentEvent& event) { seen.push_back(event.id); });
+  held_->StartStream({});
+  for (int i = 0; i < 20; ++i) {
+    held_->WriteEvent({"token", std::to_string(i), "{}"});
+    RunUntil([&] { return seen.size() == static_cast<std::size_t>(i) + 1; });
+    REQUIRE(seen.back() == std::to_string(i));
+  }
+  REQUIRE_FALSE(answer_);
+  held_->EndStream();
+  RunUntil([&] { return answer_.has_value(); });
+  REQUIRE(answer_->failure == HttpFailure::kNone);
+  REQUIRE(answer_->headers.at("content-type") == "text/event-stream");
+}
+
+TEST_CASE_METHOD(ServerFixture,
+                 "A caller that goes is noticed, also in silence") {
+  Hold();
+  int gone = 0;
+  held_->OnDisconnected([&] { ++gone; });
+  client_.Cancel(call_);
+  RunUntil([&] { return gone == 1 && server_.open_calls() == 0; });
+  Hold([](const ServerSentEvent&) {});
+  held_->OnDisconnected([&] { ++gone; });
+  held_->StartStream({});
+  held_->WriteEvent({"token", "0", "{}"});
+  client_.Cancel(call_);
+  RunUntil([&] { return gone == 2 && server_.open_calls() == 0; });
+  held_->WriteEvent({"token", "1", "{}"});
+  held_->EndStream();
+  REQUIRE(gone == 2);
+}
+
+TEST_CASE_METHOD(ServerFixture, "An answered call is not reported as gone") {
+  Hold();
+  int gone = 0;
+  held_->OnDisconnected([&] { ++gone; });
+  held_->Respond(200, "application/json", "{}", {});
+  RunUntil([&] { return answer_ && server_.open_calls() == 0; });
+  REQUIRE(gone == 0);
+}
+
+TEST_CASE_METHOD(ServerFixture, "Abort leaves the caller without an answer") {
+  Hold();
+  held_->Abort();
+  RunUntil([&] { return answer_.has_value(); });
+  REQUIRE(answer_->failure == HttpFailure::kConnectionLost);
+  Hold([](const ServerSentEvent&) {});
+  held_->StartStream({});
+  held_->WriteEvent({"token", "0", "{}"});
+  held_->Abort();
+  RunUntil([&] { return answer_.has_value(); });
+  RunUntil([&] { return server_.open_calls() == 0; });
+}
+
+TEST_CASE_METHOD(ServerFixture, "Open streams go on after StopListening") {
+  std::vector<std::string> seen;
+  Hold([&](const ServerSentEvent& event) { seen.push_back(event.id); });
+  held_->StartStream({});
+  server_.StopListening();
+  REQUIRE(Call(Request("/echo")).failure == HttpFailure::kNotConnected);
+  held_->WriteEvent({"token", "0", "{}"});
+  held_->EndStream();
+  RunUntil([&] { return answer_.has_value(); });
+  REQUIRE(answer_->failure == HttpFailure::kNone);
+  REQUIRE(seen == std::vector<std::string>{"0"});
+}
+
+TEST_CASE_METHOD(ServerFixture, "Listening fails with a typed reason") {
+  HttpServer other(loop(), kSmallLimits);
+  REQUIRE_FALSE(other.Listen("localhost", 0));
+  REQUIRE(other.last_error() == ListenError::kNotAnIpNumber);
+  REQUIRE_FALSE(other.Listen("127.0.0.1", port_));
+  REQUIRE(other.last_error() == ListenError::kAddressInUse);
+}
+
+}  // namespace
+}  // namespace lovagecleat::transport
--- /dev/null
+++ b/tests/transport/peer_link_test.cc
@@ -0,0 +1,140 @@
+#include <zmq.h>
+
+#include "tests/transport/loop_fixture.h"
+#include "tests/transport/raw_server.h"
+
+namespace lovagecleat::transport {
+namespace {
+
+messages::PeerMessage Message(std::string_view sender, std::uint64_t sequence) {
+  messages::PeerMessage message;
+  message.set_sender(std::string(sender));
+  message.set_sequence(sequence);
+  message.mutable_heartbeat()->set_configuration_revision(7);
+  return message;
+}
+
+PeerAddress AddressOf(const char* host, std::uint16_t port) {
+  return {HostId(host), "127.0.0.1:" + std::to_string(port)};
+}
+
+class Receiver {
+ public:
+  Receiver(Loop& loop, std::uint16_t port) : link_(loop, HostId("b")) {
+    link_.OnMessage([this](const messages::PeerMessage& message) {
+      sequences_.push_back(message.sequence());
+    });
+    REQUIRE(link_.Bind("127.0.0.1", port));
+  }
+
+  const std::vector<std::uint64_t>& sequences() const { return sequences_; }
+  PeerLink& link() { return link_; }
+
+ private:
+  PeerLink link_;
+  std::vector<std::uint64_t> sequences_;
+};
+
+// Sends until one message has arrived; a new connection takes a moment.
+void SendUntilArrived(LoopFixture& fixture, PeerLink& sender,
+                      const Receiver& receiver) {
+  std::uint64_t sequence = 0;
+  fixture.RunUntil([&] {
+    sender.Send(HostId("b"), Message("a", ++sequence));
+    return !receiver.sequences().empty();
+  });
+}
+
+TEST_CASE_METHOD(LoopFixture, "Messages arrive whole and in order") {
+  const std::uint16_t port = UnusedPort();
+  Receiver receiver(loop(), port);
+  PeerLink sender(loop(), HostId("a"));
+  sender.SetPeers(std::vector{AddressOf("b", port)});
+  SendUntilArrived(*this, sender, receiver);
+  const std::size_t before = receiver.sequences().size();
+  // More than are taken in one go; all come although nothing follows them.
+  constexpr std::uint64_t first = 1000;
+  constexpr std::uint64_t last = 1600;
+  for (auto i = first; i < last; ++i)
+    REQUIRE(sender.Send(HostId("b"), Message("a", i)));
+  RunUntil([&] { return receiver.sequences().back() == last - 1; });
+  REQUIRE(receiver.sequences().size() >= before + (last - first));
+  REQUIRE(
+      std::is_sorted(receiver.sequences().begin(), receiver.sequences().end()));
+}
+
+TEST_CASE_METHOD(LoopFixture, "A peer that comes back is reached again") {
+  const std::uint16_t port = UnusedPort();
+  PeerLink sender(loop(), HostId("a"));
+  sender.SetPeers(std::vector{AddressOf("b", port)});
+  {
+    const Receiver receiver(loop(), port);
+    SendUntilArrived(*this, sender, receiver);
+  }
+  RunUntil([&] { return !sender.Send(HostId("b"), Message("a", 1)); });
+  const Receiver receiver(loop(), port);
+  SendUntilArrived(*this, sender, receiver);
+}
+
+TEST_CASE_METHOD(LoopFixture, "Peers that are not named get nothing") {
+  const std::uint16_t port = UnusedPort();
+  const Receiver receiver(loop(), port);
+  PeerLink sender(loop(), HostId("a"));
+  REQUIRE_FALSE(sender.Send(HostId("b"), Message("a", 1)));
+  sender.SetPeers(std::vector{AddressOf("b", port)});
+  SendUntilArrived(*this, sender, receiver);
+  sender.SetPeers({});
+  REQUIRE_FALSE(sender.Send(HostId("b"), Message("a", 2)));
+}
+
+TEST_CASE_METHOD(LoopFixture, "What cannot be read is dropped and counted") {
+  const std::uint16_t port = UnusedPort();
+  Receiver receiver(loop(), port);
+  void* context = zmq_ctx_new();
+  void* socket = zmq_socket(context, ZMQ_DEALER);
+  const std::string place = "tcp://127.0.0.1:" + std::to_string(port);
+  REQUIRE(zmq_connect(socket, place.c_str()) == 0);
+  const std::string_view garbage = "\xff\xff\xff no message";
+  zmq_send(socket, garbage.data(), garbage.size(), 0);
+  zmq_send(socket, "part", 4, ZMQ_SNDMORE);
+  zmq_send(socket, "part", 4, 0);
+  const std::string good = Message("a", 5).SerializeAsString();
+  zmq_send(socket, good.data(), good.size(), 0);
+  RunUntil([&] { return !receiver.sequences().empty(); });
+  REQUIRE(receiver.sequences() == std::vector<std::uint64_t>{5});
+  REQUIRE(receiver.link().malformed_messages() == 2);
+  zmq_close(socket);
+  zmq_ctx_term(context);
+}
+
+TEST_CASE_METHOD(LoopFixture,
+                 "Sending to a peer that does not read is bounded") {
+  const std::uint16_t port = UnusedPort();
+  Receiver receiver(loop(), port);
+  PeerLink sender(loop(), HostId("a"));
+  sender.SetPeers(std::vector{AddressOf("b", port)});
+  SendUntilArrived(*this, sender, receiver);
+  auto message = Message("a", 1);
+  message.mutable_stage_request()->set_input(std::string(100000, 'x'));
+  // The loop does not run, so nothing is taken at the other end.
+  constexpr int most = 20000;
+  int sent = 0;
+  while (sent < most && sender.Send(HostId("b"), message)) ++sent;
+  REQUIRE(sent < most);
+  message.mutable_stage_request()->set_input(
+      std::string(PeerLink::kMaximumMessageBytes, 'x'));
+  REQUIRE_FALSE(sender.Send(HostId("b"), message));
+}
+
+TEST_CASE_METHOD(LoopFixture, "Binding fails with a typed reason") {
+  const std::uint16_t port = UnusedPort();
+  const Receiver receiver(loop(), port);
+  PeerLink other(loop(), HostId("c"));
+  REQUIRE_FALSE(other.Bind("127.0.0.1", port));
+  REQUIRE(other.last_error() == PeerLinkError::kAddressInUse);
+  REQUIRE_FALSE(other.Bind("localhost", port));
+  REQUIRE(other.last_error() == PeerLinkError::kNotAnIpNumber);
+}
+
+}  // namespace
+}  // namespace lovagecleat::transport
