Transport: Keep line ends out of header fields and split the server

A team's name with a line end in it made libsoup leave out X-Team and log a critical warning (no field was injected); control characters now become spaces. TableClient takes the time from its HTTP client. The server's routes and built-in problems are modules of their own.

--- a/libraries/platform/table_client.cc
+++ b/libraries/platform/table_client.cc
@@ -82,10 +82,9 @@
 
 }  // namespace
 
-TableClient::TableClient(transport::HttpClient& http, const Clock& clock,
-                         std::string address, AnswerCallback on_answer)
+TableClient::TableClient(transport::HttpClient& http, std::string address,
+                         AnswerCallback on_answer)
     : http_(http),
-      clock_(clock),
       address_(std::move(address)),
       on_answer_(std::move(on_answer)) {}
 
@@ -118,7 +117,7 @@
   request.connection = transport::ConnectionChoice::kFresh;
   request.first_byte_bound = kAnswerBound;
   request.progress_bound = kAnswerBound;
-  request.deadline = clock_.Now() + kAnswerBound;
+  request.deadline = http_.clock().Now() + kAnswerBound;
   request.maximum_body_bytes = kMaximumAnswerBytes;
   http_.Start(std::move(request),
               [operation, on_answer = on_answer_](const HttpResponse& r) {
--- a/libraries/platform/table_client.h
+++ b/libraries/platform/table_client.h
@@ -21,8 +21,8 @@
   static constexpr std::size_t kMaximumAnswerBytes =
       std::size_t{8} * 1024 * 1024;
 
-  TableClient(transport::HttpClient& http, const Clock& clock,
-              std::string address, AnswerCallback on_answer);
+  TableClient(transport::HttpClient& http, std::string address,
+              AnswerCallback on_answer);
 
   void Read(const policy::ReadTable& command);
   void Scan(const policy::ScanTable& command);
@@ -32,7 +32,6 @@
   void Post(OperationId operation, std::string path, std::string body);
 
   transport::HttpClient& http_;
-  const Clock& clock_;
   std::string address_;
   AnswerCallback on_answer_;
 };
--- a/libraries/transport/http_client.cc
+++ b/libraries/transport/http_client.cc
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "transport/header_value.h"
 #include "transport/release_with.h"
 
 namespace lovagecleat::transport {
@@ -61,7 +62,8 @@
   if (ClosesConnection(request))
     soup_message_headers_replace(headers, "Connection", "close");
   for (const auto& [name, value] : request.headers)
-    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+    soup_message_headers_replace(headers, name.c_str(),
+                                 HeaderValue(value).c_str());
   return message;
 }
 
@@ -331,6 +333,8 @@
     if (found != calls_.end()) found->second->Cancel();
   }
 
+  const Clock& clock() const { return loop_.clock(); }
+
  private:
   Loop& loop_;
   std::uint64_t last_id_ = 0;
@@ -350,4 +354,6 @@
 
 void HttpClient::Cancel(HttpCallId call) { state_->Cancel(call); }
 
+const Clock& HttpClient::clock() const { return state_->clock(); }
+
 }  // namespace lovagecleat::transport
--- a/libraries/transport/http_client.h
+++ b/libraries/transport/http_client.h
@@ -72,6 +72,8 @@
   // Ends the call with kCancelled and closes its connection.
   void Cancel(HttpCallId call);
 
+  const Clock& clock() const;
+
  private:
   class State;
   std::unique_ptr<State> state_;
--- a/libraries/transport/http_server.cc
+++ b/libraries/transport/http_server.cc
@@ -5,11 +5,12 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 
-#include <algorithm>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
+#include "transport/header_value.h"
+#include "transport/http_problems.h"
+#include "transport/http_routes.h"
 #include "transport/release_with.h"
 
 namespace lovagecleat::transport {
@@ -18,7 +19,6 @@
 
 constexpr std::size_t kSeparatorBytes = 4;  // ": " and CR LF
 constexpr int kListenBacklog = 1024;
-constexpr const char* kProblemType = "application/problem+json";
 constexpr const char* kRetryAfterSeconds = "1";
 
 // After a body has been found too large, this many times the limit is still
@@ -29,30 +29,6 @@
 template <typename Type>
 using ObjectPointer = std::unique_ptr<Type, ReleaseWith<g_object_unref>>;
 
-// The answers that the server gives by itself. Nothing was run for any.
-struct BuiltInProblem {
-  int status;
-  const char* type;
-  const char* title;
-};
-constexpr BuiltInProblem kNotFound{404, "not_found", "No such path"};
-constexpr BuiltInProblem kMethodNotAllowed{405, "method_not_allowed",
-                                           "The path has no such method"};
-constexpr BuiltInProblem kBodyTooLarge{413, "body_too_large",
-                                       "The body is too large"};
-constexpr BuiltInProblem kHeadersTooLarge{431, "headers_too_large",
-                                          "The header fields are too large"};
-constexpr BuiltInProblem kTooManyCalls{503, "too_many_calls",
-                                       "Too many calls are open"};
-
-std::string ProblemBody(const BuiltInProblem& problem) {
-  std::string body = R"({"type": "urn:lovagecleat:)";
-  body.append(problem.type).append(R"(", "title": ")").append(problem.title);
-  body.append(R"(", "status": )").append(std::to_string(problem.status));
-  body.append(R"(, "outcome": "not_run"})");
-  return body;
-}
-
 void RespondProblem(SoupServerMessage* message, const BuiltInProblem& problem) {
   const std::string body = ProblemBody(problem);
   soup_server_message_set_status(message, problem.status, nullptr);
@@ -88,11 +64,7 @@
 // Answers past the library, which would first wait for the whole body.
 void RespondAndShutDown(SoupServerMessage* message,
                         const BuiltInProblem& problem) {
-  const std::string body = ProblemBody(problem);
-  std::string text = "HTTP/1.1 " + std::to_string(problem.status) + " ";
-  text.append(problem.title).append("\r\nContent-Type: ").append(kProblemType);
-  text.append("\r\nContent-Length: ").append(std::to_string(body.size()));
-  text.append("\r\nConnection: close\r\n\r\n").append(body);
+  const std::string text = ProblemResponse(problem);
   GSocket* socket = soup_server_message_get_socket(message);
   g_socket_send(socket, text.data(), text.size(), nullptr, nullptr);
   ShutDown(message);
@@ -297,7 +269,8 @@
   void SetHeaders(const std::map<std::string, std::string>& headers) {
     auto* response = soup_server_message_get_response_headers(message_.get());
     for (const auto& [name, value] : headers)
-      soup_message_headers_replace(response, name.c_str(), value.c_str());
+      soup_message_headers_replace(response, name.c_str(),
+                                   HeaderValue(value).c_str());
   }
 
   SoupMessageBody* ResponseBody() {
@@ -313,18 +286,6 @@
   std::function<void()> on_disconnected_;
 };
 
-struct RouteEntry {
-  std::string method;
-  std::string path;  // without the '*'
-  enum class Match { kExact, kPrefix } match = Match::kExact;
-  HttpServer::Handler handler;
-
-  bool Matches(std::string_view other) const {
-    if (match == Match::kExact) return other == path;
-    return other.starts_with(path);
-  }
-};
-
 }  // namespace
 
 class HttpServer::State {
@@ -347,15 +308,7 @@
   }
 
   void Route(std::string_view method, std::string_view path, Handler handler) {
-    RouteEntry entry;
-    entry.method = method;
-    entry.handler = std::move(handler);
-    if (path.ends_with('*')) {
-      entry.match = RouteEntry::Match::kPrefix;
-      path.remove_suffix(1);
-    }
-    entry.path = path;
-    routes_.push_back(std::move(entry));
+    routes_.Add(method, path, std::move(handler));
   }
 
   // The socket is made here, since the library's own has a backlog of ten and
@@ -443,13 +396,9 @@
 
   void Dispatch(SoupServerMessage* message, std::string_view path) {
     const std::string_view method = soup_server_message_get_method(message);
-    const auto has_path = [&](const RouteEntry& r) { return r.Matches(path); };
-    const auto fits = [&](const RouteEntry& r) {
-      return r.method == method && r.Matches(path);
-    };
-    const auto route = std::find_if(routes_.begin(), routes_.end(), fits);
-    if (route != routes_.end()) return Open(message, route->handler);
-    const bool is_known = std::any_of(routes_.begin(), routes_.end(), has_path);
+    if (const auto* handler = routes_.Find(method, path))
+      return Open(message, *handler);
+    const bool is_known = routes_.HasPath(path);
     RespondProblem(message, is_known ? kMethodNotAllowed : kNotFound);
   }
 
@@ -472,7 +421,7 @@
   HttpServerLimits limits_;
   ListenError last_error_ = ListenError::kNone;
   ObjectPointer<SoupServer> server_;
-  std::vector<RouteEntry> routes_;
+  HttpRoutes routes_;
   std::unordered_map<SoupServerMessage*, std::shared_ptr<SoupCall>> calls_;
 };
 
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -41,7 +41,7 @@
 
   TableAnswered Write() {
     std::optional<TableAnswered> answered;
-    TableClient table(client_, loop().clock(), address(),
+    TableClient table(client_, address(),
                       [&](const TableAnswered& a) { answered = a; });
     table.Write({OperationId(9), {{"k", 2, "v"}}});
     REQUIRE_FALSE(answered);
@@ -71,7 +71,7 @@
   REQUIRE(last_body_ ==
           R"({"writes":[{"expected_version":2,"key":"k","value":"v"}]})");
   int answers = 0;
-  TableClient table(client_, loop().clock(), address(),
+  TableClient table(client_, address(),
                     [&](const TableAnswered&) { ++answers; });
   table.Read({OperationId(1), {"a", "b"}});
   RunUntil([&] { return answers == 1; });
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -187,6 +187,19 @@
   REQUIRE(answer.headers.at("x-server-warmth") == "cold");
 }
 
+TEST_CASE_METHOD(ClientFixture, "Line ends in a header's value add no header") {
+  std::string seen;
+  RawServer server([&](RawConnection& connection) {
+    seen = connection.ReadRequest().value_or("");
+    connection.Write(kSmallAnswer);
+  });
+  HttpRequest request = RequestTo(server);
+  request.headers["X-Team"] = "north\r\nX-Evil: 1\n\nPOST / HTTP/1.1";
+  REQUIRE(Call(request).status == 200);
+  REQUIRE(seen.find("X-Team: north  X-Evil: 1  POST / HTTP/1.1\r\n") !=
+          std::string::npos);
+}
+
 TEST_CASE_METHOD(ClientFixture, "Cancel ends the call and its connection") {
   std::atomic<int> reading = 0;
   std::atomic<int> closed = 0;
