Transport: Reset connections that the server breaks off

Cause: a caller that had sent a body far over the limit could wait for a minute in its own write, since the server's socket, shut both ways and closed with nothing left to read, answered its window probes with a closed window. Seen as a hang of the process test of bad input (20 s) and of the new unit test in 2 of 6 runs. Ruled out: the 413 not being sent (it was in the client's queue).

--- a/libraries/transport/http_server.cc
+++ b/libraries/transport/http_server.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <unordered_map>
 #include <utility>
@@ -54,10 +55,15 @@
 }
 
 // Both directions end at once; the peer sees the end of the stream without the
-// last chunk, so it cannot take a part of an answer for the whole.
+// last chunk, so it cannot take a part of an answer for the whole. When the
+// library then closes the socket, the peer is reset: without that, one that is
+// still sending could wait on a closed receive window for a minute.
 void ShutDown(SoupServerMessage* message) {
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket == nullptr || g_socket_is_closed(socket)) return;
+  const linger reset_at_close{1, 0};
+  setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset_at_close,
+             sizeof(reset_at_close));
   g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -147,6 +147,19 @@
   REQUIRE(answer.starts_with("HTTP/1.1 413"));
 }
 
+TEST_CASE_METHOD(ServerFixture,
+                 "A large body that is sent in spite of its 413") {
+  const auto answer = Beside([&] {
+    const RawClient raw(port_);
+    raw.Write(
+        "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 6000000\r\n\r\n");
+    raw.Write(std::string(6000000, 'x'));
+    return raw.ReadToEnd();
+  });
+  REQUIRE(answer.find("200 OK") == std::string::npos);
+  REQUIRE(Call(Request("/echo")).status == 200);
+}
+
 TEST_CASE_METHOD(ServerFixture, "An endless body is cut off") {
   const auto answer = Beside([&] {
     const RawClient raw(port_);
