--- a/libraries/policy/commands.h
+++ b/libraries/policy/commands.h
@@ -36,6 +36,12 @@
   std::string idempotency_key;  // for non-idempotent calls
 };
 
+// Asks a server for its load; answered by LoadReported, or by nothing.
+struct PollLoad {
+  ServerId server;
+  std::string address;
+};
+
 struct CancelBackendCall {
   AttemptId attempt;
 };
@@ -130,7 +136,7 @@
 struct FinishStop {};
 
 using Command =
-    std::variant<StartBackendCall, CancelBackendCall, SendPeerMessage,
+    std::variant<StartBackendCall, CancelBackendCall, PollLoad, SendPeerMessage,
                  ConnectPeers, ReadTable, ScanTable, WriteTable, DeliverToken,
                  DeliverAnswer, DeliverRefusal, AnswerOperator, SetReadiness,
                  RecordDecision, FinishStop>;
--- /dev/null
+++ b/libraries/policy/core_peers.cc
@@ -0,0 +1,185 @@
+#include <algorithm>
+#include <utility>
+
+#include "policy/core_state.h"
+
+// What entry hosts say to each other.
+namespace lovagecleat::policy {
+
+void Core::State::HandlePeer(const HostId& from,
+                             const messages::PeerMessage& message) {
+  using Body = messages::PeerMessage::BodyCase;
+  switch (message.body_case()) {
+    case Body::kHeartbeat:
+      HandleHeartbeat(from, message.heartbeat());
+      return;
+    case Body::kCreditRequest:
+    case Body::kCreditGrant:
+    case Body::kCreditReturn:
+      credits_.HandlePeer(message, now_);
+      return;
+    case Body::kServerSign: {
+      const messages::ServerSign& sign = message.server_sign();
+      const Warmth warmth = sign.warm() ? Warmth::kWarm : Warmth::kCold;
+      // Who saw the sign first told all others, so it is not passed on.
+      credits_.ObserveSign(ServerId(sign.server()), sign.generation(), warmth,
+                           now_);
+      return;
+    }
+    case Body::kConfigurationPush:
+      Append(follower_.HandlePush(message.configuration_push()));
+      return;
+    case Body::kConfigurationFetch:
+      follower_.HandleFetch(from, message.configuration_fetch());
+      return;
+    case Body::kStageRequest:
+      HandleStageRequest(from, message.incarnation(), message.stage_request());
+      return;
+    case Body::kStageToken:
+      scheduler_.HandlePeerToken(from, message.stage_token(), now_);
+      return;
+    case Body::kStageResult:
+      scheduler_.HandlePeerResult(from, message.stage_result(), now_);
+      return;
+    case Body::kStageCancel:
+      HandleStageCancel(from, message.stage_cancel());
+      return;
+    case Body::kRosterPush:
+      roster_keeper_.HandlePush(message.roster_push(), now_);
+      return;
+    case Body::BODY_NOT_SET:
+      return;
+    default:
+      operator_changes_.HandlePeer(from, message, now_);
+      return;
+  }
+}
+
+void Core::State::HandleHeartbeat(const HostId& from,
+                                  const messages::Heartbeat& beat) {
+  membership_.HandleHeartbeat(from, beat, now_);
+  follower_.ObservePeerRevision(from, beat.configuration_revision());
+  const HostInfo* host = membership_.Find(from);
+  if (host == nullptr || host->zone != settings_.zone) return;
+  credits_.ObservePeer(from, beat.roster_epoch(), beat.roster_settled(), now_);
+  roster_keeper_.ObservePeer(from, beat.roster_epoch(), now_);
+  if (beat.roster_epoch() != credits_.epoch()) return;
+  const Duration age(
+      static_cast<Duration::rep>(beat.roster_confirmed_age_us()));
+  credits_.ConfirmRoster(beat.roster_epoch(), now_ - age);
+}
+
+void Core::State::HandleStageRequest(const HostId& from,
+                                     std::uint64_t incarnation,
+                                     const messages::StageRequest& request) {
+  const PeerOrigin origin{from, incarnation, request.attempt()};
+  const configuration::Service* service =
+      configuration_ == nullptr
+          ? nullptr
+          : configuration_->FindService(ServiceId(request.service()));
+  const bool can_take = service != nullptr && !is_stopping_ &&
+                        servers_.HasUsable(service->id) &&
+                        scheduler_.job_count() < settings_.maximum_requests;
+  if (!can_take) {
+    JobEnded refused;
+    refused.outcome = AttemptOutcome::kRefused;
+    SendStageResult(origin, refused);
+    return;
+  }
+  StageWork work;
+  work.request = RequestId(request.request());
+  work.stage = request.stage();
+  work.service = service->id;
+  work.idempotency = service->idempotency;
+  work.request_class = ClassId(request.request_class());
+  work.team = TeamId(request.team());
+  work.input = request.input();
+  work.max_tokens = request.max_tokens();
+  work.idempotency_key = request.idempotency_key();
+  const auto span = [](std::uint64_t microseconds) {
+    return std::min(Duration(static_cast<Duration::rep>(microseconds)),
+                    CreditSettings{}.maximum_call_time);
+  };
+  work.deadline = now_ + span(request.remaining_us());
+  work.stage_deadline = now_ + span(request.stage_remaining_us());
+  work.first_offset = request.offset();
+  const JobId job = scheduler_.Submit(origin, std::move(work), now_);
+  peer_jobs_[{from, request.attempt()}] = job;
+}
+
+void Core::State::HandleStageCancel(const HostId& from,
+                                    const messages::StageCancel& cancel) {
+  const auto found = peer_jobs_.find({from, cancel.attempt()});
+  if (found == peer_jobs_.end()) return;
+  scheduler_.Cancel(found->second, now_);
+  peer_jobs_.erase(found);
+}
+
+void Core::State::SendStageResult(const PeerOrigin& peer,
+                                  const JobEnded& ended) {
+  // What no server can have run is reported as refused, so that the other
+  // host may try it elsewhere.
+  const bool is_not_run = ended.outcome != AttemptOutcome::kOk &&
+                          ended.execution == JobEnded::Execution::kNone;
+  const AttemptOutcome outcome =
+      is_not_run ? AttemptOutcome::kRefused : ended.outcome;
+  SendPeerMessage send{peer.host, {}};
+  messages::StageResult* result = send.message.mutable_stage_result();
+  result->set_attempt(peer.attempt);
+  result->set_outcome(static_cast<std::uint32_t>(outcome));
+  result->set_output(ended.output);
+  result->set_server(ended.trace.server.value());
+  result->set_queued_us(static_cast<std::uint64_t>(ended.trace.queued.count()));
+  result->set_served_us(static_cast<std::uint64_t>(ended.trace.served.count()));
+  commands_.emplace_back(std::move(send));
+}
+
+void Core::State::SendHeartbeats() {
+  if (!membership_.HeartbeatDue(now_)) return;
+  const messages::Heartbeat beat = MakeHeartbeat();
+  for (const HostId& host : membership_.HeartbeatTargets()) {
+    SendPeerMessage send{host, {}};
+    *send.message.mutable_heartbeat() = beat;
+    commands_.emplace_back(std::move(send));
+  }
+}
+
+messages::Heartbeat Core::State::MakeHeartbeat() const {
+  messages::Heartbeat beat;
+  beat.set_configuration_revision(configuration_revision());
+  beat.set_roster_epoch(credits_.epoch());
+  beat.set_roster_settled(credits_.IsSettled());
+  const std::optional<TimePoint> confirmed = roster_keeper_.confirmed_at();
+  const Duration age =
+      confirmed.has_value() ? now_ - *confirmed : std::chrono::hours(1);
+  beat.set_roster_confirmed_age_us(static_cast<std::uint64_t>(age.count()));
+  beat.set_draining(is_stopping_ || servers_.IsZoneOut());
+  for (const auto& [service, ids] : servers_.by_service()) {
+    if (ids.empty()) continue;
+    messages::ServiceSummary* summary = beat.add_services();
+    summary->set_service(service.value());
+    summary->set_servers(static_cast<std::uint32_t>(ids.size()));
+    summary->set_queued(
+        static_cast<std::uint32_t>(scheduler_.QueuedJobs(service)));
+    std::uint32_t free = 0;
+    for (const ServerEntry* server : servers_.Eligible(service, now_)) {
+      free += credits_.Available(server->info.id, now_);
+    }
+    summary->set_free_credits(free);
+  }
+  return beat;
+}
+
+void Core::State::ForwardOutgoing() {
+  const auto forward = [this](auto outgoing) {
+    for (auto& one : outgoing) {
+      commands_.emplace_back(SendPeerMessage{one.host, std::move(one.message)});
+    }
+  };
+  forward(credits_.TakeOutgoing());
+  forward(roster_keeper_.TakeOutgoing());
+  forward(follower_.TakeOutgoing());
+  forward(operator_changes_.TakeOutgoing());
+}
+
+}  // namespace lovagecleat::policy
--- /dev/null
+++ b/libraries/policy/request_flow.cc
@@ -0,0 +1,538 @@
+#include "policy/request_flow.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace lovagecleat::policy {
+
+namespace {
+
+constexpr Duration kMinimumDeadline = std::chrono::milliseconds(50);
+constexpr Duration kMaximumDeadline = std::chrono::seconds(10);
+constexpr Duration kRetryAfterStore = std::chrono::seconds(2);
+constexpr Duration kRetryAfterStop = std::chrono::seconds(1);
+constexpr Duration kMinimumRetryAfter = std::chrono::seconds(1);
+constexpr std::size_t kMaximumKeyBytes = 128;
+constexpr std::size_t kMaximumTeamBytes = 128;
+
+std::optional<OperationId> OperationOf(const Command& command) {
+  if (const auto* read = std::get_if<ReadTable>(&command)) {
+    return read->operation;
+  }
+  if (const auto* write = std::get_if<WriteTable>(&command)) {
+    return write->operation;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(const CoreSettings& settings,
+                         StageScheduler& scheduler, StageTimes& times,
+                         OperationCounter& operations,
+                         std::vector<Command>& commands)
+    : settings_(settings),
+      scheduler_(scheduler),
+      times_(times),
+      operations_(operations),
+      commands_(commands) {}
+
+void RequestFlow::SetConfiguration(Snapshot configuration) {
+  configuration_ = std::move(configuration);
+}
+
+// --- Arrival ----------------------------------------------------------------
+
+void RequestFlow::RefuseArrival(const CallerRequestArrived& arrival,
+                                RefusalReason reason, RequestOutcome outcome,
+                                std::string detail,
+                                std::optional<Duration> retry_after) {
+  DeliverRefusal refusal;
+  refusal.call = arrival.call;
+  refusal.reason = reason;
+  refusal.outcome = outcome;
+  refusal.detail = std::move(detail);
+  refusal.retry_after = retry_after;
+  commands_.emplace_back(std::move(refusal));
+}
+
+std::optional<RequestFlow::Validated> RequestFlow::Validate(
+    const CallerRequestArrived& arrival, Admitting admitting) {
+  const auto refuse = [&](RefusalReason reason, std::string detail,
+                          std::optional<Duration> retry_after = std::nullopt) {
+    RefuseArrival(arrival, reason, RequestOutcome::kNotRun, std::move(detail),
+                  retry_after);
+    return std::nullopt;
+  };
+  if (admitting == Admitting::kStopping) {
+    return refuse(RefusalReason::kStopping, "This host is stopping.",
+                  kRetryAfterStop);
+  }
+  if (admitting == Admitting::kNotConfigured || configuration_ == nullptr) {
+    return refuse(RefusalReason::kNotConfigured,
+                  "This host has no configuration yet.", kRetryAfterStop);
+  }
+  if (requests_.size() >= settings_.maximum_requests) {
+    return refuse(RefusalReason::kTooManyCalls,
+                  "This host has as many requests as it may.", kRetryAfterStop);
+  }
+  const auto* request_class = configuration_->FindClass(arrival.request_class);
+  if (request_class == nullptr) {
+    return refuse(RefusalReason::kUnknownClass,
+                  "There is no class " + arrival.request_class.value() + ".");
+  }
+  if (arrival.team.empty() || arrival.team.value().size() > kMaximumTeamBytes) {
+    return refuse(RefusalReason::kMalformed,
+                  "The team must have 1 to 128 characters.");
+  }
+  const Duration deadline = arrival.deadline.value_or(kMaximumDeadline);
+  if (deadline < kMinimumDeadline || deadline > kMaximumDeadline) {
+    return refuse(RefusalReason::kDeadlineOutOfRange,
+                  "The deadline must lie from 50 to 10000 ms.");
+  }
+  const auto* pipeline = configuration_->FindPipeline(request_class->pipeline);
+  assert(pipeline != nullptr);  // a checked configuration names only these
+  if (arrival.idempotency_key.size() > kMaximumKeyBytes) {
+    return refuse(RefusalReason::kMalformed,
+                  "The idempotency key is longer than 128 characters.");
+  }
+  if (arrival.idempotency_key.empty() && HasNonIdempotentStage(*pipeline)) {
+    return refuse(RefusalReason::kMissingIdempotencyKey,
+                  "This class needs an Idempotency-Key.");
+  }
+  return Validated{request_class, pipeline};
+}
+
+bool RequestFlow::HasNonIdempotentStage(
+    const configuration::Pipeline& pipeline) const {
+  return std::any_of(
+      pipeline.stages.begin(), pipeline.stages.end(),
+      [this](const configuration::Stage& stage) {
+        return configuration_->FindService(stage.service)->idempotency ==
+               configuration::Idempotency::kNonIdempotent;
+      });
+}
+
+Duration RequestFlow::PredictedLateness(const configuration::Pipeline& pipeline,
+                                        TimePoint deadline,
+                                        TimePoint now) const {
+  if (settings_.placement != PlacementKind::kExpectedFinish) {
+    return Duration::zero();
+  }
+  Duration needed{};
+  Duration waits{};
+  for (const configuration::Stage& stage : pipeline.stages) {
+    needed += times_.Expected({stage.service, stage.max_tokens});
+    waits += scheduler_.PredictedWait(stage.service, now);
+  }
+  // With nobody waiting, the request is tried whatever the estimates say, so
+  // that estimates that have become too long are measured again.
+  if (waits <= Duration::zero()) return Duration::zero();
+  return now + needed + waits - deadline;
+}
+
+void RequestFlow::HandleArrival(const CallerRequestArrived& arrival,
+                                Admitting admitting, TimePoint now,
+                                WallTime wall_now) {
+  const std::optional<Validated> valid = Validate(arrival, admitting);
+  if (!valid.has_value()) return;
+  const std::pair<TeamId, std::string> key{arrival.team,
+                                           arrival.idempotency_key};
+  const bool has_key = !arrival.idempotency_key.empty();
+  if (has_key && by_key_.contains(key)) {
+    // Whether the first call's work happens is not known yet, so this one's
+    // outcome is not "not run".
+    RefuseArrival(arrival, RefusalReason::kDuplicateInFlight,
+                  RequestOutcome::kUnknown,
+                  "A call with this key is in progress; ask again for its "
+                  "outcome. This call itself started nothing.",
+                  kMinimumRetryAfter);
+    return;
+  }
+  const Duration target = configuration::TargetAt(
+      *valid->request_class, wall_now, configuration_->utc_offset);
+  const TimePoint deadline =
+      now + std::min(target, arrival.deadline.value_or(target));
+  const Duration lateness = PredictedLateness(*valid->pipeline, deadline, now);
+  if (lateness > Duration::zero()) {
+    RefuseArrival(arrival, RefusalReason::kCannotMeetDeadline,
+                  RequestOutcome::kNotRun,
+                  "The answer would be late; nothing was started.",
+                  std::max(lateness, kMinimumRetryAfter));
+    return;
+  }
+
+  Request request;
+  request.id = RequestId(settings_.host.value() + "-" +
+                         std::to_string(settings_.incarnation) + "-" +
+                         std::to_string(++last_request_));
+  request.call = arrival.call;
+  request.configuration = configuration_;
+  request.pipeline = valid->pipeline;
+  request.request_class = arrival.request_class;
+  request.team = arrival.team;
+  request.key = arrival.idempotency_key;
+  request.input = arrival.input;
+  request.delivery = arrival.delivery;
+  request.is_repeat_unsafe = HasNonIdempotentStage(*valid->pipeline);
+  request.arrived = now;
+  request.deadline = deadline;
+  const RequestId id = request.id;
+  by_call_.emplace(arrival.call, id);
+  if (has_key) by_key_.emplace(key, id);
+  Request& stored = requests_.emplace(id, std::move(request)).first->second;
+  commands_.emplace_back(RecordDecision{
+      id, "request",
+      "Accepted for class " + arrival.request_class.value() + " with " +
+          std::to_string((deadline - now).count() / 1000) + " ms."});
+  StartStage(stored, now);
+}
+
+void RequestFlow::HandleDisconnect(CallId call, TimePoint now) {
+  const auto found = by_call_.find(call);
+  if (found == by_call_.end()) return;
+  const RequestId id = found->second;
+  by_call_.erase(found);
+  Request& request = requests_.at(id);
+  request.call.reset();
+  // A non-idempotent stage goes on, so that its outcome gets recorded.
+  if (request.intent != nullptr) return;
+  if (request.job.has_value()) scheduler_.Cancel(*request.job, now);
+  request.job.reset();
+  request.is_answered = true;
+  CloseIfSettled(id);
+}
+
+// --- Stages -----------------------------------------------------------------
+
+const configuration::Stage& RequestFlow::StageOf(const Request& request) const {
+  return request.pipeline->stages[request.stage];
+}
+
+const configuration::Service& RequestFlow::ServiceOf(
+    const Request& request) const {
+  return *request.configuration->FindService(StageOf(request).service);
+}
+
+// The later stages' usual times are kept back; what is left is this stage's.
+TimePoint RequestFlow::StageDeadline(const Request& request) const {
+  Duration later{};
+  const auto& stages = request.pipeline->stages;
+  for (std::size_t i = request.stage + 1; i < stages.size(); ++i) {
+    later += times_.Expected({stages[i].service, stages[i].max_tokens});
+  }
+  return request.deadline - later;
+}
+
+std::string RequestFlow::StageInput(const Request& request) const {
+  std::string text = "{\"input\":" + request.input + ",\"previous\":{";
+  for (std::size_t i = 0; i < request.outputs.size(); ++i) {
+    if (i > 0) text += ",";
+    // Stage names are checked to need no escaping.
+    text +=
+        "\"" + request.pipeline->stages[i].name + "\":" + request.outputs[i];
+  }
+  return text + "}}";
+}
+
+void RequestFlow::StartStage(Request& request, TimePoint now) {
+  const bool is_idempotent =
+      ServiceOf(request).idempotency == configuration::Idempotency::kIdempotent;
+  if (is_idempotent) {
+    SubmitJob(request, now);
+    return;
+  }
+  const std::string& stage = StageOf(request).name;
+  with_intents_.insert(request.id);
+  request.intent = std::make_unique<IntentRun>(
+      IntentKey{request.team, request.key, stage},
+      StableHash(request.request_class.value() + "\n" + request.input),
+      request.id.value() + "/" + stage, operations_, request.deadline);
+  ApplyIntentStep(request, request.intent->Start(now), now);
+}
+
+void RequestFlow::SubmitJob(Request& request, TimePoint now) {
+  const configuration::Stage& stage = StageOf(request);
+  const configuration::Service& service = ServiceOf(request);
+  StageWork work;
+  work.request = request.id;
+  work.stage = stage.name;
+  work.service = stage.service;
+  work.idempotency = service.idempotency;
+  work.request_class = request.request_class;
+  work.team = request.team;
+  work.input = StageInput(request);
+  work.max_tokens = stage.max_tokens;
+  if (service.idempotency == configuration::Idempotency::kNonIdempotent) {
+    work.idempotency_key = request.key;
+  }
+  work.deadline = request.deadline;
+  work.stage_deadline = StageDeadline(request);
+  request.job =
+      scheduler_.Submit(LocalOrigin{request.id}, std::move(work), now);
+}
+
+RequestFlow::Request* RequestFlow::Find(const RequestId& id) {
+  const auto found = requests_.find(id);
+  return found == requests_.end() ? nullptr : &found->second;
+}
+
+void RequestFlow::HandleJobToken(const RequestId& id, const JobToken& token) {
+  Request* request = Find(id);
+  if (request == nullptr || request->job != token.job) return;
+  const bool is_last = request->stage + 1 == request->pipeline->stages.size();
+  if (!is_last || request->delivery != Delivery::kStream) return;
+  if (!request->call.has_value()) return;
+  commands_.emplace_back(
+      DeliverToken{*request->call, token.offset, token.text});
+}
+
+void RequestFlow::HandleJobEnded(const RequestId& id, const JobEnded& ended,
+                                 TimePoint now) {
+  Request* request = Find(id);
+  if (request == nullptr || request->job != ended.job) return;
+  request->job.reset();
+  request->trace.push_back(ended.trace);
+  if (ended.execution == JobEnded::Execution::kPossible) {
+    request->may_have_run = true;
+  }
+  if (request->intent != nullptr) {
+    // A call that no server can have run, for whatever reason it was given
+    // up, was not sent as far as the intent is concerned.
+    const bool is_not_run = ended.outcome != AttemptOutcome::kOk &&
+                            ended.execution == JobEnded::Execution::kNone;
+    const AttemptOutcome outcome =
+        is_not_run ? AttemptOutcome::kNotSent : ended.outcome;
+    ApplyIntentStep(*request,
+                    request->intent->HandleBackend(outcome, ended.output, now),
+                    now);
+    return;
+  }
+  if (ended.outcome == AttemptOutcome::kOk) {
+    EndStage(*request, ended.output, now);
+    return;
+  }
+  FailStage(*request, ended.outcome, now);
+}
+
+void RequestFlow::EndStage(Request& request, std::string output,
+                           TimePoint now) {
+  request.outputs.push_back(std::move(output));
+  request.may_have_run = true;
+  ++request.stage;
+  if (request.stage < request.pipeline->stages.size()) {
+    StartStage(request, now);
+    return;
+  }
+  Answer(request, now);
+}
+
+RequestOutcome RequestFlow::OutcomeWithoutAnswer(const Request& request) const {
+  // With non-idempotent stages, "not run" speaks of these: the dispatch or
+  // the hold did not happen, though a lookup before it may have run.
+  if (request.has_effect) return RequestOutcome::kFailed;
+  if (request.is_repeat_unsafe) return RequestOutcome::kNotRun;
+  return request.may_have_run ? RequestOutcome::kFailed
+                              : RequestOutcome::kNotRun;
+}
+
+void RequestFlow::FailStage(Request& request, AttemptOutcome outcome,
+                            TimePoint now) {
+  const RequestOutcome result = OutcomeWithoutAnswer(request);
+  if (outcome == AttemptOutcome::kDeadlineReached) {
+    const auto reason = now >= request.deadline
+                            ? RefusalReason::kDeadlinePassed
+                            : RefusalReason::kCannotMeetDeadline;
+    Refuse(request, reason, result,
+           "Stage " + StageOf(request).name + " could not end in time.",
+           kMinimumRetryAfter);
+    return;
+  }
+  Refuse(request, RefusalReason::kStageFailed, result,
+         "Stage " + StageOf(request).name +
+             " failed: " + std::string(ToString(outcome)) + ".",
+         kMinimumRetryAfter);
+}
+
+// --- Intents ----------------------------------------------------------------
+
+bool RequestFlow::HandleTable(const TableAnswered& answer, TimePoint now) {
+  const auto found = by_operation_.find(answer.operation);
+  if (found == by_operation_.end()) return false;
+  const RequestId id = found->second;
+  by_operation_.erase(found);
+  Request* request = Find(id);
+  if (request == nullptr) return true;
+  IntentRun* intent = request->intent.get();
+  for (const auto& closing : request->closing) {
+    if (closing->Owns(answer.operation)) intent = closing.get();
+  }
+  if (intent == nullptr) return true;
+  ApplyIntentStep(*request, intent->HandleTable(answer, now), now);
+  return true;
+}
+
+void RequestFlow::ApplyIntentStep(Request& request, IntentStep step,
+                                  TimePoint now) {
+  const RequestId id = request.id;
+  for (Command& command : step.commands) {
+    const auto operation = OperationOf(command);
+    if (operation.has_value()) by_operation_.emplace(*operation, id);
+    commands_.push_back(std::move(command));
+  }
+  if (step.send_call == SendCall::kYes) SubmitJob(request, now);
+  if (step.conclusion.has_value()) {
+    ApplyConclusion(request, *step.conclusion, now);
+  }
+  CloseIfSettled(id);
+}
+
+void RequestFlow::ApplyConclusion(Request& request,
+                                  const IntentConclusion& conclusion,
+                                  TimePoint now) {
+  const std::string stage = StageOf(request).name;
+  switch (conclusion.result) {
+    case IntentResult::kDone:
+      request.has_effect = true;
+      RetireIntent(request);
+      EndStage(request, conclusion.output, now);
+      return;
+    case IntentResult::kNotRun:
+      RetireIntent(request);
+      Refuse(request, RefusalReason::kStageFailed,
+             OutcomeWithoutAnswer(request), "Stage " + stage + " was not run.",
+             kMinimumRetryAfter);
+      return;
+    case IntentResult::kStoreUnavailable:
+      RetireIntent(request);
+      Refuse(request, RefusalReason::kStoreUnavailable,
+             OutcomeWithoutAnswer(request),
+             "The platform's table does not answer, so stage " + stage +
+                 " was not run.",
+             kRetryAfterStore);
+      return;
+    case IntentResult::kKeyReused:
+      RetireIntent(request);
+      Refuse(request, RefusalReason::kKeyReusedForOtherRequest,
+             OutcomeWithoutAnswer(request),
+             "This key was used for another request.", std::nullopt);
+      return;
+    case IntentResult::kInFlightElsewhere:
+      RetireIntent(request);
+      Refuse(request, RefusalReason::kDuplicateInFlight,
+             RequestOutcome::kUnknown,
+             "A call with this key is in progress at another host.",
+             kMinimumRetryAfter);
+      return;
+    case IntentResult::kUnknown:
+      RetireIntent(request);
+      Refuse(request, RefusalReason::kStageFailed, RequestOutcome::kUnknown,
+             "Whether stage " + stage + " ran is not known.",
+             kMinimumRetryAfter);
+      return;
+  }
+}
+
+void RequestFlow::RetireIntent(Request& request) {
+  request.closing.push_back(std::move(request.intent));
+}
+
+std::vector<IntentRun*> RequestFlow::IntentsOf(const Request& request) {
+  std::vector<IntentRun*> intents;
+  if (request.intent != nullptr) intents.push_back(request.intent.get());
+  for (const auto& closing : request.closing) intents.push_back(closing.get());
+  return intents;
+}
+
+void RequestFlow::Tick(TimePoint now) {
+  const std::set<RequestId> ids = with_intents_;
+  for (const RequestId& id : ids) {
+    Request* request = Find(id);
+    if (request == nullptr) continue;
+    for (IntentRun* intent : IntentsOf(*request)) {
+      const auto next = intent->NextDue();
+      if (!next.has_value() || *next > now) continue;
+      ApplyIntentStep(*request, intent->HandleTimer(now), now);
+      // The step may have ended the request and its other intents.
+      if (Find(id) == nullptr) break;
+    }
+  }
+}
+
+std::optional<TimePoint> RequestFlow::NextDue() const {
+  std::optional<TimePoint> earliest;
+  for (const RequestId& id : with_intents_) {
+    for (const IntentRun* intent : IntentsOf(requests_.at(id))) {
+      const auto next = intent->NextDue();
+      if (!next.has_value()) continue;
+      earliest = std::min(*next, earliest.value_or(TimePoint::max()));
+    }
+  }
+  return earliest;
+}
+
+// --- Answers ----------------------------------------------------------------
+
+void RequestFlow::Answer(Request& request, TimePoint now) {
+  assert(!request.is_answered);
+  request.is_answered = true;
+  const RequestId id = request.id;
+  commands_.emplace_back(RecordDecision{
+      id, "request",
+      "Answered after " +
+          std::to_string((now - request.arrived).count() / 1000) + " ms."});
+  if (request.call.has_value()) {
+    DeliverAnswer answer;
+    answer.call = *request.call;
+    answer.request = id;
+    answer.output = request.outputs.back();
+    answer.trace = request.trace;
+    answer.within_target = now <= request.deadline;
+    by_call_.erase(*request.call);
+    request.call.reset();
+    commands_.emplace_back(std::move(answer));
+  }
+  CloseIfSettled(id);
+}
+
+void RequestFlow::Refuse(Request& request, RefusalReason reason,
+                         RequestOutcome outcome, std::string detail,
+                         std::optional<Duration> retry_after) {
+  assert(!request.is_answered);
+  request.is_answered = true;
+  const RequestId id = request.id;
+  commands_.emplace_back(RecordDecision{
+      id, "request", "Refused, " + std::string(ToString(reason)) + "."});
+  if (request.call.has_value()) {
+    DeliverRefusal refusal;
+    refusal.call = *request.call;
+    refusal.request = id;
+    refusal.reason = reason;
+    refusal.outcome = outcome;
+    refusal.detail = std::move(detail);
+    refusal.retry_after = retry_after;
+    refusal.trace = request.trace;
+    by_call_.erase(*request.call);
+    request.call.reset();
+    commands_.emplace_back(std::move(refusal));
+  }
+  CloseIfSettled(id);
+}
+
+void RequestFlow::CloseIfSettled(const RequestId& id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  Request& request = found->second;
+  if (!request.is_answered) return;
+  const auto intents = IntentsOf(request);
+  const bool is_settled =
+      std::all_of(intents.begin(), intents.end(),
+                  [](const IntentRun* one) { return one->IsSettled(); });
+  if (!is_settled) return;
+  with_intents_.erase(id);
+  if (!request.key.empty()) by_key_.erase({request.team, request.key});
+  requests_.erase(found);
+}
+
+}  // namespace lovagecleat::policy
--- /dev/null
+++ b/libraries/policy/request_flow.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "policy/commands.h"
+#include "policy/core.h"
+#include "policy/intent.h"
+#include "policy/operation_counter.h"
+#include "policy/stage_scheduler.h"
+
+namespace lovagecleat::policy {
+
+enum class Admitting { kYes, kStopping, kNotConfigured };
+
+// The requests that callers sent to this host: each runs the stages of its
+// pipeline in turn and gets exactly one final answer.
+class RequestFlow {
+ public:
+  RequestFlow(const CoreSettings& settings, StageScheduler& scheduler,
+              StageTimes& times, OperationCounter& operations,
+              std::vector<Command>& commands);
+
+  void SetConfiguration(
+      std::shared_ptr<const configuration::Configuration> configuration);
+
+  void HandleArrival(const CallerRequestArrived& arrival, Admitting admitting,
+                     TimePoint now, WallTime wall_now);
+  void HandleDisconnect(CallId call, TimePoint now);
+  void HandleJobToken(const RequestId& request, const JobToken& token);
+  void HandleJobEnded(const RequestId& request, const JobEnded& ended,
+                      TimePoint now);
+
+  // Returns whether the operation was an intent's.
+  bool HandleTable(const TableAnswered& answer, TimePoint now);
+
+  void Tick(TimePoint now);
+  std::optional<TimePoint> NextDue() const;
+
+  // Requests without their final answer, or with an unsettled intent.
+  std::size_t open_requests() const { return requests_.size(); }
+
+ private:
+  using Snapshot = std::shared_ptr<const configuration::Configuration>;
+
+  struct Request {
+    RequestId id;
+    std::optional<CallId> call;  // none after the caller left
+    Snapshot configuration;
+    const configuration::Pipeline* pipeline = nullptr;
+    ClassId request_class;
+    TeamId team;
+    std::string key;
+    std::string input;
+    Delivery delivery = Delivery::kWhole;
+    TimePoint arrived{};
+    TimePoint deadline{};
+    std::size_t stage = 0;
+    std::vector<std::string> outputs;  // JSON texts, one a finished stage
+    std::vector<StageTrace> trace;
+    std::optional<JobId> job;
+    std::unique_ptr<IntentRun> intent;  // of the stage that runs now
+    // Intents with a conclusion whose rows are still to be closed.
+    std::vector<std::unique_ptr<IntentRun>> closing;
+    bool is_repeat_unsafe = false;  // the pipeline has a non-idempotent stage
+    bool has_effect = false;        // a non-idempotent stage has run
+    bool may_have_run = false;      // any stage has been sent
+    bool is_answered = false;
+  };
+
+  struct Validated {
+    const configuration::RequestClass* request_class = nullptr;
+    const configuration::Pipeline* pipeline = nullptr;
+  };
+
+  std::optional<Validated> Validate(const CallerRequestArrived& arrival,
+                                    Admitting admitting);
+  void RefuseArrival(const CallerRequestArrived& arrival, RefusalReason reason,
+                     RequestOutcome outcome, std::string detail,
+                     std::optional<Duration> retry_after);
+  bool HasNonIdempotentStage(const configuration::Pipeline& pipeline) const;
+  // The time by which the request would be late; zero or less if in time.
+  Duration PredictedLateness(const configuration::Pipeline& pipeline,
+                             TimePoint deadline, TimePoint now) const;
+
+  const configuration::Stage& StageOf(const Request& request) const;
+  const configuration::Service& ServiceOf(const Request& request) const;
+  TimePoint StageDeadline(const Request& request) const;
+  std::string StageInput(const Request& request) const;
+  void StartStage(Request& request, TimePoint now);
+  void SubmitJob(Request& request, TimePoint now);
+  void ApplyIntentStep(Request& request, IntentStep step, TimePoint now);
+  void ApplyConclusion(Request& request, const IntentConclusion& conclusion,
+                       TimePoint now);
+  void EndStage(Request& request, std::string output, TimePoint now);
+  void FailStage(Request& request, AttemptOutcome outcome, TimePoint now);
+  void Answer(Request& request, TimePoint now);
+  void Refuse(Request& request, RefusalReason reason, RequestOutcome outcome,
+              std::string detail, std::optional<Duration> retry_after);
+  RequestOutcome OutcomeWithoutAnswer(const Request& request) const;
+  static std::vector<IntentRun*> IntentsOf(const Request& request);
+  void RetireIntent(Request& request);
+  void CloseIfSettled(const RequestId& id);
+  Request* Find(const RequestId& id);
+
+  CoreSettings settings_;
+  StageScheduler& scheduler_;
+  StageTimes& times_;
+  OperationCounter& operations_;
+  std::vector<Command>& commands_;
+  Snapshot configuration_;
+  std::uint64_t last_request_ = 0;
+  std::map<RequestId, Request> requests_;
+  std::map<CallId, RequestId> by_call_;
+  std::map<std::pair<TeamId, std::string>, RequestId> by_key_;
+  std::map<OperationId, RequestId> by_operation_;
+  std::set<RequestId> with_intents_;
+};
+
+}  // namespace lovagecleat::policy
--- /dev/null
+++ b/libraries/policy/server_table.cc
@@ -0,0 +1,133 @@
+#include "policy/server_table.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lovagecleat::policy {
+
+namespace {
+
+constexpr double kSlownessWeight = 0.1;
+constexpr double kMaximumRatio = 20.0;
+
+// A single failure may be the connection's fault; only a second one in a row,
+// on another connection, is held against the server.
+constexpr std::uint32_t kFailuresBeforeAvoiding = 2;
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMaximumDoublings = 4;
+
+}  // namespace
+
+std::vector<ServerId> ServerTable::ApplyInventory(
+    std::span<const ServerInfo> servers) {
+  std::set<ServerId> listed;
+  for (const ServerInfo& info : servers) {
+    if (info.zone != zone_) continue;
+    listed.insert(info.id);
+    ServerEntry& entry = servers_[info.id];
+    if (entry.info.service != info.service) {
+      by_service_[entry.info.service].erase(info.id);
+      by_service_[info.service].insert(info.id);
+    }
+    entry.info = info;
+  }
+  std::vector<ServerId> removed;
+  for (const auto& [id, entry] : servers_) {
+    if (!listed.contains(id)) removed.push_back(id);
+  }
+  for (const ServerId& id : removed) {
+    by_service_[servers_.at(id).info.service].erase(id);
+    servers_.erase(id);
+  }
+  return removed;
+}
+
+void ServerTable::ApplyConfiguration(
+    const configuration::Configuration& configuration) {
+  zone_out_ = configuration.IsZoneOut(zone_);
+  servers_out_ = configuration.servers_out;
+}
+
+void ServerTable::SetProvisionallyOut(bool zone_out,
+                                      std::set<ServerId> servers_out) {
+  zone_provisionally_out_ = zone_out;
+  servers_provisionally_out_ = std::move(servers_out);
+}
+
+void ServerTable::CountStart(const ServerId& server) {
+  const auto found = servers_.find(server);
+  if (found != servers_.end()) ++found->second.own_in_flight;
+}
+
+void ServerTable::CountEnd(const ServerId& server) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) return;
+  // A server that left the list and came back starts at zero, while calls
+  // from before may still end.
+  if (found->second.own_in_flight > 0) --found->second.own_in_flight;
+}
+
+void ServerTable::ObserveGood(const ServerId& server, double ratio) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) return;
+  ServerEntry& entry = found->second;
+  entry.consecutive_failures = 0;
+  entry.avoid_until = TimePoint{};
+  const double bounded = std::min(ratio, kMaximumRatio);
+  entry.slowness += kSlownessWeight * (bounded - entry.slowness);
+}
+
+void ServerTable::ObserveFailure(const ServerId& server, TimePoint now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) return;
+  ServerEntry& entry = found->second;
+  ++entry.consecutive_failures;
+  if (entry.consecutive_failures < kFailuresBeforeAvoiding) return;
+  const std::uint32_t doublings = std::min(
+      entry.consecutive_failures - kFailuresBeforeAvoiding, kMaximumDoublings);
+  entry.avoid_until = now + kFirstAvoidance * (1U << doublings);
+}
+
+void ServerTable::ObserveReport(const ServerId& server,
+                                const ServerReport& report, TimePoint now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) return;
+  found->second.report = report;
+  found->second.report_at = now - report.age;
+}
+
+const ServerEntry* ServerTable::Find(const ServerId& server) const {
+  const auto found = servers_.find(server);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+bool ServerTable::IsOut(const ServerEntry& entry) const {
+  if (IsZoneOut()) return true;
+  if (entry.info.state == MemberState::kLeaving) return true;
+  if (servers_out_.contains(entry.info.id)) return true;
+  return servers_provisionally_out_.contains(entry.info.id);
+}
+
+std::vector<const ServerEntry*> ServerTable::Eligible(const ServiceId& service,
+                                                      TimePoint now) const {
+  std::vector<const ServerEntry*> eligible;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return eligible;
+  for (const ServerId& id : found->second) {
+    const ServerEntry& entry = servers_.at(id);
+    if (IsOut(entry)) continue;
+    if (entry.avoid_until > now) continue;
+    eligible.push_back(&entry);
+  }
+  return eligible;
+}
+
+bool ServerTable::HasUsable(const ServiceId& service) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return false;
+  return std::any_of(
+      found->second.begin(), found->second.end(),
+      [this](const ServerId& id) { return !IsOut(servers_.at(id)); });
+}
+
+}  // namespace lovagecleat::policy
--- /dev/null
+++ b/libraries/policy/stage_queue.cc
@@ -0,0 +1,134 @@
+#include "policy/stage_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lovagecleat::policy {
+
+namespace {
+constexpr std::size_t kMaximumRememberedTeams = 1024;
+}  // namespace
+
+void StageQueue::Push(const QueueEntry& entry) {
+  assert(!entries_.contains(entry.job));
+  Class& request_class = classes_[entry.request_class];
+  const auto [position, is_new] = request_class.teams.try_emplace(entry.team);
+  Team& team = position->second;
+  if (is_new) {
+    // A team that was idle starts at the present virtual time: it gets no
+    // credit for the time in which it asked for nothing.
+    const double finish = RecallFinish(request_class, entry.team);
+    team.virtual_start = std::max(request_class.virtual_time, finish);
+    request_class.order.emplace(team.virtual_start, entry.team);
+  }
+  team.jobs.emplace(entry.latest_start, entry.job);
+  by_latest_start_.emplace(entry.latest_start, entry.job);
+  backlog_ += entry.cost;
+  entries_.emplace(entry.job, entry);
+}
+
+void StageQueue::Remove(JobId job) {
+  const auto found = entries_.find(job);
+  if (found == entries_.end()) return;
+  RemoveEntry(QueueEntry(found->second), Duration::zero());
+}
+
+std::optional<JobId> StageQueue::Next() const {
+  const Class* request_class = MostUrgentClass();
+  if (request_class == nullptr) return std::nullopt;
+  const TeamId& team = request_class->order.begin()->second;
+  return request_class->teams.at(team).jobs.begin()->second;
+}
+
+void StageQueue::TakeNext() {
+  const std::optional<JobId> next = Next();
+  assert(next.has_value());
+  const QueueEntry entry = entries_.at(*next);
+  RemoveEntry(entry, entry.cost);
+}
+
+void StageQueue::RemoveEntry(const QueueEntry& entry, Duration charge) {
+  Class& request_class = classes_.at(entry.request_class);
+  Team& team = request_class.teams.at(entry.team);
+  request_class.order.erase({team.virtual_start, entry.team});
+  if (charge > Duration::zero()) {
+    request_class.virtual_time =
+        std::max(request_class.virtual_time, team.virtual_start);
+    team.virtual_start += static_cast<double>(charge.count());
+  }
+  team.jobs.erase({entry.latest_start, entry.job});
+  if (team.jobs.empty()) {
+    RememberFinish(request_class, entry.team, team.virtual_start);
+    request_class.teams.erase(entry.team);
+  } else {
+    request_class.order.emplace(team.virtual_start, entry.team);
+  }
+  by_latest_start_.erase({entry.latest_start, entry.job});
+  backlog_ -= entry.cost;
+  entries_.erase(entry.job);
+}
+
+void StageQueue::RememberFinish(Class& request_class, const TeamId& team,
+                                double finish) {
+  if (finish <= request_class.virtual_time) return;
+  request_class.finished[team] = finish;
+  request_class.finished_order.emplace(finish, team);
+  if (request_class.finished.size() <= kMaximumRememberedTeams) return;
+  const auto oldest = request_class.finished_order.begin();
+  request_class.finished.erase(oldest->second);
+  request_class.finished_order.erase(oldest);
+}
+
+double StageQueue::RecallFinish(Class& request_class, const TeamId& team) {
+  const auto found = request_class.finished.find(team);
+  if (found == request_class.finished.end()) return 0.0;
+  const double finish = found->second;
+  request_class.finished_order.erase({finish, team});
+  request_class.finished.erase(found);
+  return finish;
+}
+
+const StageQueue::Class* StageQueue::MostUrgentClass() const {
+  const Class* best = nullptr;
+  std::optional<TimePoint> best_start;
+  for (const auto& [id, request_class] : classes_) {
+    if (request_class.order.empty()) continue;
+    const TeamId& team = request_class.order.begin()->second;
+    const TimePoint start = request_class.teams.at(team).jobs.begin()->first;
+    if (best_start.has_value() && *best_start <= start) continue;
+    best = &request_class;
+    best_start = start;
+  }
+  return best;
+}
+
+std::vector<JobId> StageQueue::Overdue(TimePoint now) const {
+  std::vector<JobId> overdue;
+  for (const auto& [latest_start, job] : by_latest_start_) {
+    if (latest_start >= now) break;
+    overdue.push_back(job);
+  }
+  return overdue;
+}
+
+std::optional<TimePoint> StageQueue::EarliestLatestStart() const {
+  if (by_latest_start_.empty()) return std::nullopt;
+  return by_latest_start_.begin()->first;
+}
+
+std::size_t StageQueue::TeamCount() const {
+  std::size_t count = 0;
+  for (const auto& [id, request_class] : classes_) {
+    count += request_class.teams.size() + request_class.finished.size();
+  }
+  return count;
+}
+
+std::vector<JobId> StageQueue::Jobs() const {
+  std::vector<JobId> jobs;
+  jobs.reserve(entries_.size());
+  for (const auto& [job, entry] : entries_) jobs.push_back(job);
+  return jobs;
+}
+
+}  // namespace lovagecleat::policy
