--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -49,8 +49,9 @@
       return;
     case Body::BODY_NOT_SET:
       return;
-    default:
-      operator_changes_.HandlePeer(from, message, now_);
+    case Body::kProvisionalDrains:
+      Append(
+          operator_changes_.HandleDrains(message.provisional_drains(), now_));
       return;
   }
 }
@@ -59,14 +60,9 @@
                                   const messages::Heartbeat& beat) {
   membership_.HandleHeartbeat(from, beat, now_);
   follower_.ObservePeerRevision(from, beat.configuration_revision());
-  const HostInfo* host = membership_.Find(from);
-  if (host == nullptr || host->zone != settings_.zone) return;
-  credits_.ObservePeer(from, beat.roster_epoch(), beat.roster_settled(), now_);
+  if (!membership_.IsInOwnZone(from)) return;
+  credits_.ObserveHeartbeat(from, beat, now_, membership_.HeardAsOf(from));
   roster_keeper_.ObservePeer(from, beat.roster_epoch(), now_);
-  if (beat.roster_epoch() != credits_.epoch()) return;
-  const Duration age(
-      static_cast<Duration::rep>(beat.roster_confirmed_age_us()));
-  credits_.ConfirmRoster(beat.roster_epoch(), now_ - age);
 }
 
 void Core::State::HandleStageRequest(const HostId& from,
@@ -136,24 +132,27 @@
 
 void Core::State::SendHeartbeats() {
   if (!membership_.HeartbeatDue(now_)) return;
-  const messages::Heartbeat beat = MakeHeartbeat();
+  const messages::Heartbeat common = MakeHeartbeat();
   for (const HostId& host : membership_.HeartbeatTargets()) {
     SendPeerMessage send{host, {}};
-    *send.message.mutable_heartbeat() = beat;
+    messages::Heartbeat* beat = send.message.mutable_heartbeat();
+    *beat = common;
+    membership_.FillHeartbeat(host, *beat, now_);
+    if (!membership_.IsInOwnZone(host)) AddServiceSummaries(*beat);
     commands_.emplace_back(std::move(send));
   }
+  membership_.FinishHeartbeatRound(now_);
 }
 
 messages::Heartbeat Core::State::MakeHeartbeat() const {
   messages::Heartbeat beat;
   beat.set_configuration_revision(configuration_revision());
-  beat.set_roster_epoch(credits_.epoch());
-  beat.set_roster_settled(credits_.IsSettled());
-  const std::optional<TimePoint> confirmed = roster_keeper_.confirmed_at();
-  const Duration age =
-      confirmed.has_value() ? now_ - *confirmed : std::chrono::hours(1);
-  beat.set_roster_confirmed_age_us(static_cast<std::uint64_t>(age.count()));
   beat.set_draining(is_stopping_ || servers_.IsZoneOut());
+  credits_.FillHeartbeat(beat, now_);
+  return beat;
+}
+
+void Core::State::AddServiceSummaries(messages::Heartbeat& beat) const {
   for (const auto& [service, ids] : servers_.by_service()) {
     if (ids.empty()) continue;
     messages::ServiceSummary* summary = beat.add_services();
@@ -167,7 +166,6 @@
     }
     summary->set_free_credits(free);
   }
-  return beat;
 }
 
 void Core::State::ForwardOutgoing() {
--- a/libraries/policy/core_state.cc
+++ b/libraries/policy/core_state.cc
@@ -19,7 +19,8 @@
       membership_(settings.host, settings.zone, settings.incarnation,
                   settings.seed),
       credits_(settings.host, CreditSettings{}, now, settings.incarnation),
-      roster_keeper_(settings.host, settings.zone, operations_, settings.seed),
+      roster_keeper_(settings.host, settings.zone, operations_,
+                     CreditSettings{}, settings.seed, now),
       servers_(settings.zone),
       load_polling_(settings.host),
       scheduler_(settings,
@@ -118,7 +119,11 @@
   for (const auto& [id, entry] : servers_.all()) {
     credits_.SetServer(id, entry.info.cold_limit, entry.info.warm_limit, now_);
   }
-  commands_.emplace_back(ConnectPeers{membership_.PeersToConnect()});
+  const std::vector<HostInfo> peers = membership_.PeersToConnect();
+  std::vector<HostId> peer_ids;
+  for (const HostInfo& host : peers) peer_ids.push_back(host.id);
+  operator_changes_.SetPeers(std::move(peer_ids));
+  commands_.emplace_back(ConnectPeers{peers});
 }
 
 void Core::State::On(const TableAnswered& event) {
@@ -162,14 +167,17 @@
 
 void Core::State::On(const WakeUp& /*event*/) {}
 
-void Core::State::On(const StopRequested& /*event*/) { is_stopping_ = true; }
+void Core::State::On(const StopRequested& /*event*/) {
+  is_stopping_ = true;
+  roster_keeper_.Stop();
+}
 
 // --- What follows from events -----------------------------------------------
 
 void Core::State::Settle() {
   RunTimers();
   AdoptConfiguration();
-  AdoptProvisionalDrains();
+  ObserveProvisionalDrains();
   AdoptRoster();
   scheduler_.Pump(now_);
   // A stage that ends may start the next one, which may be placed at once.
@@ -185,15 +193,25 @@
 void Core::State::RunTimers() {
   membership_.Tick(now_);
   credits_.Tick(now_);
-  Append(roster_keeper_.Tick(membership_, now_));
+  Append(roster_keeper_.Tick(now_));
   Append(follower_.Tick(now_));
-  Append(operator_changes_.Tick(now_, wall_now_));
+  Append(operator_changes_.HandleTimer(now_));
   requests_.Tick(now_);
   Append(load_polling_.Tick(servers_, membership_.AliveInZone(settings_.zone),
                             now_));
 }
 
+// A change that this host brought into the table is in force here at once and
+// is pushed to the hosts it talks to; the others learn of it by heartbeat.
 void Core::State::AdoptConfiguration() {
+  const auto accepted = operator_changes_.TakeAccepted();
+  if (accepted.has_value()) {
+    std::vector<HostId> peers;
+    for (const HostInfo& host : membership_.PeersToConnect()) {
+      peers.push_back(host.id);
+    }
+    follower_.AdoptAccepted(*accepted, peers);
+  }
   std::optional<configuration::Configuration> adopted = follower_.TakeAdopted();
   if (!adopted.has_value()) return;
   configuration_ =
@@ -201,6 +219,7 @@
   servers_.ApplyConfiguration(*configuration_);
   scheduler_.ApplyConfiguration(*configuration_);
   requests_.SetConfiguration(configuration_);
+  Append(operator_changes_.ObserveConfiguration(*configuration_));
   commands_.emplace_back(
       RecordDecision{{},
                      "configuration",
@@ -208,6 +227,15 @@
                          " is in force."});
 }
 
+void Core::State::ObserveProvisionalDrains() {
+  std::set<ServerId> servers_out;
+  for (const auto& [id, entry] : servers_.all()) {
+    if (operator_changes_.IsServerHeldOut(id)) servers_out.insert(id);
+  }
+  servers_.SetProvisionallyOut(operator_changes_.IsZoneHeldOut(settings_.zone),
+                               std::move(servers_out));
+}
+
 void Core::State::AdoptRoster() {
   const std::optional<Roster> adopted = roster_keeper_.TakeAdopted();
   if (adopted.has_value()) {
@@ -218,7 +246,7 @@
         "Roster epoch " + std::to_string(adopted->epoch) + " with " +
             std::to_string(adopted->hosts.size()) + " hosts is adopted."});
   }
-  const std::optional<TimePoint> confirmed = roster_keeper_.confirmed_at();
+  const auto confirmed = roster_keeper_.confirmed_at();
   if (confirmed.has_value()) {
     credits_.ConfirmRoster(roster_keeper_.epoch(), *confirmed);
   }
--- a/libraries/policy/core_state.h
+++ b/libraries/policy/core_state.h
@@ -60,10 +60,11 @@
   void Settle();
   void AdoptConfiguration();
   void AdoptRoster();
-  void AdoptProvisionalDrains();
+  void ObserveProvisionalDrains();
   void RunTimers();
   void SendHeartbeats();
   messages::Heartbeat MakeHeartbeat() const;
+  void AddServiceSummaries(messages::Heartbeat& beat) const;
   // Returns whether there were any.
   bool RouteNotices();
   void Route(const JobToken& token);
--- a/libraries/policy/core_status.cc
+++ b/libraries/policy/core_status.cc
@@ -10,20 +10,31 @@
 
 using Json = nlohmann::json;
 
-std::string_view ToString(HostHealth health) {
+std::string_view ToString(PeerHealth health) {
   switch (health) {
-    case HostHealth::kUnknown:
+    case PeerHealth::kUnknown:
       return "unknown";
-    case HostHealth::kAlive:
+    case PeerHealth::kAlive:
       return "alive";
-    case HostHealth::kSuspected:
+    case PeerHealth::kSuspected:
       return "suspected";
-    case HostHealth::kDead:
+    case PeerHealth::kDead:
       return "dead";
   }
   return "";
 }
 
+Json PendingJson(const std::vector<ChangeRequest>& drains) {
+  Json pending = Json::array();
+  for (const ChangeRequest& drain : drains) {
+    pending.push_back(
+        {{"change_id", drain.change_id},
+         {"who", drain.who},
+         {"change", Json::parse(configuration::WriteChange(drain.change))}});
+  }
+  return pending;
+}
+
 }  // namespace
 
 std::string Core::State::StatusReport() const {
@@ -66,7 +77,7 @@
       {"hosts", hosts},
       {"servers", servers},
       {"zones", zones},
-      {"pending", Json::parse(operator_changes_.PendingJson())}};
+      {"pending", PendingJson(operator_changes_.pending_drains())}};
   return report.dump();
 }
 
--- a/libraries/policy/membership.cc
+++ b/libraries/policy/membership.cc
@@ -289,6 +289,12 @@
   return found == peers_.end() ? std::nullopt : found->second.as_of;
 }
 
+bool Membership::TakesWork(const HostId& host) const {
+  const auto found = peers_.find(host);
+  if (found == peers_.end() || found->second.is_draining) return false;
+  return HealthOf(found->second, last_seen_) == PeerHealth::kAlive;
+}
+
 std::optional<ZoneCapacity> Membership::FreeCredits(const ZoneId& zone,
                                                     const ServiceId& service,
                                                     TimePoint now) const {
--- a/libraries/policy/membership.h
+++ b/libraries/policy/membership.h
@@ -55,6 +55,8 @@
   std::vector<HostInfo> PeersToConnect() const;
   std::vector<HostId> AliveInZone(const ZoneId& zone) const;
   PeerHealth Health(const HostId& host) const;
+  // Alive and, by its last heartbeat, not draining.
+  bool TakesWork(const HostId& host) const;
   // An instant before which the last handled heartbeat of `host` cannot have
   // been sent. None if it echoed no known probe.
   std::optional<TimePoint> HeardAsOf(const HostId& host) const;
--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -304,7 +304,7 @@
     const auto* remote = std::get_if<JobOnPeer>(&job.state);
     if (remote == nullptr) continue;
     const bool is_gone =
-        parts_.membership.Health(remote->host) == HostHealth::kDead;
+        parts_.membership.Health(remote->host) == PeerHealth::kDead;
     if (is_gone || now >= job.work.deadline) lost.push_back(id);
   }
   for (const JobId& id : lost) {
@@ -447,11 +447,10 @@
     if (host.zone == settings_.zone) continue;
     if (zones_out_.contains(host.zone)) continue;
     if (job.failed_hosts.contains(host.id)) continue;
-    if (parts_.membership.Health(host.id) != HostHealth::kAlive) continue;
-    if (parts_.membership.IsDraining(host.id)) continue;
-    if (parts_.membership.FreeCredits(host.id, job.work.service, now) == 0) {
-      continue;
-    }
+    if (!parts_.membership.TakesWork(host.id)) continue;
+    const auto capacity =
+        parts_.membership.FreeCredits(host.zone, job.work.service, now);
+    if (!capacity.has_value() || capacity->free_credits == 0) continue;
     hosts.push_back(host.id);
   }
   if (hosts.empty()) return std::nullopt;
--- a/services/entry/entry_process.cc
+++ b/services/entry/entry_process.cc
@@ -65,10 +65,7 @@
       table_(
           client_, AddressOf(settings.platform),
           [this](const policy::TableAnswered& answer) { HandleEvent(answer); }),
-      inventory_(loop, client_, AddressOf(settings.platform), settings.seed,
-                 [this](const policy::Inventory& inventory) {
-                   HandleEvent(policy::InventoryArrived{inventory});
-                 }),
+      inventory_(loop, client_, AddressOf(settings.platform), settings.seed),
       backends_(client_, loop.clock(),
                 [this](const policy::Event& event) { HandleEvent(event); }),
       callers_(server_, metrics_, loop.clock(),
@@ -78,6 +75,9 @@
   peers_.OnMessage([this](const messages::PeerMessage& message) {
     HandleEvent(policy::PeerMessageArrived{message});
   });
+  inventory_.OnInventory([this](const policy::Inventory& inventory) {
+    HandleEvent(policy::InventoryArrived{inventory});
+  });
   RouteHealth();
 }
 
@@ -187,15 +187,15 @@
 }
 
 void EntryProcess::Execute(const policy::ReadTable& command) {
-  table_.Execute(command);
+  table_.Read(command);
 }
 
 void EntryProcess::Execute(const policy::ScanTable& command) {
-  table_.Execute(command);
+  table_.Scan(command);
 }
 
 void EntryProcess::Execute(const policy::WriteTable& command) {
-  table_.Execute(command);
+  table_.Write(command);
 }
 
 void EntryProcess::Execute(const policy::DeliverToken& command) {
