--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -25,10 +25,6 @@
   return std::holds_alternative<LocalOrigin>(job.origin);
 }
 
-bool IsQueued(const StageJob& job) {
-  return std::holds_alternative<JobQueued>(job.state);
-}
-
 // Slack mapped to the engines' priorities: 0 where there is none left.
 std::uint32_t PriorityOf(Duration slack, Duration usual) {
   if (slack <= Duration::zero()) return 0;
