--- a/libraries/policy/core_state.cc
+++ b/libraries/policy/core_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <span>
 #include <utility>
 
 namespace lovagecleat::policy {
@@ -9,6 +10,13 @@
 namespace {
 // Even with nothing due, the parts are looked at this often.
 constexpr Duration kMaximumSleep = std::chrono::milliseconds(200);
+
+std::vector<HostId> IdsOf(std::span<const HostInfo> hosts) {
+  std::vector<HostId> ids;
+  ids.reserve(hosts.size());
+  for (const HostInfo& host : hosts) ids.push_back(host.id);
+  return ids;
+}
 }  // namespace
 
 Core::State::State(const CoreSettings& settings, TimePoint now,
@@ -120,9 +128,7 @@
     credits_.SetServer(id, entry.info.cold_limit, entry.info.warm_limit, now_);
   }
   const std::vector<HostInfo> peers = membership_.PeersToConnect();
-  std::vector<HostId> peer_ids;
-  for (const HostInfo& host : peers) peer_ids.push_back(host.id);
-  operator_changes_.SetPeers(std::move(peer_ids));
+  operator_changes_.SetPeers(IdsOf(peers));
   commands_.emplace_back(ConnectPeers{peers});
 }
 
@@ -206,11 +212,7 @@
 void Core::State::AdoptConfiguration() {
   const auto accepted = operator_changes_.TakeAccepted();
   if (accepted.has_value()) {
-    std::vector<HostId> peers;
-    for (const HostInfo& host : membership_.PeersToConnect()) {
-      peers.push_back(host.id);
-    }
-    follower_.AdoptAccepted(*accepted, peers);
+    follower_.AdoptAccepted(*accepted, IdsOf(membership_.PeersToConnect()));
   }
   std::optional<configuration::Configuration> adopted = follower_.TakeAdopted();
   if (!adopted.has_value()) return;
