--- a/services/entry/entry_process.cc
+++ b/services/entry/entry_process.cc
@@ -63,7 +63,7 @@
       core_(MakeCoreSettings(settings, loop.clock()), loop.clock().Now(),
             loop.clock().WallNow()),
       table_(
-          client_, loop.clock(), AddressOf(settings.platform),
+          client_, AddressOf(settings.platform),
           [this](const policy::TableAnswered& answer) { HandleEvent(answer); }),
       inventory_(loop, client_, AddressOf(settings.platform), settings.seed),
       backends_(client_, loop.clock(),
