Policy: Keep the cost of a decision flat in servers and calls

Cause: every event ran all timers, walked all servers for provisional drains and all attempts for lost hosts, and every placement looked at all servers. Ruled out: the credit ledger, which is at most a few microseconds of it. Change: a token event only passes the token on; drains and lost hosts are looked at only where there are any; placement takes the best of 8 servers from a random position on; a service found full is looked at again after 5 ms or as soon as a credit comes back. What still grows is the ledger's periodic work.

--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -17,6 +17,7 @@
     case Body::kCreditGrant:
     case Body::kCreditReturn:
       credits_.HandlePeer(message, now_);
+      scheduler_.ForgetFullServices();
       return;
     case Body::kServerSign: {
       const messages::ServerSign& sign = message.server_sign();
@@ -153,11 +154,10 @@
 }
 
 void Core::State::AddServiceSummaries(messages::Heartbeat& beat) const {
-  for (const auto& [service, ids] : servers_.by_service()) {
-    if (ids.empty()) continue;
+  for (const auto& [service, pool] : servers_.by_service()) {
     messages::ServiceSummary* summary = beat.add_services();
     summary->set_service(service.value());
-    summary->set_servers(static_cast<std::uint32_t>(ids.size()));
+    summary->set_servers(static_cast<std::uint32_t>(pool.size()));
     summary->set_queued(
         static_cast<std::uint32_t>(scheduler_.QueuedJobs(service)));
     std::uint32_t free = 0;
--- a/libraries/policy/core_state.cc
+++ b/libraries/policy/core_state.cc
@@ -11,6 +11,12 @@
 // Even with nothing due, the parts are looked at this often.
 constexpr Duration kMaximumSleep = std::chrono::milliseconds(200);
 
+bool IsToken(const Event& event) {
+  if (std::holds_alternative<BackendToken>(event)) return true;
+  const auto* peer = std::get_if<PeerMessageArrived>(&event);
+  return peer != nullptr && peer->message.has_stage_token();
+}
+
 std::vector<HostId> IdsOf(std::span<const HostInfo> hosts) {
   std::vector<HostId> ids;
   ids.reserve(hosts.size());
@@ -49,6 +55,14 @@
   now_ = now;
   wall_now_ = wall_now;
   std::visit([this](const auto& one) { On(one); }, event);
+  // A token changes nothing but what its caller gets, and tokens are by far
+  // the most frequent events.
+  const bool is_only_token = IsToken(event) && now < next_wake_up_;
+  if (is_only_token) {
+    RouteNotices();
+    FillPeerHeaders();
+    return std::exchange(commands_, {});
+  }
   Settle();
   next_wake_up_ = ComputeWakeUp();
   return std::exchange(commands_, {});
@@ -130,6 +144,7 @@
   const std::vector<HostInfo> peers = membership_.PeersToConnect();
   operator_changes_.SetPeers(IdsOf(peers));
   commands_.emplace_back(ConnectPeers{peers});
+  scheduler_.ForgetFullServices();
 }
 
 void Core::State::On(const TableAnswered& event) {
@@ -203,6 +218,7 @@
   Append(follower_.Tick(now_));
   Append(operator_changes_.HandleTimer(now_));
   requests_.Tick(now_);
+  if (now_ < load_polling_.NextDue()) return;
   Append(load_polling_.Tick(servers_, membership_.AliveInZone(settings_.zone),
                             now_));
 }
@@ -220,6 +236,7 @@
       std::make_shared<const configuration::Configuration>(std::move(*adopted));
   servers_.ApplyConfiguration(*configuration_);
   scheduler_.ApplyConfiguration(*configuration_);
+  scheduler_.ForgetFullServices();
   requests_.SetConfiguration(configuration_);
   Append(operator_changes_.ObserveConfiguration(*configuration_));
   commands_.emplace_back(
@@ -230,6 +247,9 @@
 }
 
 void Core::State::ObserveProvisionalDrains() {
+  const bool has_drains = !operator_changes_.pending_drains().empty();
+  if (!has_drains && !has_provisional_drains_) return;
+  has_provisional_drains_ = has_drains;
   std::set<ServerId> servers_out;
   for (const auto& [id, entry] : servers_.all()) {
     if (operator_changes_.IsServerHeldOut(id)) servers_out.insert(id);
--- a/libraries/policy/core_state.h
+++ b/libraries/policy/core_state.h
@@ -99,6 +99,7 @@
 
   std::shared_ptr<const configuration::Configuration> configuration_;
   bool has_inventory_ = false;
+  bool has_provisional_drains_ = false;  // as of the last event
   bool is_stopping_ = false;
   bool is_stop_finished_ = false;
   std::optional<Readiness> announced_readiness_;
--- a/libraries/policy/server_table.cc
+++ b/libraries/policy/server_table.cc
@@ -24,24 +24,24 @@
   for (const ServerInfo& info : servers) {
     if (info.zone != zone_) continue;
     listed.insert(info.id);
-    ServerEntry& entry = servers_[info.id];
-    if (entry.info.service != info.service) {
-      by_service_[entry.info.service].erase(info.id);
-      by_service_[info.service].insert(info.id);
-    }
-    entry.info = info;
+    servers_[info.id].info = info;
   }
   std::vector<ServerId> removed;
   for (const auto& [id, entry] : servers_) {
     if (!listed.contains(id)) removed.push_back(id);
   }
-  for (const ServerId& id : removed) {
-    by_service_[servers_.at(id).info.service].erase(id);
-    servers_.erase(id);
-  }
+  for (const ServerId& id : removed) servers_.erase(id);
+  IndexByService();
   return removed;
 }
 
+void ServerTable::IndexByService() {
+  by_service_.clear();
+  for (const auto& [id, entry] : servers_) {
+    by_service_[entry.info.service].push_back(&entry);
+  }
+}
+
 void ServerTable::ApplyConfiguration(
     const configuration::Configuration& configuration) {
   zone_out_ = configuration.IsZoneOut(zone_);
@@ -108,26 +108,31 @@
   return servers_provisionally_out_.contains(entry.info.id);
 }
 
+std::span<const ServerEntry* const> ServerTable::OfService(
+    const ServiceId& service) const {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) return {};
+  return found->second;
+}
+
+bool ServerTable::IsEligible(const ServerEntry& entry, TimePoint now) const {
+  return entry.avoid_until <= now && !IsOut(entry);
+}
+
 std::vector<const ServerEntry*> ServerTable::Eligible(const ServiceId& service,
                                                       TimePoint now) const {
   std::vector<const ServerEntry*> eligible;
-  const auto found = by_service_.find(service);
-  if (found == by_service_.end()) return eligible;
-  for (const ServerId& id : found->second) {
-    const ServerEntry& entry = servers_.at(id);
-    if (IsOut(entry)) continue;
-    if (entry.avoid_until > now) continue;
-    eligible.push_back(&entry);
+  for (const ServerEntry* entry : OfService(service)) {
+    if (IsEligible(*entry, now)) eligible.push_back(entry);
   }
   return eligible;
 }
 
 bool ServerTable::HasUsable(const ServiceId& service) const {
-  const auto found = by_service_.find(service);
-  if (found == by_service_.end()) return false;
+  const auto pool = OfService(service);
   return std::any_of(
-      found->second.begin(), found->second.end(),
-      [this](const ServerId& id) { return !IsOut(servers_.at(id)); });
+      pool.begin(), pool.end(),
+      [this](const ServerEntry* entry) { return !IsOut(*entry); });
 }
 
 }  // namespace lovagecleat::policy
--- a/libraries/policy/server_table.h
+++ b/libraries/policy/server_table.h
@@ -60,14 +60,19 @@
   bool IsZoneOut() const { return zone_out_ || zone_provisionally_out_; }
 
   const std::map<ServerId, ServerEntry>& all() const { return servers_; }
-  const std::map<ServiceId, std::set<ServerId>>& by_service() const {
-    return by_service_;
-  }
+  // The listed servers of `service`, whether or not they may get work.
+  std::span<const ServerEntry* const> OfService(const ServiceId& service) const;
+  bool IsEligible(const ServerEntry& entry, TimePoint now) const;
+
+  using Pools = std::map<ServiceId, std::vector<const ServerEntry*>>;
+  const Pools& by_service() const { return by_service_; }
 
  private:
   ZoneId zone_;
+  void IndexByService();
+
   std::map<ServerId, ServerEntry> servers_;
-  std::map<ServiceId, std::set<ServerId>> by_service_;
+  Pools by_service_;  // points into servers_
   std::set<ServerId> servers_out_;
   std::set<ServerId> servers_provisionally_out_;
   bool zone_out_ = false;
--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr std::uint32_t kMaximumAttempts = 3;
+constexpr std::size_t kSampledServers = 8;
+// Credits also come back by loans and warm-up, which are looked for this often.
+constexpr Duration kFullRecheck = std::chrono::milliseconds(5);
+constexpr Duration kCapacityValidity = std::chrono::milliseconds(50);
 constexpr Duration kLoanInterval = std::chrono::milliseconds(20);
 constexpr Duration kPumpInterval = std::chrono::milliseconds(10);
 // A job leaves for another zone only after this wait for an own server.
@@ -169,6 +173,7 @@
 void StageScheduler::ReleaseCredit(const StageJob& job,
                                    const JobOnServer& running,
                                    AttemptOutcome outcome, TimePoint now) {
+  full_until_.erase(job.work.service);
   switch (outcome) {
     case AttemptOutcome::kOk:
       parts_.servers.CountEnd(running.server);
@@ -192,13 +197,15 @@
   const TimePoint until = is_cancelled_stream
                               ? std::min(running.end_before, now + kCancelTime)
                               : running.end_before;
-  lingering_.emplace(until, LingeringCredit{running.credit, running.server});
+  lingering_.emplace(
+      until, LingeringCredit{running.credit, running.server, job.work.service});
 }
 
 void StageScheduler::ReleaseLingering(TimePoint now) {
   while (!lingering_.empty() && lingering_.begin()->first <= now) {
     const LingeringCredit lingering = lingering_.begin()->second;
     lingering_.erase(lingering_.begin());
+    full_until_.erase(lingering.service);
     parts_.servers.CountEnd(lingering.server);
     parts_.credits.Release(lingering.credit, now, CallHealth::kFailed);
   }
@@ -229,6 +236,7 @@
   if (job == nullptr) return;
   const auto* remote = std::get_if<JobOnPeer>(&job->state);
   if (remote == nullptr || remote->host != from) return;
+  remote_attempts_.erase(remote->attempt);
   attempts_.erase(remote->attempt);
   const auto outcome = static_cast<AttemptOutcome>(result.outcome());
   if (outcome != AttemptOutcome::kOk) job->failed_hosts.insert(from);
@@ -295,17 +303,17 @@
 
 void StageScheduler::FailLostPeers(TimePoint now) {
   std::vector<JobId> lost;
-  for (const auto& [attempt, id] : attempts_) {
+  for (const AttemptId& attempt : remote_attempts_) {
+    const JobId id = attempts_.at(attempt);
     const StageJob& job = jobs_.at(id);
-    const auto* remote = std::get_if<JobOnPeer>(&job.state);
-    if (remote == nullptr) continue;
-    const bool is_gone =
-        parts_.membership.Health(remote->host) == PeerHealth::kDead;
+    const HostId& host = std::get<JobOnPeer>(job.state).host;
+    const bool is_gone = parts_.membership.Health(host) == PeerHealth::kDead;
     if (is_gone || now >= job.work.deadline) lost.push_back(id);
   }
   for (const JobId& id : lost) {
     StageJob& job = jobs_.at(id);
     const auto remote = std::get<JobOnPeer>(job.state);
+    remote_attempts_.erase(remote.attempt);
     attempts_.erase(remote.attempt);
     job.failed_hosts.insert(remote.host);
     FinishOrRetry(job, AttemptOutcome::kConnectionLost, {}, now);
@@ -339,20 +347,43 @@
   }
 }
 
-StageScheduler::Placed StageScheduler::PlaceHere(StageJob& job, TimePoint now) {
-  const ServiceId& service = job.work.service;
+// The best of a few servers from a random position on is nearly as good as the
+// best of all, at a cost that does not grow with their number. Baselines look
+// at all servers, as their order of turns asks for it.
+std::vector<Candidate> StageScheduler::FindCandidates(const StageJob& job,
+                                                      TimePoint now) {
+  const auto pool = parts_.servers.OfService(job.work.service);
   std::vector<Candidate> candidates;
   std::vector<Candidate> failed_before;
-  for (const ServerEntry* server : parts_.servers.Eligible(service, now)) {
-    if (parts_.credits.Available(server->info.id, now) == 0) continue;
-    const Candidate one{server, parts_.credits.Limit(server->info.id, now)};
-    const bool has_failed = job.failed_servers.contains(server->info.id);
+  if (pool.empty()) return candidates;
+  const bool is_own_policy =
+      settings_.placement == PlacementKind::kExpectedFinish;
+  const std::size_t wanted = is_own_policy ? kSampledServers : pool.size();
+  const std::size_t first = is_own_policy ? random_.Below(pool.size()) : 0;
+  for (std::size_t i = 0; i < pool.size(); ++i) {
+    const ServerEntry& server = *pool[(first + i) % pool.size()];
+    if (!parts_.servers.IsEligible(server, now)) continue;
+    const ServerId& id = server.info.id;
+    if (parts_.credits.Available(id, now) == 0) continue;
+    const Candidate one{&server, parts_.credits.Limit(id, now)};
+    const bool has_failed = job.failed_servers.contains(id);
     (has_failed ? failed_before : candidates).push_back(one);
+    if (candidates.size() >= wanted) break;
   }
   // A server that failed this job is tried again only if no other is left.
-  if (candidates.empty()) candidates = std::move(failed_before);
+  return candidates.empty() ? failed_before : candidates;
+}
+
+StageScheduler::Placed StageScheduler::PlaceHere(StageJob& job, TimePoint now) {
+  const ServiceId& service = job.work.service;
+  TimePoint& full_until = full_until_[service];
+  if (now < full_until) return Placed::kNo;
+  const std::vector<Candidate> candidates = FindCandidates(job, now);
   const ServerEntry* chosen = Choose(placement_, service, candidates, now);
-  if (chosen == nullptr) return Placed::kNo;
+  if (chosen == nullptr) {
+    full_until = now + kFullRecheck;
+    return Placed::kNo;
+  }
   const auto admission = parts_.credits.Admit(chosen->info.id, now);
   if (!admission.has_value()) return Placed::kNo;
   QueueOf(service).TakeNext();
@@ -431,6 +462,7 @@
   job.state = JobOnPeer{attempt, *peer, now};
   ++job.attempts;
   attempts_.emplace(attempt, job.id);
+  remote_attempts_.insert(attempt);
   Record(job, "Handed to " + peer->value() + ".");
   commands_.emplace_back(std::move(send));
   return Placed::kYes;
@@ -476,10 +508,7 @@
   const bool has_queued =
       std::any_of(queues_.begin(), queues_.end(),
                   [](const auto& one) { return !one.second.empty(); });
-  const bool has_remote =
-      std::any_of(jobs_.begin(), jobs_.end(), [](const auto& one) {
-        return std::holds_alternative<JobOnPeer>(one.second.state);
-      });
+  const bool has_remote = !remote_attempts_.empty();
   std::optional<TimePoint> due;
   if (!lingering_.empty()) due = lingering_.begin()->first;
   if (!has_queued && !has_remote) return due;
@@ -488,12 +517,15 @@
 
 std::uint32_t StageScheduler::ZoneCapacity(const ServiceId& service,
                                            TimePoint now) const {
-  std::uint32_t capacity = 0;
+  Capacity& capacity = capacities_[service];
+  if (now < capacity.valid_until) return capacity.calls;
+  capacity.valid_until = now + kCapacityValidity;
+  capacity.calls = 0;
   for (const ServerEntry* server : parts_.servers.Eligible(service, now)) {
-    capacity += parts_.credits.Available(server->info.id, now);
-    capacity += server->own_in_flight;
+    capacity.calls += parts_.credits.Available(server->info.id, now);
+    capacity.calls += server->own_in_flight;
   }
-  return capacity;
+  return capacity.calls;
 }
 
 Duration StageScheduler::PredictedWait(const ServiceId& service,
--- a/libraries/policy/stage_scheduler.h
+++ b/libraries/policy/stage_scheduler.h
@@ -66,6 +66,9 @@
   void HandlePeerResult(const HostId& from, const messages::StageResult& result,
                         TimePoint now);
 
+  // Credits or servers may have come that were not there before.
+  void ForgetFullServices() { full_until_.clear(); }
+
   // Stops jobs whose host is gone, and starts what can be started.
   void Pump(TimePoint now);
 
@@ -84,10 +87,15 @@
 
  private:
   enum class Placed { kYes, kNo };
+  struct Capacity {
+    std::uint32_t calls = 0;
+    TimePoint valid_until{};
+  };
 
   struct LingeringCredit {
     CreditId credit;
     ServerId server;
+    ServiceId service;
   };
 
   StageQueue& QueueOf(const ServiceId& service) { return queues_[service]; }
@@ -121,6 +129,7 @@
   void ObserveEnd(const StageJob& job, const JobOnServer& running,
                   AttemptOutcome outcome, TimePoint now);
   std::uint32_t ZoneCapacity(const ServiceId& service, TimePoint now) const;
+  std::vector<Candidate> FindCandidates(const StageJob& job, TimePoint now);
 
   CoreSettings settings_;
   SchedulerParts parts_;
@@ -135,8 +144,13 @@
   std::uint64_t dropped_results_ = 0;
   std::map<JobId, StageJob> jobs_;
   std::map<AttemptId, JobId> attempts_;
+  std::set<AttemptId> remote_attempts_;  // of jobs on other hosts
   std::map<ServiceId, StageQueue> queues_;
   std::map<ServiceId, TimePoint> next_loan_;
+  // Until when a service is known to have no server with a free credit; ends
+  // early when a credit of the service comes back.
+  std::map<ServiceId, TimePoint> full_until_;
+  mutable std::map<ServiceId, Capacity> capacities_;
   // Credits of calls that this host gave up on while the server may still be
   // running them, by the time at which it no longer can.
   std::multimap<TimePoint, LingeringCredit> lingering_;
