--- a/libraries/command_line/command_line.h
+++ b/libraries/command_line/command_line.h
@@ -2,6 +2,7 @@
 
 // The public header of the command-line library: what the small utilities
 // share, from arguments to tables.
-#include "command_line/arguments.h"  // IWYU pragma: export
-#include "command_line/files.h"      // IWYU pragma: export
-#include "command_line/render.h"     // IWYU pragma: export
+#include "command_line/arguments.h"     // IWYU pragma: export
+#include "command_line/files.h"         // IWYU pragma: export
+#include "command_line/http_session.h"  // IWYU pragma: export
+#include "command_line/render.h"        // IWYU pragma: export
--- a/libraries/command_line/render.cc
+++ b/libraries/command_line/render.cc
@@ -1,6 +1,7 @@
 #include "command_line/render.h"
 
 #include <algorithm>
+#include <ctime>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -13,6 +14,8 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kColumnGap = "  ";
+constexpr std::size_t kWidestCell = 60;
+constexpr std::string_view kInstantSuffix = "_unix_ms";
 constexpr int kFractionDigits = 2;
 constexpr bool kAllowExceptions = false;
 
@@ -44,11 +47,34 @@
   return text.empty() ? "-" : text;
 }
 
-std::string ShowCell(const Json& value) {
+std::string ShowValue(const Json& value) {
   if (value.is_array() && !IsListOfObjects(value)) return ShowList(value);
   return ShowScalar(value);
 }
 
+// Instants are milliseconds since 1970 in documents.
+std::string ShowInstant(std::int64_t unix_milliseconds) {
+  constexpr std::int64_t milliseconds_per_second = 1000;
+  const auto seconds =
+      static_cast<std::time_t>(unix_milliseconds / milliseconds_per_second);
+  std::tm parts{};
+  if (gmtime_r(&seconds, &parts) == nullptr) return "-";
+  std::ostringstream text;
+  text << std::put_time(&parts, "%Y-%m-%d %H:%M:%S UTC");
+  return text.str();
+}
+
+// What a table has no room for can be had as JSON.
+std::string ShowCell(std::string_view column, const Json& value) {
+  if (column.ends_with(kInstantSuffix) && value.is_number_integer()) {
+    return ShowInstant(value.get<std::int64_t>());
+  }
+  std::string text = ShowValue(value);
+  if (!value.is_structured() || text.size() <= kWidestCell) return text;
+  const char* const brackets = value.is_object() ? "{...}" : "[...]";
+  return brackets;
+}
+
 // Columns in the order in which the rows first name them, the id in front.
 std::vector<std::string> ColumnsOf(const Json& rows) {
   std::vector<std::string> columns;
@@ -71,7 +97,7 @@
     std::vector<std::string> cells;
     for (const std::string& column : columns) {
       const auto found = row.find(column);
-      cells.push_back(found == row.end() ? "" : ShowCell(*found));
+      cells.push_back(found == row.end() ? "" : ShowCell(column, *found));
     }
     table.AddRow(std::move(cells));
   }
@@ -129,7 +155,7 @@
     if (IsListOfObjects(value)) {
       tables += "\n" + key + "\n" + ShowTable(value);
     } else {
-      plain += key + ": " + ShowCell(value) + '\n';
+      plain += key + ": " + ShowValue(value) + '\n';
     }
   }
   return plain + tables;
--- a/tests/command_line/arguments_test.cc
+++ b/tests/command_line/arguments_test.cc
@@ -116,6 +116,11 @@
         "id     limit  service  slowness\n"
         "llm-1  4      llm\n"
         "é             encoder  1.50\n");
+  CHECK(RenderDocument(R"({"changes": [{"at_unix_ms": 1796338557123,
+      "revision": 2, "before": [{"a": 1}]}]})") ==
+        "\nchanges\n"
+        "revision  at_unix_ms               before\n"
+        "2         2026-12-03 22:55:57 UTC  [{\"a\":1}]\n");
   CHECK(RenderDocument("no JSON") == "no JSON\n");
 }
 
