Policy: Give other hosts' queued work back when no server is left

Cause: work that another zone's host had handed over stayed in the queue until its deadline when this zone or its servers went out.

--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -323,6 +323,7 @@
 void StageScheduler::PumpService(const ServiceId& service, StageQueue& queue,
                                  TimePoint now) {
   DropOverdue(queue, now);
+  if (!parts_.servers.HasUsable(service)) ReturnOthersWork(queue, now);
   while (!queue.empty()) {
     StageJob& job = jobs_.at(*queue.Next());
     if (PlaceHere(job, now) == Placed::kYes) continue;
@@ -332,6 +333,17 @@
   if (!queue.empty()) AskForLoans(service, queue, now);
 }
 
+// What other hosts handed over is of no use here without servers; they may
+// still find some elsewhere.
+void StageScheduler::ReturnOthersWork(StageQueue& queue, TimePoint now) {
+  for (const JobId& id : queue.Jobs()) {
+    StageJob& job = jobs_.at(id);
+    if (IsLocal(job)) continue;
+    queue.Remove(id);
+    Finish(job, AttemptOutcome::kRefused, {}, now);
+  }
+}
+
 // Refuses what can no longer end in time, before it costs a server's time. A
 // job that is alone in its queue is still tried, so that estimates that have
 // become too long are measured again.
--- a/libraries/policy/stage_scheduler.h
+++ b/libraries/policy/stage_scheduler.h
@@ -103,6 +103,7 @@
   TimePoint LatestStart(const StageWork& work, TimePoint now) const;
 
   void PumpService(const ServiceId& service, StageQueue& queue, TimePoint now);
+  void ReturnOthersWork(StageQueue& queue, TimePoint now);
   void DropOverdue(StageQueue& queue, TimePoint now);
   void FailLostPeers(TimePoint now);
   Placed PlaceHere(StageJob& job, TimePoint now);
--- /dev/null
+++ b/tests/policy/core_test.cc
@@ -0,0 +1,260 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/policy/one_host.h"
+
+namespace lovagecleat::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+StartBackendCall TheCall(OneHost& host) {
+  const auto calls = host.Take<StartBackendCall>();
+  REQUIRE(calls.size() == 1);
+  return calls.front();
+}
+
+messages::PeerMessage StageRequestFrom(const char* sender) {
+  messages::PeerMessage message;
+  message.set_sender(sender);
+  message.set_incarnation(7);
+  message.set_sequence(1);
+  messages::StageRequest* request = message.mutable_stage_request();
+  request->set_attempt(31);
+  request->set_request("r");
+  request->set_stage("encode");
+  request->set_service("encoder");
+  request->set_request_class("lookup");
+  request->set_team("team");
+  request->set_input("{}");
+  request->set_remaining_us(2000000);
+  request->set_stage_remaining_us(2000000);
+  return message;
+}
+
+std::vector<messages::StageResult> TakeStageResults(OneHost& host) {
+  std::vector<messages::StageResult> results;
+  for (const SendPeerMessage& send : host.Take<SendPeerMessage>()) {
+    if (send.message.has_stage_result()) {
+      results.push_back(send.message.stage_result());
+    }
+  }
+  return results;
+}
+
+TEST_CASE("Stages run in turn, and each gets what those before gave") {
+  OneHost host({});
+  const CallId call = host.Ask("lookup");
+  const StartBackendCall encode = TheCall(host);
+  REQUIRE(encode.stage == "encode");
+  host.Finish(encode, AttemptOutcome::kOk, R"({"vector":[1]})");
+  const StartBackendCall generate = TheCall(host);
+  REQUIRE(generate.stage == "generate");
+  REQUIRE(generate.input ==
+          R"({"input":{"text":"x"},"previous":{"encode":{"vector":[1]}}})");
+  host.Finish(generate, AttemptOutcome::kOk, R"({"text":"done"})");
+  const auto answers = host.Take<DeliverAnswer>();
+  REQUIRE(answers.size() == 1);
+  REQUIRE(answers[0].call == call);
+  REQUIRE(answers[0].output == R"({"text":"done"})");
+  REQUIRE(answers[0].trace.size() == 2);
+}
+
+TEST_CASE("A doubled or late result changes nothing") {
+  OneHost host({});
+  host.Ask("lookup");
+  const StartBackendCall encode = TheCall(host);
+  host.Finish(encode, AttemptOutcome::kOk);
+  host.Finish(encode, AttemptOutcome::kOk);
+  REQUIRE(host.Take<StartBackendCall>().size() == 1);
+  REQUIRE(host.Take<DeliverAnswer>().empty());
+}
+
+TEST_CASE("A stream is passed on in order, without repetitions or gaps") {
+  OneHost host({});
+  host.Ask("lookup", "", std::nullopt, Delivery::kStream);
+  host.Finish(TheCall(host), AttemptOutcome::kOk);
+  const StartBackendCall generate = TheCall(host);
+  host.Send(BackendToken{generate.attempt, 0, "a"});
+  host.Send(BackendToken{generate.attempt, 0, "a"});
+  host.Send(BackendToken{generate.attempt, 2, "c"});
+  host.Send(BackendToken{generate.attempt, 1, "b"});
+  const auto tokens = host.Take<DeliverToken>();
+  REQUIRE(tokens.size() == 2);
+  REQUIRE(tokens[1].offset == 1);
+  host.Finish(generate, AttemptOutcome::kConnectionLost);
+  // The stream goes on at another server where it was cut.
+  REQUIRE(TheCall(host).offset == 2);
+}
+
+TEST_CASE("An idempotent stage is tried again at another server") {
+  OneHost host({});
+  host.Ask("lookup");
+  const StartBackendCall first = TheCall(host);
+  host.Finish(first, AttemptOutcome::kServerError);
+  const StartBackendCall second = TheCall(host);
+  REQUIRE(second.server != first.server);
+}
+
+TEST_CASE("A non-idempotent stage that may have run is never tried again") {
+  for (const auto outcome :
+       {AttemptOutcome::kServerError, AttemptOutcome::kConnectionLost,
+        AttemptOutcome::kNoProgress, AttemptOutcome::kDeadlineReached}) {
+    OneHost host({});
+    host.Ask("dispatch", "k");
+    host.Finish(TheCall(host), outcome);
+    REQUIRE(host.Take<StartBackendCall>().empty());
+    const auto refusals = host.Take<DeliverRefusal>();
+    REQUIRE(refusals.size() == 1);
+    REQUIRE(refusals[0].outcome == RequestOutcome::kUnknown);
+  }
+}
+
+TEST_CASE("With the table down a dispatch is refused as not run, at once") {
+  OneHost host({});
+  host.SetTableOutcome(TableOutcome::kUnavailable);
+  host.Ask("dispatch", "k");
+  for (int i = 0; i < 10; ++i) host.Advance(milliseconds(100));
+  REQUIRE(host.Take<StartBackendCall>().empty());
+  const auto refusals = host.Take<DeliverRefusal>();
+  REQUIRE(refusals.size() == 1);
+  REQUIRE(refusals[0].reason == RefusalReason::kStoreUnavailable);
+  REQUIRE(refusals[0].outcome == RequestOutcome::kNotRun);
+  REQUIRE(refusals[0].retry_after.has_value());
+}
+
+TEST_CASE("Bad requests are refused by reason and start nothing") {
+  OneHost host({});
+  host.Ask("nothing");
+  host.Ask("dispatch");
+  host.Ask("lookup", "", milliseconds(49));
+  host.Ask("lookup", "", seconds(11));
+  const auto refusals = host.Take<DeliverRefusal>();
+  REQUIRE(refusals.size() == 4);
+  REQUIRE(refusals[0].reason == RefusalReason::kUnknownClass);
+  REQUIRE(refusals[1].reason == RefusalReason::kMissingIdempotencyKey);
+  REQUIRE(refusals[2].reason == RefusalReason::kDeadlineOutOfRange);
+  REQUIRE(refusals[3].reason == RefusalReason::kDeadlineOutOfRange);
+  for (const auto& refusal : refusals) {
+    REQUIRE(refusal.outcome == RequestOutcome::kNotRun);
+  }
+  REQUIRE(host.Take<StartBackendCall>().empty());
+}
+
+TEST_CASE("A key in progress refuses a second call without claiming not run") {
+  OneHost host({});
+  host.Ask("dispatch", "k");
+  host.Ask("dispatch", "k");
+  REQUIRE(host.Take<StartBackendCall>().size() == 1);
+  const auto refusals = host.Take<DeliverRefusal>();
+  REQUIRE(refusals.size() == 1);
+  REQUIRE(refusals[0].reason == RefusalReason::kDuplicateInFlight);
+  REQUIRE(refusals[0].outcome == RequestOutcome::kUnknown);
+}
+
+TEST_CASE("The limits of servers hold, and waiting work starts as they free") {
+  OneHost host({.servers = 2, .limit = 1});
+  for (int i = 0; i < 3; ++i) host.Ask("lookup");
+  const auto calls = host.Take<StartBackendCall>();
+  REQUIRE(calls.size() == 2);
+  host.Finish(calls[0], AttemptOutcome::kOk);
+  const auto next = host.Take<StartBackendCall>();
+  REQUIRE(next.size() == 2);  // its second stage, and the first of the third
+}
+
+TEST_CASE("A call given up keeps its credit while it may still run") {
+  OneHost host({.servers = 1, .limit = 1});
+  host.Ask("lookup");
+  host.Finish(TheCall(host), AttemptOutcome::kNoProgress);
+  host.Advance(milliseconds(100));
+  REQUIRE(host.Take<StartBackendCall>().empty());
+  host.Advance(seconds(2));
+  host.Ask("lookup");
+  REQUIRE(host.Take<StartBackendCall>().size() == 1);
+}
+
+TEST_CASE("A queue that cannot end in time is refused early, with a time") {
+  OneHost host({.servers = 1, .limit = 1});
+  for (int i = 0; i < 20; ++i) {
+    host.Ask("lookup");
+    const StartBackendCall encode = TheCall(host);
+    host.Advance(milliseconds(300));
+    host.Finish(encode, AttemptOutcome::kOk);
+    host.Finish(TheCall(host), AttemptOutcome::kOk);
+  }
+  host.Take<DeliverAnswer>();
+  for (int i = 0; i < 20; ++i) host.Ask("lookup");
+  const auto refusals = host.Take<DeliverRefusal>();
+  REQUIRE(refusals.size() >= 10);
+  for (const auto& refusal : refusals) {
+    REQUIRE(refusal.reason == RefusalReason::kCannotMeetDeadline);
+    REQUIRE(refusal.outcome == RequestOutcome::kNotRun);
+    REQUIRE(refusal.retry_after >= seconds(1));
+  }
+}
+
+TEST_CASE("When the caller leaves, its lookup is cancelled") {
+  OneHost host({});
+  const CallId call = host.Ask("lookup");
+  const StartBackendCall encode = TheCall(host);
+  host.Send(CallerDisconnected{call});
+  const auto cancelled = host.Take<CancelBackendCall>();
+  REQUIRE(cancelled.size() == 1);
+  REQUIRE(cancelled[0].attempt == encode.attempt);
+}
+
+TEST_CASE("When the caller leaves, its dispatch goes on to its record") {
+  OneHost host({});
+  const CallId call = host.Ask("dispatch", "k");
+  const StartBackendCall order = TheCall(host);
+  host.Send(CallerDisconnected{call});
+  REQUIRE(host.Take<CancelBackendCall>().empty());
+  host.Finish(order, AttemptOutcome::kOk, R"({"entry":1})");
+  // A repeated call gets the recorded answer and runs nothing.
+  host.Ask("dispatch", "k");
+  REQUIRE(host.Take<StartBackendCall>().empty());
+  REQUIRE(host.Take<DeliverAnswer>().size() == 1);
+}
+
+TEST_CASE("A stop finishes what is in flight and refuses what is new") {
+  OneHost host({});
+  host.Ask("lookup");
+  const StartBackendCall encode = TheCall(host);
+  host.Send(StopRequested{});
+  host.Send(StopRequested{});
+  REQUIRE(host.Take<FinishStop>().empty());
+  host.Ask("lookup");
+  REQUIRE(host.Take<DeliverRefusal>().at(0).reason == RefusalReason::kStopping);
+  host.Finish(encode, AttemptOutcome::kOk);
+  host.Finish(TheCall(host), AttemptOutcome::kOk);
+  REQUIRE(host.Take<DeliverAnswer>().size() == 1);
+  REQUIRE(host.Take<FinishStop>().size() == 1);
+}
+
+TEST_CASE("A host in a zone that is out gives work of others back at once") {
+  OneHost host({.own_zone_state = "out"});
+  host.Deliver(StageRequestFrom("z2-a"));
+  const auto results = TakeStageResults(host);
+  REQUIRE(results.size() == 1);
+  REQUIRE(results[0].attempt() == 31);
+  REQUIRE(static_cast<AttemptOutcome>(results[0].outcome()) ==
+          AttemptOutcome::kRefused);
+}
+
+TEST_CASE("Queued work of others goes back when this zone's servers leave") {
+  OneHost host({.servers = 1, .limit = 1});
+  host.Ask("lookup");
+  REQUIRE(host.Take<StartBackendCall>().size() == 1);
+  host.Deliver(StageRequestFrom("z2-a"));
+  REQUIRE(TakeStageResults(host).empty());
+  host.Send(InventoryArrived{});
+  const auto results = TakeStageResults(host);
+  REQUIRE(results.size() == 1);
+  REQUIRE(static_cast<AttemptOutcome>(results[0].outcome()) ==
+          AttemptOutcome::kRefused);
+}
+
+}  // namespace
+}  // namespace lovagecleat::policy
--- /dev/null
+++ b/tests/policy/one_host.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "policy/policy.h"
+
+namespace lovagecleat::policy {
+
+// One entry host whose table answers at once and whose servers are the test.
+class OneHost {
+ public:
+  struct Shape {
+    std::uint32_t servers = 2;
+    std::uint32_t limit = 4;  // cold and warm
+    std::string own_zone_state = "in";
+  };
+
+  explicit OneHost(const Shape& shape);
+
+  // Passes the event and all that the fake table makes of it.
+  void Send(const Event& event);
+  void Advance(Duration step);
+
+  CallId Ask(const char* request_class, const char* key = "",
+             std::optional<Duration> deadline = std::nullopt,
+             Delivery delivery = Delivery::kWhole);
+  void Finish(const StartBackendCall& call, AttemptOutcome outcome,
+              std::string output = "{}");
+  void Deliver(const messages::PeerMessage& message);
+
+  // The commands of one kind since the last call of this.
+  template <typename Kind>
+  std::vector<Kind> Take() {
+    std::vector<Kind> taken;
+    std::vector<Command> others;
+    for (Command& command : commands_) {
+      if (auto* one = std::get_if<Kind>(&command)) {
+        taken.push_back(std::move(*one));
+      } else {
+        others.push_back(std::move(command));
+      }
+    }
+    commands_ = std::move(others);
+    return taken;
+  }
+
+  void SetTableOutcome(TableOutcome outcome) { table_outcome_ = outcome; }
+  TimePoint now() const { return clock_.Now(); }
+
+ private:
+  void Run(const Event& event);
+  void Answer(const ReadTable& read);
+  void Answer(const WriteTable& write);
+
+  ManualClock clock_;
+  std::map<std::string, TableRow> rows_;
+  TableOutcome table_outcome_ = TableOutcome::kOk;
+  std::vector<Event> waiting_;
+  std::vector<Command> commands_;
+  std::optional<Core> core_;
+  std::uint64_t last_call_ = 0;
+};
+
+}  // namespace lovagecleat::policy
