--- a/meta/deployment.py
+++ b/meta/deployment.py
@@ -15,6 +15,7 @@
 START_SECONDS = 30
 STOP_SECONDS = 20
 ADDRESS = "127.0.0.1"
+OPERATOR = "demo"
 
 
 class DeploymentError(Exception):
@@ -137,7 +138,7 @@
     def ctl(self, *arguments, port=None):
         """Runs lovagecleat-ctl; gives its output, raises unless it says done."""
         host = f"{ADDRESS}:{port or self.caller_ports[0]}"
-        return run([BINARIES / "lovagecleat-ctl", "--host", host, *arguments])
+        return run([BINARIES / "lovagecleat-ctl", "--host", host, "--who", OPERATOR, *arguments])
 
     def control(self, server, **faults):
         address = next(one["address"] for one in self.inventory["servers"] if one["id"] == server)
