--- a/libraries/transport/http_server.cc
+++ b/libraries/transport/http_server.cc
@@ -120,13 +120,30 @@
   return text;
 }
 
+constexpr const char* kConnectionKey = "lovagecleat-connection";
+
+// Numbers connections from 1 on. The number lives with the connection's socket.
+std::uint64_t ConnectionNumber(SoupServerMessage* message) {
+  static std::uint64_t last = 0;
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return 0;
+  GObject* object = G_OBJECT(socket);
+  gpointer number = g_object_get_data(object, kConnectionKey);
+  if (number == nullptr) {
+    number = GSIZE_TO_POINTER(++last);
+    g_object_set_data(object, kConnectionKey, number);
+  }
+  return GPOINTER_TO_SIZE(number);
+}
+
 class SoupCall final : public HttpServerCall {
  public:
   explicit SoupCall(SoupServerMessage* message)
       : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))),
         method_(soup_server_message_get_method(message)),
         path_(g_uri_get_path(soup_server_message_get_uri(message))),
-        body_(RequestBody(message)) {
+        body_(RequestBody(message)),
+        connection_(ConnectionNumber(message)) {
     SetNoDelay();
     WatchPeer();
     soup_server_message_pause(message);
@@ -137,6 +154,7 @@
   const std::string& method() const override { return method_; }
   const std::string& path() const override { return path_; }
   const std::string& body() const override { return body_; }
+  std::uint64_t connection() const override { return connection_; }
 
   std::string Header(std::string_view name) const override {
     const char* value = soup_message_headers_get_list(
@@ -287,6 +305,7 @@
   std::string method_;
   std::string path_;
   std::string body_;
+  std::uint64_t connection_ = 0;
   Progress progress_ = Progress::kWaiting;
   GSource* watch_ = nullptr;
   std::function<void()> on_disconnected_;
--- a/libraries/transport/http_server.h
+++ b/libraries/transport/http_server.h
@@ -26,6 +26,8 @@
   // Empty where there is none; `name` in lower case.
   virtual std::string Header(std::string_view name) const = 0;
   virtual std::string QueryParameter(std::string_view name) const = 0;
+  // Equal for calls that come on one connection.
+  virtual std::uint64_t connection() const = 0;
 
   // Sends a whole answer. Once at most, and not after StartStream.
   virtual void Respond(int status, std::string_view content_type,
--- a/meta/measure.py
+++ b/meta/measure.py
@@ -17,8 +17,8 @@
 PHASES = [
     {"name": "start", "seconds": 8, "from": 0.1, "to": 0.6},
     {"name": "steady", "seconds": 7, "from": 0.8},
-    {"name": "zone_out", "seconds": 7, "from": 0.5},
-    {"name": "zone_in", "seconds": 4, "from": 0.5},
+    {"name": "zone_out", "seconds": 7, "from": 0.55},
+    {"name": "zone_in", "seconds": 4, "from": 0.55},
 ]
 OUT_AFTER = PHASES[0]["seconds"] + PHASES[1]["seconds"]
 IN_AFTER = OUT_AFTER + PHASES[2]["seconds"]
--- a/tests/stand_ins/backend/backend_server.cc
+++ b/tests/stand_ins/backend/backend_server.cc
@@ -76,18 +76,25 @@
       endpoint_(server.endpoint),
       server_(loop, transport::HttpServerLimits{}),
       model_(server.settings, loop.clock().Now()) {
-  server_.Route("POST", "/v1/stage",
-                [this](const Call& call) { HandleStage(call); });
-  server_.Route("GET", "/v1/load",
-                [this](const Call& call) { HandleLoad(call); });
-  server_.Route("GET", "/v1/cache_events",
-                [this](const Call& call) { HandleCacheEvents(call); });
-  server_.Route("POST", "/v1/orders",
-                [this](const Call& call) { HandleOrder(call); });
+  Route("POST", "/v1/stage", &BackendServerProcess::HandleStage);
+  Route("GET", "/v1/load", &BackendServerProcess::HandleLoad);
+  Route("GET", "/v1/cache_events", &BackendServerProcess::HandleCacheEvents);
+  Route("POST", "/v1/orders", &BackendServerProcess::HandleOrder);
+  Route("GET", "/records", &BackendServerProcess::HandleRecords);
   server_.Route("POST", "/control",
                 [this](const Call& call) { HandleControl(call); });
-  server_.Route("GET", "/records",
-                [this](const Call& call) { HandleRecords(call); });
+}
+
+void BackendServerProcess::Route(const char* method, const char* path,
+                                 Handler handler) {
+  server_.Route(method, path, [this, handler](const Call& call) {
+    if (silent_connections_.contains(call->connection())) {
+      held_.push_back(call);
+      return;
+    }
+    connections_.insert(call->connection());
+    (this->*handler)(call);
+  });
 }
 
 bool BackendServerProcess::Listen() {
@@ -145,7 +152,7 @@
 
 void BackendServerProcess::Deliver(const TokenProduced& token) {
   const auto found = open_.find(token.call);
-  if (found == open_.end() || silenced_.contains(token.call)) return;
+  if (found == open_.end() || IsSilent(found->second)) return;
   OpenCall& open = found->second;
   if (open.stream == StreamState::kNotStarted) {
     open.call->StartStream(ReportHeaders());
@@ -157,7 +164,7 @@
 
 void BackendServerProcess::Deliver(const CallFinished& finished) {
   const auto found = open_.find(finished.call);
-  if (found == open_.end() || silenced_.contains(finished.call)) return;
+  if (found == open_.end() || IsSilent(found->second)) return;
   const OpenCall open = found->second;
   open_.erase(found);
   const bool is_done = finished.outcome == CallOutcome::kDone;
@@ -250,8 +257,10 @@
   });
 }
 
-void BackendServerProcess::Silence() {
-  for (const auto& [number, open] : open_) silenced_.insert(number);
+void BackendServerProcess::Silence() { silent_connections_ = connections_; }
+
+bool BackendServerProcess::IsSilent(const OpenCall& open) const {
+  return silent_connections_.contains(open.call->connection());
 }
 
 void BackendServerProcess::Exit() {
--- a/tests/stand_ins/backend/backend_server.h
+++ b/tests/stand_ins/backend/backend_server.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/base.h"
 #include "tests/stand_ins/backend_model.h"
@@ -32,6 +33,10 @@
     StreamState stream = StreamState::kNotStarted;
   };
 
+  using Handler = void (BackendServerProcess::*)(const Call& call);
+
+  // Calls on connections that went silent are held and never answered.
+  void Route(const char* method, const char* path, Handler handler);
   void HandleStage(const Call& call);
   void HandleLoad(const Call& call);
   void HandleCacheEvents(const Call& call);
@@ -43,6 +48,7 @@
   void Deliver(const CallFinished& finished);
   void Pump();
   void Silence();
+  bool IsSilent(const OpenCall& open) const;
   void Exit();
   std::map<std::string, std::string> ReportHeaders();
 
@@ -53,7 +59,9 @@
   std::map<CallNumber, OpenCall> open_;
   std::uint64_t last_call_ = 0;
   std::optional<TimerId> timer_;
-  std::set<CallNumber> silenced_;  // calls whose connection went silent
+  std::set<std::uint64_t> connections_;         // all that were seen
+  std::set<std::uint64_t> silent_connections_;  // of these, the silent ones
+  std::vector<Call> held_;                      // calls never answered
   std::function<void()> on_exit_;
 };
 
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -25,6 +25,9 @@
     });
     server_.Route("POST", "/hold",
                   [this](CallPointer call) { held_ = std::move(call); });
+    server_.Route("GET", "/connection", [](const CallPointer& call) {
+      call->Respond(200, "text/plain", std::to_string(call->connection()), {});
+    });
     server_.Route("GET", "/v1/objects/*", [](const CallPointer& call) {
       call->Respond(200, "text/plain", call->path(), {});
     });
@@ -103,6 +106,15 @@
   REQUIRE(Call(request).status == 405);
 }
 
+TEST_CASE_METHOD(ServerFixture, "Calls on one connection share its number") {
+  HttpRequest request = Request("/connection");
+  request.method = "GET";
+  const std::string first = Call(request).body;
+  REQUIRE(Call(request).body == first);
+  request.connection = ConnectionChoice::kFresh;
+  REQUIRE(Call(request).body != first);
+}
+
 TEST_CASE_METHOD(ServerFixture, "Limits on bodies, headers and open calls") {
   HttpRequest large = Request("/echo");
   large.body = std::string(101, 'x');
