--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -16,17 +16,10 @@
     case Body::kCreditRequest:
     case Body::kCreditGrant:
     case Body::kCreditReturn:
+    case Body::kServerSign:
       credits_.HandlePeer(message, now_);
       scheduler_.ForgetFullServices();
       return;
-    case Body::kServerSign: {
-      const messages::ServerSign& sign = message.server_sign();
-      const Warmth warmth = sign.warm() ? Warmth::kWarm : Warmth::kCold;
-      // Who saw the sign first told all others, so it is not passed on.
-      credits_.ObserveSign(ServerId(sign.server()), sign.generation(), warmth,
-                           now_);
-      return;
-    }
     case Body::kConfigurationPush:
       Append(follower_.HandlePush(message.configuration_push()));
       return;
--- a/libraries/policy/request_flow.cc
+++ b/libraries/policy/request_flow.cc
@@ -297,15 +297,21 @@
   if (ended.execution == JobEnded::Execution::kPossible) {
     request->may_have_run = true;
   }
-  if (request->intent != nullptr) {
+  // An intent that was concluded while its call was still out is told too, so
+  // that its row gets closed.
+  IntentRun* intent = request->intent.get();
+  if (intent == nullptr && request->is_answered) {
+    if (request->closing.empty()) return;
+    intent = request->closing.back().get();
+  }
+  if (intent != nullptr) {
     // A call that no server can have run, for whatever reason it was given
     // up, was not sent as far as the intent is concerned.
     const bool is_not_run = ended.outcome != AttemptOutcome::kOk &&
                             ended.execution == JobEnded::Execution::kNone;
     const AttemptOutcome outcome =
         is_not_run ? AttemptOutcome::kNotSent : ended.outcome;
-    ApplyIntentStep(*request,
-                    request->intent->HandleBackend(outcome, ended.output, now),
+    ApplyIntentStep(*request, intent->HandleBackend(outcome, ended.output, now),
                     now);
     return;
   }
