Operators: Run the page's commands and bound the audit trail

Found by running every command of docs/OPERATORS.md against real processes. Ruled out: the tool (it sends until=N) and the stand-in (it keeps to the limit).

--- a/libraries/policy/operator_changes.cc
+++ b/libraries/policy/operator_changes.cc
@@ -91,13 +91,16 @@
   if (audit_queries_.size() >= kMaximumAuditQueries) {
     return {AnswerAuditUnavailable(query.call)};
   }
+  const std::optional<std::uint64_t> until = ReadRevision(query.argument);
   const std::uint64_t newest =
-      ReadRevision(query.argument).value_or(drains_.current().revision);
+      std::max<std::uint64_t>(until.value_or(drains_.current().revision), 1);
   const std::uint64_t from = newest < kAuditPage ? 1 : newest - kAuditPage + 1;
+  // Without a bound, rows that this host has not followed yet are shown, too.
+  const std::uint64_t limit = until ? newest - from + 1 : kAuditPage;
   const OperationId operation = counter_.Next();
   audit_queries_[operation] = {query.call, now + kAuditBound};
   return {ScanTable{operation, std::string(kAuditRowPrefix), AuditRowKey(from),
-                    static_cast<std::uint32_t>(kAuditPage)}};
+                    static_cast<std::uint32_t>(limit)}};
 }
 
 std::vector<Command> OperatorChanges::HandleTable(const TableAnswered& answer,
