Policy: Keep the credit of a call that ends at its deadline for a moment

Cause: a call whose deadline came was given up and its credit was free in the same instant, so the next call could reach the server before the close of the old connection did. Ruled out: a late close of the connection (0 to 1 ms in 8 measured cancels) and the killed host's share. The test of a call given up expected the credit back at the deadline itself; it now expects it 250 ms later and nothing before.

--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -18,7 +18,8 @@
 constexpr Duration kHandOverAfter = std::chrono::milliseconds(15);
 constexpr Duration kMinimumFirstByteBound = std::chrono::milliseconds(500);
 constexpr int kFirstByteFactor = 4;
-// An engine notices a closed connection within this time.
+// A server notices a closed connection, or that a call's time is over, within
+// this time.
 constexpr Duration kCancelTime = std::chrono::milliseconds(250);
 constexpr Duration kProgressBound = std::chrono::milliseconds(1500);
 // Baselines queue in the order of arrival; this keeps their keys ordered.
@@ -191,12 +192,15 @@
     case AttemptOutcome::kDeadlineReached:
       break;
   }
-  // An engine ends a stream when its connection closes.
+  // An engine ends a stream when its connection closes; any server ends a call
+  // when its time is over. Either may hear of a new call first, so the credit
+  // stays for a while longer.
   const bool is_cancelled_stream =
       outcome == AttemptOutcome::kCancelled && job.work.max_tokens > 0;
-  const TimePoint until = is_cancelled_stream
-                              ? std::min(running.end_before, now + kCancelTime)
-                              : running.end_before;
+  const TimePoint given_up = is_cancelled_stream
+                                 ? std::min(running.end_before, now)
+                                 : running.end_before;
+  const TimePoint until = given_up + kCancelTime;
   lingering_.emplace(
       until, LingeringCredit{running.credit, running.server, job.work.service});
 }
--- a/tests/policy/core_test.cc
+++ b/tests/policy/core_test.cc
@@ -172,6 +172,23 @@
   REQUIRE(host.Take<StartBackendCall>().empty());
   host.Advance(seconds(2));
   host.Ask("lookup");
+  // Its time is over, but the server may not have noticed yet.
+  REQUIRE(host.Take<StartBackendCall>().empty());
+  host.Advance(milliseconds(150));
+  REQUIRE(host.Take<StartBackendCall>().size() == 1);
+}
+
+TEST_CASE("A call that ends at its deadline keeps its credit for a moment") {
+  OneHost host({1, 1});
+  host.Ask("lookup", "", milliseconds(500));
+  const StartBackendCall first = TheCall(host);
+  host.Ask("lookup");
+  host.Advance(first.deadline - host.now());
+  // The server may hear of the next call before it sees this one's connection
+  // close.
+  host.Finish(first, AttemptOutcome::kDeadlineReached);
+  REQUIRE(host.Take<StartBackendCall>().empty());
+  host.Advance(milliseconds(250));
   REQUIRE(host.Take<StartBackendCall>().size() == 1);
 }
 
