--- a/libraries/policy/core_state.cc
+++ b/libraries/policy/core_state.cc
@@ -329,6 +329,8 @@
   if (!is_stopping_ || is_stop_finished_) return;
   if (requests_.open_requests() > 0 || scheduler_.job_count() > 0) return;
   is_stop_finished_ = true;
+  credits_.ReturnLoans(now_);
+  ForwardOutgoing();
   commands_.emplace_back(FinishStop{});
 }
 
--- a/libraries/policy/credits.cc
+++ b/libraries/policy/credits.cc
@@ -352,6 +352,12 @@
   message.set_amount(returned.returned);
 }
 
+void CreditLedger::ReturnLoans(TimePoint now) {
+  requests_.clear();  // what is granted from now on goes back at once
+  for (const auto& [id, server] : servers_) borrowed_.End(id, now);
+  SendReturns(now);
+}
+
 void CreditLedger::SendReturns(TimePoint now) {
   for (const auto& returned : borrowed_.TakeReturns(now)) SendReturn(returned);
 }
--- a/libraries/policy/credits.h
+++ b/libraries/policy/credits.h
@@ -68,6 +68,8 @@
   void Release(CreditId id, TimePoint now, CallHealth health);
   void AskLoan(const ServerId& server, std::uint32_t amount,
                std::span<const HostId> alive_in_zone, TimePoint now);
+  // Gives back what no call uses, before the host stops.
+  void ReturnLoans(TimePoint now);
   // Takes loan messages and ServerSign.
   void HandlePeer(const messages::PeerMessage& message, TimePoint now);
   void Tick(TimePoint now);
--- a/tests/policy/credits_test.cc
+++ b/tests/policy/credits_test.cc
@@ -212,6 +212,25 @@
   REQUIRE(lender.Available(kServer, At(seconds(3))) == 4);
 }
 
+TEST_CASE("Loans end with a new generation and before the host stops") {
+  const Roster roster = FirstRoster({kA, kB});
+  CreditLedger lender = LedgerOf(kA, roster, 8);
+  CreditLedger borrower = LedgerOf(kB, roster, 8);
+  borrower.AskLoan(kServer, 2, std::vector{kA}, {});
+  lender.HandlePeer(From(kB, borrower.TakeOutgoing().at(0)), {});
+  borrower.HandlePeer(From(kA, lender.TakeOutgoing().at(0)), {});
+  REQUIRE(borrower.Available(kServer, {}) == 6);
+  SECTION("a new generation") {
+    borrower.ObserveSign(kServer, 1, Warmth::kCold, {});
+  }
+  SECTION("a stop") { borrower.ReturnLoans({}); }
+  REQUIRE(borrower.Available(kServer, {}) == 4);
+  const auto returns = borrower.TakeOutgoing();
+  REQUIRE(returns.size() == 1);
+  lender.HandlePeer(From(kB, returns[0]), {});
+  REQUIRE(lender.Available(kServer, {}) == 4);
+}
+
 TEST_CASE("A new incarnation waits for the calls of the one before") {
   Roster roster = FirstRoster({kA, kB});
   roster.origin = RosterOrigin::kBeforeStart;
