Policy: Predict a new request's wait with the limits that rise meanwhile

Cause: in a cold start nearly all misses were refusals on arrival, since the wait was predicted from the cold share, which rises about fourfold while the request would wait. Ruled out: late answers (none) and overload of servers (none). There is no unit test of the prediction; it is shown by measurement.

--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -531,16 +531,25 @@
   return std::min(now + kPumpInterval, due.value_or(TimePoint::max()));
 }
 
+// What this host may have at once at the zone's servers while a new request
+// waits. Cold servers' limits rise meanwhile, so the mean of the share in use
+// and the warm share is taken; for warm servers the two are equal.
 std::uint32_t StageScheduler::ZoneCapacity(const ServiceId& service,
                                            TimePoint now) const {
   Capacity& capacity = capacities_[service];
   if (now < capacity.valid_until) return capacity.calls;
   capacity.valid_until = now + kCapacityValidity;
-  capacity.calls = 0;
+  std::uint32_t present = 0;
+  std::uint32_t warm = 0;
   for (const ServerEntry* server : parts_.servers.Eligible(service, now)) {
-    capacity.calls += parts_.credits.Available(server->info.id, now);
-    capacity.calls += server->own_in_flight;
+    present += parts_.credits.Available(server->info.id, now);
+    present += server->own_in_flight;
+    warm += server->info.warm_limit;
   }
+  const std::size_t hosts =
+      1 + parts_.membership.AliveInZone(settings_.zone).size();
+  const auto warm_share = static_cast<std::uint32_t>(warm / hosts);
+  capacity.calls = (present + std::max(present, warm_share)) / 2;
   return capacity.calls;
 }
 
