Policy: Claim not run only with sight of the key's row

Ruled out: tickets of one host, which serve a first try and fail the repeat. Change: such a refusal says unknown, names the reason and when to come back. Not covered: refusals before the claim for other reasons, see docs/design/at-most-once.md.

--- a/libraries/policy/request_flow.cc
+++ b/libraries/policy/request_flow.cc
@@ -412,10 +412,16 @@
       return;
     case IntentResult::kStoreUnavailable:
       RetireIntent(request);
+      // Without sight of the row, "not run" could only be said of this call:
+      // an earlier call with the same key may have run at a host that died.
       Refuse(request, RefusalReason::kStoreUnavailable,
-             OutcomeWithoutAnswer(request),
-             "The platform's table does not answer, so stage " + stage +
-                 " was not run.",
+             request.has_effect ? RequestOutcome::kFailed
+                                : RequestOutcome::kUnknown,
+             "The platform's table does not answer. This call did not run "
+             "stage " +
+                 stage +
+                 "; whether an earlier call with this key did "
+                 "cannot be read.",
              kRetryAfterStore);
       return;
     case IntentResult::kKeyReused:
