Tests: Show that a grant to a dead incarnation is not taken

With loans numbered from the same start for each incarnation the test fails (2 == 0); the property test had not caught it. docs/INVARIANTS.md says that the matrix does not catch a follower that takes lower revisions.

--- a/tests/policy/credits_test.cc
+++ b/tests/policy/credits_test.cc
@@ -231,6 +231,20 @@
   REQUIRE(lender.Available(kServer, {}) == 4);
 }
 
+TEST_CASE("A grant to a dead incarnation is not taken by the next one") {
+  const Roster roster = FirstRoster({kA, kB});
+  CreditLedger lender = LedgerOf(kA, roster, 8);
+  CreditLedger dead(kB, kSettings, {}, 1);
+  CreditLedger next(kB, kSettings, {}, 2);
+  for (CreditLedger* ledger : {&dead, &next}) {
+    ledger->SetServer(kServer, 8, 8, {});
+    ledger->AskLoan(kServer, 2, std::vector{kA}, {});
+  }
+  lender.HandlePeer(From(kB, dead.TakeOutgoing().at(0)), {});
+  next.HandlePeer(From(kA, lender.TakeOutgoing().at(0)), {});
+  REQUIRE(next.Available(kServer, {}) == 0);
+}
+
 TEST_CASE("A new incarnation waits for the calls of the one before") {
   Roster roster = FirstRoster({kA, kB});
   roster.origin = RosterOrigin::kBeforeStart;
