--- a/meta/own_cost.py
+++ b/meta/own_cost.py
@@ -12,11 +12,11 @@
 from process_test import LOOKUP, REPORT, ask, require, require_whole_stream
 
 BASE_PORT = 25000
-IDLE_SECONDS = 4
-WARM_UP = 150
-REQUESTS = 200
-CALLERS = 4
-DELAY_REQUESTS = 60
+IDLE_SECONDS = 3
+WARM_UP = 32
+REQUESTS = 64
+CALLERS = 8
+DELAY_REQUESTS = 12
 REPORT_TOKENS = 48
 PARTS = {"class": "parts-check", "team": "north-hospitals", "input": {"text": "lens for dish 12"}}
 
