--- /dev/null
+++ b/libraries/configuration/indexed.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <map>
+
+#include "configuration/types.h"
+
+namespace lovagecleat::configuration {
+
+// A configuration that no longer changes, with logarithmic look-ups.
+class IndexedConfiguration {
+ public:
+  explicit IndexedConfiguration(Configuration content);
+  IndexedConfiguration(const IndexedConfiguration&) = delete;
+  IndexedConfiguration& operator=(const IndexedConfiguration&) = delete;
+
+  const Configuration& content() const { return content_; }
+
+  // Null where there is none of that id.
+  const RequestClass* FindClass(const ClassId& id) const;
+  const Pipeline* FindPipeline(const PipelineId& id) const;
+  const Service* FindService(const ServiceId& id) const;
+
+ private:
+  const Configuration content_;  // the maps point into it
+  std::map<ClassId, const RequestClass*> classes_;
+  std::map<PipelineId, const Pipeline*> pipelines_;
+  std::map<ServiceId, const Service*> services_;
+};
+
+}  // namespace lovagecleat::configuration
--- a/libraries/policy/core_state.cc
+++ b/libraries/policy/core_state.cc
@@ -47,7 +47,7 @@
 }
 
 std::uint64_t Core::State::configuration_revision() const {
-  return configuration_ == nullptr ? 0 : configuration_->revision;
+  return configuration_ == nullptr ? 0 : configuration_->content().revision;
 }
 
 std::vector<Command> Core::State::Handle(const Event& event, TimePoint now,
@@ -232,18 +232,18 @@
   }
   std::optional<configuration::Configuration> adopted = follower_.TakeAdopted();
   if (!adopted.has_value()) return;
-  configuration_ =
-      std::make_shared<const configuration::Configuration>(std::move(*adopted));
-  servers_.ApplyConfiguration(*configuration_);
-  scheduler_.ApplyConfiguration(*configuration_);
+  configuration_ = std::make_shared<const configuration::IndexedConfiguration>(
+      std::move(*adopted));
+  servers_.ApplyConfiguration(configuration_->content());
+  scheduler_.ApplyConfiguration(configuration_->content());
   scheduler_.ForgetFullServices();
   requests_.SetConfiguration(configuration_);
-  Append(operator_changes_.ObserveConfiguration(*configuration_));
-  commands_.emplace_back(
-      RecordDecision{{},
-                     "configuration",
-                     "Revision " + std::to_string(configuration_->revision) +
-                         " is in force."});
+  Append(operator_changes_.ObserveConfiguration(configuration_->content()));
+  commands_.emplace_back(RecordDecision{
+      {},
+      "configuration",
+      "Revision " + std::to_string(configuration_->content().revision) +
+          " is in force."});
 }
 
 void Core::State::ObserveProvisionalDrains() {
--- a/libraries/policy/core_state.h
+++ b/libraries/policy/core_state.h
@@ -97,7 +97,7 @@
   OperatorChanges operator_changes_;
   DecisionLog decisions_;
 
-  std::shared_ptr<const configuration::Configuration> configuration_;
+  std::shared_ptr<const configuration::IndexedConfiguration> configuration_;
   bool has_inventory_ = false;
   bool has_provisional_drains_ = false;  // as of the last event
   bool is_stopping_ = false;
--- a/libraries/policy/core_status.cc
+++ b/libraries/policy/core_status.cc
@@ -57,7 +57,7 @@
   }
   Json zones = Json::array();
   if (configuration_ != nullptr) {
-    for (const configuration::Zone& zone : configuration_->zones) {
+    for (const configuration::Zone& zone : configuration_->content().zones) {
       const bool is_out = zone.state == configuration::ZoneState::kOut;
       zones.push_back(
           {{"id", zone.id.value()}, {"state", is_out ? "out" : "in"}});
--- a/libraries/policy/request_flow.cc
+++ b/libraries/policy/request_flow.cc
@@ -151,7 +151,7 @@
     return;
   }
   const Duration target = configuration::TargetAt(
-      *valid->request_class, wall_now, configuration_->utc_offset);
+      *valid->request_class, wall_now, configuration_->content().utc_offset);
   const TimePoint deadline =
       now + std::min(target, arrival.deadline.value_or(target));
   const Duration lateness = PredictedLateness(*valid->pipeline, deadline, now);
--- a/libraries/policy/request_flow.h
+++ b/libraries/policy/request_flow.h
@@ -27,7 +27,7 @@
               std::vector<Command>& commands);
 
   void SetConfiguration(
-      std::shared_ptr<const configuration::Configuration> configuration);
+      std::shared_ptr<const configuration::IndexedConfiguration> configuration);
 
   void HandleArrival(const CallerRequestArrived& arrival, Admitting admitting,
                      TimePoint now, WallTime wall_now);
@@ -46,7 +46,7 @@
   std::size_t open_requests() const { return requests_.size(); }
 
  private:
-  using Snapshot = std::shared_ptr<const configuration::Configuration>;
+  using Snapshot = std::shared_ptr<const configuration::IndexedConfiguration>;
 
   struct Request {
     RequestId id;
