Policy: Bring held drains in with one transaction and prove racing operators

Cause: two drains of one outage named the same revision, so the first to land ended the second, and a zone came back unseen. A change now takes the drains held for its revision into its own transaction, each with a revision and an audit row. A change is settled by its id in any of the rows that such a transaction can have written.

Ruled out: moving a held drain to the newer revision, since its audit row can then not be found by who asks again.

--- a/libraries/policy/change_run.cc
+++ b/libraries/policy/change_run.cc
@@ -19,6 +19,9 @@
 constexpr Duration kChangeBound = seconds(3);
 // A table that refuses this often in a row is down, not busy.
 constexpr int kMaximumRefusals = 5;
+// One transaction brings in a change and the drains that are held beside it.
+constexpr std::uint64_t kMaximumStepsOfOneWrite =
+    ProvisionalDrains::kMaximumDrains + 1;
 
 const TableRow* FindRow(const TableAnswered& answer, std::string_view key) {
   const auto found =
@@ -29,8 +32,9 @@
 
 }  // namespace
 
-ChangeRun::ChangeRun(ChangeRequest request, OperationCounter& counter)
-    : request_(std::move(request)), counter_(counter) {}
+ChangeRun::ChangeRun(ChangeRequest request, const ProvisionalDrains& held,
+                     OperationCounter& counter)
+    : request_(std::move(request)), held_(&held), counter_(&counter) {}
 
 ChangeStep ChangeRun::Start(TimePoint now) {
   ChangeStep step;
@@ -71,7 +75,9 @@
   }
   if (retry_at_ && now >= *retry_at_) {
     retry_at_.reset();
-    if (is_writing_) {
+    // While an earlier write may take effect, only the same write again can
+    // tell; else what is held by now goes into a new one.
+    if (is_write_uncertain_) {
       IssueWrite(step, now);
     } else {
       IssueRead(step, now);
@@ -88,16 +94,18 @@
 
 void ChangeRun::IssueRead(ChangeStep& step, TimePoint now) {
   is_writing_ = false;
-  operation_ = counter_.Next();
+  operation_ = counter_->Next();
   operation_bound_ = now + kOperationBound;
-  step.commands.emplace_back(ReadTable{
-      *operation_,
-      {kConfigurationRowKey, AuditRowKey(request_.expected_revision + 1)}});
+  ReadTable read{*operation_, {kConfigurationRowKey}};
+  for (std::uint64_t i = 1; i <= kMaximumStepsOfOneWrite; ++i) {
+    read.keys.push_back(AuditRowKey(request_.expected_revision + i));
+  }
+  step.commands.emplace_back(std::move(read));
 }
 
 void ChangeRun::IssueWrite(ChangeStep& step, TimePoint now) {
   is_writing_ = true;
-  operation_ = counter_.Next();
+  operation_ = counter_->Next();
   operation_bound_ = now + kOperationBound;
   step.commands.emplace_back(WriteTable{*operation_, writes_});
 }
@@ -122,11 +130,15 @@
 
 void ChangeRun::Judge(ChangeStep& step, const TableAnswered& answer,
                       TimePoint now) {
+  if (is_writing_) {
+    // A refused write shows its own rows alone, and another host may have
+    // brought this change in together with other drains.
+    IssueRead(step, now);
+    return;
+  }
   const TableRow* current = FindRow(answer, kConfigurationRowKey);
-  const TableRow* audit =
-      FindRow(answer, AuditRowKey(request_.expected_revision + 1));
-  if (current == nullptr || audit == nullptr) {
-    JudgeMissingRows(step, now);
+  if (current == nullptr) {
+    HandleFailedOperation(step, TableOutcome::kUnavailable, now);
     return;
   }
   Configuration stored;
@@ -140,10 +152,7 @@
     }
     stored = *read;
   }
-  if (audit->version != 0) {
-    JudgeAuditRow(step, *audit, stored);
-    return;
-  }
+  if (ConcludeFromAuditRows(step, answer, stored)) return;
   if (stored.revision != request_.expected_revision) {
     Conclude(step,
              {.result = ChangeResult::kConflict, .revision = stored.revision});
@@ -152,47 +161,63 @@
   PrepareWrite(step, current->version, stored, now);
 }
 
-// Some tables name only the rows that stand in the way of a write.
-void ChangeRun::JudgeMissingRows(ChangeStep& step, TimePoint now) {
-  if (is_writing_) {
-    IssueRead(step, now);
-    return;
-  }
-  HandleFailedOperation(step, TableOutcome::kUnavailable, now);
-}
-
-void ChangeRun::JudgeAuditRow(ChangeStep& step, const TableRow& audit,
-                              const Configuration& stored) {
-  ChangeConclusion conclusion;
-  if (ReadAuditChangeId(audit.value) != request_.change_id) {
-    conclusion.result = ChangeResult::kConflict;
-    conclusion.revision = stored.revision;
-    conclusion.other = audit.value;
+// A change is in the table if one of the rows that a transaction on its
+// revision can have written names it. If others took that revision, it can
+// never come in.
+bool ChangeRun::ConcludeFromAuditRows(ChangeStep& step,
+                                      const TableAnswered& answer,
+                                      const Configuration& stored) {
+  for (std::uint64_t i = 1; i <= kMaximumStepsOfOneWrite; ++i) {
+    const std::uint64_t revision = request_.expected_revision + i;
+    const TableRow* audit = FindRow(answer, AuditRowKey(revision));
+    if (audit == nullptr ||
+        ReadAuditChangeId(audit->value) != request_.change_id) {
+      continue;
+    }
+    ChangeConclusion conclusion{.result = ChangeResult::kAccepted,
+                                .revision = revision};
+    if (stored.revision >= revision) conclusion.configuration = stored;
     Conclude(step, std::move(conclusion));
-    return;
+    return true;
   }
-  conclusion.result = ChangeResult::kAccepted;
-  conclusion.revision = request_.expected_revision + 1;
-  if (stored.revision == conclusion.revision) conclusion.configuration = stored;
-  Conclude(step, std::move(conclusion));
+  const TableRow* first =
+      FindRow(answer, AuditRowKey(request_.expected_revision + 1));
+  if (first == nullptr || first->version == 0) return false;
+  Conclude(step, {.result = ChangeResult::kConflict,
+                  .revision = stored.revision,
+                  .other = first->value});
+  return true;
 }
 
 void ChangeRun::PrepareWrite(ChangeStep& step, std::uint64_t version,
                              const Configuration& stored, TimePoint now) {
+  after_ = stored;
+  writes_ = {{kConfigurationRowKey, version, ""}};
   configuration::ChangeApplier applier;
-  const std::optional<Configuration> after =
-      applier.Apply(stored, request_.change);
-  if (!after) {
+  const auto add = [&](const ChangeRequest& request) {
+    const std::optional<Configuration> next =
+        applier.Apply(after_, request.change);
+    if (!next) return false;
+    writes_.push_back({AuditRowKey(next->revision), 0,
+                       EncodeAuditRow(request, after_, *next)});
+    after_ = *next;
+    return true;
+  };
+  for (const ChangeRequest& drain : held_->drains()) {
+    const bool is_other = drain.change_id != request_.change_id;
+    const bool fits = drain.expected_revision == request_.expected_revision;
+    if (is_other && fits && writes_.size() < kMaximumStepsOfOneWrite) {
+      add(drain);
+    }
+  }
+  if (!add(request_)) {
     Conclude(step, {.result = ChangeResult::kInvalid,
                     .revision = stored.revision,
                     .problems = applier.problems()});
     return;
   }
-  after_ = *after;
-  writes_ = {{kConfigurationRowKey, version,
-              configuration::WriteConfiguration(after_)},
-             {AuditRowKey(after_.revision), 0,
-              EncodeAuditRow(request_, stored, after_)}};
+  revision_ = after_.revision;
+  writes_.front().value = configuration::WriteConfiguration(after_);
   IssueWrite(step, now);
 }
 
--- a/libraries/policy/change_run.h
+++ b/libraries/policy/change_run.h
@@ -9,6 +9,7 @@
 #include "policy/commands.h"
 #include "policy/events.h"
 #include "policy/operation_counter.h"
+#include "policy/provisional_drains.h"
 
 namespace lovagecleat::policy {
 
@@ -35,11 +36,14 @@
 };
 
 // Brings one change into the table: the configuration and its audit row in one
-// transaction, by compare-and-set on the revision.
+// transaction, by compare-and-set on the revision. The drains that are held for
+// the same revision go before it in the same transaction, each with a revision
+// and an audit row of its own, so that the change does not end them.
 class ChangeRun {
  public:
-  // `counter` outlives this.
-  ChangeRun(ChangeRequest request, OperationCounter& counter);
+  // `held` and `counter` outlive this.
+  ChangeRun(ChangeRequest request, const ProvisionalDrains& held,
+            OperationCounter& counter);
 
   ChangeStep Start(TimePoint now);
   ChangeStep HandleTable(const TableAnswered& answer, TimePoint now);
@@ -57,21 +61,22 @@
   void HandleFailedOperation(ChangeStep& step, TableOutcome outcome,
                              TimePoint now);
   void Judge(ChangeStep& step, const TableAnswered& answer, TimePoint now);
-  void JudgeAuditRow(ChangeStep& step, const TableRow& audit,
-                     const configuration::Configuration& stored);
-  void JudgeMissingRows(ChangeStep& step, TimePoint now);
+  bool ConcludeFromAuditRows(ChangeStep& step, const TableAnswered& answer,
+                             const configuration::Configuration& stored);
   void PrepareWrite(ChangeStep& step, std::uint64_t version,
                     const configuration::Configuration& stored, TimePoint now);
   void Conclude(ChangeStep& step, ChangeConclusion conclusion);
 
   ChangeRequest request_;
-  OperationCounter& counter_;
+  const ProvisionalDrains* held_;
+  OperationCounter* counter_;
   std::optional<OperationId> operation_;
   TimePoint operation_bound_{};
   std::optional<TimePoint> retry_at_;
   TimePoint bound_{};
   std::vector<TableWrite> writes_;  // empty before the first write
   configuration::Configuration after_;
+  std::uint64_t revision_ = 0;  // that the write gives to this change
   bool is_writing_ = false;
   bool is_write_uncertain_ = false;
   bool has_met_failure_ = false;
--- a/libraries/policy/operator_changes.cc
+++ b/libraries/policy/operator_changes.cc
@@ -204,8 +204,8 @@
                             std::optional<CallId> call, TimePoint now,
                             std::vector<Command>& commands) {
   const std::uint64_t id = ++last_activity_;
-  const auto [entry, inserted] =
-      activities_.emplace(id, Activity{ChangeRun(request, counter_), call});
+  const auto [entry, inserted] = activities_.emplace(
+      id, Activity{ChangeRun(request, drains_, counter_), call, false});
   Take(id, entry->second.run.Start(now), now, commands);
 }
 
@@ -214,13 +214,20 @@
   for (Command& command : step.commands) {
     commands.push_back(std::move(command));
   }
-  const Activity& activity = activities_.at(id);
+  Activity& activity = activities_.at(id);
   // A drain holds from the first sign of trouble on, while its fate in the
   // table is still open: operators take a zone out because it harms now.
   if (activity.run.HasMetFailure()) {
     HoldIfDrain(activity.run.request(), now, commands);
+    activity.was_held |=
+        drains_.Find(activity.run.request().change_id) != nullptr;
   }
   if (!step.conclusion) return;
+  // Another host may have brought a drain in that this one had spread.
+  if (activity.was_held &&
+      step.conclusion->result == ChangeResult::kStoreUnavailable) {
+    step.conclusion->result = ChangeResult::kUnknown;
+  }
   const Activity finished = activity;
   activities_.erase(id);
   Finish(finished, *step.conclusion, now, commands);
@@ -242,17 +249,9 @@
   if (activity.call) {
     commands.emplace_back(AnswerChange(*activity.call, request, conclusion));
   }
-  const bool is_overtaken = conclusion.result == ChangeResult::kConflict &&
-                            conclusion.revision > request.expected_revision;
-  if (is_held && is_overtaken && !activity.call) {
-    // Whether the other change ends this drain is known when its
-    // configuration comes into force here.
-    drain_retries_[request.change_id] = now + RetryDelay(request);
-    return;
-  }
   drain_retries_.erase(request.change_id);
   if (conclusion.configuration) {
-    // A held drain ends when this configuration comes into force.
+    // Held drains end when this configuration comes into force.
     accepted_ = conclusion.configuration;
     return;
   }
--- a/libraries/policy/operator_changes.h
+++ b/libraries/policy/operator_changes.h
@@ -63,6 +63,7 @@
   struct Activity {
     ChangeRun run;
     std::optional<CallId> call;
+    bool was_held = false;  // as a drain that other hosts may know
   };
   struct AuditQuery {
     CallId call;
--- a/libraries/policy/provisional_drains.cc
+++ b/libraries/policy/provisional_drains.cc
@@ -12,12 +12,6 @@
 
 constexpr std::size_t kMaximumNameBytes = 256;
 
-bool LeadsTo(const ChangeRequest& drain, const Configuration& before,
-             const Configuration& after) {
-  configuration::ChangeApplier applier;
-  return applier.Apply(before, drain.change) == after;
-}
-
 }  // namespace
 
 ProvisionalDrains::HoldResult ProvisionalDrains::Hold(
@@ -42,33 +36,14 @@
 std::vector<ChangeRequest> ProvisionalDrains::ObserveConfiguration(
     const Configuration& configuration) {
   if (configuration.revision <= current_.revision) return {};
-  // Operators who took out two things during one outage named the same
-  // revision for both. When one of them is accepted, the other still holds.
-  const bool is_by_drain = IsSuccessorByDrain(configuration);
-  std::vector<ChangeRequest> ended;
-  std::vector<ChangeRequest> kept;
-  for (ChangeRequest& drain : drains_) {
-    const bool is_ended =
-        drain.expected_revision < configuration.revision &&
-        (!is_by_drain || LeadsTo(drain, current_, configuration));
-    if (!is_ended && is_by_drain) {
-      drain.expected_revision =
-          std::max(drain.expected_revision, configuration.revision);
-    }
-    (is_ended ? ended : kept).push_back(std::move(drain));
-  }
-  drains_ = std::move(kept);
   current_ = configuration;
-  return ended;
-}
-
-bool ProvisionalDrains::IsSuccessorByDrain(
-    const Configuration& configuration) const {
-  return configuration.revision == current_.revision + 1 &&
-         std::any_of(drains_.begin(), drains_.end(),
-                     [&](const ChangeRequest& drain) {
-                       return LeadsTo(drain, current_, configuration);
-                     });
+  const auto ended = std::stable_partition(
+      drains_.begin(), drains_.end(), [&](const ChangeRequest& drain) {
+        return drain.expected_revision >= current_.revision;
+      });
+  std::vector<ChangeRequest> result(ended, drains_.end());
+  drains_.erase(ended, drains_.end());
+  return result;
 }
 
 bool ProvisionalDrains::IsZoneOut(const ZoneId& zone) const {
--- a/libraries/policy/provisional_drains.h
+++ b/libraries/policy/provisional_drains.h
@@ -11,8 +11,8 @@
 namespace lovagecleat::policy {
 
 // The drains that hosts hold while the table cannot take them. A held drain is
-// pending, never accepted: an accepted configuration with a higher revision
-// ends it, unless that revision is itself one of the held drains.
+// pending, never accepted; a configuration of a higher revision ends it, since
+// it holds the drain or has overruled it.
 class ProvisionalDrains {
  public:
   static constexpr std::size_t kMaximumDrains = 16;
@@ -37,9 +37,6 @@
   messages::PeerMessage ToMessage() const;
 
  private:
-  bool IsSuccessorByDrain(
-      const configuration::Configuration& configuration) const;
-
   configuration::Configuration current_;
   std::vector<ChangeRequest> drains_;
 };
