Policy: Settle a lost claim in a short deadline, and try refused calls thrice

Causes: a claim of the idempotency key's row waited 500 ms for an answer even where the whole claim had 490 ms, so one lost answer refused the request; and the intent's three calls multiplied with the scheduler's three tries.

--- a/libraries/policy/intent.cc
+++ b/libraries/policy/intent.cc
@@ -12,6 +12,10 @@
 
 // An operation without an answer for this long counts as unknown.
 constexpr Duration kOperationBound = milliseconds(500);
+// The first operation may take this part of the time of a claim. More parts
+// would give up on a store that is merely slow.
+constexpr int kOperationsOfClaim = 2;
+constexpr Duration kMinimumOperationTime = milliseconds(50);
 constexpr Duration kFirstRetryDelay = milliseconds(25);
 constexpr Duration kMaximumClaimRetryDelay = milliseconds(200);
 constexpr Duration kMaximumCloseRetryDelay = seconds(5);
@@ -22,8 +26,6 @@
 constexpr int kMaximumClaimRefusals = 5;
 // How long the row is tried to be closed after the conclusion.
 constexpr Duration kCloseTime = seconds(60);
-// Calls that the servers surely did not run may be sent again this often.
-constexpr int kMaximumCalls = 3;
 
 Duration RetryDelay(int failures, Duration maximum) {
   Duration delay = kFirstRetryDelay;
@@ -93,10 +95,6 @@
     Close(step, IntentState::kUnknown, {}, now);
     return step;
   }
-  if (!is_concluded_ && calls_ < kMaximumCalls && now < deadline_) {
-    BeginCall(step, now);
-    return step;
-  }
   Conclude(step, IntentResult::kNotRun);
   Close(step, IntentState::kNotRun, {}, now);
   return step;
@@ -150,10 +148,18 @@
   return due;
 }
 
+// A lost answer is settled by a second operation, so the first one may take
+// only a part of the time that the claim has.
+Duration IntentRun::OperationTime(TimePoint now) const {
+  if (phase_ != Phase::kClaiming) return kOperationBound;
+  const Duration part = (claim_bound_ - now) / kOperationsOfClaim;
+  return std::clamp(part, kMinimumOperationTime, kOperationBound);
+}
+
 void IntentRun::IssueWrite(IntentStep& step, TimePoint now) {
   is_reading_ = false;
   operation_ = counter_.Next();
-  operation_bound_ = now + kOperationBound;
+  operation_bound_ = now + OperationTime(now);
   const IntentRow row{attempt_name_, wanted_state_, fingerprint_,
                       wanted_output_};
   step.commands.emplace_back(WriteTable{
@@ -163,7 +169,7 @@
 void IntentRun::IssueRead(IntentStep& step, TimePoint now) {
   is_reading_ = true;
   operation_ = counter_.Next();
-  operation_bound_ = now + kOperationBound;
+  operation_bound_ = now + OperationTime(now);
   step.commands.emplace_back(ReadTable{*operation_, {row_key_}});
 }
 
@@ -288,7 +294,6 @@
   is_claim_uncertain_ = false;
   failures_in_a_row_ = 0;
   is_call_outstanding_ = true;
-  ++calls_;
   step.send_call = SendCall::kYes;
 }
 
--- a/libraries/policy/intent.h
+++ b/libraries/policy/intent.h
@@ -65,6 +65,7 @@
  private:
   enum class Phase { kNew, kClaiming, kCalling, kClosing, kSettled };
 
+  Duration OperationTime(TimePoint now) const;
   void IssueWrite(IntentStep& step, TimePoint now);
   void IssueRead(IntentStep& step, TimePoint now);
   void Issue(IntentStep& step, TimePoint now);
@@ -109,7 +110,6 @@
   TimePoint claim_bound_{};
   TimePoint close_bound_{};
   int failures_in_a_row_ = 0;
-  int calls_ = 0;
 };
 
 }  // namespace lovagecleat::policy
--- a/tests/policy/core_test.cc
+++ b/tests/policy/core_test.cc
@@ -127,6 +127,31 @@
   REQUIRE(refusals[0].retry_after.has_value());
 }
 
+TEST_CASE("A lost answer of the table is settled within a short deadline") {
+  OneHost host({});
+  host.LoseAnswers(1);
+  host.Ask("dispatch", "k", milliseconds(900));
+  for (int i = 0; i < 40; ++i) host.Advance(milliseconds(20));
+  REQUIRE(host.Take<DeliverRefusal>().empty());
+  REQUIRE(host.Take<StartBackendCall>().size() == 1);
+}
+
+TEST_CASE("A dispatch that servers refuse is tried three times in all") {
+  OneHost host({});
+  host.Ask("dispatch", "k");
+  int calls = 0;
+  while (true) {
+    const auto started = host.Take<StartBackendCall>();
+    if (started.empty()) break;
+    ++calls;
+    host.Finish(started.front(), AttemptOutcome::kRefused);
+  }
+  REQUIRE(calls == 3);
+  const auto refusals = host.Take<DeliverRefusal>();
+  REQUIRE(refusals.size() == 1);
+  REQUIRE(refusals[0].outcome == RequestOutcome::kNotRun);
+}
+
 TEST_CASE("Bad requests are refused by reason and start nothing") {
   OneHost host({});
   host.Ask("nothing");
--- a/tests/policy/one_host.cc
+++ b/tests/policy/one_host.cc
@@ -90,6 +90,14 @@
     answer.rows.push_back(found == rows_.end() ? TableRow{key, 0, ""}
                                                : found->second);
   }
+  Reply(std::move(answer));
+}
+
+void OneHost::Reply(TableAnswered answer) {
+  if (answers_to_lose_ > 0) {
+    --answers_to_lose_;
+    return;
+  }
   waiting_.emplace_back(std::move(answer));
 }
 
@@ -108,7 +116,7 @@
     }
     answer.rows.push_back(row);
   }
-  waiting_.emplace_back(std::move(answer));
+  Reply(std::move(answer));
 }
 
 void OneHost::Advance(Duration step) {
--- a/tests/policy/one_host.h
+++ b/tests/policy/one_host.h
@@ -48,16 +48,20 @@
   }
 
   void SetTableOutcome(TableOutcome outcome) { table_outcome_ = outcome; }
+  // So many operations take effect without an answer.
+  void LoseAnswers(int count) { answers_to_lose_ = count; }
   TimePoint now() const { return clock_.Now(); }
 
  private:
   void Run(const Event& event);
   void Answer(const ReadTable& read);
   void Answer(const WriteTable& write);
+  void Reply(TableAnswered answer);
 
   ManualClock clock_;
   std::map<std::string, TableRow> rows_;
   TableOutcome table_outcome_ = TableOutcome::kOk;
+  int answers_to_lose_ = 0;
   std::vector<Event> waiting_;
   std::vector<Command> commands_;
   std::optional<Core> core_;
