--- /dev/null
+++ b/tests/golden/session_world.cc
@@ -0,0 +1,409 @@
+#include "session_world.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+#include "platform/platform.h"
+
+namespace lovagecleat::tests {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kTableTime = milliseconds(2);
+constexpr Duration kSilentTableTime = milliseconds(500);
+constexpr Duration kPeerTime = milliseconds(1);
+// Midday in Lahore on a Thursday.
+constexpr WallTime kWallStart{std::chrono::hours(24 * 20000 + 7)};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("cannot read " + path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string Rest(std::istringstream& words) {
+  std::string rest;
+  std::getline(words >> std::ws, rest);
+  return rest;
+}
+
+template <typename Id>
+Id Word(std::istringstream& words) {
+  std::string word;
+  words >> word;
+  return Id(word == "-" ? "" : word);
+}
+
+std::uint64_t Number(std::istringstream& words) {
+  std::uint64_t number = 0;
+  words >> number;
+  return number;
+}
+
+std::string PeerBodyName(const messages::PeerMessage& message) {
+  using Body = messages::PeerMessage::BodyCase;
+  switch (message.body_case()) {
+    case Body::kStageRequest:
+      return "stage_request";
+    case Body::kStageResult:
+      return "stage_result";
+    case Body::kConfigurationPush:
+      return "configuration_push";
+    case Body::kProvisionalDrains:
+      return "provisional_drains";
+    default:
+      return "";
+  }
+}
+
+}  // namespace
+
+std::string SessionWorld::Run(const std::string& session) {
+  clock_ = ManualClock(kWallStart);
+  std::istringstream lines(session);
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.empty() && line.front() != '#') ReadLine(line);
+  }
+  return transcript_;
+}
+
+void SessionWorld::ReadLine(const std::string& line) {
+  std::istringstream words(line);
+  RunUntil(TimePoint{} + milliseconds(Number(words)));
+  std::string verb;
+  words >> verb;
+  if (verb != "end") transcript_ += "> " + line + "\n";
+  Carry(verb, words);
+}
+
+void SessionWorld::Carry(const std::string& verb, std::istringstream& words) {
+  if (verb == "end") return;
+  if (verb == "request") return Request(words);
+  if (verb == "change") return Change(words);
+  if (verb == "query") return Query(words);
+  if (verb == "server") return SetServer(words);
+  const std::string argument = Rest(words);
+  if (verb == "deployment") return LoadDeployment(argument);
+  if (verb == "start") return Start(argument);
+  if (verb == "kill") {
+    hosts_.at(argument).is_alive = false;
+    return;
+  }
+  if (verb == "stop") {
+    return Deliver(hosts_.at(argument), policy::StopRequested{});
+  }
+  const std::map<std::string, StoreMode> modes{
+      {"up", StoreMode::kUp},
+      {"down", StoreMode::kDown},
+      {"silent", StoreMode::kSilent},
+      {"loses-answers", StoreMode::kLosesAnswers}};
+  if (verb != "store") throw std::runtime_error("unknown verb " + verb);
+  store_ = modes.at(argument);
+}
+
+void SessionWorld::LoadDeployment(const std::string& name) {
+  const std::string folder = std::string(DEPLOYMENTS_DIRECTORY) + "/" + name;
+  table_.Write({OperationId(),
+                {{policy::kConfigurationRowKey, 0,
+                  ReadFile(folder + "/configuration.json")}}});
+  // The files lack what the platform adds: the sequence number.
+  std::string json = ReadFile(folder + "/inventory.json");
+  if (json.find("\"sequence\"") == std::string::npos) {
+    json.insert(json.find('{') + 1, "\"sequence\": 1,");
+  }
+  inventory_ = platform::InventoryReader().Read(json).value();
+}
+
+void SessionWorld::Start(const std::string& name) {
+  const auto info = std::find_if(
+      inventory_.hosts.begin(), inventory_.hosts.end(),
+      [&](const policy::HostInfo& host) { return host.id.value() == name; });
+  policy::CoreSettings settings;
+  settings.host = HostId(name);
+  settings.zone = info->zone;
+  settings.incarnation =
+      1 + static_cast<std::uint64_t>(clock_.Now().time_since_epoch().count());
+  Host& host = hosts_[name];
+  host.name = name;
+  host.core =
+      std::make_unique<policy::Core>(settings, clock_.Now(), clock_.WallNow());
+  host.is_alive = true;
+  Deliver(host, policy::InventoryArrived{inventory_});
+}
+
+void SessionWorld::Request(std::istringstream& words) {
+  Host& host = hosts_.at(Word<std::string>(words));
+  policy::CallerRequestArrived request;
+  request.call = CallId(Number(words));
+  request.request_class = Word<ClassId>(words);
+  request.team = Word<TeamId>(words);
+  request.idempotency_key = Word<std::string>(words);
+  request.input = Rest(words);
+  Deliver(host, request);
+}
+
+void SessionWorld::Change(std::istringstream& words) {
+  Host& host = hosts_.at(Word<std::string>(words));
+  policy::OperatorChangeSubmitted change;
+  change.call = CallId(Number(words));
+  change.change_id = Word<std::string>(words);
+  change.who = "operator";
+  change.expected_revision = Number(words);
+  change.change = configuration::ChangeReader().Read(Rest(words)).value();
+  Deliver(host, change);
+}
+
+void SessionWorld::Query(std::istringstream& words) {
+  Host& host = hosts_.at(Word<std::string>(words));
+  policy::OperatorQueryArrived query;
+  query.call = CallId(Number(words));
+  const std::string kind = Word<std::string>(words);
+  query.kind = kind == "audit"     ? policy::OperatorQueryKind::kAudit
+               : kind == "explain" ? policy::OperatorQueryKind::kExplain
+                                   : policy::OperatorQueryKind::kStatus;
+  query.argument = Rest(words);
+  Deliver(host, query);
+}
+
+void SessionWorld::SetServer(std::istringstream& words) {
+  Server& server = servers_[Word<std::string>(words)];
+  const std::string mode = Word<std::string>(words);
+  if (mode == "cold") {
+    ++server.generation;
+    server.warmth = policy::Warmth::kCold;
+    return;
+  }
+  const std::map<std::string, ServerMode> modes{
+      {"serves", ServerMode::kServes},
+      {"fails", ServerMode::kFails},
+      {"refuses", ServerMode::kRefuses},
+      {"silent", ServerMode::kIsSilent},
+      {"answers-twice", ServerMode::kAnswersTwice}};
+  server.mode = modes.at(mode);
+  const std::uint64_t time = Number(words);
+  if (time != 0) server.service_time = milliseconds(time);
+}
+
+// --- Time -------------------------------------------------------------------
+
+void SessionWorld::After(Duration delay, Action action) {
+  actions_.emplace(std::make_pair(clock_.Now() + delay, ++last_action_),
+                   std::move(action));
+}
+
+void SessionWorld::RunUntil(TimePoint end) {
+  while (true) {
+    TimePoint next = end;
+    if (!actions_.empty()) next = std::min(next, actions_.begin()->first.first);
+    for (const auto& [name, host] : hosts_) {
+      if (host.is_alive) next = std::min(next, host.core->NextWakeUp());
+    }
+    if (next >= end) break;
+    // A wake-up that is due at once still lets time pass.
+    clock_.AdvanceTo(std::max(next, clock_.Now() + Duration(1)));
+    while (!actions_.empty() && actions_.begin()->first.first <= clock_.Now()) {
+      const Action action = std::move(actions_.begin()->second);
+      actions_.erase(actions_.begin());
+      action();
+    }
+    WakeHosts();
+  }
+  if (clock_.Now() < end) clock_.AdvanceTo(end);
+}
+
+void SessionWorld::WakeHosts() {
+  for (auto& [name, host] : hosts_) {
+    if (host.is_alive && host.core->NextWakeUp() <= clock_.Now()) {
+      Deliver(host, policy::WakeUp{});
+    }
+  }
+}
+
+void SessionWorld::Deliver(Host& host, const policy::Event& event) {
+  if (!host.is_alive) return;
+  for (const policy::Command& command :
+       host.core->Handle(event, clock_.Now(), clock_.WallNow())) {
+    std::visit([&](const auto& one) { Do(host, one); }, command);
+  }
+}
+
+// --- What hosts ask for -----------------------------------------------------
+
+void SessionWorld::Do(Host& host, const policy::StartBackendCall& call) {
+  Log(host, "call " + call.server.value() + " stage=" + call.stage +
+                " request=" + call.request.value() +
+                " attempt=" + std::to_string(call.attempt.value()));
+  Server& server = servers_[call.server.value()];
+  ++server.in_flight;
+  const auto finish = [this, &host, call](policy::AttemptOutcome outcome,
+                                          const std::string& output) {
+    return [this, &host, call, outcome, output] {
+      Finish(host, call, outcome, output);
+    };
+  };
+  const std::string output =
+      R"({"by":")" + call.server.value() + R"(","text":")" + call.stage + "\"}";
+  const bool has_run = server.mode != ServerMode::kRefuses;
+  if (has_run && !call.idempotency_key.empty()) {
+    ++executions_[call.idempotency_key];
+    Log(host, "ran " + call.stage + " for key " + call.idempotency_key);
+  }
+  switch (server.mode) {
+    case ServerMode::kAnswersTwice:
+      After(2 * server.service_time,
+            finish(policy::AttemptOutcome::kOk, output));
+      [[fallthrough]];
+    case ServerMode::kServes:
+      return After(server.service_time,
+                   finish(policy::AttemptOutcome::kOk, output));
+    case ServerMode::kFails:
+      return After(server.service_time,
+                   finish(policy::AttemptOutcome::kServerError, ""));
+    case ServerMode::kRefuses:
+      return After(kPeerTime, finish(policy::AttemptOutcome::kRefused, ""));
+    case ServerMode::kIsSilent:
+      return After(call.first_byte_bound,
+                   finish(policy::AttemptOutcome::kNoProgress, ""));
+  }
+}
+
+void SessionWorld::Finish(Host& host, const policy::StartBackendCall& call,
+                          policy::AttemptOutcome outcome,
+                          const std::string& output) {
+  Server& server = servers_[call.server.value()];
+  if (server.in_flight > 0) --server.in_flight;
+  if (cancelled_.contains({host.name, call.attempt})) return;
+  policy::BackendFinished finished{call.attempt, outcome, output, {}};
+  if (outcome != policy::AttemptOutcome::kNoProgress) {
+    finished.report = ReportOf(server);
+  }
+  Deliver(host, finished);
+}
+
+policy::ServerReport SessionWorld::ReportOf(const Server& server) const {
+  return {server.generation, server.warmth, server.in_flight, {}};
+}
+
+void SessionWorld::Do(Host& host, const policy::CancelBackendCall& call) {
+  Log(host, "cancel attempt=" + std::to_string(call.attempt.value()));
+  cancelled_.insert({host.name, call.attempt});
+}
+
+void SessionWorld::Do(Host& host, const policy::PollLoad& poll) {
+  After(kPeerTime, [this, &host, id = poll.server] {
+    Deliver(host, policy::LoadReported{id, ReportOf(servers_[id.value()])});
+  });
+}
+
+void SessionWorld::Do(Host& host, const policy::SendPeerMessage& send) {
+  const std::string name = PeerBodyName(send.message);
+  if (!name.empty()) Log(host, "tells " + send.host.value() + " " + name);
+  After(kPeerTime, [this, send] {
+    const auto found = hosts_.find(send.host.value());
+    if (found == hosts_.end()) return;
+    Deliver(found->second, policy::PeerMessageArrived{send.message});
+  });
+}
+
+TableFault SessionWorld::FaultOfStore() const {
+  switch (store_) {
+    case StoreMode::kUp:
+    case StoreMode::kLosesAnswers:
+      return TableFault::kNone;
+    case StoreMode::kDown:
+      return TableFault::kUnavailable;
+    case StoreMode::kSilent:
+      break;
+  }
+  return TableFault::kLostRequest;
+}
+
+void SessionWorld::AnswerTable(Host& host,
+                               const policy::TableAnswered& answer) {
+  const bool is_lost = answer.outcome == policy::TableOutcome::kUnknown;
+  After(is_lost ? kSilentTableTime : kTableTime,
+        [this, &host, answer] { Deliver(host, answer); });
+}
+
+void SessionWorld::Do(Host& host, const policy::ReadTable& read) {
+  // Only answers to writes are lost, so that reading back is possible.
+  const TableFault fault =
+      store_ == StoreMode::kLosesAnswers ? TableFault::kNone : FaultOfStore();
+  AnswerTable(host, table_.Read(read, fault));
+}
+
+void SessionWorld::Do(Host& host, const policy::ScanTable& scan) {
+  policy::TableAnswered answer = table_.Scan(scan);
+  if (store_ == StoreMode::kDown || store_ == StoreMode::kSilent) {
+    answer = {scan.operation, policy::TableOutcome::kUnavailable, {}};
+  }
+  AnswerTable(host, answer);
+}
+
+void SessionWorld::Do(Host& host, const policy::WriteTable& write) {
+  std::string keys;
+  for (const policy::TableWrite& one : write.writes) {
+    keys += " " + one.key + "@" + std::to_string(one.expected_version);
+  }
+  Log(host, "writes" + keys);
+  const bool loses_answers = store_ == StoreMode::kLosesAnswers;
+  policy::TableAnswered answer =
+      table_.Write(write, loses_answers ? TableFault::kNone : FaultOfStore());
+  // A write that was refused has no effect whose answer could be lost.
+  if (loses_answers && answer.outcome == policy::TableOutcome::kOk) {
+    answer = {write.operation, policy::TableOutcome::kUnknown, {}};
+  }
+  AnswerTable(host, answer);
+}
+
+// --- What callers, operators and the process get ----------------------------
+
+void SessionWorld::Do(Host& host, const policy::DeliverToken& token) {
+  Log(host, "token call=" + std::to_string(token.call.value()) +
+                " offset=" + std::to_string(token.offset));
+}
+
+void SessionWorld::Do(Host& host, const policy::DeliverAnswer& answer) {
+  Log(host, "ANSWER call=" + std::to_string(answer.call.value()) + " " +
+                answer.output + (answer.within_target ? "" : " late"));
+}
+
+void SessionWorld::Do(Host& host, const policy::DeliverRefusal& refusal) {
+  Log(host, "REFUSAL call=" + std::to_string(refusal.call.value()) + " " +
+                std::string(policy::ToString(refusal.reason)) + " " +
+                std::string(policy::ToString(refusal.outcome)));
+}
+
+void SessionWorld::Do(Host& host, const policy::AnswerOperator& answer) {
+  Log(host, "OPERATOR call=" + std::to_string(answer.call.value()) + " " +
+                std::to_string(answer.status) + " " + answer.body);
+}
+
+void SessionWorld::Do(Host& host, const policy::SetReadiness& readiness) {
+  const bool is_ready = readiness.readiness == policy::Readiness::kReady;
+  Log(host, is_ready ? "ready" : "not ready: " + readiness.reason);
+}
+
+void SessionWorld::Do(Host& host, const policy::RecordDecision& decision) {
+  Log(host, "decides " + decision.part + ": " + decision.text);
+}
+
+void SessionWorld::Do(Host& host, const policy::FinishStop& /*stop*/) {
+  Log(host, "stopped");
+  host.is_alive = false;
+}
+
+void SessionWorld::Do(Host& /*host*/, const policy::ConnectPeers& /*connect*/) {
+}
+
+void SessionWorld::Log(const Host& host, const std::string& text) {
+  const auto at =
+      std::chrono::duration_cast<milliseconds>(clock_.Now().time_since_epoch());
+  transcript_ +=
+      std::to_string(at.count()) + " " + host.name + " " + text + "\n";
+}
+
+}  // namespace lovagecleat::tests
