Policy: Split the scheduler by step and trace handed-over stages

A stage that ran in another zone now shows its server and zone in the trace, where it showed the host that took it (tests/policy/core_test.cc).

--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -30,7 +30,7 @@
       HandleStageRequest(from, message.incarnation(), message.stage_request());
       return;
     case Body::kStageToken:
-      scheduler_.HandlePeerToken(from, message.stage_token(), now_);
+      scheduler_.HandlePeerToken(from, message.stage_token());
       return;
     case Body::kStageResult:
       scheduler_.HandlePeerResult(from, message.stage_result(), now_);
--- a/libraries/policy/core_state.cc
+++ b/libraries/policy/core_state.cc
@@ -87,7 +87,7 @@
 }
 
 void Core::State::On(const BackendToken& event) {
-  scheduler_.HandleToken(event, now_);
+  scheduler_.HandleToken(event);
 }
 
 void Core::State::On(const BackendFinished& event) {
--- /dev/null
+++ b/libraries/policy/request_arrival.cc
@@ -0,0 +1,165 @@
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "policy/request_flow.h"
+
+// A request's first step: it is checked and accepted, or refused at once.
+namespace lovagecleat::policy {
+
+namespace {
+
+constexpr Duration kMinimumDeadline = std::chrono::milliseconds(50);
+constexpr Duration kMaximumDeadline = std::chrono::seconds(10);
+constexpr Duration kRetryAfterStop = std::chrono::seconds(1);
+constexpr std::size_t kMaximumKeyBytes = 128;
+constexpr std::size_t kMaximumTeamBytes = 128;
+
+}  // namespace
+
+void RequestFlow::RefuseArrival(const CallerRequestArrived& arrival,
+                                RefusalReason reason, RequestOutcome outcome,
+                                std::string detail,
+                                std::optional<Duration> retry_after) {
+  DeliverRefusal refusal;
+  refusal.call = arrival.call;
+  refusal.reason = reason;
+  refusal.outcome = outcome;
+  refusal.detail = std::move(detail);
+  refusal.retry_after = retry_after;
+  commands_.emplace_back(std::move(refusal));
+}
+
+std::optional<RequestFlow::Validated> RequestFlow::Validate(
+    const CallerRequestArrived& arrival, Admitting admitting) {
+  const auto refuse = [&](RefusalReason reason, std::string detail,
+                          std::optional<Duration> retry_after = std::nullopt) {
+    RefuseArrival(arrival, reason, RequestOutcome::kNotRun, std::move(detail),
+                  retry_after);
+    return std::nullopt;
+  };
+  if (admitting == Admitting::kStopping) {
+    return refuse(RefusalReason::kStopping, "This host is stopping.",
+                  kRetryAfterStop);
+  }
+  if (admitting == Admitting::kNotConfigured || configuration_ == nullptr) {
+    return refuse(RefusalReason::kNotConfigured,
+                  "This host has no configuration yet.", kRetryAfterStop);
+  }
+  if (requests_.size() >= settings_.maximum_requests) {
+    return refuse(RefusalReason::kTooManyCalls,
+                  "This host has as many requests as it may.", kRetryAfterStop);
+  }
+  const auto* request_class = configuration_->FindClass(arrival.request_class);
+  if (request_class == nullptr) {
+    return refuse(RefusalReason::kUnknownClass,
+                  "There is no class " + arrival.request_class.value() + ".");
+  }
+  if (arrival.team.empty() || arrival.team.value().size() > kMaximumTeamBytes) {
+    return refuse(RefusalReason::kMalformed,
+                  "The team must have 1 to 128 characters.");
+  }
+  const Duration deadline = arrival.deadline.value_or(kMaximumDeadline);
+  if (deadline < kMinimumDeadline || deadline > kMaximumDeadline) {
+    return refuse(RefusalReason::kDeadlineOutOfRange,
+                  "The deadline must lie from 50 to 10000 ms.");
+  }
+  const auto* pipeline = configuration_->FindPipeline(request_class->pipeline);
+  assert(pipeline != nullptr);  // a checked configuration names only these
+  if (arrival.idempotency_key.size() > kMaximumKeyBytes) {
+    return refuse(RefusalReason::kMalformed,
+                  "The idempotency key is longer than 128 characters.");
+  }
+  if (arrival.idempotency_key.empty() && HasNonIdempotentStage(*pipeline)) {
+    return refuse(RefusalReason::kMissingIdempotencyKey,
+                  "This class needs an Idempotency-Key.");
+  }
+  return Validated{request_class, pipeline};
+}
+
+bool RequestFlow::HasNonIdempotentStage(
+    const configuration::Pipeline& pipeline) const {
+  return std::any_of(
+      pipeline.stages.begin(), pipeline.stages.end(),
+      [this](const configuration::Stage& stage) {
+        return configuration_->FindService(stage.service)->idempotency ==
+               configuration::Idempotency::kNonIdempotent;
+      });
+}
+
+Duration RequestFlow::PredictedLateness(const configuration::Pipeline& pipeline,
+                                        TimePoint deadline,
+                                        TimePoint now) const {
+  if (settings_.placement != PlacementKind::kExpectedFinish) {
+    return Duration::zero();
+  }
+  Duration needed{};
+  Duration waits{};
+  for (const configuration::Stage& stage : pipeline.stages) {
+    needed += times_.Expected({stage.service, stage.max_tokens});
+    waits += scheduler_.PredictedWait(stage.service, now);
+  }
+  // With nobody waiting, the request is tried whatever the estimates say, so
+  // that estimates that have become too long are measured again.
+  if (waits <= Duration::zero()) return Duration::zero();
+  return now + needed + waits - deadline;
+}
+
+void RequestFlow::HandleArrival(const CallerRequestArrived& arrival,
+                                Admitting admitting, TimePoint now,
+                                WallTime wall_now) {
+  const std::optional<Validated> valid = Validate(arrival, admitting);
+  if (!valid.has_value()) return;
+  const std::pair<TeamId, std::string> key{arrival.team,
+                                           arrival.idempotency_key};
+  const bool has_key = !arrival.idempotency_key.empty();
+  if (has_key && by_key_.contains(key)) {
+    // Whether the first call's work happens is not known yet, so this one's
+    // outcome is not "not run".
+    RefuseArrival(arrival, RefusalReason::kDuplicateInFlight,
+                  RequestOutcome::kUnknown,
+                  "A call with this key is in progress; ask again for its "
+                  "outcome. This call itself started nothing.",
+                  kMinimumRetryAfter);
+    return;
+  }
+  const Duration target = configuration::TargetAt(
+      *valid->request_class, wall_now, configuration_->content().utc_offset);
+  const TimePoint deadline =
+      now + std::min(target, arrival.deadline.value_or(target));
+  const Duration lateness = PredictedLateness(*valid->pipeline, deadline, now);
+  if (lateness > Duration::zero()) {
+    RefuseArrival(arrival, RefusalReason::kCannotMeetDeadline,
+                  RequestOutcome::kNotRun,
+                  "The answer would be late; nothing was started.",
+                  std::max(lateness, kMinimumRetryAfter));
+    return;
+  }
+
+  Request request;
+  request.id = RequestId(settings_.host.value() + "-" +
+                         std::to_string(settings_.incarnation) + "-" +
+                         std::to_string(++last_request_));
+  request.call = arrival.call;
+  request.configuration = configuration_;
+  request.pipeline = valid->pipeline;
+  request.request_class = arrival.request_class;
+  request.team = arrival.team;
+  request.key = arrival.idempotency_key;
+  request.input = arrival.input;
+  request.delivery = arrival.delivery;
+  request.is_repeat_unsafe = HasNonIdempotentStage(*valid->pipeline);
+  request.arrived = now;
+  request.deadline = deadline;
+  const RequestId id = request.id;
+  by_call_.emplace(arrival.call, id);
+  if (has_key) by_key_.emplace(key, id);
+  Request& stored = requests_.emplace(id, std::move(request)).first->second;
+  commands_.emplace_back(RecordDecision{
+      id, "request",
+      "Accepted for class " + arrival.request_class.value() + " with " +
+          std::to_string((deadline - now).count() / 1000) + " ms."});
+  StartStage(stored, now);
+}
+
+}  // namespace lovagecleat::policy
--- a/libraries/policy/request_flow.h
+++ b/libraries/policy/request_flow.h
@@ -16,6 +16,9 @@
 
 namespace lovagecleat::policy {
 
+// The earliest time at which asking again can help.
+inline constexpr Duration kMinimumRetryAfter = std::chrono::seconds(1);
+
 enum class Admitting { kYes, kStopping, kNotConfigured };
 
 // The requests that callers sent to this host: each runs the stages of its
--- a/libraries/policy/stage_job.h
+++ b/libraries/policy/stage_job.h
@@ -65,7 +65,9 @@
 struct JobOnPeer {
   AttemptId attempt;
   HostId host;
+  ZoneId zone;
   TimePoint started{};
+  ServerId server;  // known from the result
 };
 
 using JobState = std::variant<JobQueued, JobOnServer, JobOnPeer>;
@@ -84,4 +86,9 @@
   std::set<HostId> failed_hosts;
 };
 
+// Whether the job is of a request that this host accepted itself.
+inline bool IsLocal(const StageJob& job) {
+  return std::holds_alternative<LocalOrigin>(job.origin);
+}
+
 }  // namespace lovagecleat::policy
--- a/libraries/policy/stage_scheduler.h
+++ b/libraries/policy/stage_scheduler.h
@@ -59,10 +59,9 @@
   JobId Submit(JobOrigin origin, StageWork work, TimePoint now);
   void Cancel(JobId job, TimePoint now);
 
-  void HandleToken(const BackendToken& token, TimePoint now);
+  void HandleToken(const BackendToken& token);
   void HandleFinished(const BackendFinished& finished, TimePoint now);
-  void HandlePeerToken(const HostId& from, const messages::StageToken& token,
-                       TimePoint now);
+  void HandlePeerToken(const HostId& from, const messages::StageToken& token);
   void HandlePeerResult(const HostId& from, const messages::StageResult& result,
                         TimePoint now);
 
@@ -112,7 +111,7 @@
                    TimePoint now);
   void StartOnServer(StageJob& job, const ServerEntry& server,
                      const Admission& admission, TimePoint now);
-  std::optional<HostId> ChoosePeer(const StageJob& job, TimePoint now);
+  std::optional<HostInfo> ChoosePeer(const StageJob& job, TimePoint now);
 
   StageJob* FindByAttempt(AttemptId attempt);
   void EndAttempt(StageJob& job, const BackendFinished& finished,
--- a/tests/policy/core_test.cc
+++ b/tests/policy/core_test.cc
@@ -287,6 +287,42 @@
           AttemptOutcome::kRefused);
 }
 
+TEST_CASE("With its zone out, a host hands work to a host that has room") {
+  OneHost host({.own_zone_state = "out"});
+  messages::PeerMessage message;
+  message.set_sender("z2-a");
+  message.set_incarnation(7);
+  message.set_sequence(1);
+  messages::ServiceSummary* room = message.mutable_heartbeat()->add_services();
+  room->set_service("encoder");
+  room->set_servers(2);
+  room->set_free_credits(2);
+  host.Deliver(message);
+  host.Ask("lookup");
+  std::vector<messages::StageRequest> handed;
+  for (const SendPeerMessage& send : host.Take<SendPeerMessage>()) {
+    if (!send.message.has_stage_request()) continue;
+    REQUIRE(send.host == HostId("z2-a"));
+    handed.push_back(send.message.stage_request());
+  }
+  REQUIRE(handed.size() == 1);
+  REQUIRE(host.Take<StartBackendCall>().empty());
+
+  message.set_sequence(2);
+  messages::StageResult* result = message.mutable_stage_result();
+  result->set_attempt(handed[0].attempt());
+  result->set_outcome(static_cast<std::uint32_t>(AttemptOutcome::kOk));
+  result->set_output("{}");
+  result->set_server("enc-9");
+  host.Deliver(message);
+  // The second stage finds no room anywhere; the trace names the first one's.
+  for (int i = 0; i < 30; ++i) host.Advance(milliseconds(100));
+  const auto refusals = host.Take<DeliverRefusal>();
+  REQUIRE(refusals.size() == 1);
+  REQUIRE(refusals[0].trace.at(0).server == ServerId("enc-9"));
+  REQUIRE(refusals[0].trace.at(0).zone == ZoneId("z2"));
+}
+
 TEST_CASE("Queued work of others goes back when this zone's servers leave") {
   OneHost host({.servers = 1, .limit = 1});
   host.Ask("lookup");
