Policy: Give waiting jobs up at their deadline under every placement

A queue entry now carries its expiry apart from its order. tests/policy/core_test.cc "Every placement gives a final answer by the deadline" failed before (0 refusals instead of 1) and passes now.

--- a/libraries/policy/stage_queue.cc
+++ b/libraries/policy/stage_queue.cc
@@ -22,7 +22,7 @@
     request_class.order.emplace(team.virtual_start, entry.team);
   }
   team.jobs.emplace(entry.latest_start, entry.job);
-  by_latest_start_.emplace(entry.latest_start, entry.job);
+  by_expiry_.emplace(entry.expires, entry.job);
   backlog_ += entry.cost;
   entries_.emplace(entry.job, entry);
 }
@@ -63,7 +63,7 @@
   } else {
     request_class.order.emplace(team.virtual_start, entry.team);
   }
-  by_latest_start_.erase({entry.latest_start, entry.job});
+  by_expiry_.erase({entry.expires, entry.job});
   backlog_ -= entry.cost;
   entries_.erase(entry.job);
 }
@@ -104,18 +104,13 @@
 
 std::vector<JobId> StageQueue::Overdue(TimePoint now) const {
   std::vector<JobId> overdue;
-  for (const auto& [latest_start, job] : by_latest_start_) {
-    if (latest_start >= now) break;
+  for (const auto& [expiry, job] : by_expiry_) {
+    if (expiry >= now) break;
     overdue.push_back(job);
   }
   return overdue;
 }
 
-std::optional<TimePoint> StageQueue::EarliestLatestStart() const {
-  if (by_latest_start_.empty()) return std::nullopt;
-  return by_latest_start_.begin()->first;
-}
-
 std::size_t StageQueue::TeamCount() const {
   std::size_t count = 0;
   for (const auto& [id, request_class] : classes_) {
--- a/libraries/policy/stage_queue.h
+++ b/libraries/policy/stage_queue.h
@@ -17,7 +17,8 @@
   JobId job;
   ClassId request_class;
   TeamId team;
-  TimePoint latest_start{};  // later, the job cannot end in time
+  TimePoint latest_start{};  // the order; later, it cannot end in time
+  TimePoint expires{};       // from then on it is to be given up
   Duration cost{};           // expected time at a server
 };
 
@@ -36,11 +37,9 @@
   // Removes the next job and charges its team.
   void TakeNext();
 
-  // Jobs whose latest start lies before `now`.
+  // Jobs that expired before `now`.
   std::vector<JobId> Overdue(TimePoint now) const;
 
-  std::optional<TimePoint> EarliestLatestStart() const;
-
   // The total expected server time of all waiting jobs.
   Duration Backlog() const { return backlog_; }
 
@@ -75,7 +74,7 @@
 
   std::map<ClassId, Class> classes_;
   std::map<JobId, QueueEntry> entries_;
-  std::set<SlackKey> by_latest_start_;
+  std::set<SlackKey> by_expiry_;
   Duration backlog_{};
 };
 
--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -42,6 +42,7 @@
   entry.request_class = job.work.request_class;
   entry.team = job.work.team;
   entry.latest_start = LatestStart(job.work, now);
+  entry.expires = std::min(entry.latest_start, job.work.deadline);
   entry.cost = parts_.times.Expected(job.work.Shape());
   QueueOf(job.work.service).Push(entry);
 }
--- a/tests/policy/core_test.cc
+++ b/tests/policy/core_test.cc
@@ -239,6 +239,21 @@
   }
 }
 
+TEST_CASE("Every placement gives a final answer by the deadline") {
+  for (const auto placement :
+       {PlacementKind::kExpectedFinish, PlacementKind::kRoundRobin,
+        PlacementKind::kLeastOutstanding}) {
+    OneHost host({.servers = 1, .limit = 1, .placement = placement});
+    host.Ask("lookup");
+    host.Ask("lookup");
+    for (int i = 0; i < 22; ++i) host.Advance(milliseconds(100));
+    // The second one waited for a server that never came free.
+    const auto refusals = host.Take<DeliverRefusal>();
+    REQUIRE(refusals.size() == 1);
+    REQUIRE(refusals[0].outcome == RequestOutcome::kNotRun);
+  }
+}
+
 TEST_CASE("When the caller leaves, its lookup is cancelled") {
   OneHost host({});
   const CallId call = host.Ask("lookup");
--- a/tests/policy/one_host.cc
+++ b/tests/policy/one_host.cc
@@ -56,6 +56,7 @@
   CoreSettings settings;
   settings.host = HostId("z1-a");
   settings.zone = ZoneId("z1");
+  settings.placement = shape.placement;
   core_.emplace(settings, clock_.Now(), clock_.WallNow());
   Send(InventoryArrived{MakeInventory(shape)});
   for (int i = 0; i < 40; ++i) Advance(milliseconds(50));
--- a/tests/policy/one_host.h
+++ b/tests/policy/one_host.h
@@ -16,6 +16,7 @@
     std::uint32_t servers = 2;
     std::uint32_t limit = 4;  // cold and warm
     std::string own_zone_state = "in";
+    PlacementKind placement = PlacementKind::kExpectedFinish;
   };
 
   explicit OneHost(const Shape& shape);
--- a/tests/policy/stage_queue_test.cc
+++ b/tests/policy/stage_queue_test.cc
@@ -16,6 +16,7 @@
   entry.request_class = ClassId(request_class);
   entry.team = TeamId(team);
   entry.latest_start = TimePoint{} + milliseconds(latest_start_ms);
+  entry.expires = entry.latest_start;
   entry.cost = milliseconds(10);
   return entry;
 }
