--- /dev/null
+++ b/libraries/configuration/gateway_settings.cc
@@ -0,0 +1,99 @@
+#include "configuration/gateway_settings.h"
+
+#include "configuration/object_reader.h"
+
+namespace lovagecleat::configuration {
+
+namespace {
+
+constexpr IntegerRange kSeedCount{0, 64};
+constexpr double kLargestNumber = 1e6;
+
+// An address "IP:PORT".
+std::string ReadAddress(ObjectReader& object, std::string_view key,
+                        Presence presence, std::vector<Problem>& problems) {
+  const auto text = object.ReadString(key, presence);
+  if (!text || text->empty()) {
+    if (text && presence == Presence::kRequired)
+      problems.push_back({ProblemKind::kEmpty, object.PointerOf(key), "\"\"",
+                          "an address, such as \"127.0.0.1:8080\""});
+    return {};
+  }
+  if (!ParseEndpoint(*text)) {
+    problems.push_back({ProblemKind::kOutOfRange, object.PointerOf(key),
+                        ShowValue(Json(*text)),
+                        "an address, such as \"127.0.0.1:8080\""});
+  }
+  return *text;
+}
+
+// A number of at least zero, with a fraction or without.
+void ReadNumber(ObjectReader& object, std::string_view key, double& number,
+                std::vector<Problem>& problems) {
+  const auto element = object.ReadValue(key, Presence::kOptional);
+  if (!element) return;
+  if (!element->value.is_number() || element->value.get<double>() < 0 ||
+      element->value.get<double>() > kLargestNumber) {
+    problems.push_back({ProblemKind::kOutOfRange, element->pointer,
+                        ShowValue(element->value),
+                        "a number from 0 to 1000000"});
+    return;
+  }
+  number = element->value.get<double>();
+}
+
+void ReadBounds(ObjectReader& parent, GatewayBounds& bounds,
+                std::vector<Problem>& problems) {
+  const auto element = parent.ReadValue("bounds", Presence::kOptional);
+  if (!element) return;
+  ObjectReader object(element->value, element->pointer, problems);
+  ReadNumber(object, "cold_factor", bounds.cold_factor, problems);
+  ReadNumber(object, "cold_slack", bounds.cold_slack, problems);
+  ReadNumber(object, "retry_ratio", bounds.retry_ratio, problems);
+  ReadNumber(object, "retry_slack", bounds.retry_slack, problems);
+  double stop_seconds = std::chrono::duration<double>(bounds.stop_time).count();
+  ReadNumber(object, "stop_seconds", stop_seconds, problems);
+  bounds.stop_time = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(stop_seconds));
+}
+
+}  // namespace
+
+std::optional<GatewaySettings> GatewaySettingsReader::Read(
+    std::string_view json) {
+  problems_.clear();
+  const std::optional<Json> value = ParseJson(json, problems_);
+  if (!value) return std::nullopt;
+  ObjectReader object(*value, "", problems_);
+  GatewaySettings settings;
+  settings.host =
+      HostId(object.ReadName("host", Presence::kRequired).value_or(""));
+  settings.zone =
+      ZoneId(object.ReadName("zone", Presence::kRequired).value_or(""));
+  settings.callers =
+      ReadAddress(object, "callers", Presence::kRequired, problems_);
+  settings.readiness =
+      ReadAddress(object, "readiness", Presence::kRequired, problems_);
+  settings.peers = ReadAddress(object, "peers", Presence::kRequired, problems_);
+  settings.metrics =
+      ReadAddress(object, "metrics", Presence::kOptional, problems_);
+  settings.store = ReadAddress(object, "store", Presence::kRequired, problems_);
+  for (const Element& seed :
+       object.ReadArray("seeds", kSeedCount, Presence::kOptional)) {
+    if (!seed.value.is_string() ||
+        !ParseEndpoint(seed.value.get<std::string>())) {
+      problems_.push_back({ProblemKind::kOutOfRange, seed.pointer,
+                           ShowValue(seed.value),
+                           "an address, such as \"127.0.0.1:8080\""});
+      continue;
+    }
+    settings.seeds.push_back(seed.value.get<std::string>());
+  }
+  ReadBounds(object, settings.bounds, problems_);
+  const auto level = object.ReadString("log_level", Presence::kOptional);
+  if (level) settings.log_level = *level;
+  if (!problems_.empty()) return std::nullopt;
+  return settings;
+}
+
+}  // namespace lovagecleat::configuration
--- /dev/null
+++ b/libraries/http/http.h
@@ -0,0 +1,11 @@
+#pragma once
+
+// The public header of the HTTP library: strict HTTP/1.1 towards clients and
+// servers over non-blocking connections on the process's loop.
+#include "http/client.h"          // IWYU pragma: export
+#include "http/event_splitter.h"  // IWYU pragma: export
+#include "http/message.h"         // IWYU pragma: export
+#include "http/parser.h"          // IWYU pragma: export
+#include "http/poller.h"          // IWYU pragma: export
+#include "http/server.h"          // IWYU pragma: export
+#include "http/tcp_stream.h"      // IWYU pragma: export
--- /dev/null
+++ b/libraries/http/parser.cc
@@ -0,0 +1,280 @@
+#include "http/parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <limits>
+#include <utility>
+
+namespace lovagecleat::http {
+
+namespace {
+
+namespace beast = boost::beast;
+
+// Where the head ends, past its empty line; nothing if it is unfinished.
+std::optional<std::size_t> HeadLength(std::string_view bytes) {
+  const std::size_t end = bytes.find("\r\n\r\n");
+  if (end == std::string_view::npos) return std::nullopt;
+  return end + 4;
+}
+
+// Line ends that other readers may take differently: a line feed or carriage
+// return on its own, or a line that continues the one before.
+bool HasAmbiguousLines(std::string_view head) {
+  for (std::size_t i = 0; i < head.size(); ++i) {
+    const char letter = head[i];
+    if (letter == '\0') return true;
+    if (letter == '\r' && (i + 1 == head.size() || head[i + 1] != '\n'))
+      return true;
+    if (letter != '\n') continue;
+    if (i == 0 || head[i - 1] != '\r') return true;
+    if (i + 1 < head.size() && (head[i + 1] == ' ' || head[i + 1] == '\t'))
+      return true;
+  }
+  return false;
+}
+
+// Whether the fields that frame the body can be read in one way only.
+bool HasClearFraming(const HeaderFields& fields) {
+  const std::size_t lengths = CountFields(fields, "Content-Length");
+  const std::size_t encodings = CountFields(fields, "Transfer-Encoding");
+  if (lengths + encodings > 1) return false;
+  const auto encoding = FindField(fields, "Transfer-Encoding");
+  return !encoding || EqualNames(*encoding, "chunked");
+}
+
+bool IsAcceptableRequest(const RequestHead& head) {
+  if (!HasClearFraming(head.fields)) return false;
+  if (head.target.empty() || head.target.front() != '/') return false;
+  if (head.target.find('#') != std::string::npos) return false;
+  const std::size_t hosts = CountFields(head.fields, "Host");
+  if (hosts > 1) return false;
+  if (hosts == 0 && head.minor_version == 1) return false;
+  // Chunks are not part of HTTP/1.0.
+  return head.minor_version == 1 ||
+         CountFields(head.fields, "Transfer-Encoding") == 0;
+}
+
+// The hooks of the library's parser, common to requests and responses.
+template <bool kIsRequest>
+class Hooks final : public beast::http::basic_parser<kIsRequest> {
+ public:
+  explicit Hooks(MessageObserver& observer) : observer_(observer) {}
+
+  bool is_refused() const { return is_refused_; }
+
+ private:
+  using string_view = beast::string_view;
+  using error_code = beast::error_code;
+
+  static std::string ToString(string_view text) {
+    return {text.data(), text.size()};
+  }
+
+  void on_request_impl(beast::http::verb /*method*/, string_view method,
+                       string_view target, int version,
+                       error_code& /*error*/) override {
+    request_.method = ToString(method);
+    request_.target = ToString(target);
+    request_.minor_version = version - 10;
+  }
+
+  void on_response_impl(int code, string_view reason, int /*version*/,
+                        error_code& /*error*/) override {
+    response_.status = code;
+    response_.reason = ToString(reason);
+  }
+
+  void on_field_impl(beast::http::field /*name*/, string_view name,
+                     string_view value, error_code& /*error*/) override {
+    // Fields behind the last chunk are dropped: nothing here uses them.
+    if (has_head_) return;
+    fields().push_back({ToString(name), ToString(value)});
+  }
+
+  void on_header_impl(error_code& error) override {
+    has_head_ = true;
+    const bool is_acceptable = kIsRequest ? IsAcceptableRequest(request_)
+                                          : HasClearFraming(response_.fields);
+    if (!is_acceptable) {
+      is_refused_ = true;
+      error = beast::http::error::bad_transfer_encoding;
+      return;
+    }
+    if constexpr (kIsRequest) {
+      observer_.OnRequestHead(std::move(request_));
+    } else {
+      observer_.OnResponseHead(std::move(response_));
+    }
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         error_code& /*error*/) override {}
+
+  std::size_t on_body_impl(string_view body, error_code& /*error*/) override {
+    observer_.OnMessageBody({body.data(), body.size()});
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                            error_code& /*error*/) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, string_view body,
+                                 error_code& /*error*/) override {
+    observer_.OnMessageBody({body.data(), body.size()});
+    return body.size();
+  }
+
+  void on_finish_impl(error_code& /*error*/) override {}
+
+  HeaderFields& fields() {
+    if constexpr (kIsRequest) {
+      return request_.fields;
+    } else {
+      return response_.fields;
+    }
+  }
+
+  MessageObserver& observer_;
+  RequestHead request_;
+  ResponseHead response_;
+  bool has_head_ = false;
+  bool is_refused_ = false;
+};
+
+}  // namespace
+
+class MessageReader::State {
+ public:
+  State(Role role, const MessageLimits& limits, MessageObserver& observer)
+      : limits_(limits), observer_(observer) {
+    if (role == Role::kRequest) {
+      request_ = std::make_unique<Hooks<true>>(observer);
+      Configure(*request_);
+    } else {
+      response_ = std::make_unique<Hooks<false>>(observer);
+      Configure(*response_);
+      if (role == Role::kResponseToHead) response_->skip(true);
+    }
+  }
+
+  std::size_t Feed(std::string_view bytes) {
+    return request_ ? FeedTo(*request_, bytes) : FeedTo(*response_, bytes);
+  }
+
+  bool FeedEnd() {
+    if (request_) return false;
+    if (is_complete_) return true;
+    if (error_ != ParseError::kNone || !response_->got_some()) return false;
+    if (!response_->is_header_done() || !response_->need_eof()) return false;
+    beast::error_code error;
+    response_->put_eof(error);
+    if (error) return false;
+    Complete();
+    return true;
+  }
+
+  bool has_head() const {
+    return request_ ? request_->is_header_done() : response_->is_header_done();
+  }
+  bool is_complete() const { return is_complete_; }
+  ParseError error() const { return error_; }
+  bool keeps_connection() const {
+    return request_ ? request_->keep_alive() : response_->keep_alive();
+  }
+
+  BodyFraming framing() const {
+    return request_ ? FramingOf(*request_) : FramingOf(*response_);
+  }
+
+ private:
+  template <typename Parser>
+  static BodyFraming FramingOf(const Parser& parser) {
+    if (parser.chunked()) return BodyFraming::kChunked;
+    if (parser.need_eof()) return BodyFraming::kUntilClose;
+    if (parser.content_length()) return BodyFraming::kLength;
+    return BodyFraming::kNone;
+  }
+
+  template <typename Parser>
+  void Configure(Parser& parser) {
+    parser.eager(true);
+    parser.header_limit(limits_.header_bytes);
+    parser.body_limit(limits_.body_bytes);
+  }
+
+  template <typename Parser>
+  std::size_t FeedTo(Parser& parser, std::string_view bytes) {
+    std::size_t used = 0;
+    while (error_ == ParseError::kNone && !is_complete_ &&
+           used < bytes.size()) {
+      const std::string_view rest = bytes.substr(used);
+      if (!parser.is_header_done() && !IsHeadReadable(rest)) break;
+      beast::error_code error;
+      const std::size_t taken = parser.put(
+          boost::asio::const_buffer(rest.data(), rest.size()), error);
+      used += taken;
+      if (error == beast::http::error::need_more) error = {};
+      if (error) {
+        error_ = Classify(error);
+        break;
+      }
+      if (parser.is_done()) Complete();
+      if (taken == 0) break;
+    }
+    return used;
+  }
+
+  // Whether the whole head is there and unambiguous.
+  bool IsHeadReadable(std::string_view bytes) {
+    const std::optional<std::size_t> length = HeadLength(bytes);
+    if (length.value_or(bytes.size()) > limits_.header_bytes) {
+      error_ = ParseError::kHeaderTooLarge;
+      return false;
+    }
+    if (!length) return false;
+    if (!HasAmbiguousLines(bytes.substr(0, *length))) return true;
+    error_ = ParseError::kMalformed;
+    return false;
+  }
+
+  static ParseError Classify(const beast::error_code& error) {
+    if (error == beast::http::error::header_limit)
+      return ParseError::kHeaderTooLarge;
+    if (error == beast::http::error::body_limit)
+      return ParseError::kBodyTooLarge;
+    return ParseError::kMalformed;
+  }
+
+  void Complete() {
+    is_complete_ = true;
+    observer_.OnMessageComplete();
+  }
+
+  MessageLimits limits_;
+  MessageObserver& observer_;
+  std::unique_ptr<Hooks<true>> request_;
+  std::unique_ptr<Hooks<false>> response_;
+  bool is_complete_ = false;
+  ParseError error_ = ParseError::kNone;
+};
+
+MessageReader::MessageReader(Role role, const MessageLimits& limits,
+                             MessageObserver& observer)
+    : state_(std::make_unique<State>(role, limits, observer)) {}
+
+MessageReader::~MessageReader() = default;
+
+std::size_t MessageReader::Feed(std::string_view bytes) {
+  return state_->Feed(bytes);
+}
+bool MessageReader::FeedEnd() { return state_->FeedEnd(); }
+bool MessageReader::has_head() const { return state_->has_head(); }
+bool MessageReader::is_complete() const { return state_->is_complete(); }
+ParseError MessageReader::error() const { return state_->error(); }
+bool MessageReader::keeps_connection() const {
+  return state_->keeps_connection();
+}
+BodyFraming MessageReader::framing() const { return state_->framing(); }
+
+}  // namespace lovagecleat::http
--- /dev/null
+++ b/libraries/http/server.cc
@@ -0,0 +1,81 @@
+#include "http/server.h"
+
+#include <unistd.h>
+
+#include <vector>
+
+#include "http/server_connection.h"
+
+namespace lovagecleat::http {
+
+namespace {
+
+// How often the time limits of connections are checked.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
+
+}  // namespace
+
+void Exchange::Respond(int status, const HeaderFields& fields,
+                       std::string_view body) {
+  connection_.Respond(status, fields, body);
+}
+void Exchange::BeginResponse(int status, const HeaderFields& fields,
+                             std::optional<std::uint64_t> length) {
+  connection_.BeginResponse(status, fields, length);
+}
+void Exchange::SendBody(std::string_view bytes) { connection_.SendBody(bytes); }
+void Exchange::FinishResponse() { connection_.FinishResponse(); }
+void Exchange::Abort() { connection_.Abort(); }
+
+Server::Server(Poller& poller, ExchangeHandler& handler)
+    : poller_(poller), handler_(handler) {
+  Sweep();
+}
+
+Server::~Server() { poller_.loop().Cancel(sweep_timer_); }
+
+bool Server::Listen(std::string_view address) {
+  listener_ = TcpListener::Listen(
+      poller_, address, [this](int descriptor) { Accept(descriptor); });
+  return listener_ != nullptr;
+}
+
+std::uint16_t Server::port() const {
+  return listener_ ? listener_->port() : std::uint16_t{0};
+}
+
+void Server::Accept(int descriptor) {
+  if (connections_.size() >= limits_.connections) {
+    close(descriptor);
+    return;
+  }
+  auto connection = std::make_unique<ServerConnection>(*this, descriptor);
+  ServerConnection* key = connection.get();
+  connections_.emplace(key, std::move(connection));
+}
+
+// Destroyed by the loop, since the connection itself may be the caller.
+void Server::Remove(ServerConnection* connection) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) return;
+  poller_.loop().After(
+      Duration::zero(),
+      [removed = std::shared_ptr<ServerConnection>(
+           std::move(found->second))] {});
+  connections_.erase(found);
+}
+
+void Server::CloseIdleConnections() {
+  for (auto& [key, connection] : connections_) connection->CloseIfIdle();
+}
+
+void Server::Sweep() {
+  const TimePoint now = poller_.loop().clock().Now();
+  std::vector<ServerConnection*> all;
+  all.reserve(connections_.size());
+  for (auto& [key, connection] : connections_) all.push_back(key);
+  for (ServerConnection* connection : all) connection->CheckTime(now);
+  sweep_timer_ = poller_.loop().After(kSweepPeriod, [this] { Sweep(); });
+}
+
+}  // namespace lovagecleat::http
--- /dev/null
+++ b/libraries/http/server.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/base.h"
+#include "http/message.h"
+#include "http/parser.h"
+#include "http/poller.h"
+#include "http/tcp_stream.h"
+
+namespace lovagecleat::http {
+
+// Bounds on what a client may send and how long it may take.
+struct ServerLimits {
+  MessageLimits message;
+  Duration head_time = std::chrono::seconds(3);   // first byte to whole head
+  Duration idle_time = std::chrono::seconds(15);  // between requests, in a body
+  std::size_t connections = 3000;
+};
+
+// Told that the client of an exchange has closed its connection. The exchange
+// is gone after the call.
+class ExchangeObserver {
+ public:
+  virtual ~ExchangeObserver() = default;
+  virtual void OnClientGone() = 0;
+};
+
+class ServerConnection;
+
+// One whole request and the response to it. It ends with Respond,
+// FinishResponse, Abort or OnClientGone and must not be used after that.
+class Exchange {
+ public:
+  Exchange(ServerConnection& connection, RequestHead head, std::string body,
+           TimePoint arrived_at)
+      : connection_(connection),
+        head_(std::move(head)),
+        body_(std::move(body)),
+        arrived_at_(arrived_at) {}
+
+  const RequestHead& head() const { return head_; }
+  const std::string& body() const { return body_; }
+  TimePoint arrived_at() const { return arrived_at_; }  // of the first byte
+
+  void SetObserver(ExchangeObserver* observer) { observer_ = observer; }
+  ExchangeObserver* observer() const { return observer_; }
+
+  // Sends a whole response.
+  void Respond(int status, const HeaderFields& fields, std::string_view body);
+
+  // Sends a response in parts; in chunks if no length is given.
+  void BeginResponse(int status, const HeaderFields& fields,
+                     std::optional<std::uint64_t> length);
+  void SendBody(std::string_view bytes);
+  void FinishResponse();
+
+  // Ends the connection so that an unfinished response cannot look whole.
+  void Abort();
+
+  bool has_begun() const { return has_begun_; }
+
+ private:
+  friend class ServerConnection;
+  ServerConnection& connection_;
+  RequestHead head_;
+  std::string body_;
+  TimePoint arrived_at_;
+  ExchangeObserver* observer_ = nullptr;
+  bool has_begun_ = false;
+  BodyFraming framing_ = BodyFraming::kNone;
+};
+
+class ExchangeHandler {
+ public:
+  virtual ~ExchangeHandler() = default;
+  virtual void OnExchange(Exchange& exchange) = 0;
+};
+
+// Serves HTTP/1.1 on one address: one request at a time on a connection,
+// strictly framed, within limits.
+class Server {
+ public:
+  Server(Poller& poller, ExchangeHandler& handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  bool Listen(std::string_view address);
+  void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+
+  // From now on each response asks the client to close its connection.
+  void StartDraining() { is_draining_ = true; }
+
+  // Closes the connections on which no request is being read or served.
+  void CloseIdleConnections();
+
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t active_exchanges() const { return active_exchanges_; }
+  std::uint16_t port() const;
+
+  // Refusals of the server's own, by status: 400, 408, 413 and 431.
+  const std::map<int, std::uint64_t>& refusals() const { return refusals_; }
+
+ private:
+  friend class ServerConnection;
+  void Accept(int descriptor);
+  void Remove(ServerConnection* connection);
+  void Sweep();
+
+  Poller& poller_;
+  ExchangeHandler& handler_;
+  ServerLimits limits_;
+  std::unique_ptr<TcpListener> listener_;
+  std::map<ServerConnection*, std::unique_ptr<ServerConnection>> connections_;
+  std::size_t active_exchanges_ = 0;
+  bool is_draining_ = false;
+  std::map<int, std::uint64_t> refusals_;
+  TimerId sweep_timer_;
+};
+
+}  // namespace lovagecleat::http
--- /dev/null
+++ b/libraries/http/server_connection.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http/server.h"
+
+namespace lovagecleat::http {
+
+// One client's connection: reads a request whole, hands it to the handler,
+// writes the response, and begins again. Private to the library.
+class ServerConnection final : public StreamObserver, public MessageObserver {
+ public:
+  ServerConnection(Server& server, int descriptor);
+  ~ServerConnection() override;
+
+  void OnBytes(std::string_view bytes) override;
+  void OnStreamEnd(StreamEnd end) override;
+  void OnDrained() override;
+
+  void OnRequestHead(RequestHead head) override;
+  void OnMessageBody(std::string_view bytes) override;
+  void OnMessageComplete() override;
+
+  // Ends what has taken too long.
+  void CheckTime(TimePoint now);
+  void CloseIfIdle();
+
+  void Respond(int status, const HeaderFields& fields, std::string_view body);
+  void BeginResponse(int status, const HeaderFields& fields,
+                     std::optional<std::uint64_t> length);
+  void SendBody(std::string_view bytes);
+  void FinishResponse();
+  void Abort();
+
+ private:
+  enum class Phase { kIdle, kReading, kServing, kClosing };
+
+  void ReadBuffered();
+  void StartRequest();
+  void Refuse(ParseError error);
+  void RefuseWith(int status);
+  void EndExchange();
+  void CloseAfterSending();
+  void RemoveSoon();
+  TimePoint Now() const;
+
+  Server& server_;
+  std::unique_ptr<TcpStream> stream_;
+  Phase phase_ = Phase::kIdle;
+  TimePoint phase_since_;
+  TimePoint progress_at_;
+  std::string unread_;
+  std::unique_ptr<MessageReader> reader_;
+  RequestHead head_;
+  std::string body_;
+  std::unique_ptr<Exchange> exchange_;
+  bool keeps_connection_ = true;
+  bool is_reading_buffered_ = false;
+  bool is_removed_ = false;
+};
+
+}  // namespace lovagecleat::http
--- /dev/null
+++ b/libraries/http/tcp_stream.cc
@@ -0,0 +1,282 @@
+#include "http/tcp_stream.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <utility>
+
+namespace lovagecleat::http {
+
+namespace {
+
+// A peer that acknowledges nothing for so long is taken as lost. Under the
+// shortest client patience for an unread request (1 s).
+constexpr unsigned kUserTimeoutMilliseconds = 1500;
+// Idle connections are probed, so that a silent one is noticed in about 3 s.
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr std::size_t kReadBytes = 32768;
+constexpr int kBacklog = 512;
+constexpr int kReadsPerTurn = 4;
+
+template <typename Value>
+void SetOption(int descriptor, int level, int name, Value value) {
+  setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+void SetCommonOptions(int descriptor) {
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            kUserTimeoutMilliseconds);
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+std::optional<sockaddr_in> ParseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  const std::string ip(text.substr(0, colon));
+  if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1)
+    return std::nullopt;
+  std::uint16_t port = 0;
+  const std::string_view digits = text.substr(colon + 1);
+  const auto [stop, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc{} || stop != digits.data() + digits.size())
+    return std::nullopt;
+  address.sin_port = htons(port);
+  return address;
+}
+
+int OpenSocket() {
+  return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+const sockaddr* Generic(const sockaddr_in& address) {
+  return reinterpret_cast<const sockaddr*>(&address);
+}
+
+}  // namespace
+
+TcpStream::TcpStream(Poller& poller, StreamObserver& observer)
+    : poller_(poller), observer_(observer) {}
+
+TcpStream::TcpStream(Poller& poller, int descriptor, StreamObserver& observer)
+    : poller_(poller),
+      observer_(observer),
+      descriptor_(descriptor),
+      state_(State::kOpen) {
+  SetCommonOptions(descriptor_);
+  watched_events_ = EPOLLIN | EPOLLRDHUP;
+  poller_.Watch(descriptor_, watched_events_, this);
+}
+
+std::unique_ptr<TcpStream> TcpStream::Connect(Poller& poller,
+                                              std::string_view address,
+                                              StreamObserver& observer) {
+  std::unique_ptr<TcpStream> stream(new TcpStream(poller, observer));
+  const std::optional<sockaddr_in> target = ParseAddress(address);
+  if (target) stream->descriptor_ = OpenSocket();
+  const auto fail = [&stream] {
+    // Told from the loop, since the caller has no stream to forget yet.
+    stream->poller_.loop().After(
+        Duration::zero(), [raw = stream.get(), alive = stream->alive_] {
+          if (*alive) raw->End(StreamEnd::kConnectFailed);
+        });
+  };
+  if (stream->descriptor_ < 0) {
+    fail();
+    return stream;
+  }
+  SetCommonOptions(stream->descriptor_);
+  const int result =
+      connect(stream->descriptor_, Generic(*target), sizeof(*target));
+  if (result != 0 && errno != EINPROGRESS) {
+    fail();
+    return stream;
+  }
+  stream->watched_events_ = EPOLLOUT;
+  poller.Watch(stream->descriptor_, stream->watched_events_, stream.get());
+  return stream;
+}
+
+TcpStream::~TcpStream() {
+  *alive_ = false;
+  if (descriptor_ < 0) return;
+  poller_.Forget(descriptor_);
+  close(descriptor_);
+}
+
+void TcpStream::ResetOnClose() {
+  if (descriptor_ < 0) return;
+  const linger abort{1, 0};
+  SetOption(descriptor_, SOL_SOCKET, SO_LINGER, abort);
+}
+
+void TcpStream::Write(std::string_view bytes) {
+  if (state_ == State::kEnded) return;
+  if (state_ == State::kConnecting || unsent_bytes() > 0) {
+    unsent_.append(bytes);
+    return;
+  }
+  const ssize_t sent =
+      send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  // A broken connection is reported by the next read.
+  const std::size_t taken = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  if (taken == bytes.size()) return;
+  unsent_.assign(bytes.substr(taken));
+  sent_ = 0;
+  UpdateEvents();
+}
+
+void TcpStream::SetReading(bool is_reading) {
+  if (is_reading_ == is_reading) return;
+  is_reading_ = is_reading;
+  UpdateEvents();
+}
+
+void TcpStream::ShutdownSending() {
+  is_shutting_down_ = true;
+  if (state_ == State::kOpen && unsent_bytes() == 0)
+    shutdown(descriptor_, SHUT_WR);
+}
+
+void TcpStream::UpdateEvents() {
+  if (state_ != State::kOpen) return;
+  std::uint32_t events = EPOLLRDHUP;
+  if (is_reading_) events |= EPOLLIN;
+  if (unsent_bytes() > 0) events |= EPOLLOUT;
+  if (events == watched_events_) return;
+  watched_events_ = events;
+  poller_.ChangeEvents(descriptor_, events);
+}
+
+void TcpStream::OnDescriptorEvents(std::uint32_t events) {
+  const std::shared_ptr<bool> alive = alive_;
+  if (state_ == State::kConnecting) {
+    FinishConnecting();
+    return;
+  }
+  if ((events & EPOLLOUT) != 0) FlushUnsent();
+  if (!*alive || state_ != State::kOpen) return;
+  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0) return;
+  if (is_reading_) return ReadAvailable();
+  const bool is_broken = (events & (EPOLLHUP | EPOLLERR)) != 0;
+  End(is_broken ? StreamEnd::kReset : StreamEnd::kEndOfFile);
+}
+
+void TcpStream::FinishConnecting() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) return End(StreamEnd::kConnectFailed);
+  state_ = State::kOpen;
+  const std::shared_ptr<bool> alive = alive_;
+  observer_.OnConnected();
+  if (!*alive || state_ != State::kOpen) return;
+  if (unsent_bytes() > 0) FlushUnsent();
+  if (!*alive) return;
+  UpdateEvents();
+}
+
+void TcpStream::FlushUnsent() {
+  while (unsent_bytes() > 0) {
+    const ssize_t sent = send(descriptor_, unsent_.data() + sent_,
+                              unsent_bytes(), MSG_NOSIGNAL);
+    if (sent <= 0) break;
+    sent_ += static_cast<std::size_t>(sent);
+  }
+  if (unsent_bytes() > 0) return;
+  unsent_.clear();
+  sent_ = 0;
+  if (is_shutting_down_) shutdown(descriptor_, SHUT_WR);
+  UpdateEvents();
+  observer_.OnDrained();
+}
+
+void TcpStream::ReadAvailable() {
+  const std::shared_ptr<bool> alive = alive_;
+  std::array<char, kReadBytes> buffer;
+  for (int i = 0; i < kReadsPerTurn; ++i) {
+    const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (count < 0) {
+      if (errno == EAGAIN || errno == EINTR) return;
+      return End(StreamEnd::kReset);
+    }
+    if (count == 0) return End(StreamEnd::kEndOfFile);
+    const auto size = static_cast<std::size_t>(count);
+    observer_.OnBytes({buffer.data(), size});
+    if (!*alive || state_ != State::kOpen || !is_reading_) return;
+    // A short read has emptied the socket, which saves a call that only says
+    // so.
+    if (size < buffer.size()) return;
+  }
+}
+
+void TcpStream::End(StreamEnd end) {
+  if (state_ == State::kEnded) return;
+  state_ = State::kEnded;
+  if (descriptor_ >= 0) poller_.Forget(descriptor_);
+  observer_.OnStreamEnd(end);
+}
+
+TcpListener::TcpListener(Poller& poller, int descriptor,
+                         AcceptCallback callback)
+    : poller_(poller),
+      descriptor_(descriptor),
+      callback_(std::move(callback)) {
+  poller_.Watch(descriptor_, EPOLLIN, this);
+}
+
+std::unique_ptr<TcpListener> TcpListener::Listen(Poller& poller,
+                                                 std::string_view address,
+                                                 AcceptCallback callback) {
+  const std::optional<sockaddr_in> place = ParseAddress(address);
+  if (!place) return nullptr;
+  const int descriptor = OpenSocket();
+  if (descriptor < 0) return nullptr;
+  SetOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (bind(descriptor, Generic(*place), sizeof(*place)) != 0 ||
+      listen(descriptor, kBacklog) != 0) {
+    close(descriptor);
+    return nullptr;
+  }
+  return std::unique_ptr<TcpListener>(
+      new TcpListener(poller, descriptor, std::move(callback)));
+}
+
+TcpListener::~TcpListener() {
+  poller_.Forget(descriptor_);
+  close(descriptor_);
+}
+
+std::uint16_t TcpListener::port() const {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
+void TcpListener::OnDescriptorEvents(std::uint32_t /*events*/) {
+  while (true) {
+    const int accepted =
+        accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) return;
+    callback_(accepted);
+  }
+}
+
+}  // namespace lovagecleat::http
--- a/libraries/logging/logging.h
+++ b/libraries/logging/logging.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "configuration/configuration.h"
+#include "logging/event_log.h"  // IWYU pragma: export
 
 // The public header of the logging library: short sentences on standard error,
 // one prefix for each part, as text or as JSON lines.
--- a/libraries/policy/policy.h
+++ b/libraries/policy/policy.h
@@ -12,5 +12,6 @@
 #include "policy/membership.h"              // IWYU pragma: export
 #include "policy/operation_counter.h"       // IWYU pragma: export
 #include "policy/operator_changes.h"        // IWYU pragma: export
+#include "policy/retry_budget.h"            // IWYU pragma: export
 #include "policy/roster_keeper.h"           // IWYU pragma: export
 #include "policy/types.h"                   // IWYU pragma: export
--- a/libraries/policy/retry_budget.cc
+++ b/libraries/policy/retry_budget.cc
@@ -4,21 +4,14 @@
 
 namespace lovagecleat::policy {
 
-namespace {
-// Retries add at most this share to the offered work.
-constexpr double kRetriesPerFirstTry = 0.1;
-// So many retries may come at once after a quiet time.
-constexpr double kMaximumTokens = 10.0;
-}  // namespace
-
 RetryBudget::Bucket& RetryBudget::BucketOf(const ServiceId& service) {
   // The configuration bounds the services, so the map needs no eviction.
-  return buckets_.try_emplace(service, Bucket{kMaximumTokens}).first->second;
+  return buckets_.try_emplace(service, Bucket{allowance_.at_once}).first->second;
 }
 
 void RetryBudget::CountFirstTry(const ServiceId& service) {
   Bucket& bucket = BucketOf(service);
-  bucket.tokens = std::min(kMaximumTokens, bucket.tokens + kRetriesPerFirstTry);
+  bucket.tokens = std::min(allowance_.at_once, bucket.tokens + allowance_.per_first_try);
 }
 
 bool RetryBudget::TakeRetry(const ServiceId& service) {
--- /dev/null
+++ b/libraries/routing/batch_scheduler.cc
@@ -0,0 +1,183 @@
+#include "routing/batch_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lovagecleat::routing {
+
+namespace {
+
+// Calls of this host at one server at a time: the next one fills up while the
+// first is at work.
+constexpr int kCallsPerServer = 1;
+// An item whose result is large waits so long for a server in the zone where
+// the result is used, before it takes one elsewhere.
+constexpr Duration kZonePatience = std::chrono::milliseconds(120);
+// Results from this size on are worth keeping in their zone.
+constexpr std::uint64_t kLargeResult = 500'000;
+// Weight of the newest call in a server's slowness.
+constexpr double kSlownessGain = 0.4;
+// What was seen of a server loses its weight by half in this time, so that it
+// gets another try.
+constexpr double kSlownessHalfLifeSeconds = 2.0;
+// A server this many times slower than expected is used only when no other is.
+constexpr double kMuchSlower = 2.5;
+// A call waits behind those of other hosts and may meet a slow server; beyond
+// this many times its expected time it is taken as lost.
+constexpr int kTimeoutFactor = 6;
+// Part of the room for results that calls may fill by this host's own count.
+constexpr double kRoomShare = 0.9;
+
+}  // namespace
+
+void BatchScheduler::Add(WaitingItem item) {
+  waiting_.push_back(std::move(item));
+}
+
+void BatchScheduler::Remove(std::span<const ItemId> items) {
+  std::erase_if(waiting_, [items](const WaitingItem& waiting) {
+    return std::find(items.begin(), items.end(), waiting.id) != items.end();
+  });
+}
+
+Duration BatchScheduler::CallTime(std::size_t items) const {
+  return limits_.call_time +
+         limits_.item_time * static_cast<std::int64_t>(items);
+}
+
+Duration BatchScheduler::CallTimeout(std::size_t items) const {
+  return CallTime(items) * kTimeoutFactor;
+}
+
+Duration BatchScheduler::ExpectedTime(std::size_t servers) const {
+  const std::size_t lanes = std::max<std::size_t>(servers, 1);
+  const std::size_t calls = waiting_.size() / limits_.items / lanes;
+  return CallTime(limits_.items) * static_cast<std::int64_t>(calls) +
+         CallTime(1);
+}
+
+std::vector<WaitingItem> BatchScheduler::TakeHopeless(TimePoint now) {
+  std::vector<WaitingItem> hopeless;
+  const Duration least = CallTime(1);
+  std::erase_if(waiting_, [&](WaitingItem& item) {
+    if (item.deadline - now > least) return false;
+    hopeless.push_back(std::move(item));
+    return true;
+  });
+  return hopeless;
+}
+
+double BatchScheduler::SlownessNow(const Lane& lane, TimePoint now) {
+  const double age =
+      std::chrono::duration<double>(now - lane.slowness_at).count();
+  return 1.0 + (lane.slowness - 1.0) *
+                   std::exp2(-age / kSlownessHalfLifeSeconds);
+}
+
+std::vector<BatchCall> BatchScheduler::TakeCalls(
+    std::span<ServerRecord* const> servers, TimePoint now) {
+  std::vector<BatchCall> calls;
+  if (waiting_.empty()) return calls;
+  const Duration typical = CallTime(1);
+  std::stable_sort(waiting_.begin(), waiting_.end(),
+                   [&](const WaitingItem& a, const WaitingItem& b) {
+                     const bool is_a_late = a.useful_until - now < typical;
+                     const bool is_b_late = b.useful_until - now < typical;
+                     if (is_a_late != is_b_late) return is_b_late;
+                     if (a.priority != b.priority)
+                       return a.priority < b.priority;
+                     return a.useful_until < b.useful_until;
+                   });
+  std::set<ZoneId> zones;
+  std::vector<ServerRecord*> free;
+  bool has_quick = false;
+  for (ServerRecord* server : servers) {
+    zones.insert(server->entry.zone);
+    const Lane& lane = lanes_[server->entry.id];
+    has_quick = has_quick || SlownessNow(lane, now) < kMuchSlower;
+    if (lane.calls >= kCallsPerServer || lane.deferred_until > now) continue;
+    free.push_back(server);
+  }
+  std::sort(free.begin(), free.end(),
+            [this, now](const ServerRecord* a, const ServerRecord* b) {
+              const auto waiting = [](const ServerRecord* server) {
+                return server->load ? server->load->waiting : 0;
+              };
+              const double left =
+                  SlownessNow(lanes_[a->entry.id], now) * (1 + waiting(a));
+              const double right =
+                  SlownessNow(lanes_[b->entry.id], now) * (1 + waiting(b));
+              return left < right;
+            });
+  for (ServerRecord* server : free) {
+    Lane& lane = lanes_[server->entry.id];
+    if (has_quick && SlownessNow(lane, now) >= kMuchSlower) continue;
+    std::vector<WaitingItem> items = TakeItems(*server, lane, zones, now);
+    if (items.empty()) continue;
+    ++lane.calls;
+    calls.push_back({server->entry.id, std::move(items)});
+  }
+  return calls;
+}
+
+std::vector<WaitingItem> BatchScheduler::TakeItems(
+    const ServerRecord& server, Lane& lane, const std::set<ZoneId>& zones,
+    TimePoint now) {
+  std::vector<WaitingItem> taken;
+  const auto room = static_cast<std::int64_t>(
+      kRoomShare * static_cast<double>(limits_.result_bytes));
+  std::int64_t bytes = lane.result_bytes;
+  std::erase_if(waiting_, [&](WaitingItem& item) {
+    if (taken.size() >= limits_.items) return false;
+    const auto size = static_cast<std::int64_t>(item.result_bytes);
+    // A single result always gets its try, since sizes are approximate.
+    if (bytes > 0 && bytes + size > room) return false;
+    const bool prefers_other =
+        item.result_bytes >= kLargeResult && !item.zone.empty() &&
+        item.zone != server.entry.zone && zones.contains(item.zone) &&
+        now - item.waiting_since < kZonePatience;
+    if (prefers_other) return false;
+    bytes += size;
+    taken.push_back(std::move(item));
+    return true;
+  });
+  return taken;
+}
+
+void BatchScheduler::EndCall(const ServerId& server, std::size_t items,
+                             std::optional<Duration> served, TimePoint now) {
+  Lane& lane = lanes_[server];
+  --lane.calls;
+  if (!served) return;
+  const double ratio = static_cast<double>(served->count()) /
+                       static_cast<double>(CallTime(items).count());
+  const double before = SlownessNow(lane, now);
+  lane.slowness = before + kSlownessGain * (ratio - before);
+  lane.slowness_at = now;
+}
+
+void BatchScheduler::Defer(const ServerId& server, TimePoint until) {
+  lanes_[server].deferred_until = until;
+}
+
+void BatchScheduler::CountResult(const ServerId& server, std::int64_t bytes) {
+  Lane& lane = lanes_[server];
+  lane.result_bytes = std::max<std::int64_t>(0, lane.result_bytes + bytes);
+}
+
+std::optional<TimePoint> BatchScheduler::NextChance(TimePoint now) const {
+  if (waiting_.empty()) return std::nullopt;
+  std::optional<TimePoint> next;
+  const auto consider = [&](TimePoint at) {
+    if (at > now && (!next || at < *next)) next = at;
+  };
+  for (const auto& [server, lane] : lanes_) consider(lane.deferred_until);
+  for (const WaitingItem& item : waiting_) {
+    consider(item.waiting_since + kZonePatience);
+    consider(item.deadline - CallTime(1));
+  }
+  return next;
+}
+
+}  // namespace lovagecleat::routing
--- /dev/null
+++ b/libraries/routing/batch_scheduler.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+#include "routing/model.h"
+#include "routing/server_directory.h"
+#include "routing/stage_plan.h"
+
+namespace lovagecleat::routing {
+
+using ItemId = NumberId<struct ItemIdTag>;
+
+// One item that waits for a place in a batched call.
+struct WaitingItem {
+  ItemId id;
+  std::string request;  // as the caller named it
+  ItemPlace place;
+  std::string key;                  // for stages without inputs
+  std::vector<std::string> inputs;  // for the others
+  std::uint64_t result_bytes = 0;
+  int priority = 0;        // 0 goes first
+  TimePoint useful_until;  // a result after this makes the answer late
+  TimePoint deadline;      // a result after this is of no use
+  TimePoint waiting_since;
+  ZoneId zone;  // where the result is used; empty: unknown
+};
+
+// One call to one server.
+struct BatchCall {
+  ServerId server;
+  std::vector<WaitingItem> items;
+};
+
+// Fills batched calls over requests: a call costs much by itself and little an
+// item, so that items gather while their servers are busy, and go at once when
+// one is free. Items that can still be in time go before late ones, urgent
+// ones before others, and then those that are due first. Answers the patterns
+// "burst of one class" and "slow stage server".
+class BatchScheduler {
+ public:
+  explicit BatchScheduler(const BatchLimits& limits) : limits_(limits) {}
+
+  void SetLimits(const BatchLimits& limits) { limits_ = limits; }
+  void Add(WaitingItem item);
+
+  // Takes out the items of a request that were not sent.
+  void Remove(std::span<const ItemId> items);
+
+  // Takes out the items that no call can finish before their deadline.
+  std::vector<WaitingItem> TakeHopeless(TimePoint now);
+
+  // Chooses calls for the servers that are free for this host.
+  std::vector<BatchCall> TakeCalls(std::span<ServerRecord* const> servers,
+                                   TimePoint now);
+
+  // A call of TakeCalls has ended.
+  void EndCall(const ServerId& server, std::size_t items,
+               std::optional<Duration> served, TimePoint now);
+
+  // The server had no place for a call, or no room for a result.
+  void Defer(const ServerId& server, TimePoint until);
+
+  // Room taken at a server by results of this host.
+  void CountResult(const ServerId& server, std::int64_t bytes);
+
+  // When TakeCalls could do more than now; nothing: not before another event.
+  std::optional<TimePoint> NextChance(TimePoint now) const;
+
+  // Time from now to the end of a call for one more item, by what waits here.
+  Duration ExpectedTime(std::size_t servers) const;
+  Duration CallTime(std::size_t items) const;
+
+  // How long a call may take before its server is taken as failed.
+  Duration CallTimeout(std::size_t items) const;
+
+  std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  struct Lane {
+    int calls = 0;
+    TimePoint deferred_until{};
+    double slowness = 1.0;  // observed time of a call against the expected
+    TimePoint slowness_at{};
+    std::int64_t result_bytes = 0;
+  };
+
+  static double SlownessNow(const Lane& lane, TimePoint now);
+  std::vector<WaitingItem> TakeItems(const ServerRecord& server, Lane& lane,
+                                     const std::set<ZoneId>& zones,
+                                     TimePoint now);
+
+  BatchLimits limits_;
+  std::vector<WaitingItem> waiting_;
+  std::map<ServerId, Lane> lanes_;
+};
+
+}  // namespace lovagecleat::routing
--- /dev/null
+++ b/libraries/routing/row_replica.cc
@@ -0,0 +1,61 @@
+#include "routing/row_replica.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lovagecleat::routing {
+
+namespace {
+
+// Removed rows are kept, so that an older version from a slow host cannot
+// bring them back; the oldest are dropped beyond this number.
+constexpr std::size_t kMaximumRows = 20000;
+
+}  // namespace
+
+bool RowReplica::Merge(const Row& row) {
+  const auto [found, is_new] = rows_.try_emplace({row.table, row.key}, row);
+  if (!is_new && found->second.version >= row.version) return false;
+  found->second = row;
+  newest_ = std::max(newest_, row.version);
+  DropOldRemovals();
+  return true;
+}
+
+std::vector<Row> RowReplica::RemoveMissing(const std::string& table,
+                                           std::span<const Row> present,
+                                           std::uint64_t version) {
+  std::set<std::string_view> keys;
+  for (const Row& row : present) keys.insert(row.key);
+  std::vector<Row> removed;
+  for (auto& [key, row] : rows_) {
+    if (row.table != table || row.is_removed || row.version > version) continue;
+    if (keys.contains(row.key)) continue;
+    row.is_removed = true;
+    row.value.clear();
+    row.version = version;
+    removed.push_back(row);
+  }
+  newest_ = std::max(newest_, version);
+  return removed;
+}
+
+std::vector<Row> RowReplica::NewerThan(std::uint64_t version) const {
+  std::vector<Row> rows;
+  for (const auto& [key, row] : rows_)
+    if (row.version > version) rows.push_back(row);
+  return rows;
+}
+
+void RowReplica::DropOldRemovals() {
+  if (rows_.size() <= kMaximumRows) return;
+  auto oldest = rows_.end();
+  for (auto it = rows_.begin(); it != rows_.end(); ++it) {
+    if (!it->second.is_removed) continue;
+    if (oldest == rows_.end() || it->second.version < oldest->second.version)
+      oldest = it;
+  }
+  if (oldest != rows_.end()) rows_.erase(oldest);
+}
+
+}  // namespace lovagecleat::routing
--- /dev/null
+++ b/libraries/routing/send_limiter.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "base/base.h"
+
+namespace lovagecleat::routing {
+
+// What a cold server bears in any second, over all hosts.
+struct ColdBound {
+  double requests_per_second = 0;  // 0: no bound
+  double factor = 1.0;
+  double slack = 0;
+};
+
+// Keeps the requests that all hosts together send to one server within the
+// bound of a cold one, without messages: the bound is split over the hosts
+// that may send there. A server can turn cold without notice, so the bound
+// holds at all times.
+class SendLimiter {
+ public:
+  explicit SendLimiter(HostId self) : self_(std::move(self)) {}
+
+  void SetHosts(std::vector<HostId> hosts);
+
+  // Sends of this host in any second; 0 if the server is left to other hosts.
+  std::size_t Share(const ServerId& server, const ColdBound& bound) const;
+
+  bool MaySend(const ServerId& server, const ColdBound& bound, TimePoint now);
+  void CountSend(const ServerId& server, TimePoint now);
+
+  // The earliest instant at which MaySend would be true again; nothing if
+  // never.
+  std::optional<TimePoint> FreeAt(const ServerId& server,
+                                  const ColdBound& bound, TimePoint now);
+
+ private:
+  void DropOld(std::deque<TimePoint>& sends, TimePoint now) const;
+
+  HostId self_;
+  std::vector<HostId> hosts_;
+  std::map<ServerId, std::deque<TimePoint>> sends_;
+};
+
+}  // namespace lovagecleat::routing
--- /dev/null
+++ b/libraries/routing/stage_plan.cc
@@ -0,0 +1,123 @@
+#include "routing/stage_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagecleat::routing {
+
+StagePlan::StagePlan(std::vector<Stage> stages,
+                     std::span<const std::size_t> counts)
+    : stages_(std::move(stages)), items_(stages_.size()) {
+  for (std::size_t i = 0; i < items_.size(); ++i)
+    items_[i].resize(i < counts.size() ? counts[i] : 1);
+}
+
+bool StagePlan::IsStageDone(std::size_t stage) const {
+  return OpenItems(stage) == 0;
+}
+
+std::size_t StagePlan::OpenItems(std::size_t stage) const {
+  return static_cast<std::size_t>(
+      std::count_if(items_[stage].begin(), items_[stage].end(),
+                    [](const Item& item) {
+                      return item.state != ItemState::kDone;
+                    }));
+}
+
+std::vector<ItemPlace> StagePlan::TakeReady() {
+  std::vector<ItemPlace> ready;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    const std::vector<std::size_t>& after = stages_[i].after;
+    const bool has_inputs =
+        std::all_of(after.begin(), after.end(),
+                    [this](std::size_t before) { return IsStageDone(before); });
+    if (!has_inputs) continue;
+    for (std::size_t k = 0; k < items_[i].size(); ++k) {
+      if (items_[i][k].state != ItemState::kWaiting) continue;
+      items_[i][k].state = ItemState::kTaken;
+      ready.push_back({i, k});
+    }
+  }
+  return ready;
+}
+
+std::vector<std::string> StagePlan::InputsOf(std::size_t stage) const {
+  std::vector<std::string> inputs;
+  for (const std::size_t before : stages_[stage].after)
+    for (const Item& item : items_[before])
+      inputs.push_back(item.result.handle);
+  return inputs;
+}
+
+bool StagePlan::Complete(ItemPlace place, ResultHandle result) {
+  Item& item = items_[place.stage][place.index];
+  if (item.state == ItemState::kDone) return false;
+  item.state = ItemState::kDone;
+  item.result = std::move(result);
+  return true;
+}
+
+void StagePlan::Reopen(ItemPlace place) {
+  Item& item = items_[place.stage][place.index];
+  if (item.state == ItemState::kTaken) item.state = ItemState::kWaiting;
+}
+
+void StagePlan::ReopenStage(std::size_t stage,
+                            std::vector<ResultHandle>& removed) {
+  for (Item& item : items_[stage]) {
+    if (item.state == ItemState::kDone) removed.push_back(item.result);
+    item = Item{};
+  }
+  // What these were made of may have lapsed as well.
+  for (const std::size_t before : stages_[stage].after)
+    ReopenStage(before, removed);
+}
+
+std::vector<ResultHandle> StagePlan::ReopenInputsOf(std::size_t stage) {
+  std::vector<ResultHandle> removed;
+  for (const std::size_t before : stages_[stage].after)
+    ReopenStage(before, removed);
+  return removed;
+}
+
+std::vector<ResultHandle> StagePlan::ReopenFinal() {
+  std::vector<ResultHandle> removed;
+  for (std::size_t i = 0; i < stages_.size(); ++i)
+    if (IsFinal(i)) ReopenStage(i, removed);
+  return removed;
+}
+
+bool StagePlan::IsFinal(std::size_t stage) const {
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    const std::vector<std::size_t>& after = stages_[i].after;
+    if (items_[i].empty()) continue;
+    if (std::find(after.begin(), after.end(), stage) != after.end())
+      return false;
+  }
+  return true;
+}
+
+bool StagePlan::IsDone() const {
+  for (std::size_t i = 0; i < stages_.size(); ++i)
+    if (!IsStageDone(i)) return false;
+  return true;
+}
+
+std::vector<std::string> StagePlan::FinalResults() const {
+  std::vector<std::string> handles;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    if (!IsFinal(i)) continue;
+    for (const Item& item : items_[i]) handles.push_back(item.result.handle);
+  }
+  return handles;
+}
+
+std::vector<ResultHandle> StagePlan::Results() const {
+  std::vector<ResultHandle> results;
+  for (const std::vector<Item>& stage : items_)
+    for (const Item& item : stage)
+      if (item.state == ItemState::kDone) results.push_back(item.result);
+  return results;
+}
+
+}  // namespace lovagecleat::routing
--- /dev/null
+++ b/services/gateway/context.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/base.h"
+#include "configuration/configuration.h"
+#include "http/http.h"
+#include "logging/logging.h"
+#include "metrics/metrics.h"
+#include "policy/policy.h"
+#include "routing/routing.h"
+#include "services/gateway/wire.h"
+#include "transport/transport.h"
+
+namespace lovagecleat::gateway {
+
+// What the parts of one gateway process share. Everything runs on one loop.
+struct Context {
+  transport::Loop& loop;
+  const Wire& wire;
+  configuration::GatewaySettings settings;
+  logging::EventLog& log;
+  metrics::Registry& metrics;
+  http::Poller& poller;
+  http::ConnectionPool& pool;
+  Random random;
+  routing::ServerDirectory directory;
+  routing::SendLimiter limiter;
+  routing::PromptPlacement placement;
+  policy::RetryBudget retries;
+  // The newest known; null before the first.
+  std::shared_ptr<const routing::RoutingTable> table;
+  std::size_t hosts = 1;  // known hosts, this one included
+
+  TimePoint Now() const { return loop.clock().Now(); }
+
+  routing::ColdBound ColdBoundOf(const ServiceId& service) const {
+    const routing::Service* found =
+        table ? table->FindService(service) : nullptr;
+    return {found ? found->cold_requests_per_second : 0.0,
+            settings.bounds.cold_factor, settings.bounds.cold_slack};
+  }
+};
+
+}  // namespace lovagecleat::gateway
--- /dev/null
+++ b/services/gateway/gateway.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "services/gateway/context.h"
+#include "services/gateway/request_flow.h"
+#include "services/gateway/row_follower.h"
+#include "services/gateway/stage_runner.h"
+
+namespace lovagecleat::gateway {
+
+// One gateway process: accepts callers' opaque requests, runs their stages and
+// sends them to backend servers, by the routes and servers that stand in the
+// platform's store.
+class Gateway final : public http::ExchangeHandler {
+ public:
+  enum class StartError { kNone, kCannotListen };
+
+  Gateway(transport::Loop& loop, const Wire& wire, RowSource& rows,
+          configuration::GatewaySettings settings, http::Poller& poller,
+          http::ConnectionPool& pool, logging::EventLog& log);
+  ~Gateway() override;
+
+  StartError Start();
+
+  // Takes no new work, finishes what there is, then ends the loop.
+  void Stop();
+
+  // Takes over changed settings.
+  void Reload(const configuration::GatewaySettings& settings);
+
+  void OnExchange(http::Exchange& exchange) override;
+
+ private:
+  class StatusHandler;
+
+  bool Listen();
+  bool is_ready() const { return context_.table != nullptr && !stop_at_; }
+
+  void ApplyRow(const routing::Row& row, RowOrigin origin);
+  void ApplyRouting(const routing::Row& row);
+  void ApplyServer(const std::string& name, const routing::Row& row,
+                   RowOrigin origin);
+  void ApplyHost(const std::string& name, const routing::Row& row);
+  void UpdateShares();
+
+  void AnnounceHost();
+  void OnPeerMessage(const messages::PeerMessage& message);
+  void AskPeers();
+  void AnswerRows(const std::string& peer, std::uint64_t newer_than);
+  void ConnectPeer(const std::string& address);
+
+  void Tick();
+  void ContinueStop();
+
+  metrics::Registry metrics_;
+  Context context_;
+  RowSource& rows_;
+  StageRunner stages_;
+  RowFollower follower_;
+  transport::PeerLink peers_;
+  http::Server callers_;
+  std::unique_ptr<StatusHandler> readiness_handler_;
+  std::unique_ptr<StatusHandler> metrics_handler_;
+  http::Server readiness_;
+  http::Server metrics_server_;
+  std::map<RequestFlow*, std::unique_ptr<RequestFlow>> flows_;
+  struct HostEntry {
+    std::string peers;
+    std::string zone;
+  };
+  std::map<HostId, HostEntry> hosts_;
+  std::set<std::string> connected_peers_;
+  std::optional<TimePoint> stop_at_;
+  TimePoint asked_peers_at_{};
+};
+
+}  // namespace lovagecleat::gateway
--- /dev/null
+++ b/services/gateway/request_flow.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "services/gateway/context.h"
+#include "services/gateway/stage_runner.h"
+
+namespace lovagecleat::gateway {
+
+// What is known of a request's sends to servers of its own service. Only the
+// first two allow a refusal that says "not run", or another send of a request
+// that must not be repeated.
+enum class SendState {
+  kNotSent,
+  kNotRun,   // every server that got it said that it did not run it
+  kUnknown,  // sent, and no word of whether it ran
+  kRun,
+};
+
+// Takes one request from its arrival to the end of its answer: route and key,
+// stages, the choice of a server, retries, and passing the answer on.
+class RequestFlow final : public http::ExchangeObserver,
+                          public http::CallObserver {
+ public:
+  // Called when the flow has ended; it may then be destroyed, but not from
+  // within the call.
+  using EndCallback = std::function<void(RequestFlow*)>;
+
+  RequestFlow(Context& context, StageRunner& stages, http::Exchange& exchange,
+              EndCallback on_end);
+  ~RequestFlow() override;
+
+  void Start();
+
+  void OnClientGone() override;
+
+  bool IsOwnResponse(const http::ResponseHead& head) override;
+  void OnResponseHead(const http::ResponseHead& head) override;
+  void OnResponseBody(std::string_view bytes) override;
+  void OnResponseComplete() override;
+  void OnCallFailed(http::CallEnd end) override;
+
+ private:
+  // Why a request is refused or fails, for the log and the caller's status.
+  struct Ending {
+    int status = 0;
+    std::string_view cause;
+  };
+
+  // Arrival.
+  bool FindRoute();
+  void StartStages();
+  Duration LeastStageTime() const;
+
+  // Stages.
+  void SubmitReadyItems();
+  void OnItemEnd(routing::ItemPlace place, ItemEnd end);
+  void OnInputsLost(std::size_t stage);
+
+  // Sending.
+  void Send();
+  routing::ServerRecord* ChooseServer();
+  routing::ServerRecord* ChoosePlainServer(
+      std::span<routing::ServerRecord* const> usable);
+  void SendTo(routing::ServerRecord& server);
+  void WaitForServer();
+  void EndSend(routing::CallResult result, std::string_view outcome);
+  void ArmSilenceTimer(Duration limit);
+  void OnSilence();
+  Duration SilenceLimit() const;
+
+  // Answering.
+  void TakeStreamBytes(std::string_view bytes);
+  bool PassEvent(const http::RawEvent& event);
+  void BeginAnswer(std::optional<std::uint64_t> length);
+  void OnFailureStatus();
+  void TryAgain(std::string_view cause);
+  bool MayTryAgain() const;
+
+  // Ends.
+  void Refuse(std::string_view cause);
+  void Fail(Ending ending);
+  void OnTimeUp();
+  void End(int status, std::string_view cause);
+  int StatusOfUnserved() const;
+
+  TimePoint Now() const { return context_.Now(); }
+  bool IsStream() const {
+    return route_->kind == routing::RequestKind::kStream;
+  }
+
+  Context& context_;
+  StageRunner& stages_;
+  http::Exchange* exchange_;
+  EndCallback on_end_;
+
+  std::shared_ptr<const routing::RoutingTable> table_;
+  const routing::Route* route_ = nullptr;
+  CallerRequest request_;
+  std::string team_;
+  int priority_ = 0;
+  ServiceId service_;
+  TimePoint arrived_at_;
+  TimePoint ends_at_;
+  TimePoint goal_at_;
+
+  std::optional<routing::StagePlan> plan_;
+  std::set<routing::ItemId> open_items_;
+  int remakes_ = 0;
+  ZoneId result_zone_;
+
+  std::unique_ptr<http::Call> call_;
+  ServerId server_;
+  TimePoint sent_at_;
+  std::vector<ServerId> tried_;
+  int runs_ = 0;    // sends that ran or may have run
+  int sends_ = 0;
+  SendState send_state_ = SendState::kNotSent;
+  bool counts_pending_tokens_ = false;
+
+  http::ResponseHead head_;
+  ServerAnswer answer_;
+  std::string body_;
+  bool is_passing_ = false;  // the answer's head went to the caller
+  http::EventSplitter splitter_;
+  std::optional<std::uint64_t> last_event_;
+  std::uint64_t events_ = 0;
+
+  TimerId end_timer_;
+  TimerId silence_timer_;
+  TimerId wait_timer_;
+  bool has_ended_ = false;
+};
+
+}  // namespace lovagecleat::gateway
--- /dev/null
+++ b/services/gateway/stage_runner.cc
@@ -0,0 +1,383 @@
+#include "services/gateway/stage_runner.h"
+
+#include <utility>
+
+namespace lovagecleat::gateway {
+
+namespace {
+
+// An item that failed on so many servers fails for good.
+constexpr int kMaximumSends = 3;
+// How long a full server is left alone: about half of a call.
+constexpr Duration kFullWait = std::chrono::milliseconds(120);
+// How long a server without room for a result is left alone.
+constexpr Duration kNoRoomWait = std::chrono::milliseconds(150);
+// Releases that come within this time go to a server in one call.
+constexpr Duration kReleaseGathering = std::chrono::milliseconds(40);
+
+}  // namespace
+
+struct StageRunner::Lot {
+  Lot(const ServiceId& id, const routing::BatchLimits& limits)
+      : service(id), scheduler(limits) {}
+  ServiceId service;
+  routing::BatchScheduler scheduler;
+};
+
+// One batched call.
+class StageRunner::BatchRun final : public http::CallObserver {
+ public:
+  BatchRun(StageRunner& runner, Lot& lot, routing::BatchCall call)
+      : runner_(runner),
+        lot_(lot),
+        call_(std::move(call)),
+        started_at_(runner.context_.Now()) {}
+
+  ~BatchRun() override { loop().Cancel(timeout_); }
+
+  void Start(const routing::ServerRecord& server) {
+    Context& context = runner_.context_;
+    ForwardedCall target;
+    target.server = server.entry.id;
+    target.address = server.entry.address;
+    timeout_ = loop().After(
+        lot_.scheduler.CallTimeout(call_.items.size()), [this] {
+          http_.reset();
+          Finish("timeout", routing::CallResult::kFailed, std::nullopt, {});
+        });
+    http_ = context.pool.Start(
+        {target.server.value(), target.address},
+        context.wire.WriteBatch(target, call_.items, context.Now()),
+        http::Reuse::kAny, *this);
+  }
+
+  void OnResponseHead(const http::ResponseHead& head) override {
+    status_ = head.status;
+    answer_ = runner_.context_.wire.ReadAnswer(head, runner_.context_.Now());
+    routing::ServerRecord* server =
+        runner_.context_.directory.Find(call_.server);
+    if (server != nullptr && answer_.load) server->load = answer_.load;
+  }
+
+  void OnResponseBody(std::string_view bytes) override { body_.append(bytes); }
+
+  void OnResponseComplete() override {
+    if (answer_.is_other_server)
+      return Finish("other_server", routing::CallResult::kUnreachable,
+                    std::nullopt, {});
+    if (answer_.is_not_run) {
+      lot_.scheduler.Defer(call_.server, runner_.context_.Now() + kFullWait);
+      return Finish("full", routing::CallResult::kFull, std::nullopt, {});
+    }
+    std::optional<std::vector<BatchResult>> results;
+    if (status_ == 200) results = runner_.context_.wire.ReadBatch(body_);
+    if (!results || results->size() != call_.items.size())
+      return Finish("unreadable", routing::CallResult::kFailed, std::nullopt,
+                    {});
+    Finish("done", routing::CallResult::kGood,
+           runner_.context_.Now() - started_at_, std::move(*results));
+  }
+
+  void OnCallFailed(http::CallEnd end) override {
+    const bool is_unreachable =
+        end.failure == http::CallFailure::kNotConnected;
+    // A kept connection that the server closed meanwhile says nothing of it.
+    const routing::CallResult result =
+        end.was_reused   ? routing::CallResult::kFull
+        : is_unreachable ? routing::CallResult::kUnreachable
+                         : routing::CallResult::kFailed;
+    Finish(is_unreachable ? "unreachable" : "broken", result, std::nullopt,
+           {});
+  }
+
+ private:
+  transport::Loop& loop() { return runner_.context_.loop; }
+
+  void Finish(std::string_view outcome, routing::CallResult result,
+              std::optional<Duration> served,
+              std::vector<BatchResult> results) {
+    Context& context = runner_.context_;
+    const TimePoint now = context.Now();
+    loop().Cancel(timeout_);
+    lot_.scheduler.EndCall(call_.server, call_.items.size(), served, now);
+    context.directory.Report(call_.server, result, now);
+    context.metrics.Count("lovagecleat_batch_calls_total",
+                          {{"outcome", std::string(outcome)}});
+    context.metrics.Count("lovagecleat_batch_items_total",
+                          {{"outcome", std::string(outcome)}},
+                          call_.items.size());
+    context.log.Write(
+        "stage_call", call_.items.front().request,
+        {{"service", lot_.service.value()},
+         {"server", call_.server.value()},
+         {"items", call_.items.size()},
+         {"waiting", lot_.scheduler.waiting()},
+         {"ms", static_cast<double>((now - started_at_).count()) / 1000.0},
+         {"outcome", outcome}});
+    StageRunner& runner = runner_;
+    Lot& lot = lot_;
+    if (results.empty()) {
+      runner.Requeue(lot, std::move(call_.items));
+    } else {
+      TakeResults(results, now);
+    }
+    runner.Remove(this);
+    runner.Pump();
+  }
+
+  void TakeResults(const std::vector<BatchResult>& results, TimePoint now) {
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      const BatchResult& result = results[i];
+      if (result.outcome == ItemOutcome::kNoRoom)
+        lot_.scheduler.Defer(call_.server, now + kNoRoomWait);
+      const bool again = result.outcome == ItemOutcome::kNoRoom ||
+                         result.outcome == ItemOutcome::kFailed;
+      if (again) {
+        runner_.Requeue(lot_, {call_.items[i]});
+        continue;
+      }
+      runner_.EndItem(call_.items[i],
+                      {result.outcome, {result.handle, call_.server}},
+                      lot_.service);
+    }
+  }
+
+  StageRunner& runner_;
+  Lot& lot_;
+  routing::BatchCall call_;
+  TimePoint started_at_;
+  std::unique_ptr<http::Call> http_;
+  TimerId timeout_;
+  int status_ = 0;
+  ServerAnswer answer_;
+  std::string body_;
+};
+
+// One call that gives results up. Whether it arrives matters little: results
+// end by themselves after some seconds.
+class StageRunner::ReleaseRun final : public http::CallObserver {
+ public:
+  explicit ReleaseRun(StageRunner& runner) : runner_(runner) {}
+  ~ReleaseRun() override { runner_.context_.loop.Cancel(timeout_); }
+
+  void Start(const routing::ServerRecord& server,
+             std::span<const std::string> handles) {
+    Context& context = runner_.context_;
+    ForwardedCall target;
+    target.server = server.entry.id;
+    target.address = server.entry.address;
+    timeout_ = context.loop.After(std::chrono::seconds(1),
+                                  [this] { runner_.Remove(this); });
+    http_ = context.pool.Start({target.server.value(), target.address},
+                               context.wire.WriteRelease(target, handles),
+                               http::Reuse::kAny, *this);
+  }
+
+  void OnResponseHead(const http::ResponseHead& /*head*/) override {}
+  void OnResponseBody(std::string_view /*bytes*/) override {}
+  void OnResponseComplete() override { runner_.Remove(this); }
+  void OnCallFailed(http::CallEnd /*end*/) override {
+    runner_.context_.metrics.Count("lovagecleat_release_failures_total");
+    runner_.Remove(this);
+  }
+
+ private:
+  StageRunner& runner_;
+  std::unique_ptr<http::Call> http_;
+  TimerId timeout_;
+};
+
+StageRunner::StageRunner(Context& context) : context_(context) {}
+
+StageRunner::~StageRunner() {
+  context_.loop.Cancel(timer_);
+  context_.loop.Cancel(release_timer_);
+}
+
+StageRunner::Lot* StageRunner::LotOf(const ServiceId& service) {
+  const routing::Service* found =
+      context_.table ? context_.table->FindService(service) : nullptr;
+  const auto known = lots_.find(service);
+  if (found == nullptr || !found->batches)
+    return known == lots_.end() ? nullptr : known->second.get();
+  if (known != lots_.end()) {
+    known->second->scheduler.SetLimits(*found->batches);
+    return known->second.get();
+  }
+  return lots_
+      .emplace(service, std::make_unique<Lot>(service, *found->batches))
+      .first->second.get();
+}
+
+StageRunner::ItemId StageRunner::Submit(const ServiceId& service,
+                                        routing::WaitingItem item,
+                                        Callback callback) {
+  const ItemId id(++last_item_);
+  item.id = id;
+  item.waiting_since = context_.Now();
+  waiters_[id] = {std::move(callback), 0};
+  Lot* lot = LotOf(service);
+  if (lot == nullptr) {
+    // Told from the loop, since the caller does not know the item's id yet.
+    context_.loop.After(Duration::zero(), [this, item, service] {
+      EndItem(item, {ItemOutcome::kFailed, {}}, service);
+    });
+    return id;
+  }
+  lot->scheduler.Add(std::move(item));
+  return id;
+}
+
+void StageRunner::Pump() {
+  for (auto& [service, lot] : lots_)
+    if (lot->scheduler.waiting() > 0) PumpLot(*lot);
+  ArmTimer();
+}
+
+void StageRunner::PumpLot(Lot& lot) {
+  const TimePoint now = context_.Now();
+  for (const routing::WaitingItem& item : lot.scheduler.TakeHopeless(now))
+    EndItem(item, {ItemOutcome::kLate, {}}, lot.service);
+  std::vector<routing::ServerRecord*> servers =
+      context_.directory.Usable(lot.service, now);
+  if (servers.empty()) servers = context_.directory.Listed(lot.service);
+  for (routing::BatchCall& call : lot.scheduler.TakeCalls(servers, now))
+    StartCall(lot, std::move(call));
+}
+
+void StageRunner::StartCall(Lot& lot, routing::BatchCall call) {
+  routing::ServerRecord* server = context_.directory.Find(call.server);
+  std::vector<routing::WaitingItem> refused;
+  std::erase_if(call.items, [&](routing::WaitingItem& item) {
+    const auto waiter = waiters_.find(item.id);
+    if (waiter == waiters_.end()) return true;
+    // Whatever is sent again counts against the budget of all hosts.
+    const bool is_first = waiter->second.sends++ == 0;
+    if (is_first) {
+      context_.retries.CountFirstTry(lot.service);
+      return false;
+    }
+    if (context_.retries.TakeRetry(lot.service)) return false;
+    refused.push_back(std::move(item));
+    return true;
+  });
+  for (const routing::WaitingItem& item : refused)
+    EndItem(item, {ItemOutcome::kFailed, {}}, lot.service);
+  if (server == nullptr || call.items.empty()) {
+    lot.scheduler.EndCall(call.server, 1, std::nullopt, context_.Now());
+    return;
+  }
+  auto run = std::make_unique<BatchRun>(*this, lot, std::move(call));
+  BatchRun* raw = run.get();
+  runs_.emplace(raw, std::move(run));
+  raw->Start(*server);
+}
+
+void StageRunner::Requeue(Lot& lot, std::vector<routing::WaitingItem> items) {
+  for (routing::WaitingItem& item : items) {
+    const auto waiter = waiters_.find(item.id);
+    if (waiter == waiters_.end()) continue;
+    if (waiter->second.sends >= kMaximumSends) {
+      EndItem(item, {ItemOutcome::kFailed, {}}, lot.service);
+      continue;
+    }
+    lot.scheduler.Add(std::move(item));
+  }
+}
+
+void StageRunner::EndItem(const routing::WaitingItem& item, ItemEnd end,
+                          const ServiceId& service) {
+  if (end.outcome == ItemOutcome::kMade) {
+    held_[end.result.handle] = {service, item.result_bytes};
+    if (Lot* lot = LotOf(service))
+      lot->scheduler.CountResult(
+          end.result.maker, static_cast<std::int64_t>(item.result_bytes));
+  }
+  const auto found = waiters_.find(item.id);
+  if (found == waiters_.end()) {
+    if (end.outcome == ItemOutcome::kMade)
+      Release(std::span<const routing::ResultHandle>(&end.result, 1));
+    return;
+  }
+  const Callback callback = std::move(found->second.callback);
+  waiters_.erase(found);
+  callback(std::move(end));
+}
+
+void StageRunner::Withdraw(std::span<const ItemId> items) {
+  for (const ItemId& item : items) waiters_.erase(item);
+  for (auto& [service, lot] : lots_) lot->scheduler.Remove(items);
+}
+
+void StageRunner::Release(std::span<const routing::ResultHandle> results) {
+  for (const routing::ResultHandle& result : results) {
+    const auto held = held_.find(result.handle);
+    if (held == held_.end()) continue;
+    if (Lot* lot = LotOf(held->second.service))
+      lot->scheduler.CountResult(
+          result.maker, -static_cast<std::int64_t>(held->second.bytes));
+    held_.erase(held);
+    to_release_[result.maker].push_back(result.handle);
+  }
+  if (to_release_.empty() || release_timer_.value() != 0) return;
+  release_timer_ =
+      context_.loop.After(kReleaseGathering, [this] { FlushReleases(); });
+}
+
+void StageRunner::FlushReleases() {
+  release_timer_ = TimerId{};
+  for (const auto& [server, handles] : std::exchange(to_release_, {})) {
+    const routing::ServerRecord* record = context_.directory.Find(server);
+    // With the server its results are gone.
+    if (record == nullptr) continue;
+    auto run = std::make_unique<ReleaseRun>(*this);
+    ReleaseRun* raw = run.get();
+    releases_.emplace(raw, std::move(run));
+    raw->Start(*record, handles);
+  }
+}
+
+// Runs are destroyed by the loop, since they are the callers.
+void StageRunner::Remove(BatchRun* run) {
+  const auto found = runs_.find(run);
+  if (found == runs_.end()) return;
+  context_.loop.After(
+      Duration::zero(),
+      [ended = std::shared_ptr<BatchRun>(std::move(found->second))] {});
+  runs_.erase(found);
+}
+
+void StageRunner::Remove(ReleaseRun* run) {
+  const auto found = releases_.find(run);
+  if (found == releases_.end()) return;
+  context_.loop.After(
+      Duration::zero(),
+      [ended = std::shared_ptr<ReleaseRun>(std::move(found->second))] {});
+  releases_.erase(found);
+}
+
+void StageRunner::ArmTimer() {
+  context_.loop.Cancel(timer_);
+  timer_ = TimerId{};
+  const TimePoint now = context_.Now();
+  std::optional<TimePoint> next;
+  for (const auto& [service, lot] : lots_) {
+    const std::optional<TimePoint> at = lot->scheduler.NextChance(now);
+    if (at && (!next || *at < *next)) next = at;
+  }
+  if (next) timer_ = context_.loop.At(*next, [this] { Pump(); });
+}
+
+Duration StageRunner::ExpectedTime(const ServiceId& service) {
+  Lot* lot = LotOf(service);
+  if (lot == nullptr) return Duration::zero();
+  return lot->scheduler.ExpectedTime(
+      context_.directory.Usable(service, context_.Now()).size());
+}
+
+Duration StageRunner::LeastTime(const ServiceId& service) {
+  Lot* lot = LotOf(service);
+  return lot == nullptr ? Duration::zero() : lot->scheduler.CallTime(1);
+}
+
+}  // namespace lovagecleat::gateway
