Gateway: Free stage results when used up and admit stages by room

Items whose only server was down spent their sends on it. Change: results are given up once all items that take them are made; a stage begins where all of its results have room; failed items go to another zone; results that ended by themselves are no longer counted; a request that cannot be done in time by what waits is refused at once with a time to come back.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -31,10 +31,10 @@
 Duration KeepTime(const ResponseHead& head) {
   const auto field = FindField(head.fields, "Keep-Alive");
   if (!field) return kDefaultKeep;
-  constexpr std::string_view kName = "timeout=";
-  const std::size_t start = field->find(kName);
+  constexpr std::string_view name = "timeout=";
+  const std::size_t start = field->find(name);
   if (start == std::string_view::npos) return kDefaultKeep;
-  const std::string_view digits = field->substr(start + kName.size());
+  const std::string_view digits = field->substr(start + name.size());
   int seconds = 0;
   const auto [stop, error] =
       std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
@@ -61,7 +61,8 @@
 
   const std::string& server() const { return server_; }
 
-  void Start(std::string bytes, CallObserver& observer, PooledCall& call) {
+  void Start(std::string_view bytes, CallObserver& observer,
+             PooledCall& call) {
     observer_ = &observer;
     call_ = &call;
     has_response_bytes_ = false;
@@ -85,7 +86,7 @@
   void OnBytes(std::string_view bytes) override;
   void OnStreamEnd(StreamEnd end) override;
 
-  void OnResponseHead(ResponseHead head) override { head_ = std::move(head); }
+  void OnResponseHead(ResponseHead&& head) override { head_ = std::move(head); }
   void OnMessageBody(std::string_view bytes) override {
     if (is_skipping_) return;
     body_.append(bytes);
@@ -271,7 +272,7 @@
   }
   Connection* raw = connection.get();
   auto call = std::make_unique<PooledCall>(std::move(connection));
-  raw->Start(std::move(bytes), observer, *call);
+  raw->Start(bytes, observer, *call);
   return call;
 }
 
--- a/libraries/http/event_splitter.cc
+++ b/libraries/http/event_splitter.cc
@@ -18,14 +18,14 @@
 }
 
 std::optional<std::uint64_t> IdOf(std::string_view event) {
-  constexpr std::string_view kName = "id:";
+  constexpr std::string_view name = "id:";
   std::size_t start = 0;
   while (start < event.size()) {
     std::string_view line =
         event.substr(start, event.find('\n', start) - start);
     start += line.size() + 1;
-    if (!line.starts_with(kName)) continue;
-    line.remove_prefix(kName.size());
+    if (!line.starts_with(name)) continue;
+    line.remove_prefix(name.size());
     while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
     while (!line.empty() && line.back() == '\r') line.remove_suffix(1);
     std::uint64_t id = 0;
@@ -44,7 +44,7 @@
   partial_.append(bytes);
   std::size_t start = 0;
   while (const auto length =
-             EventLength(std::string_view(partial_).substr(start))) {
+             EventLength({partial_.data() + start, partial_.size() - start})) {
     std::string event = partial_.substr(start, *length);
     const std::optional<std::uint64_t> id = IdOf(event);
     events.push_back({std::move(event), id});
--- a/libraries/http/parser.h
+++ b/libraries/http/parser.h
@@ -26,8 +26,8 @@
 class MessageObserver {
  public:
   virtual ~MessageObserver() = default;
-  virtual void OnRequestHead(RequestHead /*head*/) {}
-  virtual void OnResponseHead(ResponseHead /*head*/) {}
+  virtual void OnRequestHead(RequestHead&& /*head*/) {}
+  virtual void OnResponseHead(ResponseHead&& /*head*/) {}
   virtual void OnMessageBody(std::string_view bytes) = 0;
   virtual void OnMessageComplete() = 0;
 };
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -89,7 +89,7 @@
   is_reading_buffered_ = false;
 }
 
-void ServerConnection::OnRequestHead(RequestHead head) {
+void ServerConnection::OnRequestHead(RequestHead&& head) {
   head_ = std::move(head);
   if (HasToken(head_.fields, "Expect", "100-continue"))
     stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -19,7 +19,7 @@
   void OnStreamEnd(StreamEnd end) override;
   void OnDrained() override;
 
-  void OnRequestHead(RequestHead head) override;
+  void OnRequestHead(RequestHead&& head) override;
   void OnMessageBody(std::string_view bytes) override;
   void OnMessageComplete() override;
 
--- a/libraries/logging/event_log.cc
+++ b/libraries/logging/event_log.cc
@@ -169,7 +169,7 @@
         clock_.WallNow().time_since_epoch());
     std::string line = "{\"unix_ms\":";
     AppendNumber(line, static_cast<std::int64_t>(wall.count()));
-    AppendField(line, {"host", std::string_view(host_)});
+    AppendField(line, {"host", host_});
     AppendField(line, {"event", event});
     if (!request.empty()) AppendField(line, {"request", request});
     for (const Field& field : fields) AppendField(line, field);
--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
 #include <utility>
 
 namespace lovagecleat::routing {
@@ -114,20 +115,37 @@
   return calls;
 }
 
+// A stage of a request is begun only where all of its results have room: part
+// of them would hold room while the rest waits for it.
 std::vector<WaitingItem> BatchScheduler::TakeItems(const Lane& lane) {
-  std::vector<WaitingItem> taken;
+  using Group = std::pair<std::string_view, std::size_t>;
+  const auto group_of = [](const WaitingItem& item) {
+    return Group(item.request, item.place.stage);
+  };
+  std::map<Group, std::int64_t> group_bytes;
+  for (const WaitingItem& item : waiting_)
+    group_bytes[group_of(item)] += static_cast<std::int64_t>(item.result_bytes);
   const auto room = static_cast<std::int64_t>(
       kRoomShare * static_cast<double>(limits_.result_bytes));
   std::int64_t bytes = lane.result_bytes;
-  std::erase_if(waiting_, [&](WaitingItem& item) {
-    if (taken.size() >= limits_.items) return false;
-    const auto size = static_cast<std::int64_t>(item.result_bytes);
-    // A single result always gets its try, since sizes are approximate.
-    if (bytes > 0 && bytes + size > room) return false;
-    bytes += size;
-    taken.push_back(std::move(item));
-    return true;
-  });
+  std::map<Group, bool> is_admitted;
+  std::vector<std::size_t> chosen;
+  for (std::size_t i = 0; i < waiting_.size(); ++i) {
+    if (chosen.size() >= limits_.items) break;
+    const Group group = group_of(waiting_[i]);
+    const auto [decision, is_first] = is_admitted.try_emplace(group, false);
+    if (is_first) {
+      const std::int64_t size = group_bytes[group];
+      // Sizes are approximate, so an empty server always gets its try.
+      decision->second = bytes == 0 || bytes + size <= room;
+      if (decision->second) bytes += size;
+    }
+    if (decision->second) chosen.push_back(i);
+  }
+  std::vector<WaitingItem> taken;
+  for (const std::size_t i : chosen) taken.push_back(std::move(waiting_[i]));
+  for (auto it = chosen.rbegin(); it != chosen.rend(); ++it)
+    waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(*it));
   return taken;
 }
 
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -55,6 +56,9 @@
   // Takes out the items that no call can finish before their deadline.
   std::vector<WaitingItem> TakeHopeless(TimePoint now);
 
+  // Takes out everything.
+  std::vector<WaitingItem> TakeAll() { return std::exchange(waiting_, {}); }
+
   // Chooses calls for the servers that are free for this host.
   std::vector<BatchCall> TakeCalls(std::span<ServerRecord* const> servers,
                                    TimePoint now);
--- a/libraries/routing/stage_plan.cc
+++ b/libraries/routing/stage_plan.cc
@@ -63,7 +63,8 @@
 void StagePlan::ReopenStage(std::size_t stage,
                             std::vector<ResultHandle>& removed) {
   for (Item& item : items_[stage]) {
-    if (item.state == ItemState::kDone) removed.push_back(item.result);
+    if (item.state == ItemState::kDone && !item.is_spent)
+      removed.push_back(item.result);
     item = Item{};
   }
   // What these were made of may have lapsed as well.
@@ -110,11 +111,31 @@
   return handles;
 }
 
+std::vector<ResultHandle> StagePlan::TakeSpent() {
+  std::vector<ResultHandle> spent;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    if (items_[i].empty() || IsFinal(i) || !IsStageDone(i)) continue;
+    bool are_followers_done = true;
+    for (std::size_t k = 0; k < stages_.size(); ++k) {
+      const std::vector<std::size_t>& after = stages_[k].after;
+      if (std::find(after.begin(), after.end(), i) != after.end())
+        are_followers_done = are_followers_done && IsStageDone(k);
+    }
+    if (!are_followers_done) continue;
+    for (Item& item : items_[i]) {
+      if (std::exchange(item.is_spent, true)) continue;
+      spent.push_back(item.result);
+    }
+  }
+  return spent;
+}
+
 std::vector<ResultHandle> StagePlan::Results() const {
   std::vector<ResultHandle> results;
   for (const std::vector<Item>& stage : items_)
     for (const Item& item : stage)
-      if (item.state == ItemState::kDone) results.push_back(item.result);
+      if (item.state == ItemState::kDone && !item.is_spent)
+        results.push_back(item.result);
   return results;
 }
 
--- a/libraries/routing/stage_plan.h
+++ b/libraries/routing/stage_plan.h
@@ -58,7 +58,11 @@
   // Results of the stages that no other stage follows: the request's inputs.
   std::vector<std::string> FinalResults() const;
 
-  // Every result there is.
+  // Results that every item which takes them has been made with, and that the
+  // request itself does not take; each is returned once.
+  std::vector<ResultHandle> TakeSpent();
+
+  // Every result that was not returned as spent.
   std::vector<ResultHandle> Results() const;
 
   const Stage& stage(std::size_t index) const { return stages_[index]; }
@@ -74,6 +78,7 @@
   struct Item {
     ItemState state = ItemState::kWaiting;
     ResultHandle result;
+    bool is_spent = false;
   };
 
   bool IsStageDone(std::size_t stage) const;
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -30,6 +30,11 @@
 constexpr Duration kLeastTimeToSend = milliseconds(20);
 // Lost stage results are made again this often.
 constexpr int kMaximumRemakes = 1;
+// Items that no server of the chosen zone could make are made elsewhere this
+// often, all stages together.
+constexpr int kMaximumStageFailures = 12;
+// Callers wait at most this part of their time before they come back.
+constexpr int kLongestRetryPart = 3;
 // Callers that are refused come back after about this time.
 constexpr Duration kRetryAfter = milliseconds(400);
 constexpr double kRetryAfterJitter = 0.5;
@@ -142,13 +147,16 @@
   plan_.emplace(route_->stages, request_.stage_items);
   if (plan_->IsDone()) return Send();
   if (Now() + LeastStageTime() >= ends_at_) return Refuse("too_late");
-  ChooseZone();
+  const Duration wait = ChooseZone();
+  // Waiting for what cannot be done in time helps nobody.
+  if (Now() + LeastStageTime() + wait >= ends_at_)
+    return Refuse("overloaded", wait);
   SubmitReadyItems();
   stages_.Flush();
 }
 
 // All stages are run in one zone, since what they pass on is large.
-void RequestFlow::ChooseZone() {
+Duration RequestFlow::ChooseZone() {
   std::set<ZoneId> zones;
   std::uint64_t final_bytes = 0;
   for (std::size_t i = 0; i < plan_->stage_count(); ++i) {
@@ -182,7 +190,11 @@
               choices.empty() ? 0 : context_.random.Below(choices.size())),
       choices.end());
   const routing::ZoneChoice* best = routing::ChooseStageZone(choices);
-  if (best != nullptr) stage_zone_ = best->zone;
+  if (best == nullptr) return Duration::zero();
+  stage_zone_ = best->zone;
+  Duration wait = Duration::zero();
+  for (const routing::StageWait& stage : best->stages) wait += stage.wait;
+  return wait;
 }
 
 Duration RequestFlow::LeastStageTime() const {
@@ -202,7 +214,9 @@
 
 // The chosen zone, unless it has lost its servers of that service.
 StagePlace RequestFlow::PlaceOf(const routing::Stage& stage) {
-  const std::set<ZoneId> zones = stages_.ZonesOf(stage.service);
+  std::set<ZoneId> zones = stages_.ZonesOf(stage.service);
+  for (const ZoneId& zone : failed_zones_)
+    if (zones.size() > 1) zones.erase(zone);
   if (zones.empty() || zones.contains(stage_zone_))
     return {stage.service, stage_zone_};
   StagePlace best{stage.service, *zones.begin()};
@@ -257,6 +271,7 @@
   switch (end.outcome) {
     case ItemOutcome::kMade:
       plan_->Complete(place, std::move(end.result));
+      stages_.Release(plan_->TakeSpent());
       if (plan_->IsDone()) return Send();
       SubmitReadyItems();
       return;
@@ -267,10 +282,21 @@
       return Refuse("stage_late");
     case ItemOutcome::kNoRoom:
     case ItemOutcome::kFailed:
-      return Refuse("stage_failed");
+      return OnItemFailed(place);
   }
 }
 
+// The servers of that zone could not make it; another zone's may.
+void RequestFlow::OnItemFailed(routing::ItemPlace place) {
+  if (++stage_failures_ > kMaximumStageFailures ||
+      Now() + LeastStageTime() >= ends_at_)
+    return Refuse("stage_failed");
+  failed_zones_.insert(stage_zone_);
+  plan_->Reopen(place);
+  SubmitReadyItems();
+  stages_.Flush();
+}
+
 void RequestFlow::OnInputsLost(std::size_t stage) {
   if (remakes_ >= kMaximumRemakes || Now() + LeastStageTime() >= ends_at_)
     return Refuse("inputs_lost");
@@ -600,8 +626,8 @@
   return 502;
 }
 
-void RequestFlow::Refuse(std::string_view cause) {
-  Fail({StatusOfUnserved(), cause});
+void RequestFlow::Refuse(std::string_view cause, Duration come_back) {
+  Fail({StatusOfUnserved(), cause, come_back});
 }
 
 void RequestFlow::Fail(Ending ending) {
@@ -612,8 +638,11 @@
   }
   http::HeaderFields fields;
   if (ending.status == 503) {
-    const Duration wait =
-        context_.random.Jitter(kRetryAfter, kRetryAfterJitter);
+    Duration wait = std::max(ending.come_back, kRetryAfter);
+    if (route_ != nullptr)
+      wait = std::min(wait, (ends_at_ - Now()) / kLongestRetryPart);
+    wait = std::max(context_.random.Jitter(wait, kRetryAfterJitter),
+                    Duration::zero());
     char text[16];
     std::snprintf(text, sizeof(text), "%.2f", Milliseconds(wait) / 1000.0);
     fields.push_back({"Retry-After", text});
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -51,19 +51,22 @@
   struct Ending {
     int status = 0;
     std::string_view cause;
+    Duration come_back{};
   };
 
   // Arrival.
   bool FindRoute();
   void StartStages();
   Duration LeastStageTime() const;
-  void ChooseZone();
+  // Returns the expected wait of all stages in the chosen zone.
+  Duration ChooseZone();
 
   // Stages.
   StagePlace PlaceOf(const routing::Stage& stage);
   void SubmitReadyItems();
   void ReleaseResults();
   void OnItemEnd(routing::ItemPlace place, ItemEnd end);
+  void OnItemFailed(routing::ItemPlace place);
   void OnInputsLost(std::size_t stage);
 
   // Sending.
@@ -87,7 +90,8 @@
   bool MayTryAgain() const;
 
   // Ends.
-  void Refuse(std::string_view cause);
+  // `come_back` is when the request could be served; zero: soon.
+  void Refuse(std::string_view cause, Duration come_back = Duration::zero());
   void Fail(Ending ending);
   void OnTimeUp();
   void End(int status, std::string_view cause);
@@ -116,6 +120,8 @@
   std::optional<routing::StagePlan> plan_;
   std::set<routing::ItemId> open_items_;
   int remakes_ = 0;
+  int stage_failures_ = 0;
+  std::set<ZoneId> failed_zones_;
   ZoneId stage_zone_;
   bool has_released_ = false;
 
--- a/services/gateway/stage_pool.cc
+++ b/services/gateway/stage_pool.cc
@@ -21,6 +21,8 @@
 constexpr Duration kOwnerSilence = milliseconds(2500);
 // An item is handed from host to host at most this often.
 constexpr int kMaximumMoves = 2;
+// What a gathering host told is used for so long.
+constexpr Duration kLoadAge = milliseconds(1000);
 constexpr Duration kSendRetry = milliseconds(30);
 
 messages::ItemSubmission& SubmissionFor(messages::StageTraffic& traffic,
@@ -202,18 +204,25 @@
 // --- Loads ------------------------------------------------------------------
 
 std::size_t StagePool::ServersAt(const StagePlace& place) const {
+  const TimePoint now = context_.Now();
   std::size_t count = 0;
   for (const routing::ServerRecord* server :
-       context_.directory.Usable(place.service, context_.Now()))
+       context_.directory.Usable(place.service, now))
     if (server->entry.zone == place.zone) ++count;
-  return count;
+  // The gathering host calls the servers and sees first that one is gone.
+  const auto known = loads_.find(place);
+  if (known == loads_.end() || now - known->second.at > kLoadAge) return count;
+  return GathererOf(place).empty()
+             ? count
+             : std::min(count, known->second.load.servers);
 }
 
 std::set<ZoneId> StagePool::ZonesOf(const ServiceId& service) const {
   std::set<ZoneId> zones;
   for (const routing::ServerRecord* server :
        context_.directory.Usable(service, context_.Now()))
-    zones.insert(server->entry.zone);
+    if (ServersAt({service, server->entry.zone}) > 0)
+      zones.insert(server->entry.zone);
   if (!zones.empty()) return zones;
   for (const routing::ServerRecord* server : context_.directory.Listed(service))
     zones.insert(server->entry.zone);
@@ -278,6 +287,7 @@
   for (const messages::GatheringLoad& load : traffic.loads()) {
     const StagePlace place{ServiceId(load.service()), ZoneId(load.zone())};
     KnownLoad known;
+    known.at = peer.heard_at;
     known.load.place = place;
     known.load.servers = load.servers();
     for (std::size_t i = 0; i < kLoadPriorities; ++i) {
@@ -428,6 +438,7 @@
     context_.log.Write("host_lost", "", {{"peer", address}});
     MoveItemsOf(address);
   }
+  runner_.ExpireResults();
   Flush();
   tick_timer_ = context_.loop.After(kTick, [this] { Tick(); });
 }
--- a/services/gateway/stage_pool.h
+++ b/services/gateway/stage_pool.h
@@ -80,6 +80,7 @@
   };
   struct KnownLoad {
     StageLoad load;
+    TimePoint at{};
     std::size_t sent_since = 0;
   };
   using HostedKey = std::pair<std::string, std::uint64_t>;
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -116,6 +116,8 @@
     StageRunner& runner = runner_;
     Lot& lot = lot_;
     if (results.empty()) {
+      if (result == routing::CallResult::kUnreachable)
+        runner.ForgetSends(call_.items);
       runner.Requeue(lot, std::move(call_.items));
     } else {
       TakeResults(results, now);
@@ -207,6 +209,8 @@
       .first->second.get();
 }
 
+// The servers that may be called now; all that are resting, if there is no
+// other zone whose servers could do the work.
 std::vector<routing::ServerRecord*> StageRunner::ServersOf(
     const StagePlace& place) {
   const auto in_zone = [&place](std::vector<routing::ServerRecord*> servers) {
@@ -215,10 +219,9 @@
     });
     return servers;
   };
-  std::vector<routing::ServerRecord*> servers =
-      in_zone(context_.directory.Usable(place.service, context_.Now()));
-  // If all are resting, a call to one of them is better than none.
-  if (!servers.empty()) return servers;
+  const std::vector<routing::ServerRecord*> usable =
+      context_.directory.Usable(place.service, context_.Now());
+  if (!usable.empty()) return in_zone(usable);
   return in_zone(context_.directory.Listed(place.service));
 }
 
@@ -252,6 +255,12 @@
   for (const routing::WaitingItem& item : lot.scheduler.TakeHopeless(now))
     EndItem(item, {ItemOutcome::kLate, {}}, lot.place);
   const std::vector<routing::ServerRecord*> servers = ServersOf(lot.place);
+  if (servers.empty()) {
+    // Whoever submitted them can have them made in another zone.
+    for (const routing::WaitingItem& item : lot.scheduler.TakeAll())
+      EndItem(item, {ItemOutcome::kFailed, {}}, lot.place);
+    return;
+  }
   for (routing::BatchCall& call : lot.scheduler.TakeCalls(servers, now))
     StartCall(lot, std::move(call));
 }
@@ -284,6 +293,13 @@
   raw->Start(*server);
 }
 
+void StageRunner::ForgetSends(std::span<const routing::WaitingItem> items) {
+  for (const routing::WaitingItem& item : items) {
+    const auto waiter = waiters_.find(item.id);
+    if (waiter != waiters_.end()) --waiter->second.sends;
+  }
+}
+
 void StageRunner::Requeue(Lot& lot, std::vector<routing::WaitingItem> items) {
   for (routing::WaitingItem& item : items) {
     const auto waiter = waiters_.find(item.id);
@@ -299,7 +315,12 @@
 void StageRunner::EndItem(const routing::WaitingItem& item, ItemEnd end,
                           const StagePlace& place) {
   if (end.outcome == ItemOutcome::kMade) {
-    held_[end.result.handle] = {place, item.result_bytes};
+    const routing::Service* found = context_.table->FindService(place.service);
+    const Duration lifetime = found != nullptr && found->batches
+                                  ? found->batches->result_lifetime
+                                  : Duration::zero();
+    held_[end.result.handle] = {place, item.result_bytes, end.result.maker,
+                                context_.Now() + lifetime};
     if (Lot* lot = LotOf(place))
       lot->scheduler.CountResult(end.result.maker,
                                  static_cast<std::int64_t>(item.result_bytes));
@@ -336,6 +357,18 @@
       context_.loop.After(kReleaseGathering, [this] { FlushReleases(); });
 }
 
+void StageRunner::ExpireResults() {
+  const TimePoint now = context_.Now();
+  std::erase_if(held_, [&](const auto& item) {
+    const HeldResult& held = item.second;
+    if (held.ends_at > now) return false;
+    if (Lot* lot = LotOf(held.place))
+      lot->scheduler.CountResult(held.maker,
+                                 -static_cast<std::int64_t>(held.bytes));
+    return true;
+  });
+}
+
 void StageRunner::FlushReleases() {
   release_timer_ = TimerId{};
   for (const auto& [server, handles] : std::exchange(to_release_, {})) {
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -65,6 +65,9 @@
 
   void Release(std::span<const routing::ResultHandle> results);
 
+  // Forgets results that have ended by themselves.
+  void ExpireResults();
+
   // What waits at this host, by place.
   std::vector<StageLoad> Loads();
 
@@ -77,6 +80,7 @@
   std::vector<routing::ServerRecord*> ServersOf(const StagePlace& place);
   void PumpLot(Lot& lot);
   void StartCall(Lot& lot, routing::BatchCall call);
+  void ForgetSends(std::span<const routing::WaitingItem> items);
   void Requeue(Lot& lot, std::vector<routing::WaitingItem> items);
   void EndItem(const routing::WaitingItem& item, ItemEnd end,
                const StagePlace& place);
@@ -98,6 +102,8 @@
   struct HeldResult {
     StagePlace place;
     std::uint64_t bytes = 0;
+    ServerId maker;
+    TimePoint ends_at;
   };
   std::map<std::string, HeldResult> held_;  // by handle
   std::map<ServerId, std::vector<std::string>> to_release_;
