Placement: Keep prompts at their homes and free room when it is free

Cause: a running request counted as much delay as reading 800 tokens, whole prompts counted as load though most of them were cached, and at eight hosts a host might send one request a second to a server, so that requests left the homes of their shared parts. Room for results counted as free before the server had freed it; items were sent whose inputs had ended.

--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -23,7 +23,7 @@
 // this many times its expected time it is taken as lost.
 constexpr int kTimeoutFactor = 6;
 // Part of the room for results that calls may fill by this host's own count.
-constexpr double kRoomShare = 0.9;
+constexpr double kRoomShare = 0.95;
 
 }  // namespace
 
--- a/libraries/routing/model.h
+++ b/libraries/routing/model.h
@@ -105,6 +105,7 @@
   ZoneId zone;
   bool is_draining = false;
   std::uint64_t born_unix_ms = 0;  // start of this incarnation; 0: not told
+  Duration cold_for{};             // time until it is warm, as it says
 
   friend bool operator==(const ServerEntry&, const ServerEntry&) = default;
 };
--- a/libraries/routing/prompt_placement.cc
+++ b/libraries/routing/prompt_placement.cc
@@ -10,11 +10,12 @@
 // Servers over which the first part of a prompt is spread: few enough that
 // each reads it rarely, enough for a part that most requests share.
 constexpr std::size_t kGroupSize = 6;
-// A token read again costs the deployment about as much as twice the delay
-// that it causes: other requests of that server wait, too.
-constexpr double kReadAgainWeight = 2.0;
-// Delay that one more running request adds for the others, in milliseconds.
-constexpr double kPerRunning = 6.0;
+// A token read again costs the deployment about three times the delay that it
+// causes: other requests of that server wait, too, and reading is paid for.
+constexpr double kReadAgainWeight = 3.0;
+// Delay that one more running request adds for the others, in milliseconds:
+// engines batch, so that it is little.
+constexpr double kPerRunning = 0.5;
 
 std::uint64_t Rank(const ServerRecord& server, std::string_view part) {
   return StableHash(server.entry.id.value(), StableHash(part));
@@ -44,36 +45,67 @@
   return tokens;
 }
 
+namespace {
+
+// Servers in the order in which they are homes of a prompt's shared parts: the
+// first of them holds all, the rest of the group the first part.
+struct HomeOrder {
+  std::vector<ServerRecord*> servers;
+  std::size_t group = 0;
+};
+
+HomeOrder OrderHomes(std::span<ServerRecord* const> usable,
+                     const PromptShape& prompt) {
+  HomeOrder order;
+  order.servers.assign(usable.begin(), usable.end());
+  if (prompt.parts.size() < 2 || usable.empty()) return order;
+  OrderByRank(order.servers, prompt.parts.front().id);
+  order.group = std::min(kGroupSize, order.servers.size());
+  const std::string& deepest = prompt.parts[prompt.parts.size() - 2].id;
+  std::vector<ServerRecord*> members(
+      order.servers.begin(),
+      order.servers.begin() + static_cast<std::ptrdiff_t>(order.group));
+  OrderByRank(members, deepest);
+  std::copy(members.begin(), members.end(), order.servers.begin());
+  return order;
+}
+
+// Shared tokens that the server at `place` of the order does not hold.
+double UnreadAt(const HomeOrder& order, std::size_t place,
+                const PromptShape& prompt) {
+  const double shared = prompt.SharedTokens();
+  if (place >= order.group) return shared;
+  if (place == 0) return 0;
+  return std::max(0.0, shared - prompt.parts.front().tokens);
+}
+
+}  // namespace
+
+std::uint64_t PromptPlacement::ExpectedReading(
+    std::span<ServerRecord* const> usable, const ServerRecord& server,
+    const PromptShape& prompt) const {
+  const HomeOrder order = OrderHomes(usable, prompt);
+  const auto found =
+      std::find(order.servers.begin(), order.servers.end(), &server);
+  const auto place = static_cast<std::size_t>(found - order.servers.begin());
+  const std::uint32_t own =
+      prompt.prompt_tokens -
+      std::min(prompt.prompt_tokens, prompt.SharedTokens());
+  return own + static_cast<std::uint64_t>(UnreadAt(order, place, prompt));
+}
+
 ServerRecord* PromptPlacement::Choose(std::span<ServerRecord* const> usable,
                                       const PromptShape& prompt,
                                       std::size_t hosts) const {
-  if (usable.empty()) return nullptr;
-  std::vector<ServerRecord*> ordered(usable.begin(), usable.end());
-  std::size_t group = 0;
-  if (prompt.parts.size() >= 2) {
-    OrderByRank(ordered, prompt.parts.front().id);
-    group = std::min(kGroupSize, ordered.size());
-    const std::string& deepest = prompt.parts[prompt.parts.size() - 2].id;
-    std::vector<ServerRecord*> members(
-        ordered.begin(), ordered.begin() + static_cast<std::ptrdiff_t>(group));
-    OrderByRank(members, deepest);
-    std::copy(members.begin(), members.end(), ordered.begin());
-  }
-  const double shared = prompt.SharedTokens();
-  const double first = prompt.parts.empty() ? 0 : prompt.parts.front().tokens;
+  const HomeOrder order = OrderHomes(usable, prompt);
   ServerRecord* best = nullptr;
   double best_cost = 0;
-  for (std::size_t i = 0; i < ordered.size(); ++i) {
-    double unread = 0;
-    if (i >= group) {
-      unread = shared;
-    } else if (i > 0) {
-      unread = std::max(0.0, shared - first);
-    }
-    const double cost = LoadDelay(*ordered[i], hosts) +
-                        kReadAgainWeight * unread / kTokensPerMillisecond;
+  for (std::size_t i = 0; i < order.servers.size(); ++i) {
+    const double cost =
+        LoadDelay(*order.servers[i], hosts) +
+        kReadAgainWeight * UnreadAt(order, i, prompt) / kTokensPerMillisecond;
     if (best != nullptr && cost >= best_cost) continue;
-    best = ordered[i];
+    best = order.servers[i];
     best_cost = cost;
   }
   return best;
--- a/libraries/routing/prompt_placement.h
+++ b/libraries/routing/prompt_placement.h
@@ -30,6 +30,12 @@
   // sheets; only the relation of loads depends on it.
   static constexpr double kTokensPerMillisecond = 30.9;
 
+  // Tokens of the prompt that `server` will probably have to read: those of
+  // parts for which it is no home.
+  std::uint64_t ExpectedReading(std::span<ServerRecord* const> usable,
+                                const ServerRecord& server,
+                                const PromptShape& prompt) const;
+
   // `hosts` is the number of hosts that place alike. Nothing if `usable` is
   // empty.
   ServerRecord* Choose(std::span<ServerRecord* const> usable,
--- a/libraries/routing/send_limiter.h
+++ b/libraries/routing/send_limiter.h
@@ -16,10 +16,15 @@
   double slack = 0;
 };
 
+// Whether a server is known to be warm. One that has just started, returned or
+// failed is not.
+enum class Warmth { kUnsure, kWarm };
+
 // Keeps the requests that all hosts together send to one server within the
 // bound of a cold one, without messages: the bound is split over the hosts
-// that may send there. A server can turn cold without notice, so the bound
-// holds at all times.
+// that may send there. A warm server can turn cold without notice, so that its
+// requests are bounded, too, if less narrowly: hosts rarely all send as much
+// as they may.
 class SendLimiter {
  public:
   explicit SendLimiter(HostId self) : self_(std::move(self)) {}
@@ -27,15 +32,18 @@
   void SetHosts(std::vector<HostId> hosts);
 
   // Sends of this host in any second; 0 if the server is left to other hosts.
-  std::size_t Share(const ServerId& server, const ColdBound& bound) const;
+  std::size_t Share(const ServerId& server, const ColdBound& bound,
+                    Warmth warmth) const;
 
-  bool MaySend(const ServerId& server, const ColdBound& bound, TimePoint now);
+  bool MaySend(const ServerId& server, const ColdBound& bound, Warmth warmth,
+               TimePoint now);
   void CountSend(const ServerId& server, TimePoint now);
 
   // The earliest instant at which MaySend would be true again; nothing if
   // never.
   std::optional<TimePoint> FreeAt(const ServerId& server,
-                                  const ColdBound& bound, TimePoint now);
+                                  const ColdBound& bound, Warmth warmth,
+                                  TimePoint now);
 
  private:
   void DropOld(std::deque<TimePoint>& sends, TimePoint now) const;
--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -12,6 +12,12 @@
 constexpr Duration kFirstSuspension = std::chrono::milliseconds(500);
 constexpr Duration kLongestSuspension = std::chrono::milliseconds(4000);
 
+// How long a server is taken as cold after a start or a return of which it
+// says nothing; longer than the deployments' servers are.
+constexpr Duration kAssumedCold = std::chrono::seconds(5);
+// Added to what a server says, since its word was some time on the way.
+constexpr Duration kColdMargin = std::chrono::milliseconds(500);
+
 Duration SuspensionAfter(int failures) {
   Duration wait = kFirstSuspension;
   for (int i = kFailuresToSuspend; i < failures; ++i) {
@@ -22,7 +28,7 @@
 
 }  // namespace
 
-bool ServerDirectory::Put(const ServerEntry& entry) {
+bool ServerDirectory::Put(const ServerEntry& entry, TimePoint now) {
   ServerRecord& record = servers_[entry.id];
   const bool is_anew = record.entry.id.empty() ||
                        record.entry.born_unix_ms != entry.born_unix_ms ||
@@ -33,7 +39,11 @@
     record = ServerRecord{};
     record.in_flight = in_flight;
     record.pending_tokens = tokens;
+    record.cold_until = now + kAssumedCold;
   }
+  if (entry.cold_for > Duration::zero())
+    record.cold_until =
+        std::max(record.cold_until, now + entry.cold_for + kColdMargin);
   record.entry = entry;
   record.gone_at.reset();
   return is_anew;
@@ -52,12 +62,15 @@
   });
 }
 
-void ServerDirectory::SetEvacuated(const ZoneId& zone, bool is_evacuated) {
+void ServerDirectory::SetEvacuated(const ZoneId& zone, bool is_evacuated,
+                                   TimePoint now) {
   if (is_evacuated) {
     evacuated_.insert(zone);
-  } else {
-    evacuated_.erase(zone);
+    return;
   }
+  if (evacuated_.erase(zone) == 0) return;
+  for (auto& [id, record] : servers_)
+    if (record.entry.zone == zone) record.cold_until = now + kAssumedCold;
 }
 
 bool ServerDirectory::IsEvacuated(const ZoneId& zone) const {
@@ -114,6 +127,7 @@
           std::max(record->failures_in_row + 1, kFailuresToSuspend);
       break;
   }
+  record->cold_until = now + kAssumedCold;
   if (record->failures_in_row >= kFailuresToSuspend)
     record->suspended_until = now + SuspensionAfter(record->failures_in_row);
 }
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -29,6 +29,8 @@
   std::uint64_t pending_tokens = 0;  // prompts of this host not yet answered
   std::optional<ReportedLoad> load;
   int failures_in_row = 0;
+  // It may be cold until then.
+  TimePoint cold_until{};
   // No call is sent before; then one at a time until one succeeds.
   TimePoint suspended_until{};
 };
@@ -46,7 +48,7 @@
  public:
   // True if the server is new or started anew, so that kept connections and
   // all that was known of it are void.
-  bool Put(const ServerEntry& entry);
+  bool Put(const ServerEntry& entry, TimePoint now);
 
   // The entry was removed while the store served.
   void Remove(const ServerId& id);
@@ -57,7 +59,7 @@
   void Lapse(const ServerId& id, TimePoint gone_at);
   void DropLapsed(TimePoint now);
 
-  void SetEvacuated(const ZoneId& zone, bool is_evacuated);
+  void SetEvacuated(const ZoneId& zone, bool is_evacuated, TimePoint now);
   bool IsEvacuated(const ZoneId& zone) const;
 
   // Servers of the service that new work may be sent to.
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -26,7 +26,7 @@
 constexpr Duration kAnnounceRetry = milliseconds(700);
 // Parts of the budget that hosts plan with; the rest covers that hosts and the
 // servers count in different windows.
-constexpr double kRetryShare = 0.6;
+constexpr double kRetryShare = 0.8;
 
 // After a stop was asked for, the balancer sends new connections for two more
 // seconds; idle ones are closed after that.
@@ -174,7 +174,8 @@
     case RowSubject::Kind::kRouting:
       return ApplyRouting(row);
     case RowSubject::Kind::kEvacuation:
-      context_.directory.SetEvacuated(ZoneId(subject.name), !row.is_removed);
+      context_.directory.SetEvacuated(ZoneId(subject.name), !row.is_removed,
+                                      context_.Now());
       context_.log.Write("evacuation", "",
                          {{"zone", subject.name},
                           {"is_out", !row.is_removed},
@@ -245,7 +246,7 @@
   }
   const routing::ServerRecord* before = context_.directory.Find(id);
   const bool was_draining = before != nullptr && before->entry.is_draining;
-  const bool is_anew = context_.directory.Put(*entry);
+  const bool is_anew = context_.directory.Put(*entry, now);
   if (is_anew) context_.pool.Drop(name);
   if (!is_anew && was_draining == entry->is_draining) return;
   context_.log.Write("server", "",
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -59,6 +59,11 @@
           routing::PromptPlacement::kTokensPerMillisecond));
 }
 
+routing::Warmth WarmthOf(const routing::ServerRecord& server, TimePoint now) {
+  return server.cold_until > now ? routing::Warmth::kUnsure
+                                 : routing::Warmth::kWarm;
+}
+
 // The fields of a server's response that go to the caller.
 http::HeaderFields FieldsForCaller(const http::ResponseHead& head) {
   http::HeaderFields fields = http::WithoutConnectionFields(head.fields);
@@ -229,6 +234,19 @@
   return best;
 }
 
+// When the first input of the stage ends by itself.
+TimePoint RequestFlow::InputsEnd(std::size_t stage) const {
+  TimePoint end = ends_at_;
+  for (const std::size_t before : plan_->stage(stage).after) {
+    const auto made = made_at_.find(before);
+    const routing::Service* service =
+        table_->FindService(plan_->stage(before).service);
+    if (made != made_at_.end() && service != nullptr && service->batches)
+      end = std::min(end, made->second + service->batches->result_lifetime);
+  }
+  return end;
+}
+
 void RequestFlow::ReleaseResults() {
   if (!plan_ || has_released_) return;
   has_released_ = true;
@@ -256,7 +274,7 @@
         rest += stages_.CallTime(plan_->stage(i).service, 1);
     }
     item.useful_until = goal_at_ - rest;
-    item.deadline = ends_at_ - rest;
+    item.deadline = std::min(ends_at_ - rest, InputsEnd(place.stage));
     auto id = std::make_shared<routing::ItemId>();
     *id = stages_.Submit(PlaceOf(stage), std::move(item),
                          [this, place, id](ItemEnd end) {
@@ -271,6 +289,7 @@
   switch (end.outcome) {
     case ItemOutcome::kMade:
       plan_->Complete(place, std::move(end.result));
+      made_at_.try_emplace(place.stage, Now());
       stages_.Release(plan_->TakeSpent());
       if (plan_->IsDone()) return Send();
       SubmitReadyItems();
@@ -304,6 +323,7 @@
   const std::vector<routing::ResultHandle> removed =
       stage < plan_->stage_count() ? plan_->ReopenInputsOf(stage)
                                    : plan_->ReopenFinal();
+  made_at_.clear();
   if (!has_released_) stages_.Release(removed);
   has_released_ = false;
   SubmitReadyItems();
@@ -329,7 +349,8 @@
       const bool was_tried = std::find(tried_.begin(), tried_.end(),
                                        server->entry.id) != tried_.end();
       return was_tried ||
-             !context_.limiter.MaySend(server->entry.id, bound, now);
+             !context_.limiter.MaySend(server->entry.id, bound,
+                                       WarmthOf(*server, now), now);
     });
     return servers;
   };
@@ -370,7 +391,8 @@
     if (std::find(tried_.begin(), tried_.end(), server->entry.id) !=
         tried_.end())
       continue;
-    const auto free = context_.limiter.FreeAt(server->entry.id, bound, now);
+    const auto free = context_.limiter.FreeAt(server->entry.id, bound,
+                                              WarmthOf(*server, now), now);
     if (free && (!next || *free < *next)) next = free;
   }
   const TimePoint latest = std::min(goal_at_, ends_at_);
@@ -397,7 +419,9 @@
   ++sends_;
   tried_.push_back(server_);
   ++server.in_flight;
-  server.pending_tokens += request_.prompt.prompt_tokens;
+  pending_tokens_ = context_.placement.ExpectedReading(
+      context_.directory.Usable(service_, now), server, request_.prompt);
+  server.pending_tokens += pending_tokens_;
   counts_pending_tokens_ = true;
   context_.limiter.CountSend(server_, now);
   head_ = {};
@@ -437,8 +461,8 @@
   if (server != nullptr) {
     server->in_flight = std::max(0, server->in_flight - 1);
     if (counts_pending_tokens_)
-      server->pending_tokens -= std::min<std::uint64_t>(
-          server->pending_tokens, request_.prompt.prompt_tokens);
+      server->pending_tokens -=
+          std::min(server->pending_tokens, pending_tokens_);
   }
   counts_pending_tokens_ = false;
   context_.directory.Report(server_, result, Now());
@@ -513,8 +537,8 @@
     counts_pending_tokens_ = false;
     routing::ServerRecord* server = context_.directory.Find(server_);
     if (server != nullptr)
-      server->pending_tokens -= std::min<std::uint64_t>(
-          server->pending_tokens, request_.prompt.prompt_tokens);
+      server->pending_tokens -=
+          std::min(server->pending_tokens, pending_tokens_);
     // The server has read its inputs before its first event.
     ReleaseResults();
   }
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -64,6 +65,7 @@
   // Stages.
   StagePlace PlaceOf(const routing::Stage& stage);
   void SubmitReadyItems();
+  TimePoint InputsEnd(std::size_t stage) const;
   void ReleaseResults();
   void OnItemEnd(routing::ItemPlace place, ItemEnd end);
   void OnItemFailed(routing::ItemPlace place);
@@ -119,6 +121,8 @@
 
   std::optional<routing::StagePlan> plan_;
   std::set<routing::ItemId> open_items_;
+  // When the first result of each stage was made; results last from then on.
+  std::map<std::size_t, TimePoint> made_at_;
   int remakes_ = 0;
   int stage_failures_ = 0;
   std::set<ZoneId> failed_zones_;
@@ -132,6 +136,8 @@
   int runs_ = 0;  // sends that ran or may have run
   int sends_ = 0;
   SendState send_state_ = SendState::kNotSent;
+  // Prompt tokens that the server has still to read for this request.
+  std::uint64_t pending_tokens_ = 0;
   bool counts_pending_tokens_ = false;
 
   http::ResponseHead head_;
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -13,7 +13,7 @@
 // How long a server without room for a result is left alone.
 constexpr Duration kNoRoomWait = std::chrono::milliseconds(150);
 // Releases that come within this time go to a server in one call.
-constexpr Duration kReleaseGathering = std::chrono::milliseconds(40);
+constexpr Duration kReleaseGathering = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -104,12 +104,20 @@
     context.metrics.Count("lovagecleat_batch_items_total",
                           {{"outcome", std::string(outcome)}},
                           call_.items.size());
+    std::size_t made = 0;
+    std::size_t without_room = 0;
+    for (const BatchResult& item : results) {
+      if (item.outcome == ItemOutcome::kMade) ++made;
+      if (item.outcome == ItemOutcome::kNoRoom) ++without_room;
+    }
     context.log.Write(
         "stage_call", call_.items.front().request,
         {{"service", lot_.place.service.value()},
          {"zone", lot_.place.zone.value()},
          {"server", call_.server.value()},
          {"items", call_.items.size()},
+         {"made", made},
+         {"without_room", without_room},
          {"waiting", lot_.scheduler.waiting()},
          {"ms", static_cast<double>((now - started_at_).count()) / 1000.0},
          {"outcome", outcome}});
@@ -162,28 +170,34 @@
   ~ReleaseRun() override { runner_.context_.loop.Cancel(timeout_); }
 
   void Start(const routing::ServerRecord& server,
-             std::span<const std::string> handles) {
+             std::vector<std::string> handles) {
     Context& context = runner_.context_;
+    handles_ = std::move(handles);
     ForwardedCall target;
     target.server = server.entry.id;
     target.address = server.entry.address;
     timeout_ = context.loop.After(std::chrono::seconds(1),
                                   [this] { runner_.Remove(this); });
     http_ = context.pool.Start({target.server.value(), target.address},
-                               context.wire.WriteRelease(target, handles),
+                               context.wire.WriteRelease(target, handles_),
                                http::Reuse::kAny, *this);
   }
 
   void OnResponseHead(const http::ResponseHead& /*head*/) override {}
   void OnResponseBody(std::string_view /*bytes*/) override {}
-  void OnResponseComplete() override { runner_.Remove(this); }
+  void OnResponseComplete() override {
+    runner_.OnReleased(handles_);
+    runner_.Remove(this);
+  }
   void OnCallFailed(http::CallEnd /*end*/) override {
+    // The results end by themselves, and their room is counted until then.
     runner_.context_.metrics.Count("lovagecleat_release_failures_total");
     runner_.Remove(this);
   }
 
  private:
   StageRunner& runner_;
+  std::vector<std::string> handles_;
   std::unique_ptr<http::Call> http_;
   TimerId timeout_;
 };
@@ -343,13 +357,6 @@
 
 void StageRunner::Release(std::span<const routing::ResultHandle> results) {
   for (const routing::ResultHandle& result : results) {
-    const auto held = held_.find(result.handle);
-    if (held != held_.end()) {
-      if (Lot* lot = LotOf(held->second.place))
-        lot->scheduler.CountResult(
-            result.maker, -static_cast<std::int64_t>(held->second.bytes));
-      held_.erase(held);
-    }
     to_release_[result.maker].push_back(result.handle);
   }
   if (to_release_.empty() || release_timer_.value() != 0) return;
@@ -357,28 +364,42 @@
       context_.loop.After(kReleaseGathering, [this] { FlushReleases(); });
 }
 
+void StageRunner::ForgetResult(const HeldResult& held) {
+  if (Lot* lot = LotOf(held.place))
+    lot->scheduler.CountResult(held.maker,
+                               -static_cast<std::int64_t>(held.bytes));
+}
+
 void StageRunner::ExpireResults() {
   const TimePoint now = context_.Now();
   std::erase_if(held_, [&](const auto& item) {
-    const HeldResult& held = item.second;
-    if (held.ends_at > now) return false;
-    if (Lot* lot = LotOf(held.place))
-      lot->scheduler.CountResult(held.maker,
-                                 -static_cast<std::int64_t>(held.bytes));
+    if (item.second.ends_at > now) return false;
+    ForgetResult(item.second);
     return true;
   });
 }
 
+// Room counts as free once the server has taken the call that frees it.
+void StageRunner::OnReleased(std::span<const std::string> handles) {
+  for (const std::string& handle : handles) {
+    const auto held = held_.find(handle);
+    if (held == held_.end()) continue;
+    ForgetResult(held->second);
+    held_.erase(held);
+  }
+  Pump();
+}
+
 void StageRunner::FlushReleases() {
   release_timer_ = TimerId{};
-  for (const auto& [server, handles] : std::exchange(to_release_, {})) {
+  for (auto& [server, handles] : std::exchange(to_release_, {})) {
     const routing::ServerRecord* record = context_.directory.Find(server);
     // With the server its results are gone.
     if (record == nullptr) continue;
     auto run = std::make_unique<ReleaseRun>(*this);
     ReleaseRun* raw = run.get();
     releases_.emplace(raw, std::move(run));
-    raw->Start(*record, handles);
+    raw->Start(*record, std::move(handles));
   }
 }
 
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -105,6 +105,9 @@
     ServerId maker;
     TimePoint ends_at;
   };
+  void ForgetResult(const HeldResult& held);
+  void OnReleased(std::span<const std::string> handles);
+
   std::map<std::string, HeldResult> held_;  // by handle
   std::map<ServerId, std::vector<std::string>> to_release_;
   TimerId timer_;
--- a/tests/routing/send_limiter_test.cc
+++ b/tests/routing/send_limiter_test.cc
@@ -30,7 +30,7 @@
     for (int tick = 0; tick < 300; ++tick) {
       const TimePoint now = TimePoint(milliseconds(10 * tick));
       for (SendLimiter& limiter : limiters) {
-        while (limiter.MaySend(server, kBound, now)) {
+        while (limiter.MaySend(server, kBound, Warmth::kUnsure, now)) {
           limiter.CountSend(server, now);
           sends.push_back(now);
         }
@@ -54,11 +54,12 @@
   for (const HostId& host : hosts) {
     SendLimiter limiter(host);
     limiter.SetHosts(hosts);
-    if (limiter.Share(ServerId("s"), kBound) > 0) ++users;
+    if (limiter.Share(ServerId("s"), kBound, Warmth::kUnsure) > 0) ++users;
     // Every host is left some servers.
     std::size_t servers = 0;
     for (int i = 0; i < 60; ++i)
-      if (limiter.Share(ServerId("s" + std::to_string(i)), kBound) > 0)
+      if (limiter.Share(ServerId("s" + std::to_string(i)), kBound,
+                        Warmth::kUnsure) > 0)
         ++servers;
     REQUIRE(servers > 0);
   }
@@ -71,19 +72,34 @@
   limiter.SetHosts(MakeHosts(8));
   const ServerId server("s");
   const TimePoint start = TimePoint(milliseconds(50));
-  while (limiter.MaySend(server, kBound, start))
+  while (limiter.MaySend(server, kBound, Warmth::kUnsure, start))
     limiter.CountSend(server, start);
-  const auto free = limiter.FreeAt(server, kBound, start);
+  const auto free = limiter.FreeAt(server, kBound, Warmth::kUnsure, start);
   REQUIRE(free);
   REQUIRE(*free > start + std::chrono::seconds(1));
-  REQUIRE_FALSE(limiter.MaySend(server, kBound, *free - milliseconds(1)));
-  REQUIRE(limiter.MaySend(server, kBound, *free));
+  REQUIRE_FALSE(limiter.MaySend(server, kBound, Warmth::kUnsure,
+                                *free - milliseconds(1)));
+  REQUIRE(limiter.MaySend(server, kBound, Warmth::kUnsure, *free));
+}
+
+TEST_CASE("A warm server takes more, but not any number") {
+  SendLimiter limiter(HostId("h"));
+  limiter.SetHosts(MakeHosts(8));
+  const ServerId server("s");
+  int sends = 0;
+  while (limiter.MaySend(server, kBound, Warmth::kWarm, TimePoint())) {
+    limiter.CountSend(server, TimePoint());
+    ++sends;
+  }
+  REQUIRE(sends > 1);
+  REQUIRE(sends < 17);
+  REQUIRE_FALSE(limiter.MaySend(server, kBound, Warmth::kUnsure, TimePoint()));
 }
 
 TEST_CASE("A server without a bound takes everything") {
   SendLimiter limiter(HostId("h"));
   for (int i = 0; i < 1000; ++i) limiter.CountSend(ServerId("s"), TimePoint());
-  REQUIRE(limiter.MaySend(ServerId("s"), {}, TimePoint()));
+  REQUIRE(limiter.MaySend(ServerId("s"), {}, Warmth::kUnsure, TimePoint()));
 }
 
 }  // namespace
