HTTP: Close a connection at once when its call is given up

Also: items of two incarnations of a host had the same numbers, and an item that was made twice could have sent its request twice.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -77,6 +77,15 @@
 
   bool is_connected() const { return was_connected_; }
 
+  // The object itself is destroyed later by the loop; until then it must not
+  // send what it still has.
+  void CloseNow() {
+    *alive_ = false;
+    loop().Cancel(connect_timer_);
+    stream_->ResetOnClose();
+    stream_->Close();
+  }
+
   void OnConnected() override {
     was_connected_ = true;
     loop().Cancel(connect_timer_);
@@ -139,8 +148,7 @@
     if (!connection_) return;
     // The connection may be the caller; the loop destroys it.
     connection_->Detach();
-    *connection_->alive_ = false;
-    connection_->stream_->ResetOnClose();
+    connection_->CloseNow();
     connection_->loop().After(
         Duration::zero(),
         [ended = std::shared_ptr<Connection>(std::move(connection_))] {});
@@ -223,7 +231,7 @@
     was_reused_ = true;
     pool_.KeepIdle(std::move(self), keep);
   } else {
-    *alive_ = false;
+    CloseNow();
     loop().After(Duration::zero(),
                  [ended = std::shared_ptr<Connection>(std::move(self))] {});
   }
@@ -249,8 +257,7 @@
   CallObserver* observer = observer_;
   std::unique_ptr<Connection> self = call_->Release();
   Detach();
-  *alive_ = false;
-  stream_->ResetOnClose();
+  CloseNow();
   const CallEnd end{failure, was_reused_ && !has_response_bytes_};
   loop().After(Duration::zero(),
                [ended = std::shared_ptr<Connection>(std::move(self))] {});
@@ -309,7 +316,7 @@
   std::vector<IdleConnection>& all = found->second;
   for (auto it = all.begin(); it != all.end(); ++it) {
     if (it->connection.get() != connection) continue;
-    *connection->alive_ = false;
+    connection->CloseNow();
     poller_.loop().After(
         Duration::zero(),
         [ended = std::shared_ptr<Connection>(std::move(it->connection))] {});
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -217,6 +217,7 @@
 void ServerConnection::Abort() {
   EndExchange();
   stream_->ResetOnClose();
+  stream_->Close();
   RemoveSoon();
 }
 
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -116,9 +116,17 @@
 
 TcpStream::~TcpStream() {
   *alive_ = false;
+  Close();
+}
+
+void TcpStream::Close() {
+  state_ = State::kEnded;
+  unsent_.clear();
+  sent_ = 0;
   if (descriptor_ < 0) return;
   poller_.Forget(descriptor_);
   close(descriptor_);
+  descriptor_ = -1;
 }
 
 void TcpStream::ResetOnClose() {
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -55,6 +55,10 @@
   // Ends the sending half once all is sent; the other half stays open.
   void ShutdownSending();
 
+  // Closes at once and drops what was not sent; the observer is told nothing
+  // more. For users that destroy the stream only later.
+  void Close();
+
   // Makes closing send a reset, so that the other side cannot take what it got
   // for a whole message.
   void ResetOnClose();
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -288,7 +288,10 @@
 void RequestFlow::OnItemEnd(routing::ItemPlace place, ItemEnd end) {
   switch (end.outcome) {
     case ItemOutcome::kMade:
-      plan_->Complete(place, std::move(end.result));
+      if (!plan_->Complete(place, end.result)) {
+        stages_.Release(std::span<const routing::ResultHandle>(&end.result, 1));
+        return;
+      }
       made_at_.try_emplace(place.stage, Now());
       stages_.Release(plan_->TakeSpent());
       if (plan_->IsDone()) return Send();
--- a/services/gateway/stage_pool.cc
+++ b/services/gateway/stage_pool.cc
@@ -23,6 +23,9 @@
 constexpr int kMaximumMoves = 2;
 // What a gathering host told is used for so long.
 constexpr Duration kLoadAge = milliseconds(1000);
+// Items of one process are numbered within a range of its own.
+constexpr std::uint64_t kItemBases = std::uint64_t{1} << 31;
+constexpr int kItemBits = 32;
 constexpr Duration kSendRetry = milliseconds(30);
 
 messages::ItemSubmission& SubmissionFor(messages::StageTraffic& traffic,
@@ -56,7 +59,11 @@
 }  // namespace
 
 StagePool::StagePool(Context& context, StageRunner& runner, SendCallback send)
-    : context_(context), runner_(runner), send_(std::move(send)) {
+    : context_(context),
+      runner_(runner),
+      send_(std::move(send)),
+      // Numbers of an earlier process must not be taken for this one's.
+      last_item_(context.random.Below(kItemBases) << kItemBits) {
   Tick();
 }
 
--- a/services/gateway/stage_pool.h
+++ b/services/gateway/stage_pool.h
@@ -109,8 +109,8 @@
   Context& context_;
   StageRunner& runner_;
   SendCallback send_;
+  std::uint64_t last_item_;
   bool is_leaving_ = false;
-  std::uint64_t last_item_ = 0;
   std::uint64_t last_probe_ = 0;
   std::map<std::string, PeerState> peers_;
   std::map<ItemId, RemoteItem> remote_;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -162,6 +162,24 @@
   REQUIRE(told.body == "all of it");
 }
 
+// Found on scale-1 of the grown first site: a call that was given up in the
+// same turn of the loop in which its connection came about was still sent, and
+// the request ran at two servers.
+TEST_CASE_METHOD(ClientFixture, "Nothing is sent for a call that was given up") {
+  std::atomic<int> requests = 0;
+  RawServer server([&](RawConnection& connection) {
+    if (connection.ReadRequest()) ++requests;
+  });
+  Recorder told;
+  call_ = pool_.Start({"server", server.address()}, kRequest, Reuse::kAny, told);
+  // The connection is there before the loop runs again.
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  loop().After(Duration::zero(), [this] { call_.reset(); });
+  const TimePoint until = loop().clock().Now() + std::chrono::milliseconds(200);
+  RunUntil([&] { return loop().clock().Now() >= until; });
+  REQUIRE(requests == 0);
+}
+
 TEST_CASE_METHOD(ClientFixture, "A dropped call closes its connection") {
   std::atomic<bool> has_ended = false;
   RawServer server([&](RawConnection& connection) {
