--- /dev/null
+++ b/tests/configuration/gateway_settings_test.cc
@@ -0,0 +1,45 @@
+#include <catch2/catch.hpp>
+
+#include "configuration/configuration.h"
+
+namespace lovagecleat::configuration {
+namespace {
+
+constexpr const char* kGood = R"({"host":"h","zone":"z",
+ "callers":"127.0.0.1:1","readiness":"127.0.0.1:2","peers":"127.0.0.1:3",
+ "metrics":"127.0.0.1:4","seeds":["127.0.0.1:5"],"store":"127.0.0.1:6",
+ "bounds":{"cold_factor":1.25,"cold_slack":4,"retry_ratio":0.3,
+ "retry_slack":9,"contact_ms":4000,"change_ms":3000,"stop_ms":9000},
+ "something_new":true})";
+
+TEST_CASE("Gateway settings are read, and unknown keys ignored") {
+  GatewaySettingsReader reader;
+  const auto settings = reader.Read(kGood);
+  REQUIRE(settings);
+  REQUIRE(settings->host == HostId("h"));
+  REQUIRE(settings->seeds.size() == 1);
+  REQUIRE(settings->bounds.cold_factor == 1.25);
+  REQUIRE(settings->bounds.contact_time == std::chrono::seconds(4));
+  REQUIRE(settings->bounds.change_time == std::chrono::seconds(3));
+  REQUIRE(settings->bounds.stop_time == std::chrono::seconds(9));
+}
+
+TEST_CASE("Each wrong gateway setting is named with what it should be") {
+  GatewaySettingsReader reader;
+  REQUIRE_FALSE(reader.Read(
+      R"({"host":"h","zone":"z","callers":"localhost:1","readiness":"",
+          "store":"1.2.3.4:70000","seeds":["x"],"bounds":{"retry_ratio":-1}})"));
+  std::vector<std::string> keys;
+  for (const Problem& problem : reader.problems()) {
+    keys.push_back(problem.key);
+    REQUIRE_FALSE(problem.expected.empty());
+  }
+  REQUIRE(keys == std::vector<std::string>{"/callers", "/readiness", "/peers",
+                                           "/store", "/seeds/0",
+                                           "/bounds/retry_ratio"});
+  REQUIRE_FALSE(reader.Read("{"));
+  REQUIRE(reader.problems().size() == 1);
+}
+
+}  // namespace
+}  // namespace lovagecleat::configuration
--- a/utilities/check/main.cc
+++ b/utilities/check/main.cc
@@ -18,7 +18,7 @@
   command_line::Interface interface;
   interface.program = "lovagecleat-check";
   interface.summary = "validates a file before a process is given it";
-  interface.usages = {"settings FILE", "configuration FILE"};
+  interface.usages = {"settings FILE", "gateway FILE", "configuration FILE"};
   interface.switches = {{"json", "prints one JSON object"}};
   interface.exit_codes = {{command_line::kExitDone, "the file is valid"},
                           {kExitInvalid, "it is not; all problems are printed"},
@@ -61,10 +61,12 @@
   const auto arguments = parser.Parse(words);
   if (!arguments) return parser.exit_code();
   const std::vector<std::string>& operands = arguments->operands;
-  const bool known = operands.size() == 2 && (operands[0] == "settings" ||
-                                              operands[0] == "configuration");
+  const bool known = operands.size() == 2 &&
+                     (operands[0] == "settings" || operands[0] == "gateway" ||
+                      operands[0] == "configuration");
   if (!known) {
-    parser.ReportUsage("expected settings FILE or configuration FILE");
+    parser.ReportUsage(
+        "expected settings FILE, gateway FILE or configuration FILE");
     return command_line::kExitUsage;
   }
   const std::string& file = operands[1];
@@ -73,10 +75,14 @@
     parser.ReportUsage("cannot read " + file);
     return command_line::kExitUsage;
   }
-  const std::vector<Problem> problems =
-      operands[0] == "settings"
-          ? FindProblems<configuration::SettingsReader>(*text)
-          : FindProblems<configuration::ConfigurationReader>(*text);
+  std::vector<Problem> problems;
+  if (operands[0] == "settings") {
+    problems = FindProblems<configuration::SettingsReader>(*text);
+  } else if (operands[0] == "gateway") {
+    problems = FindProblems<configuration::GatewaySettingsReader>(*text);
+  } else {
+    problems = FindProblems<configuration::ConfigurationReader>(*text);
+  }
   if (arguments->Has("json")) {
     PrintJson(file, problems);
   } else {
--- a/utilities/ctl/main.cc
+++ b/utilities/ctl/main.cc
@@ -1,4 +1,5 @@
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <random>
 #include <string>
@@ -6,6 +7,7 @@
 #include "command_line/command_line.h"
 #include "utilities/ctl/commands.h"
 #include "utilities/ctl/exit_codes.h"
+#include "utilities/ctl/log_story.h"
 #include "utilities/ctl/operator_client.h"
 
 // lovagecleat-ctl: shows operators the state of the system and carries out
@@ -21,12 +23,14 @@
                       "--host IP:PORT configuration",
                       "--host IP:PORT audit [--until REVISION]",
                       "--host IP:PORT explain REQUEST",
+                      "--log FILE explain REQUEST",
                       "--host IP:PORT set-target CLASS HOUR=MS...",
                       "--host IP:PORT zone out|in ZONE",
                       "--host IP:PORT server out|in SERVER",
                       "--host IP:PORT replace FILE"};
   interface.options = {
-      {"host", "IP:PORT", "any entry host", command_line::Need::kRequired},
+      {"host", "IP:PORT", "any entry host"},
+      {"log", "FILE", "a log of gateways to explain from; - reads the input"},
       {"until", "REVISION", "the newest audit row to show"},
       {"who", "NAME", "written to the audit trail; default: $USER"},
       {"revision", "N", "refuse unless N is in force; default: read first"},
@@ -120,10 +124,37 @@
   return request;
 }
 
+// Prints what gateways wrote of one request.
+int ExplainFromLog(const std::string& file, const std::string& request) {
+  std::ifstream opened;
+  if (file != "-") opened.open(file);
+  std::istream& log = file == "-" ? std::cin : opened;
+  if (!log) {
+    std::cerr << "lovagecleat-ctl: cannot read " << file << '\n';
+    return command_line::kExitUsage;
+  }
+  const std::vector<StoryLine> story = ReadStory(log, request);
+  if (story.empty()) {
+    std::cerr << "lovagecleat-ctl: no line of " << file << " names " << request
+              << '\n';
+    return kExitRefused;
+  }
+  for (const StoryLine& line : story)
+    std::cout << line.unix_ms << ' ' << line.text << '\n';
+  return command_line::kExitDone;
+}
+
 int Run(std::span<const char* const> words) {
   command_line::ArgumentParser parser(CtlInterface());
   const auto arguments = parser.Parse(words);
   if (!arguments) return parser.exit_code();
+  if (const auto log = arguments->Value("log")) {
+    const std::vector<std::string>& operands = arguments->operands;
+    if (operands.size() == 2 && operands[0] == "explain")
+      return ExplainFromLog(*log, operands[1]);
+    parser.ReportUsage("--log goes with explain REQUEST");
+    return command_line::kExitUsage;
+  }
   const std::string host = arguments->Value("host").value_or("");
   if (!configuration::ParseEndpoint(host)) {
     parser.ReportUsage("--host needs an IP number and a port");
