--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -272,7 +272,7 @@
 }
 
 std::unique_ptr<Call> ConnectionPool::Start(const CallTarget& target,
-                                            std::string bytes, Reuse reuse,
+                                            std::string_view bytes, Reuse reuse,
                                             CallObserver& observer) {
   std::unique_ptr<Connection> connection = TakeIdle(target.server, reuse);
   if (!connection) {
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -67,7 +67,7 @@
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
   // `bytes` is a whole request. It is never sent twice.
-  std::unique_ptr<Call> Start(const CallTarget& target, std::string bytes,
+  std::unique_ptr<Call> Start(const CallTarget& target, std::string_view bytes,
                               Reuse reuse, CallObserver& observer);
 
   // Closes the idle connections to a server.
--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -24,6 +24,8 @@
 constexpr int kPatienceFactor = 3;
 // Beyond this many times its expected time a call is taken as lost.
 constexpr int kTimeoutFactor = 12;
+// Stands for servers that do nothing, in servers of the expected speed.
+constexpr double kLeastCapacity = 0.1;
 // Part of the room for results that calls may fill by this host's own count.
 constexpr double kRoomShare = 0.95;
 
@@ -59,17 +61,41 @@
       }));
 }
 
-std::vector<WaitingItem> BatchScheduler::TakeHopeless(TimePoint now) {
+std::vector<WaitingItem> BatchScheduler::TakeHopeless(double capacity,
+                                                      TimePoint now) {
   std::vector<WaitingItem> hopeless;
-  const Duration least = CallTime(1);
+  SortWaiting(now);
+  const double per_call =
+      static_cast<double>(limits_.items) * std::max(capacity, kLeastCapacity);
+  const auto full = static_cast<double>(CallTime(limits_.items).count());
+  std::size_t kept = 0;
   std::erase_if(waiting_, [&](WaitingItem& item) {
-    if (item.deadline - now > least) return false;
+    const Duration wait(static_cast<std::int64_t>(
+        full * std::floor(static_cast<double>(kept) / per_call)));
+    if (now + wait + CallTime(1) < item.deadline) {
+      ++kept;
+      return false;
+    }
     hopeless.push_back(std::move(item));
     return true;
   });
   return hopeless;
 }
 
+// What can still be in time goes first, then what is urgent, then what is due.
+void BatchScheduler::SortWaiting(TimePoint now) {
+  const Duration typical = CallTime(1);
+  std::stable_sort(waiting_.begin(), waiting_.end(),
+                   [&](const WaitingItem& a, const WaitingItem& b) {
+                     const bool is_a_late = a.useful_until - now < typical;
+                     const bool is_b_late = b.useful_until - now < typical;
+                     if (is_a_late != is_b_late) return is_b_late;
+                     if (a.priority != b.priority)
+                       return a.priority < b.priority;
+                     return a.useful_until < b.useful_until;
+                   });
+}
+
 double BatchScheduler::SlownessNow(const Lane& lane, TimePoint now) const {
   const double age =
       std::chrono::duration<double>(now - lane.slowness_at).count();
@@ -109,16 +135,7 @@
     std::span<ServerRecord* const> servers, TimePoint now) {
   std::vector<BatchCall> calls;
   if (waiting_.empty()) return calls;
-  const Duration typical = CallTime(1);
-  std::stable_sort(waiting_.begin(), waiting_.end(),
-                   [&](const WaitingItem& a, const WaitingItem& b) {
-                     const bool is_a_late = a.useful_until - now < typical;
-                     const bool is_b_late = b.useful_until - now < typical;
-                     if (is_a_late != is_b_late) return is_b_late;
-                     if (a.priority != b.priority)
-                       return a.priority < b.priority;
-                     return a.useful_until < b.useful_until;
-                   });
+  SortWaiting(now);
   std::vector<ServerRecord*> free;
   bool has_quick = false;
   for (ServerRecord* server : servers) {
@@ -179,6 +196,7 @@
     if (decision->second) chosen.push_back(i);
   }
   std::vector<WaitingItem> taken;
+  taken.reserve(chosen.size());
   for (const std::size_t i : chosen) taken.push_back(std::move(waiting_[i]));
   for (auto it = chosen.rbegin(); it != chosen.rend(); ++it)
     waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(*it));
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -53,8 +53,10 @@
   // Takes out the items of a request that were not sent.
   void Remove(std::span<const ItemId> items);
 
-  // Takes out the items that no call can finish before their deadline.
-  std::vector<WaitingItem> TakeHopeless(TimePoint now);
+  // Takes out the items that no call will finish before their deadline, going
+  // by what goes before them and by the servers' capacity: whoever waits for
+  // them is told at once, not when the time is over.
+  std::vector<WaitingItem> TakeHopeless(double capacity, TimePoint now);
 
   // Takes out everything.
   std::vector<WaitingItem> TakeAll() { return std::exchange(waiting_, {}); }
@@ -106,6 +108,7 @@
     std::int64_t result_bytes = 0;
   };
 
+  void SortWaiting(TimePoint now);
   double SlownessNow(const Lane& lane, TimePoint now) const;
   double SlownessNow(const ServerId& server, TimePoint now) const;
   std::vector<WaitingItem> TakeItems(const Lane& lane);
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -287,9 +287,11 @@
 
 void StageRunner::PumpLot(Lot& lot) {
   const TimePoint now = context_.Now();
-  for (const routing::WaitingItem& item : lot.scheduler.TakeHopeless(now))
-    EndItem(item, {ItemOutcome::kLate, {}}, lot.place);
   const std::vector<routing::ServerRecord*> servers = ServersOf(lot.place);
+  const double capacity = lot.scheduler.Capacity(servers, now);
+  for (const routing::WaitingItem& item :
+       lot.scheduler.TakeHopeless(capacity, now))
+    EndItem(item, {ItemOutcome::kLate, {}}, lot.place);
   const std::vector<routing::ServerRecord*> usable_anywhere =
       context_.directory.Usable(lot.place.service, now);
   const bool has_other_zone =
--- a/tests/routing/batch_scheduler_test.cc
+++ b/tests/routing/batch_scheduler_test.cc
@@ -102,11 +102,24 @@
   BatchScheduler scheduler(MakeLimits());
   scheduler.Add(MakeItem(1, "hopeless", 0, 0, -2900));
   scheduler.Add(MakeItem(2, "fine"));
-  const auto hopeless = scheduler.TakeHopeless(At(0));
+  const auto hopeless = scheduler.TakeHopeless(1.0, At(0));
   REQUIRE(hopeless.size() == 1);
   REQUIRE(hopeless[0].request == "hopeless");
 }
 
+// Pattern: burst of one class. What stands too far behind is told at once.
+TEST_CASE("Items too far behind for their deadline are given up at once") {
+  BatchScheduler scheduler(MakeLimits(8));
+  // A full call takes 278 ms; one server, 20 calls: 5.6 s.
+  for (std::uint64_t i = 0; i < 160; ++i)
+    scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i), 0, 0, 0));
+  const auto hopeless = scheduler.TakeHopeless(1.0, At(0));
+  // The deadlines are at 3 s, which ten calls and the last item's reach.
+  REQUIRE(hopeless.size() == 160 - 11 * 8);
+  REQUIRE(scheduler.TakeHopeless(1.0, At(0)).empty());
+  REQUIRE(scheduler.TakeHopeless(0.5, At(0)).size() == 88 - 11 * 4);
+}
+
 // Pattern: results fill their makers' room. Parts of many requests must not
 // hold it while the rest of each waits.
 TEST_CASE("A stage begins only where all of its results have room") {
