--- a/libraries/policy/retry_budget.cc
+++ b/libraries/policy/retry_budget.cc
@@ -16,10 +16,13 @@
       std::min(allowance_.at_once, bucket.tokens + allowance_.per_first_try);
 }
 
+bool RetryBudget::HasRetry(const ServiceId& service) {
+  return BucketOf(service).tokens >= 1.0;
+}
+
 bool RetryBudget::TakeRetry(const ServiceId& service) {
-  Bucket& bucket = BucketOf(service);
-  if (bucket.tokens < 1.0) return false;
-  bucket.tokens -= 1.0;
+  if (!HasRetry(service)) return false;
+  BucketOf(service).tokens -= 1.0;
   return true;
 }
 
--- a/libraries/policy/retry_budget.h
+++ b/libraries/policy/retry_budget.h
@@ -26,6 +26,9 @@
 
   void CountFirstTry(const ServiceId& service);
 
+  // Whether TakeRetry would give one.
+  bool HasRetry(const ServiceId& service);
+
   // Takes one retry from the budget; false where none is left.
   bool TakeRetry(const ServiceId& service);
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -174,6 +174,22 @@
   REQUIRE(calls == 2);
 }
 
+// Found on trouble-2 of the second site: requests were taken from slow servers
+// and failed, as there was no budget to send them elsewhere.
+TEST_CASE_METHOD(World, "Without a budget a slow server keeps its request") {
+  const auto script = [](RawConnection& connection, const std::string&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(450));
+    connection.Write(MakeAnswer(200, kSeal));
+    return true;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  ForbidRetries();
+  StartWith({&first, &second});
+  REQUIRE(Send(MakeRequest("/s/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(first.requests() + second.requests() == 1);
+}
+
 TEST_CASE_METHOD(World, "A success without seal or with an encoding is none") {
   for (const char* extra :
        {"", "X-Lovagecleat-Response-Seal: s\r\nContent-Encoding: gzip\r\n"}) {
--- a/tests/gateway/gateway_world.cc
+++ b/tests/gateway/gateway_world.cc
@@ -81,6 +81,12 @@
   REQUIRE(gateway->Start() == Gateway::StartError::kNone);
 }
 
+void GatewayWorld::ForbidRetries() {
+  settings_.bounds.retry_ratio = 0;
+  settings_.bounds.retry_slack = 0;
+  gateway->Reload(settings_);
+}
+
 void GatewayWorld::AddServer(const std::string& id, const std::string& service,
                              const std::string& address) {
   rows.Set("servers", id,
--- a/tests/gateway/gateway_world.h
+++ b/tests/gateway/gateway_world.h
@@ -50,6 +50,9 @@
 
   void Start();
 
+  // From now on nothing may be sent a second time.
+  void ForbidRetries();
+
   // Lists a server under the service; the entry is as on the platform.
   void AddServer(const std::string& id, const std::string& service,
                  const std::string& address);
