--- a/tests/platform_adapter/wire_test.cc
+++ b/tests/platform_adapter/wire_test.cc
@@ -106,8 +106,8 @@
   for (const char* bad :
        {"", "[]", "{\"service\":1}", "\xff\xfe",
         R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"odd"})",
-        R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"ready",)"
-        R"("born":"late"})"}) {
+        (R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"ready",)"
+         R"("born":"late"})")}) {
     INFO(bad);
     REQUIRE_FALSE(kWire.ReadServer("i-1", bad));
   }
--- a/tests/routing/batch_scheduler_test.cc
+++ b/tests/routing/batch_scheduler_test.cc
@@ -225,7 +225,7 @@
   int in_time = 0;
   for (int now = 0; now < request_count * arrival_gap + 3000; ++now) {
     if (now % arrival_gap == 0 && now / arrival_gap < request_count) {
-      const auto id = static_cast<std::uint64_t>(now / arrival_gap + 1);
+      const auto id = static_cast<std::uint64_t>(now / arrival_gap) + 1;
       const std::size_t host = id % static_cast<std::size_t>(hosts);
       arrived_at[id] = now;
       schedulers[host].Add(
--- a/tests/routing/send_limiter_test.cc
+++ b/tests/routing/send_limiter_test.cc
@@ -12,6 +12,7 @@
 
 std::vector<HostId> MakeHosts(int count) {
   std::vector<HostId> hosts;
+  hosts.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) hosts.emplace_back("h" + std::to_string(i));
   return hosts;
 }
--- a/utilities/ctl/log_story.cc
+++ b/utilities/ctl/log_story.cc
@@ -11,10 +11,10 @@
 using Json = nlohmann::json;
 
 // Beliefs that changed so long before a request's first line may explain it.
-constexpr long long kBeforeMilliseconds = 5000;
+constexpr std::int64_t kBeforeMilliseconds = 5000;
 
 struct ParsedLine {
-  long long unix_ms = 0;
+  std::int64_t unix_ms = 0;
   std::string host;
   std::string request;
   Json fields;
@@ -28,7 +28,7 @@
   if (!json.is_object() || !json.contains("event")) return std::nullopt;
   ParsedLine parsed;
   if (json.contains("unix_ms") && json["unix_ms"].is_number())
-    parsed.unix_ms = json["unix_ms"].get<long long>();
+    parsed.unix_ms = json["unix_ms"].get<std::int64_t>();
   if (json.contains("host") && json["host"].is_string())
     parsed.host = json["host"].get<std::string>();
   if (json.contains("request") && json["request"].is_string())
@@ -67,8 +67,8 @@
   std::vector<StoryLine> story;
   if (own.empty()) return story;
   std::set<std::string> hosts;
-  long long first = own.front().unix_ms;
-  long long last = first;
+  std::int64_t first = own.front().unix_ms;
+  std::int64_t last = first;
   for (const ParsedLine& line : own) {
     hosts.insert(line.host);
     first = std::min(first, line.unix_ms);
--- a/utilities/ctl/log_story.h
+++ b/utilities/ctl/log_story.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <istream>
 #include <string>
 #include <string_view>
@@ -9,7 +10,7 @@
 
 // One line of a gateway's log, for people.
 struct StoryLine {
-  long long unix_ms = 0;
+  std::int64_t unix_ms = 0;
   std::string text;  // host, event and fields
 };
 
