Stages: Gather at strong hosts and keep stage servers at work

Change: hosts with a small share of a processor do not gather (ChooseGatherer); probes only of hosts that were not heard, loads go along with results; a whole call that waits is sent 40 ms before the running one ends; room counts running calls; servers are indexed by service; a send without a connection takes no retry; the rest of the stages by expected waits. CallPatience, which nothing had used, takes effect: items of a call that takes three times its time are made elsewhere, too.

--- a/libraries/configuration/gateway_settings.cc
+++ b/libraries/configuration/gateway_settings.cc
@@ -95,6 +95,7 @@
     }
     settings.seeds.push_back(seed.value.get<std::string>());
   }
+  ReadNumber(object, "processor", settings.processor, problems_);
   ReadBounds(object, settings.bounds, problems_);
   const auto level = object.ReadString("log_level", Presence::kOptional);
   if (level) settings.log_level = *level;
--- a/libraries/configuration/gateway_settings.h
+++ b/libraries/configuration/gateway_settings.h
@@ -34,6 +34,7 @@
   std::string metrics;             // empty: none
   std::vector<std::string> seeds;  // peers to ask before others are known
   std::string store;               // "IP:PORT" of the platform's store
+  double processor = 1.0;          // cores that the process may use
   GatewayBounds bounds;
 
   std::string log_level = "info";
--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -9,9 +9,12 @@
 
 namespace {
 
-// Calls of this host at one server at a time: the next one fills up while the
-// first is at work.
-constexpr int kCallsPerServer = 1;
+// Calls of this host at one server at a time: one at work and, where enough
+// waits, one that follows it.
+constexpr std::size_t kCallsPerServer = 2;
+// The call that follows is sent this long before the first is expected to end:
+// two ways through the network and a turn of a busy host.
+constexpr Duration kFollowLead = std::chrono::milliseconds(40);
 // Weight of the newest call in a server's slowness.
 constexpr double kSlownessGain = 0.4;
 // What was seen of a server loses its weight by half in this time, so that it
@@ -84,7 +87,7 @@
 
 // What can still be in time goes first, then what is urgent, then what is due.
 void BatchScheduler::SortWaiting(TimePoint now) {
-  const Duration typical = CallTime(1);
+  const Duration typical = CallTime((limits_.items + 1) / 2);
   std::stable_sort(waiting_.begin(), waiting_.end(),
                    [&](const WaitingItem& a, const WaitingItem& b) {
                      const bool is_a_late = a.useful_until - now < typical;
@@ -101,14 +104,37 @@
       std::chrono::duration<double>(now - lane.slowness_at).count();
   const double seen =
       1.0 + (lane.slowness - 1.0) * std::exp2(-age / kSlownessHalfLifeSeconds);
-  if (lane.calls == 0) return seen;
+  if (lane.calls.empty()) return seen;
   // A call that takes long tells of a slow server before it has ended.
   const double running =
-      static_cast<double>((now - lane.call_started_at).count()) /
-      static_cast<double>(CallTime(lane.call_items).count());
+      static_cast<double>((now - lane.started_at()).count()) /
+      static_cast<double>(CallTime(lane.calls.front().items).count());
   return std::max(seen, running);
 }
 
+// When the call that follows the running one is to be sent.
+TimePoint BatchScheduler::NextCallAt(const Lane& lane) const {
+  return lane.started_at() + CallTime(lane.calls.front().items) - kFollowLead;
+}
+
+bool BatchScheduler::IsFree(const Lane& lane, TimePoint now) const {
+  if (lane.deferred_until > now) return false;
+  if (lane.calls.empty()) return true;
+  // A call that is not full gains more from the items that still come.
+  return lane.calls.size() < kCallsPerServer &&
+         waiting_.size() >= limits_.items && now >= NextCallAt(lane) &&
+         SlownessNow(lane, now) < kMuchSlower;
+}
+
+bool BatchScheduler::HasFreeServer(std::span<ServerRecord* const> servers,
+                                   TimePoint now) const {
+  return std::any_of(servers.begin(), servers.end(),
+                     [&](const ServerRecord* server) {
+                       const auto lane = lanes_.find(server->entry.id);
+                       return lane == lanes_.end() || IsFree(lane->second, now);
+                     });
+}
+
 double BatchScheduler::SlownessNow(const ServerId& server,
                                    TimePoint now) const {
   const auto lane = lanes_.find(server);
@@ -141,28 +167,29 @@
   for (ServerRecord* server : servers) {
     const Lane& lane = lanes_[server->entry.id];
     has_quick = has_quick || SlownessNow(lane, now) < kMuchSlower;
-    if (lane.calls >= kCallsPerServer || lane.deferred_until > now) continue;
-    free.push_back(server);
+    if (IsFree(lane, now)) free.push_back(server);
   }
   std::sort(free.begin(), free.end(),
             [this, now](const ServerRecord* a, const ServerRecord* b) {
-              const auto waiting = [](const ServerRecord* server) {
-                return server->load ? server->load->waiting : 0;
+              const auto cost = [this, now](const ServerRecord* server) {
+                const Lane& lane = lanes_[server->entry.id];
+                const int waiting = server->load ? server->load->waiting : 0;
+                const auto running = static_cast<double>(lane.calls.size());
+                return SlownessNow(lane, now) * (1 + waiting + running);
               };
-              const double left =
-                  SlownessNow(lanes_[a->entry.id], now) * (1 + waiting(a));
-              const double right =
-                  SlownessNow(lanes_[b->entry.id], now) * (1 + waiting(b));
-              return left < right;
+              return cost(a) < cost(b);
             });
   for (ServerRecord* server : free) {
     Lane& lane = lanes_[server->entry.id];
     if (has_quick && SlownessNow(lane, now) >= kMuchSlower) continue;
+    // Calls chosen before may have left too little for one that follows.
+    if (!IsFree(lane, now)) continue;
     std::vector<WaitingItem> items = TakeItems(lane);
     if (items.empty()) continue;
-    ++lane.calls;
-    lane.call_started_at = now;
-    lane.call_items = items.size();
+    RunningCall call{now, items.size()};
+    for (const WaitingItem& item : items)
+      call.result_bytes += static_cast<std::int64_t>(item.result_bytes);
+    lane.calls.push_back(call);
     calls.push_back({server->entry.id, std::move(items)});
   }
   return calls;
@@ -180,7 +207,7 @@
     group_bytes[group_of(item)] += static_cast<std::int64_t>(item.result_bytes);
   const auto room = static_cast<std::int64_t>(
       kRoomShare * static_cast<double>(limits_.result_bytes));
-  std::int64_t bytes = lane.result_bytes;
+  std::int64_t bytes = lane.RoomTaken();
   std::map<Group, bool> is_admitted;
   std::vector<std::size_t> chosen;
   for (std::size_t i = 0; i < waiting_.size(); ++i) {
@@ -203,14 +230,24 @@
   return taken;
 }
 
+void BatchScheduler::CancelCall(const ServerId& server) {
+  Lane& lane = lanes_[server];
+  if (!lane.calls.empty()) lane.calls.pop_back();
+}
+
 void BatchScheduler::EndCall(const ServerId& server, std::size_t items,
                              std::optional<Duration> served, TimePoint now) {
   Lane& lane = lanes_[server];
-  --lane.calls;
+  if (lane.calls.empty()) return;
+  // The time behind an earlier call says nothing of the server's speed.
+  const Duration at_work =
+      std::min(served.value_or(Duration::zero()), now - lane.started_at());
+  lane.calls.pop_front();
+  lane.ended_at = now;
   if (!served) return;
-  const double ratio = static_cast<double>(served->count()) /
+  const double ratio = static_cast<double>(at_work.count()) /
                        static_cast<double>(CallTime(items).count());
-  const double before = lane.calls == 0 ? SlownessNow(lane, now) : 1.0;
+  const double before = SlownessNow(lane, now);
   lane.slowness = before + kSlownessGain * (ratio - before);
   lane.slowness_at = now;
 }
@@ -230,7 +267,11 @@
   const auto consider = [&](TimePoint at) {
     if (at > now && (!next || at < *next)) next = at;
   };
-  for (const auto& [server, lane] : lanes_) consider(lane.deferred_until);
+  for (const auto& [server, lane] : lanes_) {
+    consider(lane.deferred_until);
+    if (lane.calls.size() == 1 && waiting_.size() >= limits_.items)
+      consider(NextCallAt(lane));
+  }
   for (const WaitingItem& item : waiting_) {
     consider(item.deadline - CallTime(1));
   }
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -40,9 +42,11 @@
 
 // Fills batched calls over requests: a call costs much by itself and little an
 // item, so that items gather while their servers are busy, and go at once when
-// one is free. Items that can still be in time go before late ones, urgent
-// ones before others, and then those that are due first. Answers the patterns
-// "burst of one class" and "slow stage server".
+// one is free. Where a whole call waits, it is sent shortly before the running
+// one ends, so that the server does not stand idle between them. Items that
+// can still be in time go before late ones, urgent ones before others, and
+// then those that are due first. Answers the patterns "burst of one class",
+// "sustained overload" and "slow stage server".
 class BatchScheduler {
  public:
   explicit BatchScheduler(const BatchLimits& limits) : limits_(limits) {}
@@ -58,6 +62,11 @@
   // them is told at once, not when the time is over.
   std::vector<WaitingItem> TakeHopeless(double capacity, TimePoint now);
 
+  // Whether TakeCalls could choose a call for one of the servers now. Cheap, so
+  // that it can be asked at every event.
+  bool HasFreeServer(std::span<ServerRecord* const> servers,
+                     TimePoint now) const;
+
   // Takes out everything.
   std::vector<WaitingItem> TakeAll() { return std::exchange(waiting_, {}); }
 
@@ -65,6 +74,9 @@
   std::vector<BatchCall> TakeCalls(std::span<ServerRecord* const> servers,
                                    TimePoint now);
 
+  // The newest call of TakeCalls for that server was not sent.
+  void CancelCall(const ServerId& server);
+
   // A call of TakeCalls has ended; `served` is its time, nothing if that says
   // nothing of the server's speed.
   void EndCall(const ServerId& server, std::size_t items,
@@ -98,17 +110,35 @@
   std::size_t waiting() const { return waiting_.size(); }
 
  private:
+  struct RunningCall {
+    TimePoint sent_at;
+    std::size_t items = 0;
+    std::int64_t result_bytes = 0;
+  };
   struct Lane {
-    int calls = 0;
+    std::deque<RunningCall> calls;  // at the server, which does one at a time
+    TimePoint ended_at{};           // the last call
     TimePoint deferred_until{};
     double slowness = 1.0;  // observed time of a call against the expected
     TimePoint slowness_at{};
-    TimePoint call_started_at{};
-    std::size_t call_items = 0;
     std::int64_t result_bytes = 0;
+
+    // Room taken by results, those that are being made included.
+    std::int64_t RoomTaken() const {
+      std::int64_t bytes = result_bytes;
+      for (const RunningCall& call : calls) bytes += call.result_bytes;
+      return bytes;
+    }
+
+    // When the server began with its first call.
+    TimePoint started_at() const {
+      return std::max(calls.front().sent_at, ended_at);
+    }
   };
 
   void SortWaiting(TimePoint now);
+  bool IsFree(const Lane& lane, TimePoint now) const;
+  TimePoint NextCallAt(const Lane& lane) const;
   double SlownessNow(const Lane& lane, TimePoint now) const;
   double SlownessNow(const ServerId& server, TimePoint now) const;
   std::vector<WaitingItem> TakeItems(const Lane& lane);
--- /dev/null
+++ b/libraries/routing/gatherer.cc
@@ -0,0 +1,37 @@
+#include "routing/gatherer.h"
+
+#include <algorithm>
+
+#include "base/base.h"
+
+namespace lovagecleat::routing {
+
+namespace {
+
+// Hosts with less than this part of the largest processor share are left out.
+constexpr double kStrongPart = 0.5;
+
+}  // namespace
+
+std::string_view ChooseGatherer(std::uint64_t seed,
+                                std::span<const GatheringHost> hosts) {
+  const bool has_near =
+      std::any_of(hosts.begin(), hosts.end(),
+                  [](const GatheringHost& host) { return host.is_near; });
+  double most = 0;
+  for (const GatheringHost& host : hosts)
+    if (host.is_near == has_near) most = std::max(most, host.processor);
+  std::string_view best;
+  std::uint64_t best_rank = 0;
+  for (const GatheringHost& host : hosts) {
+    if (host.is_near != has_near || host.processor < kStrongPart * most)
+      continue;
+    const std::uint64_t rank = StableHash(host.address, seed);
+    if (!best.empty() && rank <= best_rank) continue;
+    best = host.address;
+    best_rank = rank;
+  }
+  return best;
+}
+
+}  // namespace lovagecleat::routing
--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -3,6 +3,7 @@
 // The public header of the routing library: the decisions for opaque requests
 // with routes, batched stages, cold servers and replicated rows. No I/O.
 #include "routing/batch_scheduler.h"   // IWYU pragma: export
+#include "routing/gatherer.h"          // IWYU pragma: export
 #include "routing/model.h"             // IWYU pragma: export
 #include "routing/prompt_placement.h"  // IWYU pragma: export
 #include "routing/row_replica.h"       // IWYU pragma: export
--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -31,6 +31,7 @@
 
 bool ServerDirectory::Put(const ServerEntry& entry, TimePoint now) {
   ServerRecord& record = servers_[entry.id];
+  if (record.entry.service != entry.service) by_service_.clear();
   const bool is_anew = record.entry.id.empty() ||
                        record.entry.born_unix_ms != entry.born_unix_ms ||
                        record.entry.address != entry.address;
@@ -50,7 +51,9 @@
   return is_anew;
 }
 
-void ServerDirectory::Remove(const ServerId& id) { servers_.erase(id); }
+void ServerDirectory::Remove(const ServerId& id) {
+  if (servers_.erase(id) > 0) by_service_.clear();
+}
 
 void ServerDirectory::Lapse(const ServerId& id, TimePoint gone_at) {
   const auto found = servers_.find(id);
@@ -58,9 +61,10 @@
 }
 
 void ServerDirectory::DropLapsed(TimePoint now) {
-  std::erase_if(servers_, [now](const auto& item) {
+  const std::size_t dropped = std::erase_if(servers_, [now](const auto& item) {
     return item.second.gone_at && *item.second.gone_at <= now;
   });
+  if (dropped > 0) by_service_.clear();
 }
 
 void ServerDirectory::SetEvacuated(const ZoneId& zone, bool is_evacuated,
@@ -97,12 +101,20 @@
 
 std::vector<ServerRecord*> ServerDirectory::Listed(const ServiceId& service) {
   std::vector<ServerRecord*> listed;
-  for (auto& [id, record] : servers_)
-    if (record.entry.service == service && IsOpen(record))
-      listed.push_back(&record);
+  for (ServerRecord* record : RecordsOf(service))
+    if (IsOpen(*record)) listed.push_back(record);
   return listed;
 }
 
+const std::vector<ServerRecord*>& ServerDirectory::RecordsOf(
+    const ServiceId& service) {
+  if (by_service_.empty()) {
+    for (auto& [id, record] : servers_)
+      by_service_[record.entry.service].push_back(&record);
+  }
+  return by_service_[service];
+}
+
 ServerRecord* ServerDirectory::Find(const ServerId& id) {
   const auto found = servers_.find(id);
   return found == servers_.end() ? nullptr : &found->second;
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -78,7 +78,11 @@
  private:
   bool IsOpen(const ServerRecord& record) const;
 
+  const std::vector<ServerRecord*>& RecordsOf(const ServiceId& service);
+
   std::map<ServerId, ServerRecord> servers_;
+  // Records of servers_, which do not move; empty when it is to be made anew.
+  std::map<ServiceId, std::vector<ServerRecord*>> by_service_;
   std::set<ZoneId> evacuated_;
 };
 
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -269,7 +269,8 @@
   } else {
     const auto value = nlohmann::json::parse(row.value, nullptr, false);
     if (!value.is_object() || !value.contains("peers")) return;
-    hosts_[HostId(name)] = {value.value("peers", ""), value.value("zone", "")};
+    hosts_[HostId(name)] = {value.value("peers", ""), value.value("zone", ""),
+                            value.value("processor", 1.0)};
   }
   UpdateShares();
 }
@@ -280,7 +281,7 @@
   for (const auto& [host, entry] : hosts_) {
     if (host == context_.settings.host) continue;
     hosts.push_back(host);
-    others.push_back({entry.peers, ZoneId(entry.zone)});
+    others.push_back({entry.peers, ZoneId(entry.zone), entry.processor});
   }
   stages_.SetHosts(others);
   context_.hosts = hosts.size();
@@ -293,7 +294,8 @@
 
 void Gateway::AnnounceHost() {
   const nlohmann::json value = {{"peers", context_.settings.peers},
-                                {"zone", context_.settings.zone.value()}};
+                                {"zone", context_.settings.zone.value()},
+                                {"processor", context_.settings.processor}};
   rows_.WriteHost(context_.settings.host, value.dump(), [this](bool is_taken) {
     if (is_taken) return;
     announce_timer_ =
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -77,6 +77,7 @@
   struct HostEntry {
     std::string peers;
     std::string zone;
+    double processor = 1.0;
   };
   std::map<HostId, HostEntry> hosts_;
   std::set<std::string> connected_peers_;
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -59,6 +59,11 @@
   bool FindRoute();
   void StartStages();
   Duration LeastStageTime() const;
+  Duration TimeAfter(
+      std::size_t stage,
+      const std::function<Duration(const routing::Stage&)>& time_of) const;
+  Duration ExpectedTimeAfter(std::size_t stage);
+  Duration LeastTimeAfter(std::size_t stage) const;
   // Returns the expected wait of all stages in the chosen zone.
   Duration ChooseZone();
 
@@ -135,6 +140,7 @@
   std::vector<ServerId> tried_;
   int runs_ = 0;  // sends that ran or may have run
   int sends_ = 0;
+  int unreached_ = 0;  // sends for which no connection came about
   SendState send_state_ = SendState::kNotSent;
   // Prompt tokens that the server has still to read for this request.
   std::uint64_t pending_tokens_ = 0;
--- a/services/gateway/request_flow_answer.cc
+++ b/services/gateway/request_flow_answer.cc
@@ -154,6 +154,7 @@
 void RequestFlow::OnCallFailed(http::CallEnd end) {
   if (end.failure == http::CallFailure::kNotConnected) {
     EndSend(routing::CallResult::kUnreachable, "unreachable");
+    ++unreached_;
     return TryAgain("unreachable");
   }
   if (end.was_reused && route_->MayRepeat()) {
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -16,6 +16,8 @@
 constexpr Duration kFirstEventSilence = milliseconds(1500);
 // Sends beyond the route's attempts that servers may turn down unrun.
 constexpr int kExtraSends = 2;
+// Most servers of one request that are found gone.
+constexpr int kMostUnreached = 6;
 // Least time in which another send makes sense.
 constexpr Duration kLeastTimeToSend = milliseconds(20);
 // Urgency told to servers: two steps for each priority, the first ones free.
@@ -37,7 +39,9 @@
 void RequestFlow::Send() {
   routing::ServerRecord* server = ChooseServer();
   if (server == nullptr) return WaitForServer();
-  if (sends_ > 0 && !context_.retries.TakeRetry(service_))
+  // Servers count what arrives: a send without a connection is no try.
+  const bool has_arrived = sends_ > unreached_;
+  if (has_arrived && !context_.retries.TakeRetry(service_))
     return Fail({StatusOfUnserved(), "retry_budget"});
   if (sends_ == 0) context_.retries.CountFirstTry(service_);
   SendTo(*server);
@@ -188,7 +192,8 @@
       send_state_ == SendState::kNotSent || send_state_ == SendState::kNotRun;
   if (!is_unrun && !route_->MayRepeat()) return false;
   if (runs_ >= route_->attempts) return false;
-  if (sends_ >= route_->attempts + kExtraSends) return false;
+  if (sends_ - unreached_ >= route_->attempts + kExtraSends) return false;
+  if (unreached_ >= kMostUnreached) return false;
   return Now() + kLeastTimeToSend < ends_at_;
 }
 
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -64,6 +64,36 @@
   return wait;
 }
 
+// The time that the stages which follow `stage` take, each by `time_of`, and
+// the prompt's reading.
+Duration RequestFlow::TimeAfter(
+    std::size_t stage,
+    const std::function<Duration(const routing::Stage&)>& time_of) const {
+  Duration longest = Duration::zero();
+  for (std::size_t i = stage + 1; i < plan_->stage_count(); ++i) {
+    const std::vector<std::size_t>& after = plan_->stage(i).after;
+    if (plan_->item_count(i) == 0 ||
+        std::find(after.begin(), after.end(), stage) == after.end())
+      continue;
+    longest =
+        std::max(longest, time_of(plan_->stage(i)) + TimeAfter(i, time_of));
+  }
+  return longest > Duration::zero() ? longest : ReadingTime(request_.prompt);
+}
+
+Duration RequestFlow::ExpectedTimeAfter(std::size_t stage) {
+  return TimeAfter(stage, [this](const routing::Stage& next) {
+    return stages_.ExpectedWait(PlaceOf(next), priority_) +
+           stages_.TypicalCallTime(next.service);
+  });
+}
+
+Duration RequestFlow::LeastTimeAfter(std::size_t stage) const {
+  return TimeAfter(stage, [this](const routing::Stage& next) {
+    return stages_.CallTime(next.service, 1);
+  });
+}
+
 Duration RequestFlow::LeastStageTime() const {
   std::vector<Duration> until(plan_->stage_count(), Duration::zero());
   Duration longest = Duration::zero();
@@ -126,15 +156,9 @@
     }
     item.result_bytes = stage.result_bytes;
     item.priority = priority_;
-    // What follows this stage takes time as well.
-    Duration rest = ReadingTime(request_.prompt);
-    for (std::size_t i = 0; i < plan_->stage_count(); ++i) {
-      const std::vector<std::size_t>& after = plan_->stage(i).after;
-      if (std::find(after.begin(), after.end(), place.stage) != after.end())
-        rest += stages_.CallTime(plan_->stage(i).service, 1);
-    }
-    item.useful_until = goal_at_ - rest;
-    item.deadline = std::min(ends_at_ - rest, InputsEnd(place.stage));
+    item.useful_until = goal_at_ - ExpectedTimeAfter(place.stage);
+    item.deadline = std::min(ends_at_ - LeastTimeAfter(place.stage),
+                             InputsEnd(place.stage));
     auto id = std::make_shared<routing::ItemId>();
     *id = stages_.Submit(PlaceOf(stage), std::move(item),
                          [this, place, id](ItemEnd end) {
--- a/services/gateway/stage_pool.cc
+++ b/services/gateway/stage_pool.cc
@@ -12,9 +12,13 @@
 
 // How often hosts are looked after.
 constexpr Duration kTick = milliseconds(100);
-// How often a gathering host is asked for its load, which also shows that it
-// is there.
+// A gathering host that was not heard for so long is asked for its load, which
+// also shows that it is there.
 constexpr Duration kProbePeriod = milliseconds(300);
+// As kProbePeriod, for other zones' hosts that have no items of this one.
+constexpr Duration kFarProbePeriod = milliseconds(1200);
+// How long a measurement of the own load is told to others.
+constexpr Duration kLoadPeriod = milliseconds(50);
 // A host that answers nothing for this long is passed over.
 constexpr Duration kSilence = milliseconds(600);
 constexpr Duration kSuspectProbePeriod = milliseconds(1000);
@@ -22,8 +26,8 @@
 constexpr Duration kOwnerSilence = milliseconds(2500);
 // An item is handed from host to host at most this often.
 constexpr int kMaximumMoves = 2;
-// What a gathering host told is used for so long.
-constexpr Duration kLoadAge = milliseconds(1000);
+// What a gathering host told is used for so long: two probes of a far one.
+constexpr Duration kLoadAge = milliseconds(2400);
 // Items of one process are numbered within a range of its own.
 constexpr std::uint64_t kItemBases = std::uint64_t{1} << 31;
 constexpr int kItemBits = 32;
@@ -83,45 +87,44 @@
     known.insert(host.address);
     const auto [found, is_new] = peers_.try_emplace(host.address);
     found->second.zone = host.zone;
+    found->second.processor = host.processor;
     // A host counts as there until it leaves a probe unanswered.
     if (is_new) found->second.heard_at = context_.Now();
   }
   std::erase_if(peers_, [&known](const auto& item) {
     return !known.contains(item.first);
   });
+  gatherers_.clear();
 }
 
 void StagePool::StartLeaving() {
   is_leaving_ = true;
+  gatherers_.clear();
   for (const auto& [address, peer] : peers_)
     outgoing_[address].set_is_leaving(true);
   SendOutgoing();
 }
 
-std::string StagePool::GathererOf(const StagePlace& place) const {
+const std::string& StagePool::GathererOf(const StagePlace& place) const {
+  const auto known = gatherers_.find(place);
+  if (known != gatherers_.end()) return known->second;
+  return gatherers_.emplace(place, ChooseGatherer(place)).first->second;
+}
+
+std::string StagePool::ChooseGatherer(const StagePlace& place) const {
+  const configuration::GatewaySettings& settings = context_.settings;
+  std::vector<routing::GatheringHost> hosts;
+  // A host that stops gathers only where there is no other.
+  if (!is_leaving_)
+    hosts.push_back(
+        {settings.peers, settings.zone == place.zone, settings.processor});
+  for (const auto& [address, peer] : peers_)
+    if (peer.CanGather())
+      hosts.push_back({address, peer.zone == place.zone, peer.processor});
   const std::uint64_t seed =
       StableHash(place.service.value(), StableHash(place.zone.value()));
-  const auto rank = [seed](const std::string& address) {
-    return StableHash(address, seed);
-  };
-  const std::string& self = context_.settings.peers;
-  const bool is_own_zone = context_.settings.zone == place.zone;
-  std::string best = self;
-  bool is_best_near = is_own_zone;
-  // A host that stops gathers only where there is no other.
-  bool is_best_leaving = is_leaving_;
-  for (const auto& [address, peer] : peers_) {
-    if (peer.is_suspect || peer.is_leaving) continue;
-    const bool is_near = peer.zone == place.zone;
-    if (!is_best_leaving) {
-      if (is_best_near && !is_near) continue;
-      if (is_near == is_best_near && rank(address) <= rank(best)) continue;
-    }
-    best = address;
-    is_best_near = is_near;
-    is_best_leaving = false;
-  }
-  return best == self ? std::string() : best;
+  const std::string_view best = routing::ChooseGatherer(seed, hosts);
+  return best == settings.peers ? std::string() : std::string(best);
 }
 
 StagePool::ItemId StagePool::Submit(const StagePlace& place,
@@ -175,6 +178,8 @@
 void StagePool::SendOutgoing() {
   bool has_failed = false;
   for (auto it = outgoing_.begin(); it != outgoing_.end();) {
+    // Whoever has items here knows the load without asking for it.
+    if (it->second.endings_size() > 0) AddLoads(it->second);
     if (send_(it->first, it->second)) {
       it = outgoing_.erase(it);
       continue;
@@ -301,11 +306,19 @@
          found->batches->item_time * static_cast<std::int64_t>(items);
 }
 
+Duration StagePool::TypicalCallTime(const ServiceId& service) const {
+  const routing::Service* found =
+      context_.table ? context_.table->FindService(service) : nullptr;
+  if (found == nullptr || !found->batches) return Duration::zero();
+  return CallTime(service, (found->batches->items + 1) / 2);
+}
+
 // --- Other hosts ------------------------------------------------------------
 
 void StagePool::OnTraffic(const std::string& from, std::uint64_t incarnation,
                           const messages::StageTraffic& traffic) {
   PeerState& peer = peers_[from];
+  const bool could_gather = peer.CanGather();
   peer.heard_at = context_.Now();
   peer.unanswered_since.reset();
   if (peer.is_suspect)
@@ -313,6 +326,7 @@
   peer.is_suspect = false;
   if (peer.incarnation != incarnation) peer.is_leaving = false;
   if (traffic.is_leaving()) peer.is_leaving = true;
+  if (peer.CanGather() != could_gather) gatherers_.clear();
   if (peer.incarnation != 0 && peer.incarnation != incarnation) {
     // The host started anew and knows nothing of what it was sent.
     DropItemsFrom(from);
@@ -350,19 +364,28 @@
     messages::StageTraffic& answer = outgoing_[from];
     answer.set_answered_probe(traffic.probe());
     answer.set_is_leaving(is_leaving_);
-    answer.clear_loads();
-    for (const StageLoad& load : runner_.Loads()) {
-      messages::GatheringLoad& told = *answer.add_loads();
-      told.set_service(load.place.service.value());
-      told.set_zone(load.place.zone.value());
-      told.set_capacity(load.capacity);
-      for (const std::size_t waiting : load.waiting)
-        told.add_waiting(static_cast<std::uint32_t>(waiting));
-    }
+    AddLoads(answer);
   }
   Flush();
 }
 
+void StagePool::AddLoads(messages::StageTraffic& traffic) {
+  const TimePoint now = context_.Now();
+  if (now - loads_measured_at_ >= kLoadPeriod) {
+    own_loads_ = runner_.Loads();
+    loads_measured_at_ = now;
+  }
+  traffic.clear_loads();
+  for (const StageLoad& load : own_loads_) {
+    messages::GatheringLoad& told = *traffic.add_loads();
+    told.set_service(load.place.service.value());
+    told.set_zone(load.place.zone.value());
+    told.set_capacity(load.capacity);
+    for (const std::size_t waiting : load.waiting)
+      told.add_waiting(static_cast<std::uint32_t>(waiting));
+  }
+}
+
 void StagePool::TakeSubmission(const std::string& from,
                                const messages::ItemSubmission& submission) {
   const StagePlace place{ServiceId(submission.service()),
@@ -446,17 +469,21 @@
   runner_.Withdraw(items);
 }
 
-std::set<std::string> StagePool::WatchedHosts() const {
-  std::set<std::string> hosts;
-  for (const auto& [id, item] : remote_) hosts.insert(item.host);
-  if (!context_.table) return hosts;
-  for (const auto& [id, service] : context_.table->services) {
-    if (!service.batches) continue;
-    for (const ZoneId& zone : ZonesOf(id)) {
-      const std::string gatherer = GathererOf({id, zone});
-      if (!gatherer.empty()) hosts.insert(gatherer);
+std::map<std::string, Duration> StagePool::WatchedHosts() const {
+  std::map<std::string, Duration> hosts;
+  if (context_.table) {
+    for (const auto& [id, service] : context_.table->services) {
+      if (!service.batches) continue;
+      for (const ZoneId& zone : ZonesOf(id)) {
+        const std::string& gatherer = GathererOf({id, zone});
+        if (gatherer.empty()) continue;
+        Duration& period =
+            hosts.try_emplace(gatherer, kFarProbePeriod).first->second;
+        if (zone == context_.settings.zone) period = kProbePeriod;
+      }
     }
   }
+  for (const auto& [id, item] : remote_) hosts[item.host] = kProbePeriod;
   return hosts;
 }
 
@@ -478,13 +505,18 @@
         peer.unanswered_since && now - *peer.unanswered_since >= kSilence;
     if (is_silent && !peer.is_suspect) {
       peer.is_suspect = true;
+      gatherers_.clear();
       lost.push_back(address);
     }
-    const Duration period =
-        peer.is_suspect ? kSuspectProbePeriod : kProbePeriod;
-    if ((peer.is_suspect || watched_.contains(address)) &&
-        now - peer.probed_at >= period)
+    const auto watched = watched_.find(address);
+    if (peer.is_suspect) {
+      if (now - peer.probed_at >= kSuspectProbePeriod)
+        Probe(address, peer, now);
+    } else if (watched != watched_.end() &&
+               now - peer.heard_at >= watched->second &&
+               now - peer.probed_at >= watched->second) {
       Probe(address, peer, now);
+    }
     if (now - peer.heard_at >= kOwnerSilence) DropItemsFrom(address);
   }
   for (const std::string& address : lost) {
--- a/services/gateway/stage_pool.h
+++ b/services/gateway/stage_pool.h
@@ -19,11 +19,13 @@
 struct PeerHost {
   std::string address;  // of its peer link
   ZoneId zone;
+  double processor = 1.0;  // cores that it may use
 };
 
 // Gathers the items of all hosts for each place of a stage at one host, which
 // fills the calls there. The gathering host is chosen by rendezvous hashing
-// over the hosts that answer, those of the place's zone first. Two hosts that
+// over the hosts that answer, those of the place's zone and with a large share
+// of a processor first. Two hosts that
 // both gather for a place do no harm but fill calls less, so no lease is
 // needed. Items at a host that falls silent are handed to the next one.
 class StagePool {
@@ -57,6 +59,8 @@
   // Time until the call of a new item starts, by what the gathering host told.
   Duration ExpectedWait(const StagePlace& place, int priority);
   Duration CallTime(const ServiceId& service, std::size_t items) const;
+  // Of a call that is filled as calls are under load.
+  Duration TypicalCallTime(const ServiceId& service) const;
 
   // Zones with usable servers of the service.
   std::set<ZoneId> ZonesOf(const ServiceId& service) const;
@@ -69,12 +73,15 @@
  private:
   struct PeerState {
     ZoneId zone;
+    double processor = 1.0;
     TimePoint heard_at{};
     TimePoint probed_at{};
     std::optional<TimePoint> unanswered_since;
     bool is_suspect = false;
     bool is_leaving = false;
     std::uint64_t incarnation = 0;
+
+    bool CanGather() const { return !is_suspect && !is_leaving; }
   };
   struct RemoteItem {
     StagePlace place;
@@ -100,7 +107,8 @@
   double MeasureCapacity(const StagePlace& place, std::size_t servers) const;
 
   // The address of the gathering host; empty: this one.
-  std::string GathererOf(const StagePlace& place) const;
+  const std::string& GathererOf(const StagePlace& place) const;
+  std::string ChooseGatherer(const StagePlace& place) const;
   void SubmitTo(const std::string& host, ItemId id, RemoteItem item);
   void SubmitLocally(ItemId id, const StagePlace& place,
                      routing::WaitingItem item, Callback callback);
@@ -113,7 +121,10 @@
   void SendOutgoing();
   void Tick();
   void Probe(const std::string& host, PeerState& peer, TimePoint now);
-  std::set<std::string> WatchedHosts() const;
+  // Hosts that gather for this one, each with the time after which it is
+  // asked whether it is there.
+  std::map<std::string, Duration> WatchedHosts() const;
+  void AddLoads(messages::StageTraffic& traffic);
 
   Context& context_;
   StageRunner& runner_;
@@ -127,9 +138,13 @@
   std::map<HostedKey, ItemId> hosted_;  // items of other hosts at the runner
   std::map<std::string, std::string> gatherer_of_result_;  // by handle
   mutable std::map<ServiceId, RecentZones> recent_zones_;
-  std::set<std::string> watched_;
+  // Cleared when a host comes, goes or changes.
+  mutable std::map<StagePlace, std::string> gatherers_;
+  std::map<std::string, Duration> watched_;
   TimePoint watched_at_{};
   std::map<StagePlace, KnownLoad> loads_;
+  std::vector<StageLoad> own_loads_;
+  TimePoint loads_measured_at_{};
   std::map<std::string, messages::StageTraffic> outgoing_;
   TimerId flush_timer_;
   TimerId tick_timer_;
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -15,6 +15,9 @@
 constexpr Duration kNoRoomWait = std::chrono::milliseconds(150);
 // Releases that come within this time go to a server in one call.
 constexpr Duration kReleaseGathering = std::chrono::milliseconds(10);
+// How often it is looked for items that cannot be made in time while all
+// servers are at work; to sort a long queue at each event takes too long.
+constexpr Duration kHopelessPeriod = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -23,6 +26,7 @@
       : place(where), scheduler(limits) {}
   StagePlace place;
   routing::BatchScheduler scheduler;
+  TimePoint pruned_at{};
 };
 
 // One batched call.
@@ -49,6 +53,8 @@
           http_.reset();
           Finish("timeout", routing::CallResult::kFailed, std::nullopt, {});
         });
+    patience_ = loop().After(lot_.scheduler.CallPatience(call_.items.size()),
+                             [this] { Abandon(); });
     http_ = context.pool.Start(
         {target.server.value(), target.address},
         context.wire.WriteBatch(target, call_.items, context.Now()),
@@ -142,7 +148,8 @@
     if (results.empty() && is_abandoned_) {
       // The items have been queued again already.
     } else if (results.empty()) {
-      if (result == routing::CallResult::kUnreachable)
+      // The items did not reach a server that could make them.
+      if (result == routing::CallResult::kUnreachable || answer_.is_not_run)
         runner.ForgetSends(call_.items);
       runner.Requeue(lot, std::move(call_.items));
     } else {
@@ -288,6 +295,10 @@
 void StageRunner::PumpLot(Lot& lot) {
   const TimePoint now = context_.Now();
   const std::vector<routing::ServerRecord*> servers = ServersOf(lot.place);
+  const bool is_free = lot.scheduler.HasFreeServer(servers, now);
+  if (!servers.empty() && !is_free && now - lot.pruned_at < kHopelessPeriod)
+    return;
+  lot.pruned_at = now;
   const double capacity = lot.scheduler.Capacity(servers, now);
   for (const routing::WaitingItem& item :
        lot.scheduler.TakeHopeless(capacity, now))
@@ -329,7 +340,7 @@
   for (const routing::WaitingItem& item : refused)
     EndItem(item, {ItemOutcome::kFailed, {}}, lot.place);
   if (server == nullptr || call.items.empty()) {
-    lot.scheduler.EndCall(call.server, 1, std::nullopt, context_.Now());
+    lot.scheduler.CancelCall(call.server);
     return;
   }
   auto run = std::make_unique<BatchRun>(*this, lot, std::move(call));
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -190,6 +190,19 @@
   REQUIRE(first.requests() + second.requests() == 1);
 }
 
+// Servers that crashed together take no part of the budget for retries: what
+// does not arrive is no load.
+TEST_CASE_METHOD(World, "A send without a connection is no retry") {
+  ScriptedServer server(Answering(MakeAnswer(200, kSeal)));
+  ForbidRetries();
+  for (int i = 0; i < 4; ++i)
+    AddServer("gone" + std::to_string(i), "plain",
+              "127.0.0.1:" + std::to_string(transport::UnusedPort()));
+  StartWith({&server});
+  for (int i = 0; i < 8; ++i)
+    REQUIRE(Send(MakeRequest("/u/")).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE_METHOD(World, "A success without seal or with an encoding is none") {
   for (const char* extra :
        {"", "X-Lovagecleat-Response-Seal: s\r\nContent-Encoding: gzip\r\n"}) {
--- a/tests/routing/batch_scheduler_test.cc
+++ b/tests/routing/batch_scheduler_test.cc
@@ -185,6 +185,62 @@
   REQUIRE(next[0].server == calls[1].server);
 }
 
+// Pattern: sustained overload. A server that waits for its next call through
+// the network and a busy host loses part of its capacity.
+TEST_CASE("A whole call that waits is sent before the running one ends") {
+  BatchScheduler scheduler(MakeLimits(8));
+  Servers servers(1);
+  for (std::uint64_t i = 0; i < 24; ++i)
+    scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i), 0, 0, 9000));
+  const auto first = scheduler.TakeCalls(servers.all(), At(0));
+  REQUIRE(first.size() == 1);
+  // A full call takes 278 ms.
+  REQUIRE_FALSE(scheduler.HasFreeServer(servers.all(), At(200)));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(200)).empty());
+  const auto chance = scheduler.NextChance(At(200));
+  REQUIRE(chance.has_value());
+  REQUIRE(*chance < At(278));
+  REQUIRE(scheduler.HasFreeServer(servers.all(), *chance));
+  REQUIRE(scheduler.TakeCalls(servers.all(), *chance).size() == 1);
+  // No third one, and a server that works through them is not slow.
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(277)).empty());
+  scheduler.EndCall(first[0].server, 8, milliseconds(278), At(278));
+  scheduler.EndCall(first[0].server, 8, milliseconds(318), At(556));
+  REQUIRE(scheduler.Capacity(servers.all(), At(556)) == Approx(1.0));
+}
+
+TEST_CASE("Less than a whole call waits until the running one has ended") {
+  BatchScheduler scheduler(MakeLimits(8));
+  Servers servers(1);
+  scheduler.Add(MakeItem(1, "r", 0, 0, 9000));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(0)).size() == 1);
+  for (std::uint64_t i = 2; i < 9; ++i)
+    scheduler.Add(MakeItem(i, "q" + std::to_string(i), 0, 0, 9000));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(165)).empty());
+  scheduler.EndCall(ServerId("s0"), 1, milliseconds(166), At(166));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(166)).size() == 1);
+}
+
+TEST_CASE("A call that was not sent leaves its server free") {
+  BatchScheduler scheduler(MakeLimits(8));
+  Servers servers(1);
+  scheduler.Add(MakeItem(1, "r"));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(0)).size() == 1);
+  scheduler.CancelCall(ServerId("s0"));
+  scheduler.Add(MakeItem(2, "r"));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(0)).size() == 1);
+}
+
+TEST_CASE("Results that a running call makes take room already") {
+  BatchScheduler scheduler(MakeLimits(2, 1000));
+  Servers servers(1);
+  for (std::uint64_t i = 0; i < 4; ++i)
+    scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i), 0, 0, 9000, 400));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(0)).size() == 1);
+  // The next call would be sent now, but has no room.
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(181)).empty());
+}
+
 TEST_CASE("A full server is left alone for a while") {
   BatchScheduler scheduler(MakeLimits());
   Servers servers(1);
--- /dev/null
+++ b/tests/routing/gatherer_test.cc
@@ -0,0 +1,43 @@
+#include <catch2/catch.hpp>
+#include <set>
+#include <vector>
+
+#include "routing/routing.h"
+
+namespace lovagecleat::routing {
+namespace {
+
+TEST_CASE("Without hosts nobody gathers") {
+  REQUIRE(ChooseGatherer(1, {}).empty());
+}
+
+TEST_CASE("Hosts of the zone gather before others") {
+  const std::vector<GatheringHost> hosts = {
+      {"a:1", false, 4.0}, {"b:1", true, 0.1}, {"c:1", false, 4.0}};
+  for (std::uint64_t seed = 0; seed < 20; ++seed)
+    REQUIRE(ChooseGatherer(seed, hosts) == "b:1");
+}
+
+// Pattern: uneven hosts. A host with a tenth of a core that gathers for a busy
+// service answers its own callers and the others' items late.
+TEST_CASE("Hosts with a small share of a processor do not gather") {
+  const std::vector<GatheringHost> hosts = {{"small-1:1", true, 0.12},
+                                            {"large-1:1", true, 0.5},
+                                            {"small-2:1", true, 0.12},
+                                            {"large-2:1", true, 0.5}};
+  std::set<std::string_view> chosen;
+  for (std::uint64_t seed = 0; seed < 50; ++seed)
+    chosen.insert(ChooseGatherer(seed, hosts));
+  REQUIRE(chosen == std::set<std::string_view>{"large-1:1", "large-2:1"});
+}
+
+TEST_CASE("The choice does not depend on the order of the hosts") {
+  const std::vector<GatheringHost> hosts = {
+      {"a:1", true, 1.0}, {"b:1", true, 1.0}, {"c:1", true, 1.0}};
+  const std::vector<GatheringHost> reversed(hosts.rbegin(), hosts.rend());
+  for (std::uint64_t seed = 0; seed < 20; ++seed)
+    REQUIRE(ChooseGatherer(seed, hosts) == ChooseGatherer(seed, reversed));
+}
+
+}  // namespace
+}  // namespace lovagecleat::routing
