Gateway: Let one host of a zone read the store and feed the others

Change: the first host of a zone (most processor, then hash) reads and passes on what means something, with the versions between which it holds; the next two stand in for it when nothing is heard, and each host reads by itself where nobody feeds it or a change is missing. Large changes are announced only.

--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -45,6 +45,7 @@
     case Body::kRowsFetch:
     case Body::kRowsPush:
     case Body::kStageTraffic:
+    case Body::kRowsFeed:
     case Body::BODY_NOT_SET:
       return;
     case Body::kProvisionalDrains:
--- a/libraries/routing/gatherer.cc
+++ b/libraries/routing/gatherer.cc
@@ -1,6 +1,7 @@
 #include "routing/gatherer.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/base.h"
 
@@ -34,4 +35,15 @@
   return best;
 }
 
+std::size_t ReadingRank(const GatheringHost& self,
+                        std::span<const GatheringHost> others) {
+  const auto key = [](const GatheringHost& host) {
+    return std::pair(host.processor, StableHash(host.address));
+  };
+  return static_cast<std::size_t>(std::count_if(
+      others.begin(), others.end(), [&](const GatheringHost& host) {
+        return host.is_near && key(host) > key(self);
+      }));
+}
+
 }  // namespace lovagecleat::routing
--- a/libraries/routing/gatherer.h
+++ b/libraries/routing/gatherer.h
@@ -21,4 +21,10 @@
 std::string_view ChooseGatherer(std::uint64_t seed,
                                 std::span<const GatheringHost> hosts);
 
+// Place of `self` among the hosts of a zone that could read the store for the
+// others: 0 reads, the next ones stand in for it in order. Hosts with more of
+// a processor go first; all hosts that know the same others agree.
+std::size_t ReadingRank(const GatheringHost& self,
+                        std::span<const GatheringHost> others);
+
 }  // namespace lovagecleat::routing
--- a/libraries/routing/row_replica.cc
+++ b/libraries/routing/row_replica.cc
@@ -22,6 +22,12 @@
   return true;
 }
 
+const Row* RowReplica::Find(const std::string& table,
+                            const std::string& key) const {
+  const auto found = rows_.find({table, key});
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
 std::vector<Row> RowReplica::RemoveMissing(const std::string& table,
                                            std::span<const Row> present,
                                            std::uint64_t version) {
--- a/libraries/routing/row_replica.h
+++ b/libraries/routing/row_replica.h
@@ -26,6 +26,9 @@
   // True if the row was news.
   bool Merge(const Row& row);
 
+  // Null if the row was never known; a removed one is told as removed.
+  const Row* Find(const std::string& table, const std::string& key) const;
+
   // Marks the rows of `table` that are not among `present` as removed, as of
   // the store's version of that reading. Returns those that were news.
   std::vector<Row> RemoveMissing(const std::string& table,
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -36,6 +36,23 @@
 // The process ends by itself this long before it would be killed.
 constexpr Duration kStopMargin = milliseconds(600);
 
+void WriteRow(const routing::Row& row, messages::ReplicatedRow& copy) {
+  copy.set_table(row.table);
+  copy.set_key(row.key);
+  copy.set_value(row.value);
+  copy.set_version(row.version);
+  copy.set_removed(row.is_removed);
+}
+
+template <typename Rows>
+std::vector<routing::Row> ReadRows(const Rows& copies) {
+  std::vector<routing::Row> rows;
+  for (const messages::ReplicatedRow& copy : copies)
+    rows.push_back({copy.table(), copy.key(), copy.value(), copy.version(),
+                    copy.removed()});
+  return rows;
+}
+
 }  // namespace
 
 // Answers with what a callback says.
@@ -119,6 +136,8 @@
   if (!peers || !peers_.Bind(peers->address, peers->port))
     return StartError::kCannotListen;
   for (const std::string& seed : context_.settings.seeds) ConnectPeer(seed);
+  follower_.SetFeed(
+      [this](std::span<const TableChanges> changes) { FeedZone(changes); });
   follower_.Start();
   AnnounceHost();
   Tick();
@@ -341,12 +360,55 @@
     return stages_.OnTraffic(message.sender(), message.incarnation(),
                              message.stage_traffic());
   }
-  if (!message.has_rows_push()) return;
-  std::vector<routing::Row> rows;
-  for (const messages::ReplicatedRow& row : message.rows_push().rows())
-    rows.push_back(
-        {row.table(), row.key(), row.value(), row.version(), row.removed()});
-  follower_.MergeFromPeer(rows);
+  if (message.has_rows_feed()) return TakeFeed(message.rows_feed());
+  if (message.has_rows_push())
+    follower_.MergeFromPeer(ReadRows(message.rows_push().rows()));
+}
+
+// Whoever reads the store for its zone is the first of the hosts there.
+void Gateway::UpdateReadingRank() {
+  std::vector<routing::GatheringHost> others;
+  for (const auto& [host, entry] : hosts_) {
+    if (host == context_.settings.host || !stages_.IsHere(entry.peers))
+      continue;
+    others.push_back({entry.peers, ZoneId(entry.zone) == context_.settings.zone,
+                      entry.processor});
+  }
+  follower_.SetRank(routing::ReadingRank(
+      {context_.settings.peers, true, context_.settings.processor}, others));
+}
+
+void Gateway::FeedZone(std::span<const TableChanges> changes) {
+  messages::PeerMessage message;
+  message.set_sender(context_.settings.peers);
+  messages::RowsFeed& feed = *message.mutable_rows_feed();
+  for (const TableChanges& change : changes) {
+    messages::TableFeed& table = *feed.add_tables();
+    table.set_table(change.table);
+    table.set_after(change.after);
+    table.set_version(change.version);
+    table.set_must_read(change.must_read);
+    table.set_recovering_us(change.recovering.count());
+    for (const routing::Row& row : change.rows)
+      WriteRow(row, *table.add_rows());
+  }
+  for (const auto& [host, entry] : hosts_) {
+    if (host == context_.settings.host ||
+        ZoneId(entry.zone) != context_.settings.zone ||
+        !stages_.IsHere(entry.peers))
+      continue;
+    ConnectPeer(entry.peers);
+    peers_.Send(HostId(entry.peers), message);
+  }
+}
+
+void Gateway::TakeFeed(const messages::RowsFeed& feed) {
+  std::vector<TableChanges> changes;
+  for (const messages::TableFeed& table : feed.tables())
+    changes.push_back({table.table(), table.after(), table.version(),
+                       ReadRows(table.rows()), table.must_read(),
+                       Duration(table.recovering_us())});
+  follower_.TakeFeed(changes);
 }
 
 bool Gateway::SendStageTraffic(const std::string& peer,
@@ -366,12 +428,7 @@
   for (const routing::Row& row : follower_.replica().NewerThan(newer_than)) {
     bytes += row.value.size() + row.key.size() + row.table.size();
     if (bytes > kMaximumPushBytes) break;
-    messages::ReplicatedRow* copy = message.mutable_rows_push()->add_rows();
-    copy->set_table(row.table);
-    copy->set_key(row.key);
-    copy->set_value(row.value);
-    copy->set_version(row.version);
-    copy->set_removed(row.is_removed);
+    WriteRow(row, *message.mutable_rows_push()->add_rows());
   }
   if (bytes == 0) return;
   ConnectPeer(peer);
@@ -382,6 +439,7 @@
 
 void Gateway::Tick() {
   context_.directory.DropLapsed(context_.Now());
+  UpdateReadingRank();
   AskPeers();
   context_.log.Flush();
   tick_timer_ = context_.loop.After(kTick, [this] { Tick(); });
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -54,6 +54,9 @@
   void AskPeers();
   bool SendStageTraffic(const std::string& peer,
                         const messages::StageTraffic& traffic);
+  void UpdateReadingRank();
+  void FeedZone(std::span<const TableChanges> changes);
+  void TakeFeed(const messages::RowsFeed& feed);
   void AnswerRows(const std::string& peer, std::uint64_t newer_than);
   void ConnectPeer(const std::string& address);
 
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -14,6 +14,15 @@
 // changes must take effect: two reads and their use fit into it. Reads are
 // paid for.
 constexpr double kReadGapPart = 0.225;
+// A host that is fed reads by itself when it has heard nothing for this part
+// of that time, and for this much longer with each place in the order: the
+// first ones stand in before all others ask the store.
+constexpr double kFeedSilencePart = 0.35;
+constexpr double kFeedSilenceStep = 0.1;
+constexpr std::size_t kFeeders = 3;
+// Changes larger than this are read by each host: a host would be busy for
+// seconds sending them to all others of a large zone.
+constexpr std::size_t kLargestFeed = 16384;
 // How long the store may hold a read back, as what is left of the time after
 // which silence counts: a read that is lost must be noticed within it.
 constexpr Duration kContactMargin = milliseconds(1000);
@@ -51,15 +60,19 @@
 
 RowFollower::~RowFollower() {
   for (const Table& table : tables_) context_.loop.Cancel(table.timer);
+  context_.loop.Cancel(feed_timer_);
+  context_.loop.Cancel(heartbeat_timer_);
 }
 
 void RowFollower::Start() {
   started_at_ = context_.Now();
   for (Table& table : tables_) Ask(table);
+  Heartbeat();
 }
 
 void RowFollower::Ask(Table& table) {
   const std::uint64_t call = ++table.call;
+  table.is_asking = true;
   const bool is_full_read = !table.has_read;
   const Duration timeout =
       kAnswerTimeout + (is_full_read ? Duration::zero() : WaitOf(table));
@@ -81,6 +94,7 @@
 
 void RowFollower::AskLater(Table& table, Duration delay) {
   context_.loop.Cancel(table.timer);
+  table.is_asking = true;
   table.timer = context_.loop.After(delay, [this, &table] { Ask(table); });
 }
 
@@ -104,16 +118,28 @@
       recovering_until_ && context_.Now() < *recovering_until_;
   const RowOrigin origin =
       is_recovering ? RowOrigin::kStoreAfterOutage : RowOrigin::kStore;
-  for (const routing::Row& row : answer.rows)
+  std::vector<routing::Row> news;
+  for (const routing::Row& row : answer.rows) {
+    if (IsNews(row)) news.push_back(row);
     if (replica_.Merge(row)) apply_(row, origin);
+  }
   if (was_full_read) {
     for (const routing::Row& row :
          replica_.RemoveMissing(table.name, answer.rows, answer.version))
       apply_(row, origin);
+    // Those that a peer told of before are news to others as well.
+    for (routing::Row& row : replica_.NewerThan(table.position))
+      if (row.table == table.name && row.is_removed)
+        news.push_back(std::move(row));
   }
-  table.has_read = true;
-  table.position = answer.version;
-  AskLater(table, GapOf(table));
+  const std::uint64_t before = table.position;
+  // A feed may have told of a newer version meanwhile.
+  table.position = std::max(before, answer.version);
+  const bool is_first = !std::exchange(table.has_read, true) && before == 0;
+  if (!is_first) PassOn(table, before, std::move(news));
+  context_.loop.Cancel(table.timer);
+  table.is_asking = false;
+  if (rank_ == 0 || !IsFed() || table.IsBehind()) AskLater(table, GapOf(table));
 }
 
 void RowFollower::OnServed(Table& table) {
@@ -129,6 +155,13 @@
 }
 
 void RowFollower::OnUnavailable(Table& table) {
+  if (rank_ > 0 && IsFed() && !table.IsBehind()) {
+    // Another host reads in this one's place.
+    context_.loop.Cancel(table.timer);
+    table.is_asking = false;
+    table.failing_since.reset();
+    return;
+  }
   if (!table.failing_since) {
     table.failing_since = context_.Now();
     context_.log.Write("store_lost", "",
@@ -158,12 +191,111 @@
 }
 
 Duration RowFollower::GapOf(const Table& table) const {
-  if (IsSlowTable(table)) return kHostsGap;
+  return IsSlowTable(table) ? kHostsGap : PartOfChangeTime(kReadGapPart);
+}
+
+Duration RowFollower::PartOfChangeTime(double part) const {
   return Duration(static_cast<std::int64_t>(
-      kReadGapPart *
+      part *
       static_cast<double>(context_.settings.bounds.change_time.count())));
 }
 
+// --- Feeds between the hosts of a zone --------------------------------------
+
+void RowFollower::SetRank(std::size_t rank) {
+  if (rank == rank_) return;
+  context_.log.Write("reading_rank", "", {{"rank", rank}, {"before", rank_}});
+  rank_ = rank;
+  if (rank_ == 0) AskIdleTables();
+}
+
+void RowFollower::AskIdleTables() {
+  for (Table& table : tables_)
+    if (!table.is_asking) Ask(table);
+}
+
+// Whether the row says something else than the one that was known. A server's
+// entry changes with every heartbeat, mostly without a difference.
+bool RowFollower::IsNews(const routing::Row& row) const {
+  const routing::Row* before = replica_.Find(row.table, row.key);
+  if (before == nullptr || before->is_removed != row.is_removed) return true;
+  // Told by another host already; those that are fed may not know it.
+  if (before->version >= row.version) return true;
+  if (row.is_removed) return false;
+  if (source_.SubjectOf(row).kind != RowSubject::Kind::kServer)
+    return before->value != row.value;
+  return context_.wire.ReadServer(row.key, before->value) !=
+         context_.wire.ReadServer(row.key, row.value);
+}
+
+bool RowFollower::MayFeed() const {
+  return feed_ && rank_ < kFeeders && (rank_ == 0 || !IsFed());
+}
+
+void RowFollower::PassOn(const Table& table, std::uint64_t after,
+                         std::vector<routing::Row> news) {
+  if (!MayFeed()) return;
+  TableChanges changes{table.name, after, table.position, std::move(news)};
+  std::size_t bytes = 0;
+  for (const routing::Row& row : changes.rows)
+    bytes += row.key.size() + row.value.size();
+  if (bytes > kLargestFeed) {
+    changes.rows.clear();
+    changes.must_read = true;
+  }
+  if (recovering_until_)
+    changes.recovering =
+        std::max(*recovering_until_ - context_.Now(), Duration::zero());
+  passed_on_at_ = context_.Now();
+  feed_(std::span<const TableChanges>(&changes, 1));
+}
+
+// Tells the others that this host still reads, where nothing has changed.
+void RowFollower::Heartbeat() {
+  const Duration period = PartOfChangeTime(kReadGapPart);
+  const bool has_failing =
+      std::any_of(tables_.begin(), tables_.end(), [](const Table& table) {
+        return table.failing_since || !table.has_read;
+      });
+  if (MayFeed() && !has_failing && context_.Now() - passed_on_at_ >= period) {
+    passed_on_at_ = context_.Now();
+    feed_({});
+  }
+  heartbeat_timer_ = context_.loop.After(period, [this] { Heartbeat(); });
+}
+
+void RowFollower::TakeFeed(std::span<const TableChanges> changes) {
+  if (rank_ > 0) {
+    fed_until_ =
+        context_.Now() +
+        PartOfChangeTime(kFeedSilencePart +
+                         kFeedSilenceStep *
+                             static_cast<double>(std::min(rank_, kFeeders)));
+    context_.loop.Cancel(feed_timer_);
+    feed_timer_ = context_.loop.At(fed_until_, [this] { AskIdleTables(); });
+  }
+  for (const TableChanges& change : changes)
+    for (Table& table : tables_)
+      if (table.name == change.table) TakeChanges(table, change);
+}
+
+void RowFollower::TakeChanges(Table& table, const TableChanges& changes) {
+  if (!table.has_read || changes.version <= table.position) return;
+  RowOrigin origin = RowOrigin::kStore;
+  if (changes.recovering > Duration::zero()) {
+    origin = RowOrigin::kStoreAfterOutage;
+    const TimePoint until = context_.Now() + changes.recovering;
+    recovering_until_ = std::max(recovering_until_.value_or(until), until);
+  }
+  for (const routing::Row& row : changes.rows)
+    if (replica_.Merge(row)) apply_(row, origin);
+  table.heard_of = std::max(table.heard_of, changes.version);
+  if (!changes.must_read && changes.after <= table.position)
+    table.position = changes.version;
+  // The rest is read from the store, unless a call is under way already.
+  if (table.IsBehind() && !table.is_asking) Ask(table);
+}
+
 bool RowFollower::is_away() const {
   const TimePoint now = context_.Now();
   for (const Table& table : tables_) {
--- a/services/gateway/stage_pool.cc
+++ b/services/gateway/stage_pool.cc
@@ -97,6 +97,11 @@
   gatherers_.clear();
 }
 
+bool StagePool::IsHere(const std::string& address) const {
+  const auto peer = peers_.find(address);
+  return peer != peers_.end() && peer->second.CanGather();
+}
+
 void StagePool::StartLeaving() {
   is_leaving_ = true;
   gatherers_.clear();
--- a/services/gateway/stage_pool.h
+++ b/services/gateway/stage_pool.h
@@ -43,6 +43,9 @@
 
   void SetHosts(std::span<const PeerHost> others);
 
+  // Whether that host answers and does not stop.
+  bool IsHere(const std::string& address) const;
+
   // This host stops: other hosts gather from now on.
   void StartLeaving();
 
--- a/tests/gateway/gateway_world.cc
+++ b/tests/gateway/gateway_world.cc
@@ -42,6 +42,7 @@
 
 void FakeRows::Follow(const std::string& table, std::uint64_t version,
                       Duration /*wait*/, Callback callback) {
+  ++follows;
   callback(Answer(table, version));
 }
 
--- a/tests/gateway/gateway_world.h
+++ b/tests/gateway/gateway_world.h
@@ -34,6 +34,7 @@
   // What the next calls answer.
   RowsAnswer::Status status = RowsAnswer::Status::kRead;
   int full_reads = 0;
+  int follows = 0;
 
  private:
   RowsAnswer Answer(const std::string& table, std::uint64_t after) const;
--- a/tests/gateway/row_follower_test.cc
+++ b/tests/gateway/row_follower_test.cc
@@ -1,5 +1,6 @@
 #include "services/gateway/row_follower.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "tests/gateway/gateway_world.h"
@@ -38,8 +39,18 @@
     RunUntil([&] { return clock_.Now() >= until; });
   }
 
+  // What the follower passes on to others.
+  void KeepFeeds() {
+    follower.SetFeed([this](std::span<const TableChanges> changes) {
+      if (changes.empty()) ++heartbeats;
+      fed.insert(fed.end(), changes.begin(), changes.end());
+    });
+  }
+
   FakeRows rows;
   std::vector<Applied> applied;
+  std::vector<TableChanges> fed;
+  int heartbeats = 0;
 
  private:
   SystemClock clock_;
@@ -105,5 +116,184 @@
   REQUIRE(applied.size() == 1);
 }
 
+std::string Entry(int beat, bool is_draining) {
+  return R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,)"
+         R"("state":")" +
+         std::string(is_draining ? "draining" : "ready") + R"(","seq":)" +
+         std::to_string(beat) + "}";
+}
+
+// Pattern: large zone. Every host that follows the store by itself costs calls
+// all the time, since entries change with each heartbeat.
+TEST_CASE_METHOD(FollowerWorld, "A host that is fed asks the store no more") {
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  follower.SetRank(3);
+  RunFor(milliseconds(100));
+  const int before = rows.follows;
+  for (int i = 0; i < 10; ++i) {
+    follower.TakeFeed({});
+    RunFor(milliseconds(150));
+  }
+  // The calls that were due when the first feed came are all.
+  REQUIRE(rows.follows <= before + 3);
+  REQUIRE_FALSE(follower.is_away());
+}
+
+TEST_CASE_METHOD(FollowerWorld, "A host that is no longer fed asks the store") {
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  follower.SetRank(1);
+  follower.TakeFeed({});
+  RunFor(milliseconds(600));
+  rows.Set("servers", "a", Entry(2, true));
+  const TimePoint silent_since = loop().clock().Now();
+  RunUntil([&] { return applied.size() == 2; });
+  // Well within the time in which changes must take effect.
+  REQUIRE(loop().clock().Now() - silent_since < milliseconds(1300));
+  REQUIRE(applied[1].origin == RowOrigin::kStore);
+}
+
+TEST_CASE_METHOD(FollowerWorld, "Changes of a feed count as the store's") {
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  follower.SetRank(1);
+  const std::uint64_t version = follower.known_version();
+  const TableChanges change{
+      "servers",   version,
+      version + 5, {{"servers", "a", Entry(2, true), version + 5, false}},
+      false,       {}};
+  follower.TakeFeed(std::span<const TableChanges>(&change, 1));
+  REQUIRE(applied.size() == 2);
+  REQUIRE(applied[1].origin == RowOrigin::kStore);
+  // The same once more is no news.
+  follower.TakeFeed(std::span<const TableChanges>(&change, 1));
+  REQUIRE(applied.size() == 2);
+}
+
+TEST_CASE_METHOD(FollowerWorld, "After a gap in the feed the store is asked") {
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  follower.SetRank(2);
+  follower.TakeFeed({});
+  RunFor(milliseconds(500));
+  rows.Set("servers", "a", Entry(2, true));
+  // A feed with what came after the change that was missed.
+  const std::uint64_t version = follower.known_version() + 1;
+  const TableChanges change{"servers", version, version + 1, {}, false, {}};
+  const int before = rows.follows;
+  follower.TakeFeed(std::span<const TableChanges>(&change, 1));
+  REQUIRE(rows.follows == before + 1);
+  REQUIRE(applied.size() == 2);
+}
+
+// Found on trouble-3 of the grown first site: the store was busy when the
+// change was to be read, and the host, which was fed, did not ask again.
+TEST_CASE_METHOD(FollowerWorld,
+                 "A change that could not be read is asked for") {
+  follower.Start();
+  follower.SetRank(1);
+  follower.TakeFeed({});
+  RunFor(milliseconds(500));
+  rows.Set("op", "config", "new");
+  rows.status = RowsAnswer::Status::kUnavailable;
+  const std::uint64_t version = follower.known_version();
+  const TableChanges change{"op", version, version + 1, {}, true, {}};
+  follower.TakeFeed(std::span<const TableChanges>(&change, 1));
+  rows.status = RowsAnswer::Status::kRead;
+  for (int i = 0; i < 10 && applied.empty(); ++i) {
+    follower.TakeFeed({});
+    RunFor(milliseconds(100));
+  }
+  REQUIRE(applied.size() == 1);
+}
+
+TEST_CASE_METHOD(FollowerWorld,
+                 "A removal that is fed after an outage is not final") {
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  follower.SetRank(1);
+  const std::uint64_t version = follower.known_version();
+  const TableChanges change{
+      "servers",   version,
+      version + 5, {{"servers", "a", "", version + 5, true}},
+      false,       milliseconds(900)};
+  follower.TakeFeed(std::span<const TableChanges>(&change, 1));
+  REQUIRE(applied.size() == 2);
+  REQUIRE(applied[1].origin == RowOrigin::kStoreAfterOutage);
+  REQUIRE(follower.recovering_until());
+}
+
+TEST_CASE_METHOD(FollowerWorld, "Only changes that mean something are fed") {
+  KeepFeeds();
+  rows.Set("servers", "a", Entry(1, false));
+  rows.Set("servers", "b", Entry(1, false));
+  follower.Start();
+  RunFor(milliseconds(50));
+  REQUIRE(fed.empty());  // what is read first others read themselves
+  rows.Set("servers", "a", Entry(2, false));
+  rows.Set("servers", "b", Entry(2, true));
+  RunUntil([&] { return applied.size() == 4; });
+  std::vector<routing::Row> passed_on;
+  for (const TableChanges& change : fed)
+    passed_on.insert(passed_on.end(), change.rows.begin(), change.rows.end());
+  REQUIRE(passed_on.size() == 1);
+  REQUIRE(passed_on[0].key == "b");
+}
+
+// Found on trouble-3 of the grown first site: the reading host knew the newest
+// configuration from another zone's host and fed its own zone without it.
+TEST_CASE_METHOD(FollowerWorld, "What a peer told before is fed all the same") {
+  KeepFeeds();
+  follower.Start();
+  rows.Set("op", "config", "new");
+  const std::vector<routing::Row> told = {{"op", "config", "new", 1, false}};
+  follower.MergeFromPeer(told);
+  RunFor(milliseconds(700));
+  const auto with_rows = std::find_if(
+      fed.begin(), fed.end(),
+      [](const TableChanges& change) { return !change.rows.empty(); });
+  REQUIRE(with_rows != fed.end());
+  REQUIRE(with_rows->rows[0].key == "config");
+}
+
+TEST_CASE_METHOD(FollowerWorld, "Large changes are announced, not passed on") {
+  KeepFeeds();
+  follower.Start();
+  rows.Set("op", "config", std::string(100'000, 'x'));
+  RunFor(milliseconds(700));
+  const auto large =
+      std::find_if(fed.begin(), fed.end(),
+                   [](const TableChanges& change) { return change.must_read; });
+  REQUIRE(large != fed.end());
+  REQUIRE(large->rows.empty());
+}
+
+TEST_CASE_METHOD(FollowerWorld, "A host that cannot read feeds nobody") {
+  KeepFeeds();
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  rows.status = RowsAnswer::Status::kUnavailable;
+  RunUntil([&] { return follower.is_away(); });
+  fed.clear();
+  heartbeats = 0;
+  RunFor(milliseconds(1000));
+  REQUIRE(fed.empty());
+  REQUIRE(heartbeats == 0);
+}
+
+// Pattern: the store turns single hosts away and serves the others.
+TEST_CASE_METHOD(FollowerWorld, "A host that is fed does not miss the store") {
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  follower.SetRank(1);
+  rows.status = RowsAnswer::Status::kUnavailable;
+  for (int i = 0; i < 12; ++i) {
+    follower.TakeFeed({});
+    RunFor(milliseconds(100));
+  }
+  REQUIRE_FALSE(follower.is_away());
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
--- a/tests/routing/gatherer_test.cc
+++ b/tests/routing/gatherer_test.cc
@@ -39,5 +39,20 @@
     REQUIRE(ChooseGatherer(seed, hosts) == ChooseGatherer(seed, reversed));
 }
 
+TEST_CASE("Each host of a zone has a place of its own in the reading order") {
+  const std::vector<GatheringHost> hosts = {{"a:1", true, 0.12},
+                                            {"b:1", true, 0.5},
+                                            {"c:1", true, 0.12},
+                                            {"far:1", false, 4.0}};
+  std::set<std::size_t> ranks;
+  for (std::size_t i = 0; i < 3; ++i) {
+    std::vector<GatheringHost> others = hosts;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
+    ranks.insert(ReadingRank(hosts[i], others));
+    if (hosts[i].address == "b:1") REQUIRE(ReadingRank(hosts[i], others) == 0);
+  }
+  REQUIRE(ranks == std::set<std::size_t>{0, 1, 2});
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
