Gateway: Vouch by table for what a reading host feeds

Change: no heartbeats; what is fed names each table that is being read, and a host that hears nothing of a table reads that one. Calls for the servers' table wait for as long as the pause between two reads.

Tests (failed before): "A feed vouches only for what is being read", "A table that is not fed is read alone".

--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -168,6 +168,10 @@
   End(499, "client_gone");
 }
 
+double RequestFlow::MillisecondsUntil(std::optional<TimePoint> at) const {
+  return at ? Milliseconds(*at - arrived_at_) : -1;
+}
+
 void RequestFlow::End(int status, std::string_view cause) {
   if (has_ended_) return;
   has_ended_ = true;
@@ -195,6 +199,8 @@
                       {"sends", sends_},
                       {"events", events_},
                       {"open_items", items.size()},
+                      {"sent_ms", MillisecondsUntil(first_sent_at_)},
+                      {"first_event_ms", MillisecondsUntil(first_event_at_)},
                       {"ms", Milliseconds(taken)},
                       {"goal_ms", Milliseconds(goal_at_ - arrived_at_)}});
   on_end_(this);
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -103,6 +103,8 @@
   void OnTimeUp();
   void End(int status, std::string_view cause);
   int StatusOfUnserved() const;
+  // From the request's arrival; -1 if it did not come to that.
+  double MillisecondsUntil(std::optional<TimePoint> at) const;
 
   TimePoint Now() const { return context_.Now(); }
   bool IsStream() const {
@@ -153,6 +155,8 @@
   http::EventSplitter splitter_;
   std::optional<std::uint64_t> last_event_;
   std::uint64_t events_ = 0;
+  std::optional<TimePoint> first_sent_at_;
+  std::optional<TimePoint> first_event_at_;
 
   TimerId end_timer_;
   TimerId silence_timer_;
--- a/services/gateway/request_flow_answer.cc
+++ b/services/gateway/request_flow_answer.cc
@@ -67,6 +67,7 @@
     ++events_;
   }
   if (passed.empty()) return;
+  if (!first_event_at_) first_event_at_ = Now();
   if (counts_pending_tokens_) {
     counts_pending_tokens_ = false;
     routing::ServerRecord* server = context_.directory.Find(server_);
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -122,6 +122,7 @@
   bytes.append(exchange_->body());
   server_ = server.entry.id;
   sent_at_ = now;
+  if (!first_sent_at_) first_sent_at_ = now;
   ++sends_;
   tried_.push_back(server_);
   ++server.in_flight;
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -59,15 +59,15 @@
 }
 
 RowFollower::~RowFollower() {
-  for (const Table& table : tables_) context_.loop.Cancel(table.timer);
-  context_.loop.Cancel(feed_timer_);
-  context_.loop.Cancel(heartbeat_timer_);
+  for (const Table& table : tables_) {
+    context_.loop.Cancel(table.timer);
+    context_.loop.Cancel(table.feed_timer);
+  }
 }
 
 void RowFollower::Start() {
   started_at_ = context_.Now();
   for (Table& table : tables_) Ask(table);
-  Heartbeat();
 }
 
 void RowFollower::Ask(Table& table) {
@@ -139,7 +139,7 @@
   if (!is_first) PassOn(table, before, std::move(news));
   context_.loop.Cancel(table.timer);
   table.is_asking = false;
-  if (rank_ == 0 || !IsFed() || table.IsBehind()) AskLater(table, GapOf(table));
+  if (!IsFed(table) || table.IsBehind()) AskLater(table, GapOf(table));
 }
 
 void RowFollower::OnServed(Table& table) {
@@ -155,7 +155,7 @@
 }
 
 void RowFollower::OnUnavailable(Table& table) {
-  if (rank_ > 0 && IsFed() && !table.IsBehind()) {
+  if (IsFed(table) && !table.IsBehind()) {
     // Another host reads in this one's place.
     context_.loop.Cancel(table.timer);
     table.is_asking = false;
@@ -186,6 +186,12 @@
 
 Duration RowFollower::WaitOf(const Table& table) const {
   if (IsSlowTable(table)) return kHostsWait;
+  // Whoever is fed notices by the reader's silence that the store is away.
+  if (&table == &tables_.front()) return LongestWait();
+  return PartOfChangeTime(kReadGapPart);
+}
+
+Duration RowFollower::LongestWait() const {
   return std::max(context_.settings.bounds.contact_time - kContactMargin,
                   kShortestWait);
 }
@@ -206,14 +212,21 @@
   if (rank == rank_) return;
   context_.log.Write("reading_rank", "", {{"rank", rank}, {"before", rank_}});
   rank_ = rank;
-  if (rank_ == 0) AskIdleTables();
-}
-
-void RowFollower::AskIdleTables() {
+  if (rank_ > 0) return;
   for (Table& table : tables_)
     if (!table.is_asking) Ask(table);
 }
 
+// The first host reads whatever others do.
+bool RowFollower::IsFed(const Table& table) const {
+  return rank_ > 0 && table.fed_until > context_.Now();
+}
+
+bool RowFollower::IsReader(const Table& table) const {
+  return rank_ < kFeeders && table.has_read && !table.failing_since &&
+         !IsFed(table);
+}
+
 // Whether the row says something else than the one that was known. A server's
 // entry changes with every heartbeat, mostly without a difference.
 bool RowFollower::IsNews(const routing::Row& row) const {
@@ -228,58 +241,47 @@
          context_.wire.ReadServer(row.key, row.value);
 }
 
-bool RowFollower::MayFeed() const {
-  return feed_ && rank_ < kFeeders && (rank_ == 0 || !IsFed());
-}
-
 void RowFollower::PassOn(const Table& table, std::uint64_t after,
                          std::vector<routing::Row> news) {
-  if (!MayFeed()) return;
-  TableChanges changes{table.name, after, table.position, std::move(news)};
+  if (!feed_ || !IsReader(table)) return;
+  std::vector<TableChanges> changes = {
+      {table.name, after, table.position, std::move(news)}};
+  TableChanges& first = changes.front();
   std::size_t bytes = 0;
-  for (const routing::Row& row : changes.rows)
+  for (const routing::Row& row : first.rows)
     bytes += row.key.size() + row.value.size();
   if (bytes > kLargestFeed) {
-    changes.rows.clear();
-    changes.must_read = true;
+    first.rows.clear();
+    first.must_read = true;
   }
   if (recovering_until_)
-    changes.recovering =
+    first.recovering =
         std::max(*recovering_until_ - context_.Now(), Duration::zero());
-  passed_on_at_ = context_.Now();
-  feed_(std::span<const TableChanges>(&changes, 1));
+  // The others are waited on at the store and have not changed.
+  for (const Table& other : tables_)
+    if (&other != &table && IsReader(other))
+      changes.push_back({other.name, other.position, other.position, {}});
+  feed_(changes);
 }
 
-// Tells the others that this host still reads, where nothing has changed.
-void RowFollower::Heartbeat() {
-  const Duration period = PartOfChangeTime(kReadGapPart);
-  const bool has_failing =
-      std::any_of(tables_.begin(), tables_.end(), [](const Table& table) {
-        return table.failing_since || !table.has_read;
-      });
-  if (MayFeed() && !has_failing && context_.Now() - passed_on_at_ >= period) {
-    passed_on_at_ = context_.Now();
-    feed_({});
-  }
-  heartbeat_timer_ = context_.loop.After(period, [this] { Heartbeat(); });
+void RowFollower::TakeFeed(std::span<const TableChanges> changes) {
+  for (const TableChanges& change : changes)
+    for (Table& table : tables_)
+      if (table.name == change.table) TakeChanges(table, change);
 }
 
-void RowFollower::TakeFeed(std::span<const TableChanges> changes) {
+void RowFollower::TakeChanges(Table& table, const TableChanges& changes) {
   if (rank_ > 0) {
-    fed_until_ =
+    table.fed_until =
         context_.Now() +
         PartOfChangeTime(kFeedSilencePart +
                          kFeedSilenceStep *
                              static_cast<double>(std::min(rank_, kFeeders)));
-    context_.loop.Cancel(feed_timer_);
-    feed_timer_ = context_.loop.At(fed_until_, [this] { AskIdleTables(); });
+    context_.loop.Cancel(table.feed_timer);
+    table.feed_timer = context_.loop.At(table.fed_until, [this, &table] {
+      if (!table.is_asking) Ask(table);
+    });
   }
-  for (const TableChanges& change : changes)
-    for (Table& table : tables_)
-      if (table.name == change.table) TakeChanges(table, change);
-}
-
-void RowFollower::TakeChanges(Table& table, const TableChanges& changes) {
   if (!table.has_read || changes.version <= table.position) return;
   RowOrigin origin = RowOrigin::kStore;
   if (changes.recovering > Duration::zero()) {
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -55,7 +55,8 @@
   // Place of this host among those of its zone that read (see ReadingRank).
   void SetRank(std::size_t rank);
 
-  // What another host has read. No changes: there are none.
+  // What another host has read. A table that is named counts as fed for a
+  // while, also where nothing in it has changed.
   void TakeFeed(std::span<const TableChanges> changes);
 
   // Rows from another host; older ones than known are passed over.
@@ -85,6 +86,8 @@
     std::uint64_t call = 0;  // the newest call; answers to others are void
     bool is_asking = false;  // a call or the pause before it
     TimerId timer;
+    TimePoint fed_until{};  // whatever changes until then is passed on
+    TimerId feed_timer;
 
     // There are changes that were neither read nor fed.
     bool IsBehind() const { return !has_read || position < heard_of; }
@@ -98,17 +101,17 @@
   void AskLater(Table& table, Duration delay);
   bool IsSlowTable(const Table& table) const;
   Duration WaitOf(const Table& table) const;
+  Duration LongestWait() const;
   Duration GapOf(const Table& table) const;
   Duration PartOfChangeTime(double part) const;
 
-  bool IsFed() const { return fed_until_ > context_.Now(); }
-  bool MayFeed() const;
+  bool IsFed(const Table& table) const;
+  // Whether this host reads the table for the others of its zone.
+  bool IsReader(const Table& table) const;
   bool IsNews(const routing::Row& row) const;
   void PassOn(const Table& table, std::uint64_t after,
               std::vector<routing::Row> news);
   void TakeChanges(Table& table, const TableChanges& changes);
-  void AskIdleTables();
-  void Heartbeat();
 
   Context& context_;
   RowSource& source_;
@@ -119,10 +122,6 @@
   TimePoint started_at_;
   FeedCallback feed_;
   std::size_t rank_ = 0;
-  TimePoint fed_until_{};  // whatever changes until then is passed on
-  TimePoint passed_on_at_{};
-  TimerId feed_timer_;
-  TimerId heartbeat_timer_;
 };
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/wire.h
+++ b/services/gateway/wire.h
@@ -115,7 +115,8 @@
   using Callback = std::function<void(RowsAnswer)>;
   virtual ~RowSource() = default;
 
-  // The tables to follow, with the one of hosts last.
+  // The tables to follow: the operators', which changes rarely, first, and the
+  // one of hosts last.
   virtual std::vector<std::string> tables() const = 0;
   virtual RowSubject SubjectOf(const routing::Row& row) const = 0;
 
--- a/tests/gateway/gateway_world.cc
+++ b/tests/gateway/gateway_world.cc
@@ -25,7 +25,8 @@
 RowsAnswer FakeRows::Answer(const std::string& table,
                             std::uint64_t after) const {
   RowsAnswer answer;
-  answer.status = status;
+  answer.status =
+      table == failing_table ? RowsAnswer::Status::kUnavailable : status;
   answer.version = version_;
   for (const auto& [key, row] : rows_)
     if (row.table == table && row.version > after) answer.rows.push_back(row);
--- a/tests/gateway/gateway_world.h
+++ b/tests/gateway/gateway_world.h
@@ -33,6 +33,7 @@
 
   // What the next calls answer.
   RowsAnswer::Status status = RowsAnswer::Status::kRead;
+  std::string failing_table;  // calls for it are not answered well
   int full_reads = 0;
   int follows = 0;
 
--- a/tests/gateway/row_follower_test.cc
+++ b/tests/gateway/row_follower_test.cc
@@ -39,10 +39,17 @@
     RunUntil([&] { return clock_.Now() >= until; });
   }
 
+  // Another host says that nothing has changed.
+  void FeedNothingNew() {
+    std::vector<TableChanges> changes;
+    for (const std::string& table : rows.tables())
+      changes.push_back({table, 0, 0, {}, false, {}});
+    follower.TakeFeed(changes);
+  }
+
   // What the follower passes on to others.
   void KeepFeeds() {
     follower.SetFeed([this](std::span<const TableChanges> changes) {
-      if (changes.empty()) ++heartbeats;
       fed.insert(fed.end(), changes.begin(), changes.end());
     });
   }
@@ -50,7 +57,6 @@
   FakeRows rows;
   std::vector<Applied> applied;
   std::vector<TableChanges> fed;
-  int heartbeats = 0;
 
  private:
   SystemClock clock_;
@@ -132,7 +138,7 @@
   RunFor(milliseconds(100));
   const int before = rows.follows;
   for (int i = 0; i < 10; ++i) {
-    follower.TakeFeed({});
+    FeedNothingNew();
     RunFor(milliseconds(150));
   }
   // The calls that were due when the first feed came are all.
@@ -144,7 +150,7 @@
   rows.Set("servers", "a", Entry(1, false));
   follower.Start();
   follower.SetRank(1);
-  follower.TakeFeed({});
+  FeedNothingNew();
   RunFor(milliseconds(600));
   rows.Set("servers", "a", Entry(2, true));
   const TimePoint silent_since = loop().clock().Now();
@@ -175,7 +181,7 @@
   rows.Set("servers", "a", Entry(1, false));
   follower.Start();
   follower.SetRank(2);
-  follower.TakeFeed({});
+  FeedNothingNew();
   RunFor(milliseconds(500));
   rows.Set("servers", "a", Entry(2, true));
   // A feed with what came after the change that was missed.
@@ -193,7 +199,7 @@
                  "A change that could not be read is asked for") {
   follower.Start();
   follower.SetRank(1);
-  follower.TakeFeed({});
+  FeedNothingNew();
   RunFor(milliseconds(500));
   rows.Set("op", "config", "new");
   rows.status = RowsAnswer::Status::kUnavailable;
@@ -202,7 +208,7 @@
   follower.TakeFeed(std::span<const TableChanges>(&change, 1));
   rows.status = RowsAnswer::Status::kRead;
   for (int i = 0; i < 10 && applied.empty(); ++i) {
-    follower.TakeFeed({});
+    FeedNothingNew();
     RunFor(milliseconds(100));
   }
   REQUIRE(applied.size() == 1);
@@ -269,6 +275,43 @@
   REQUIRE(large->rows.empty());
 }
 
+// Found on trouble-1 and in a hunt of the grown first site: a reading host was
+// cut off from the store and told for seconds that nothing had changed.
+TEST_CASE_METHOD(FollowerWorld, "A feed vouches only for what is being read") {
+  KeepFeeds();
+  rows.Set("servers", "a", Entry(1, false));
+  follower.Start();
+  RunFor(milliseconds(500));
+  const auto names = [&](const std::string& table) {
+    return std::any_of(fed.begin(), fed.end(), [&](const TableChanges& change) {
+      return change.table == table;
+    });
+  };
+  REQUIRE(names("op"));
+  rows.failing_table = "op";
+  RunFor(milliseconds(500));
+  fed.clear();
+  RunFor(milliseconds(1000));
+  REQUIRE(names("servers"));
+  REQUIRE_FALSE(names("op"));
+}
+
+TEST_CASE_METHOD(FollowerWorld, "A table that is not fed is read alone") {
+  follower.Start();
+  follower.SetRank(1);
+  FeedNothingNew();
+  RunFor(milliseconds(500));
+  const int before = rows.follows;
+  const std::vector<TableChanges> servers = {{"servers", 0, 0, {}, false, {}}};
+  for (int i = 0; i < 8; ++i) {
+    follower.TakeFeed(servers);
+    RunFor(milliseconds(100));
+  }
+  rows.Set("op", "config", "new");
+  RunUntil([&] { return applied.size() == 1; });
+  REQUIRE(rows.follows > before);
+}
+
 TEST_CASE_METHOD(FollowerWorld, "A host that cannot read feeds nobody") {
   KeepFeeds();
   rows.Set("servers", "a", Entry(1, false));
@@ -276,10 +319,8 @@
   rows.status = RowsAnswer::Status::kUnavailable;
   RunUntil([&] { return follower.is_away(); });
   fed.clear();
-  heartbeats = 0;
   RunFor(milliseconds(1000));
   REQUIRE(fed.empty());
-  REQUIRE(heartbeats == 0);
 }
 
 // Pattern: the store turns single hosts away and serves the others.
@@ -289,7 +330,7 @@
   follower.SetRank(1);
   rows.status = RowsAnswer::Status::kUnavailable;
   for (int i = 0; i < 12; ++i) {
-    follower.TakeFeed({});
+    FeedNothingNew();
     RunFor(milliseconds(100));
   }
   REQUIRE_FALSE(follower.is_away());
