Stages: Ask stage servers for their state where an answer or room is missing

Change: a call that takes three times its time asks the server's report and is given up if the server is idle; a server without room is asked how much it has, and what others hold there fades; items without room do not fail; a request waits up to a second for the first configuration; what cannot begin before the caller of a stream leaves is refused.

--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -29,6 +29,9 @@
 constexpr int kTimeoutFactor = 12;
 // Stands for servers that do nothing, in servers of the expected speed.
 constexpr double kLeastCapacity = 0.1;
+// Results of others end or are given up; half of what was seen is taken to be
+// gone after this time.
+constexpr double kForeignHalfLifeSeconds = 1.0;
 // Part of the room for results that calls may fill by this host's own count.
 constexpr double kRoomShare = 0.95;
 
@@ -184,7 +187,7 @@
     if (has_quick && SlownessNow(lane, now) >= kMuchSlower) continue;
     // Calls chosen before may have left too little for one that follows.
     if (!IsFree(lane, now)) continue;
-    std::vector<WaitingItem> items = TakeItems(lane);
+    std::vector<WaitingItem> items = TakeItems(lane, now);
     if (items.empty()) continue;
     RunningCall call{now, items.size()};
     for (const WaitingItem& item : items)
@@ -197,7 +200,8 @@
 
 // A stage of a request is begun only where all of its results have room: part
 // of them would hold room while the rest waits for it.
-std::vector<WaitingItem> BatchScheduler::TakeItems(const Lane& lane) {
+std::vector<WaitingItem> BatchScheduler::TakeItems(const Lane& lane,
+                                                   TimePoint now) {
   using Group = std::pair<std::string_view, std::size_t>;
   const auto group_of = [](const WaitingItem& item) {
     return Group(item.request, item.place.stage);
@@ -207,7 +211,7 @@
     group_bytes[group_of(item)] += static_cast<std::int64_t>(item.result_bytes);
   const auto room = static_cast<std::int64_t>(
       kRoomShare * static_cast<double>(limits_.result_bytes));
-  std::int64_t bytes = lane.RoomTaken();
+  std::int64_t bytes = lane.RoomTaken() + ForeignBytes(lane, now);
   std::map<Group, bool> is_admitted;
   std::vector<std::size_t> chosen;
   for (std::size_t i = 0; i < waiting_.size(); ++i) {
@@ -256,6 +260,22 @@
   lanes_[server].deferred_until = until;
 }
 
+std::int64_t BatchScheduler::ForeignBytes(const Lane& lane, TimePoint now) {
+  const double age =
+      std::chrono::duration<double>(now - lane.foreign_at).count();
+  return static_cast<std::int64_t>(static_cast<double>(lane.foreign_bytes) *
+                                   std::exp2(-age / kForeignHalfLifeSeconds));
+}
+
+void BatchScheduler::NoteRoom(const ServerId& server, std::int64_t free_bytes,
+                              TimePoint now) {
+  Lane& lane = lanes_[server];
+  const auto room = static_cast<std::int64_t>(limits_.result_bytes);
+  lane.foreign_bytes =
+      std::max<std::int64_t>(0, room - free_bytes - lane.RoomTaken());
+  lane.foreign_at = now;
+}
+
 void BatchScheduler::CountResult(const ServerId& server, std::int64_t bytes) {
   Lane& lane = lanes_[server];
   lane.result_bytes = std::max<std::int64_t>(0, lane.result_bytes + bytes);
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -85,6 +85,10 @@
   // The server had no place for a call, or no room for a result.
   void Defer(const ServerId& server, TimePoint until);
 
+  // The server found less room than this host counted: results of others, or
+  // of this host before it started anew, lie there. They end by themselves.
+  void NoteRoom(const ServerId& server, std::int64_t free_bytes, TimePoint now);
+
   // Room taken at a server by results of this host.
   void CountResult(const ServerId& server, std::int64_t bytes);
 
@@ -122,8 +126,10 @@
     double slowness = 1.0;  // observed time of a call against the expected
     TimePoint slowness_at{};
     std::int64_t result_bytes = 0;
+    std::int64_t foreign_bytes = 0;  // of others, as of foreign_at
+    TimePoint foreign_at{};
 
-    // Room taken by results, those that are being made included.
+    // Room taken by this host's results, those that are being made included.
     std::int64_t RoomTaken() const {
       std::int64_t bytes = result_bytes;
       for (const RunningCall& call : calls) bytes += call.result_bytes;
@@ -141,7 +147,8 @@
   TimePoint NextCallAt(const Lane& lane) const;
   double SlownessNow(const Lane& lane, TimePoint now) const;
   double SlownessNow(const ServerId& server, TimePoint now) const;
-  std::vector<WaitingItem> TakeItems(const Lane& lane);
+  std::vector<WaitingItem> TakeItems(const Lane& lane, TimePoint now);
+  static std::int64_t ForeignBytes(const Lane& lane, TimePoint now);
 
   BatchLimits limits_;
   std::vector<WaitingItem> waiting_;
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -24,6 +24,8 @@
 // store is used for this time at most.
 constexpr Duration kPeerRemovalDelay = milliseconds(500);
 constexpr Duration kAnnounceRetry = milliseconds(700);
+// Between the first configuration and the first list of servers.
+constexpr Duration kFirstServers = milliseconds(20);
 // Parts of the budget that hosts plan with; the rest covers that hosts and the
 // servers count in different windows.
 constexpr double kRetryShare = 0.8;
@@ -124,7 +126,8 @@
 }
 
 Gateway::~Gateway() {
-  for (const TimerId timer : {tick_timer_, stop_timer_, announce_timer_})
+  for (const TimerId timer :
+       {tick_timer_, stop_timer_, announce_timer_, waiting_timer_})
     context_.loop.Cancel(timer);
   flows_.clear();
   context_.loop.RunDueTimers();
@@ -235,8 +238,20 @@
   limits.head_time = table->limits.header_time;
   limits.idle_time = table->limits.idle_time;
   callers_.SetLimits(limits);
+  const bool is_first = context_.table == nullptr;
   context_.table =
       std::make_shared<const routing::RoutingTable>(std::move(*table));
+  if (is_first) StartWaitingRequests();
+}
+
+void Gateway::StartWaitingRequests() {
+  // Servers are read at the same time as the configuration, but may come a
+  // moment later.
+  waiting_timer_ = context_.loop.After(kFirstServers, [this] {
+    std::vector<RequestFlow*> waiting;
+    for (const auto& [flow, owner] : flows_) waiting.push_back(flow);
+    for (RequestFlow* flow : waiting) flow->OnConfiguration();
+  });
 }
 
 void Gateway::ApplyServer(const std::string& name, const routing::Row& row,
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -44,6 +44,7 @@
 
   void ApplyRow(const routing::Row& row, RowOrigin origin);
   void ApplyRouting(const routing::Row& row);
+  void StartWaitingRequests();
   void ApplyServer(const std::string& name, const routing::Row& row,
                    RowOrigin origin);
   void ApplyHost(const std::string& name, const routing::Row& row);
@@ -89,6 +90,7 @@
   TimerId tick_timer_;
   TimerId stop_timer_;
   TimerId announce_timer_;
+  TimerId waiting_timer_;
 };
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -17,6 +17,14 @@
 // Callers that are refused come back after about this time.
 constexpr Duration kRetryAfter = milliseconds(400);
 constexpr double kRetryAfterJitter = 0.5;
+// Longest wait for the first configuration, which is read in some milliseconds
+// where the store serves.
+constexpr Duration kConfigurationWait = milliseconds(1000);
+// Callers leave a stream that has not begun after the longest of these: a time,
+// times its goal, times the longest pause that is on time.
+constexpr Duration kLeastStreamPatience = milliseconds(2000);
+constexpr int kPatienceInGoals = 4;
+constexpr int kPatienceInGaps = 8;
 
 double Milliseconds(Duration time) {
   return static_cast<double>(time.count()) / 1000.0;
@@ -48,17 +56,38 @@
 // --- Arrival ----------------------------------------------------------------
 
 void RequestFlow::Start() {
-  table_ = context_.table;
   std::optional<CallerRequest> request =
       context_.wire.ReadRequest(exchange_->head());
   if (!request) return Fail({400, "unreadable_fields"});
   request_ = std::move(*request);
-  if (!table_) return Refuse("no_configuration");
+  if (context_.table) return FollowRoute();
+  // A process that has just started knows its configuration in a moment.
+  Duration wait = kConfigurationWait;
+  if (request_.patience)
+    wait = std::min(wait, *request_.patience / kLongestRetryPart);
+  wait_timer_ =
+      context_.loop.After(wait, [this] { Refuse("no_configuration"); });
+}
+
+void RequestFlow::OnConfiguration() {
+  if (table_ || has_ended_) return;
+  context_.loop.Cancel(wait_timer_);
+  FollowRoute();
+}
+
+void RequestFlow::FollowRoute() {
+  table_ = context_.table;
   if (!FindRoute()) return;
   ends_at_ = arrived_at_ + route_->timeout;
   if (request_.patience)
     ends_at_ = std::min(ends_at_, arrived_at_ + *request_.patience);
   goal_at_ = arrived_at_ + route_->goal;
+  begins_by_ = ends_at_;
+  if (IsStream())
+    begins_by_ = std::min(
+        ends_at_, arrived_at_ + std::max({kLeastStreamPatience,
+                                          route_->goal * kPatienceInGoals,
+                                          route_->gap_goal * kPatienceInGaps}));
   end_timer_ = context_.loop.At(ends_at_ - kAnswerLead, [this] { OnTimeUp(); });
   StartStages();
 }
@@ -105,10 +134,10 @@
 void RequestFlow::StartStages() {
   plan_.emplace(route_->stages, request_.stage_items);
   if (plan_->IsDone()) return Send();
-  if (Now() + LeastStageTime() >= ends_at_) return Refuse("too_late");
+  if (Now() + LeastStageTime() >= begins_by_) return Refuse("too_late");
   const Duration wait = ChooseZone();
   // Waiting for what cannot be done in time helps nobody.
-  if (Now() + LeastStageTime() + wait >= ends_at_)
+  if (Now() + LeastStageTime() + wait >= begins_by_)
     return Refuse("overloaded", wait);
   SubmitReadyItems();
   stages_.Flush();
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -39,6 +39,9 @@
 
   void Start();
 
+  // The first configuration has come.
+  void OnConfiguration();
+
   void OnClientGone() override;
 
   bool IsOwnResponse(const http::ResponseHead& head) override;
@@ -56,6 +59,7 @@
   };
 
   // Arrival.
+  void FollowRoute();
   bool FindRoute();
   void StartStages();
   Duration LeastStageTime() const;
@@ -125,6 +129,7 @@
   TimePoint arrived_at_;
   TimePoint ends_at_;
   TimePoint goal_at_;
+  TimePoint begins_by_;  // a stream that has not begun then has no caller left
 
   std::optional<routing::StagePlan> plan_;
   std::set<routing::ItemId> open_items_;
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -126,7 +126,7 @@
 
 // When the first input of the stage ends by itself.
 TimePoint RequestFlow::InputsEnd(std::size_t stage) const {
-  TimePoint end = ends_at_;
+  TimePoint end = begins_by_;
   for (const std::size_t before : plan_->stage(stage).after) {
     const auto made = made_at_.find(before);
     const routing::Service* service =
@@ -157,7 +157,7 @@
     item.result_bytes = stage.result_bytes;
     item.priority = priority_;
     item.useful_until = goal_at_ - ExpectedTimeAfter(place.stage);
-    item.deadline = std::min(ends_at_ - LeastTimeAfter(place.stage),
+    item.deadline = std::min(begins_by_ - LeastTimeAfter(place.stage),
                              InputsEnd(place.stage));
     auto id = std::make_shared<routing::ItemId>();
     *id = stages_.Submit(PlaceOf(stage), std::move(item),
@@ -195,7 +195,7 @@
 // The servers of that zone could not make it; another zone's may.
 void RequestFlow::OnItemFailed(routing::ItemPlace place) {
   if (++stage_failures_ > kMaximumStageFailures ||
-      Now() + LeastStageTime() >= ends_at_)
+      Now() + LeastStageTime() >= begins_by_)
     return Refuse("stage_failed");
   failed_zones_.insert(stage_zone_);
   plan_->Reopen(place);
@@ -204,7 +204,7 @@
 }
 
 void RequestFlow::OnInputsLost(std::size_t stage) {
-  if (remakes_ >= kMaximumRemakes || Now() + LeastStageTime() >= ends_at_)
+  if (remakes_ >= kMaximumRemakes || Now() + LeastStageTime() >= begins_by_)
     return Refuse("inputs_lost");
   ++remakes_;
   const std::vector<routing::ResultHandle> removed =
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -18,6 +18,10 @@
 // How often it is looked for items that cannot be made in time while all
 // servers are at work; to sort a long queue at each event takes too long.
 constexpr Duration kHopelessPeriod = std::chrono::milliseconds(50);
+// Short calls are answered at once or not at all.
+constexpr Duration kSideCallTimeout = std::chrono::seconds(1);
+// How often a full server is asked for its room.
+constexpr Duration kRoomQuestionPeriod = std::chrono::milliseconds(400);
 
 }  // namespace
 
@@ -27,6 +31,7 @@
   StagePlace place;
   routing::BatchScheduler scheduler;
   TimePoint pruned_at{};
+  std::map<ServerId, TimePoint> asked_room_at;
 };
 
 // One batched call.
@@ -45,9 +50,7 @@
 
   void Start(const routing::ServerRecord& server) {
     Context& context = runner_.context_;
-    ForwardedCall target;
-    target.server = server.entry.id;
-    target.address = server.entry.address;
+    const ForwardedCall target = TargetOf(server);
     timeout_ =
         loop().After(lot_.scheduler.CallTimeout(call_.items.size()), [this] {
           http_.reset();
@@ -109,9 +112,27 @@
                                 {"server", call_.server.value()},
                                 {"items", call_.items.size()}});
     runner_.Requeue(lot_, call_.items);
+    AskWhetherLost();
     runner_.Pump();
   }
 
+  // A slow server is still at work; one that is idle has answered, and the
+  // answer was lost on the way.
+  void AskWhetherLost() {
+    patience_ = loop().After(lot_.scheduler.CallTime(call_.items.size()),
+                             [this] { AskWhetherLost(); });
+    std::weak_ptr<BatchRun*> self = self_;
+    runner_.AskReport(call_.server, [self](const StageServerReport& report) {
+      const auto run = self.lock();
+      if (run && report.is_idle) (*run)->OnAnswerLost();
+    });
+  }
+
+  void OnAnswerLost() {
+    http_.reset();
+    Finish("answer_lost", routing::CallResult::kFull, std::nullopt, {});
+  }
+
   void Finish(std::string_view outcome, routing::CallResult result,
               std::optional<Duration> served,
               std::span<const BatchResult> results) {
@@ -119,6 +140,7 @@
     const TimePoint now = context.Now();
     loop().Cancel(timeout_);
     loop().Cancel(patience_);
+    self_.reset();
     lot_.scheduler.EndCall(call_.server, call_.items.size(), served, now);
     context.directory.Report(call_.server, result, now);
     context.metrics.Count("lovagecleat_batch_calls_total",
@@ -160,10 +182,16 @@
   }
 
   void TakeResults(std::span<const BatchResult> results, TimePoint now) {
+    bool has_no_room = false;
     for (std::size_t i = 0; i < results.size(); ++i) {
       const BatchResult& result = results[i];
-      if (result.outcome == ItemOutcome::kNoRoom)
+      if (result.outcome == ItemOutcome::kNoRoom) {
         lot_.scheduler.Defer(call_.server, now + kNoRoomWait);
+        // Nothing was made, and the server is not at fault.
+        runner_.ForgetSends(
+            std::span<const routing::WaitingItem>(&call_.items[i], 1));
+        has_no_room = true;
+      }
       const bool again = result.outcome == ItemOutcome::kNoRoom ||
                          result.outcome == ItemOutcome::kFailed;
       if (again && is_abandoned_) continue;
@@ -175,6 +203,7 @@
                       {result.outcome, {result.handle, call_.server}},
                       lot_.place);
     }
+    if (has_no_room) runner_.AskRoom(lot_, call_.server);
   }
 
   StageRunner& runner_;
@@ -185,49 +214,56 @@
   TimerId timeout_;
   TimerId patience_;
   bool is_abandoned_ = false;
+  // Answers to questions may come after the call has ended.
+  std::shared_ptr<BatchRun*> self_ = std::make_shared<BatchRun*>(this);
   int status_ = 0;
   ServerAnswer answer_;
   std::string body_;
 };
 
-// One call that gives results up. Whether it arrives matters little: results
-// end by themselves after some seconds.
-class StageRunner::ReleaseRun final : public http::CallObserver {
+// A short call beside the batched ones. The callback is called once, with the
+// body of a good answer or nothing.
+class StageRunner::SideCall final : public http::CallObserver {
  public:
-  explicit ReleaseRun(StageRunner& runner) : runner_(runner) {}
-  ~ReleaseRun() override { runner_.context_.loop.Cancel(timeout_); }
+  using Callback = std::function<void(std::optional<std::string>)>;
 
-  void Start(const routing::ServerRecord& server,
-             std::vector<std::string> handles) {
+  SideCall(StageRunner& runner, Callback callback)
+      : runner_(runner), callback_(std::move(callback)) {}
+  ~SideCall() override { runner_.context_.loop.Cancel(timeout_); }
+
+  void Start(const ForwardedCall& target, std::string_view bytes) {
     Context& context = runner_.context_;
-    handles_ = std::move(handles);
-    ForwardedCall target;
-    target.server = server.entry.id;
-    target.address = server.entry.address;
-    timeout_ = context.loop.After(std::chrono::seconds(1),
-                                  [this] { runner_.Remove(this); });
-    http_ = context.pool.Start({target.server.value(), target.address},
-                               context.wire.WriteRelease(target, handles_),
+    timeout_ =
+        context.loop.After(kSideCallTimeout, [this] { Finish(std::nullopt); });
+    http_ = context.pool.Start({target.server.value(), target.address}, bytes,
                                http::Reuse::kAny, *this);
   }
 
-  void OnResponseHead(const http::ResponseHead& /*head*/) override {}
-  void OnResponseBody(std::string_view /*bytes*/) override {}
-  void OnResponseComplete() override {
-    runner_.OnReleased(handles_);
-    runner_.Remove(this);
+  void OnResponseHead(const http::ResponseHead& head) override {
+    status_ = head.status;
   }
-  void OnCallFailed(http::CallEnd /*end*/) override {
-    // The results end by themselves, and their room is counted until then.
-    runner_.context_.metrics.Count("lovagecleat_release_failures_total");
-    runner_.Remove(this);
+  void OnResponseBody(std::string_view bytes) override { body_.append(bytes); }
+  void OnResponseComplete() override {
+    Finish(status_ == 200 ? std::optional(body_) : std::nullopt);
   }
+  void OnCallFailed(http::CallEnd /*end*/) override { Finish(std::nullopt); }
 
  private:
+  void Finish(std::optional<std::string> body) {
+    const Callback callback = std::move(callback_);
+    StageRunner& runner = runner_;
+    runner.context_.loop.Cancel(timeout_);
+    http_.reset();
+    runner.Remove(this);
+    callback(std::move(body));
+  }
+
   StageRunner& runner_;
-  std::vector<std::string> handles_;
+  Callback callback_;
   std::unique_ptr<http::Call> http_;
   TimerId timeout_;
+  int status_ = 0;
+  std::string body_;
 };
 
 StageRunner::StageRunner(Context& context) : context_(context) {}
@@ -438,13 +474,66 @@
     const routing::ServerRecord* record = context_.directory.Find(server);
     // With the server its results are gone.
     if (record == nullptr) continue;
-    auto run = std::make_unique<ReleaseRun>(*this);
-    ReleaseRun* raw = run.get();
-    releases_.emplace(raw, std::move(run));
-    raw->Start(*record, std::move(handles));
+    const ForwardedCall target = TargetOf(*record);
+    const std::string bytes = context_.wire.WriteRelease(target, handles);
+    StartSideCall(
+        target, bytes, [this, handles](const std::optional<std::string>& body) {
+          if (body) return OnReleased(handles);
+          // The results end by themselves, and their room is counted
+          // until then.
+          context_.metrics.Count("lovagecleat_release_failures_total");
+        });
   }
 }
 
+ForwardedCall StageRunner::TargetOf(const routing::ServerRecord& server) {
+  ForwardedCall target;
+  target.server = server.entry.id;
+  target.address = server.entry.address;
+  return target;
+}
+
+void StageRunner::StartSideCall(
+    const ForwardedCall& target, std::string_view bytes,
+    std::function<void(std::optional<std::string>)> callback) {
+  auto call = std::make_unique<SideCall>(*this, std::move(callback));
+  SideCall* raw = call.get();
+  side_calls_.emplace(raw, std::move(call));
+  raw->Start(target, bytes);
+}
+
+void StageRunner::AskReport(
+    const ServerId& server,
+    std::function<void(const StageServerReport&)> callback) {
+  const routing::ServerRecord* record = context_.directory.Find(server);
+  if (record == nullptr) return;
+  const ForwardedCall target = TargetOf(*record);
+  context_.metrics.Count("lovagecleat_report_questions_total");
+  StartSideCall(
+      target, context_.wire.WriteReportQuestion(target),
+      [this, server, callback](const std::optional<std::string>& body) {
+        const auto report =
+            body ? context_.wire.ReadReport(*body) : std::nullopt;
+        if (report) return callback(*report);
+        context_.log.Write("report_unavailable", "",
+                           {{"server", server.value()}});
+      });
+}
+
+// Results that this host does not know of fill a server after its gathering
+// host has changed or started anew.
+void StageRunner::AskRoom(Lot& lot, const ServerId& server) {
+  const TimePoint now = context_.Now();
+  lot.scheduler.NoteRoom(server, 0, now);
+  const auto [asked, is_first] = lot.asked_room_at.try_emplace(server, now);
+  if (!is_first && now - asked->second < kRoomQuestionPeriod) return;
+  asked->second = now;
+  AskReport(server, [this, &lot, server](const StageServerReport& report) {
+    lot.scheduler.NoteRoom(server, report.free_bytes, context_.Now());
+    Pump();
+  });
+}
+
 // Runs are destroyed by the loop, since they are the callers.
 void StageRunner::Remove(BatchRun* run) {
   const auto found = runs_.find(run);
@@ -455,13 +544,13 @@
   runs_.erase(found);
 }
 
-void StageRunner::Remove(ReleaseRun* run) {
-  const auto found = releases_.find(run);
-  if (found == releases_.end()) return;
+void StageRunner::Remove(SideCall* call) {
+  const auto found = side_calls_.find(call);
+  if (found == side_calls_.end()) return;
   context_.loop.After(
       Duration::zero(),
-      [ended = std::shared_ptr<ReleaseRun>(std::move(found->second))] {});
-  releases_.erase(found);
+      [ended = std::shared_ptr<SideCall>(std::move(found->second))] {});
+  side_calls_.erase(found);
 }
 
 void StageRunner::ArmTimer() {
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -78,7 +78,7 @@
 
  private:
   class BatchRun;
-  class ReleaseRun;
+  class SideCall;
   struct Lot;  // the items of one place
 
   Lot* LotOf(const StagePlace& place);
@@ -91,9 +91,15 @@
                const StagePlace& place);
   StageLoad Measure(Lot& lot);
   void Remove(BatchRun* run);
-  void Remove(ReleaseRun* run);
+  void Remove(SideCall* call);
   void ArmTimer();
   void FlushReleases();
+  static ForwardedCall TargetOf(const routing::ServerRecord& server);
+  void StartSideCall(const ForwardedCall& target, std::string_view bytes,
+                     std::function<void(std::optional<std::string>)> callback);
+  void AskReport(const ServerId& server,
+                 std::function<void(const StageServerReport&)> callback);
+  void AskRoom(Lot& lot, const ServerId& server);
 
   Context& context_;
   std::uint64_t last_item_ = 0;
@@ -104,7 +110,7 @@
   };
   std::map<ItemId, Waiter> waiters_;
   std::map<BatchRun*, std::unique_ptr<BatchRun>> runs_;
-  std::map<ReleaseRun*, std::unique_ptr<ReleaseRun>> releases_;
+  std::map<SideCall*, std::unique_ptr<SideCall>> side_calls_;
   struct HeldResult {
     StagePlace place;
     std::uint64_t bytes = 0;
--- a/services/gateway/wire.h
+++ b/services/gateway/wire.h
@@ -58,6 +58,12 @@
   std::string handle;  // of the result, if made
 };
 
+// What a stage server says of itself, some hundred milliseconds old.
+struct StageServerReport {
+  bool is_idle = false;         // no call at work, none waiting
+  std::int64_t free_bytes = 0;  // room for results
+};
+
 // Translates between the messages on the wire and the gateway's own types.
 // Implemented once for each platform.
 class Wire {
@@ -88,6 +94,11 @@
       const ForwardedCall& call,
       std::span<const std::string> handles) const = 0;
 
+  // A question to a stage server that takes no place there.
+  virtual std::string WriteReportQuestion(const ForwardedCall& call) const = 0;
+  virtual std::optional<StageServerReport> ReadReport(
+      std::string_view body) const = 0;
+
   // Rows of the platform's store.
   virtual std::optional<routing::RoutingTable> ReadRouting(
       std::string_view value) const = 0;
--- a/tests/platform_adapter/wire_test.cc
+++ b/tests/platform_adapter/wire_test.cc
@@ -94,6 +94,29 @@
   REQUIRE_FALSE(kWire.ReadBatch("{}"));
 }
 
+TEST_CASE("A stage server's report tells whether it is idle and its room") {
+  const auto report =
+      kWire.ReadReport(R"({"queued":0,"busy":false,"freeMb":2.5,"new":1})");
+  REQUIRE(report);
+  REQUIRE(report->is_idle);
+  REQUIRE(report->free_bytes == 2'500'000);
+  REQUIRE(kWire.ReadReport(R"({"queued":0,"busy":0,"freeMb":-1})")->is_idle);
+  REQUIRE_FALSE(
+      kWire.ReadReport(R"({"queued":0,"busy":true,"freeMb":1})")->is_idle);
+  REQUIRE_FALSE(
+      kWire.ReadReport(R"({"queued":2,"busy":0,"freeMb":1})")->is_idle);
+  for (const char* bad :
+       {"", "[]", R"({"queued":0,"busy":false})", R"({"busy":0,"freeMb":1})",
+        R"({"queued":"0","busy":false,"freeMb":1})",
+        R"({"queued":0,"busy":"no","freeMb":1})"})
+    REQUIRE_FALSE(kWire.ReadReport(bad));
+  gateway::ForwardedCall call;
+  call.server = ServerId("i-1");
+  call.address = "1.2.3.4:5";
+  REQUIRE(kWire.WriteReportQuestion(call).starts_with(
+      "GET /report HTTP/1.1\r\nHost: 1.2.3.4:5\r\n"));
+}
+
 TEST_CASE("Server entries of another shape name no server") {
   const std::string good =
       R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"draining",)"
@@ -157,6 +180,7 @@
     kWire.ReadRouting(bytes);
     kWire.ReadServer("i", bytes);
     kWire.ReadBatch(bytes);
+    kWire.ReadReport(bytes);
   });
 }
 
--- a/tests/routing/batch_scheduler_test.cc
+++ b/tests/routing/batch_scheduler_test.cc
@@ -241,6 +241,18 @@
   REQUIRE(scheduler.TakeCalls(servers.all(), At(181)).empty());
 }
 
+// Pattern: cold return of the gathering hosts.
+TEST_CASE("Room that others' results take is given back with time") {
+  BatchScheduler scheduler(MakeLimits(2, 1000));
+  Servers servers(1);
+  scheduler.CountResult(ServerId("s0"), 100);
+  scheduler.NoteRoom(ServerId("s0"), 100, At(0));
+  scheduler.Add(MakeItem(1, "r", 0, 0, 9000, 400));
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(0)).empty());
+  // 800 of others have fallen to a quarter.
+  REQUIRE(scheduler.TakeCalls(servers.all(), At(2000)).size() == 1);
+}
+
 TEST_CASE("A full server is left alone for a while") {
   BatchScheduler scheduler(MakeLimits());
   Servers servers(1);
