Placement: Tell the expected reading with the choice, use all room for results

Cause: the homes of a prompt were put in order twice for each send; results were counted against 95 parts in 100 of the room, which left one of 13 places of the first stage's servers empty, now that a lack of room costs no failure.

--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -33,7 +33,7 @@
 // gone after this time.
 constexpr double kForeignHalfLifeSeconds = 1.0;
 // Part of the room for results that calls may fill by this host's own count.
-constexpr double kRoomShare = 0.95;
+constexpr double kRoomShare = 1.0;
 
 }  // namespace
 
--- a/libraries/routing/prompt_placement.cc
+++ b/libraries/routing/prompt_placement.cc
@@ -85,33 +85,27 @@
 
 }  // namespace
 
-std::uint64_t PromptPlacement::ExpectedReading(
-    std::span<ServerRecord* const> usable, const ServerRecord& server,
-    const PromptShape& prompt) const {
+PromptChoice PromptPlacement::Choose(std::span<ServerRecord* const> usable,
+                                     const PromptShape& prompt,
+                                     std::size_t hosts) const {
   const HomeOrder order = OrderHomes(usable, prompt);
-  const auto found =
-      std::find(order.servers.begin(), order.servers.end(), &server);
-  const auto place = static_cast<std::size_t>(found - order.servers.begin());
-  const std::uint32_t own =
-      prompt.prompt_tokens -
-      std::min(prompt.prompt_tokens, prompt.SharedTokens());
-  return own + static_cast<std::uint64_t>(UnreadAt(order, place, prompt));
-}
-
-ServerRecord* PromptPlacement::Choose(std::span<ServerRecord* const> usable,
-                                      const PromptShape& prompt,
-                                      std::size_t hosts) const {
-  const HomeOrder order = OrderHomes(usable, prompt);
-  ServerRecord* best = nullptr;
+  PromptChoice best;
   double best_cost = 0;
+  double best_unread = 0;
   for (std::size_t i = 0; i < order.servers.size(); ++i) {
-    const double cost =
-        LoadDelay(*order.servers[i], hosts) +
-        kReadAgainWeight * UnreadAt(order, i, prompt) / kTokensPerMillisecond;
-    if (best != nullptr && cost >= best_cost) continue;
-    best = order.servers[i];
+    const double unread = UnreadAt(order, i, prompt);
+    const double cost = LoadDelay(*order.servers[i], hosts) +
+                        kReadAgainWeight * unread / kTokensPerMillisecond;
+    if (best.server != nullptr && cost >= best_cost) continue;
+    best.server = order.servers[i];
+    best.place = i;
     best_cost = cost;
+    best_unread = unread;
   }
+  const std::uint32_t own =
+      prompt.prompt_tokens -
+      std::min(prompt.prompt_tokens, prompt.SharedTokens());
+  best.reading = own + static_cast<std::uint64_t>(best_unread);
   return best;
 }
 
--- a/libraries/routing/prompt_placement.h
+++ b/libraries/routing/prompt_placement.h
@@ -19,6 +19,14 @@
   std::uint32_t SharedTokens() const;
 };
 
+struct PromptChoice {
+  ServerRecord* server = nullptr;
+  // Tokens that it will probably have to read: the request's own and those of
+  // parts for which it is no home.
+  std::uint64_t reading = 0;
+  std::size_t place = 0;  // among the homes of the prompt, the first is 0
+};
+
 // Chooses the server whose cache most likely holds the shared parts of a
 // prompt, unless it is so loaded that reading them again elsewhere is quicker.
 // All hosts agree on the servers of a part without messages, by rendezvous
@@ -30,16 +38,10 @@
   // sheets; only the relation of loads depends on it.
   static constexpr double kTokensPerMillisecond = 30.9;
 
-  // Tokens of the prompt that `server` will probably have to read: those of
-  // parts for which it is no home.
-  std::uint64_t ExpectedReading(std::span<ServerRecord* const> usable,
-                                const ServerRecord& server,
-                                const PromptShape& prompt) const;
-
-  // `hosts` is the number of hosts that place alike. Nothing if `usable` is
+  // `hosts` is the number of hosts that place alike. No server if `usable` is
   // empty.
-  ServerRecord* Choose(std::span<ServerRecord* const> usable,
-                       const PromptShape& prompt, std::size_t hosts) const;
+  PromptChoice Choose(std::span<ServerRecord* const> usable,
+                      const PromptShape& prompt, std::size_t hosts) const;
 };
 
 }  // namespace lovagecleat::routing
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -226,6 +226,7 @@
                       {"status", status},
                       {"cause", cause},
                       {"sends", sends_},
+                      {"home_place", home_place_},
                       {"events", events_},
                       {"open_items", items.size()},
                       {"sent_ms", MillisecondsUntil(first_sent_at_)},
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -82,10 +82,10 @@
 
   // Sending.
   void Send();
-  routing::ServerRecord* ChooseServer();
+  routing::PromptChoice ChooseServer();
   routing::ServerRecord* ChoosePlainServer(
       std::span<routing::ServerRecord* const> usable);
-  void SendTo(routing::ServerRecord& server);
+  void SendTo(const routing::PromptChoice& choice);
   void WaitForServer();
   void EndSend(routing::CallResult result, std::string_view outcome);
   void ArmSilenceTimer(Duration limit);
@@ -151,6 +151,7 @@
   SendState send_state_ = SendState::kNotSent;
   // Prompt tokens that the server has still to read for this request.
   std::uint64_t pending_tokens_ = 0;
+  std::size_t home_place_ = 0;  // of the server among the prompt's homes
   bool counts_pending_tokens_ = false;
 
   http::ResponseHead head_;
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -37,17 +37,17 @@
 }  // namespace
 
 void RequestFlow::Send() {
-  routing::ServerRecord* server = ChooseServer();
-  if (server == nullptr) return WaitForServer();
+  const routing::PromptChoice choice = ChooseServer();
+  if (choice.server == nullptr) return WaitForServer();
   // Servers count what arrives: a send without a connection is no try.
   const bool has_arrived = sends_ > unreached_;
   if (has_arrived && !context_.retries.TakeRetry(service_))
     return Fail({StatusOfUnserved(), "retry_budget"});
   if (sends_ == 0) context_.retries.CountFirstTry(service_);
-  SendTo(*server);
+  SendTo(choice);
 }
 
-routing::ServerRecord* RequestFlow::ChooseServer() {
+routing::PromptChoice RequestFlow::ChooseServer() {
   const TimePoint now = Now();
   const routing::ColdBound bound = context_.ColdBoundOf(service_);
   const auto filter = [&](std::vector<routing::ServerRecord*> servers) {
@@ -64,10 +64,10 @@
       filter(context_.directory.Usable(service_, now));
   // If all are resting, a send to one of them is better than none.
   if (usable.empty()) usable = filter(context_.directory.Listed(service_));
-  if (usable.empty()) return nullptr;
+  if (usable.empty()) return {};
   if (route_->uses_prompts)
     return context_.placement.Choose(usable, request_.prompt, context_.hosts);
-  return ChoosePlainServer(usable);
+  return {ChoosePlainServer(usable), 0, 0};
 }
 
 routing::ServerRecord* RequestFlow::ChoosePlainServer(
@@ -106,7 +106,8 @@
   wait_timer_ = context_.loop.At(*next, [this] { Send(); });
 }
 
-void RequestFlow::SendTo(routing::ServerRecord& server) {
+void RequestFlow::SendTo(const routing::PromptChoice& choice) {
+  routing::ServerRecord& server = *choice.server;
   const TimePoint now = Now();
   ForwardedCall call;
   call.server = server.entry.id;
@@ -126,8 +127,8 @@
   ++sends_;
   tried_.push_back(server_);
   ++server.in_flight;
-  pending_tokens_ = context_.placement.ExpectedReading(
-      context_.directory.Usable(service_, now), server, request_.prompt);
+  home_place_ = choice.place;
+  pending_tokens_ = choice.reading;
   server.pending_tokens += pending_tokens_;
   counts_pending_tokens_ = true;
   context_.limiter.CountSend(server_, now);
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -33,8 +33,10 @@
       final_bytes += plan_->item_count(i) * plan_->stage(i).result_bytes;
   }
   const routing::ServerRecord* likely =
-      context_.placement.Choose(context_.directory.Usable(service_, Now()),
-                                request_.prompt, context_.hosts);
+      context_.placement
+          .Choose(context_.directory.Usable(service_, Now()), request_.prompt,
+                  context_.hosts)
+          .server;
   std::vector<routing::ZoneChoice> choices;
   for (const ZoneId& zone : zones) {
     routing::ZoneChoice choice;
