--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -470,7 +470,8 @@
 
 void StageRunner::FlushReleases() {
   release_timer_ = TimerId{};
-  for (auto& [server, handles] : std::exchange(to_release_, {})) {
+  for (const auto& [server, released] : std::exchange(to_release_, {})) {
+    const std::vector<std::string>& handles = released;
     const routing::ServerRecord* record = context_.directory.Find(server);
     // With the server its results are gone.
     if (record == nullptr) continue;
@@ -504,7 +505,7 @@
 
 void StageRunner::AskReport(
     const ServerId& server,
-    std::function<void(const StageServerReport&)> callback) {
+    const std::function<void(const StageServerReport&)>& callback) {
   const routing::ServerRecord* record = context_.directory.Find(server);
   if (record == nullptr) return;
   const ForwardedCall target = TargetOf(*record);
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -98,7 +98,7 @@
   void StartSideCall(const ForwardedCall& target, std::string_view bytes,
                      std::function<void(std::optional<std::string>)> callback);
   void AskReport(const ServerId& server,
-                 std::function<void(const StageServerReport&)> callback);
+                 const std::function<void(const StageServerReport&)>& callback);
   void AskRoom(Lot& lot, const ServerId& server);
 
   Context& context_;
