--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -53,7 +53,6 @@
   StageRunner(const StageRunner&) = delete;
   StageRunner& operator=(const StageRunner&) = delete;
 
-  // Queues an item; the callback is called once unless it is withdrawn.
   // Queues an item for the servers of the service in that zone; the callback
   // is called once unless the item is withdrawn.
   ItemId Submit(const StagePlace& place, routing::WaitingItem item,
