--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -170,6 +170,7 @@
 void RequestFlow::Fail(Failure failure) {
   if (has_ended_) return;
   if (has_begun_response_) {
+    is_cut_ = true;
     exchange_->Abort();
     return End(failure.status, failure.cause);
   }
@@ -236,6 +237,7 @@
        {"sends", sends_},
        {"home_place", home_rank_},
        {"events", events_},
+       {"is_cut", is_cut_},
        {"open_items", items.size()},
        {"sent_ms", MillisecondsSinceArrival(first_sent_at_)},
        {"first_event_ms", MillisecondsSinceArrival(first_event_at_)},
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -162,6 +162,7 @@
   ResponseMetadata response_metadata_;
   std::string body_;
   bool has_begun_response_ = false;  // the response head was sent to the caller
+  bool is_cut_ = false;  // the connection was reset within the response
   http::EventSplitter splitter_;
   std::optional<std::uint64_t> last_event_;
   std::uint64_t events_ = 0;
