Gateway tests: Reproduce cut streams and failed requests at silent servers

Callers saw streams that ended without their end, and 502 responses, while their server was silent for a moment and would have continued.

--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 
+#include <cstdio>
 #include <utility>
 
 namespace lovagecleat::gateway {
@@ -128,6 +129,18 @@
   });
 }
 
+std::string Join(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view part : parts) text.append(part);
+  return text;
+}
+
+std::string Chunk(std::string_view bytes) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return Join({size, bytes, "\r\n"});
+}
+
 ScriptedServer::ScriptedServer(Script script)
     : script_(std::move(script)),
       server_([this](transport::RawConnection& connection) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -2,8 +2,10 @@
 
 #include <atomic>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -85,6 +87,17 @@
   http::ConnectionPool pool_;
 };
 
+inline constexpr const char* kSeal = "X-Lovagecleat-Response-Seal: s\r\n";
+inline constexpr const char* kStreamHead =
+    "HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n"
+    "X-Lovagecleat-Response-Seal: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline constexpr std::string_view kStreamEnd = "0\r\n\r\n";
+
+std::string Join(std::initializer_list<std::string_view> parts);
+// Returns `bytes` as one chunk of a chunked body.
+std::string Chunk(std::string_view bytes);
+
 // Runs a script for each request to a server, counts the requests and keeps the
 // last one.
 class ScriptedServer {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -41,7 +41,6 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-constexpr const char* kSeal = "X-Lovagecleat-Response-Seal: s\r\n";
 constexpr const char* kNotRun = "X-Lovagecleat-Not-Executed: 1\r\n";
 
 ScriptedServer::Script RespondWith(std::string response) {
@@ -236,23 +235,6 @@
   REQUIRE(elapsed < std::chrono::milliseconds(1300));
 }
 
-std::string Join(std::initializer_list<std::string_view> parts) {
-  std::string text;
-  for (const std::string_view part : parts) text.append(part);
-  return text;
-}
-
-constexpr const char* kStreamHead =
-    "HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n"
-    "X-Lovagecleat-Response-Seal: s\r\n"
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string Chunk(const std::string& bytes) {
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
-  return Join({size, bytes, "\r\n"});
-}
-
 // The first server closes the connection within the second event; the other
 // server resumes the stream.
 TEST_CASE_METHOD(GatewayTest,
--- a/tests/gateway/stages_test.cc
+++ b/tests/gateway/stages_test.cc
@@ -1,5 +1,8 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "tests/gateway/gateway_fixture.h"
 
@@ -14,7 +17,10 @@
 constexpr const char* kRouting = R"({"version":3,"routes":[
  {"name":"staged","host":"a.example","prefix":"/g/","kind":"unsafe",
   "timeoutMs":3000,"goalMs":1000,"attempts":2,"service":"plain",
-  "stages":[{"service":"encoder","bytes":1000}]}],
+  "stages":[{"service":"encoder","bytes":1000}]},
+ {"name":"staged-stream","host":"a.example","prefix":"/t/","kind":"stream",
+  "timeoutMs":9000,"goalMs":300,"gapAimMs":100,"attempts":2,"service":"plain",
+  "resumable":true,"stages":[{"service":"encoder","bytes":1000}]}],
  "services":[{"name":"plain","healthPath":"/h","maxConns":9},
   {"name":"encoder","pieces":{"slots":1,"queue":2,"batch":4,"callMs":50,
    "itemMs":10,"headroomMb":1,"handleS":4,"netMbps":1000}}],
@@ -25,9 +31,11 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string MakeStagedRequest(std::size_t items) {
-  return "POST /g/ HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
-         "X-Lovagecleat-Request-Id: id1\r\nX-Lovagecleat-Deadline-Ms: 3000\r\n"
+std::string MakeStagedRequest(std::size_t items,
+                              const std::string& path = "/g/") {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+         "X-Lovagecleat-Request-Id: id1\r\nX-Lovagecleat-Deadline-Ms: 9000\r\n"
          "X-Lovagecleat-Pieces: " +
          std::to_string(items) +
          "\r\nX-Lovagecleat-Piece-Key: k\r\nContent-Length: 2\r\n\r\nhi";
@@ -50,6 +58,15 @@
   std::atomic<int> report_requests = 0;
   // Number of first calls that get no response.
   std::atomic<int> lost_responses = 0;
+  // Whether a handle in `text` has been released.
+  bool HasReleasedOneOf(const std::string& text) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::any_of(released_.begin(), released_.end(),
+                       [&text](const std::string& handle) {
+                         return text.find(handle) != std::string::npos;
+                       });
+  }
+
   // Number of first calls that report no memory for results.
   std::atomic<int> calls_without_memory = 0;
 
@@ -61,6 +78,9 @@
       return true;
     }
     if (request.starts_with("POST /stage-free")) {
+      const auto body = ReadBody(request);
+      const std::lock_guard<std::mutex> lock(mutex_);
+      for (const auto& handle : body.at("handles")) released_.insert(handle);
       connection.Write(MakeResponse("", ""));
       return true;
     }
@@ -69,21 +89,28 @@
       connection.WaitForClose();
       return false;
     }
-    const auto body =
-        nlohmann::json::parse(request.substr(request.find("\r\n\r\n") + 4));
+    const auto body = ReadBody(request);
     nlohmann::json items = nlohmann::json::array();
     for (std::size_t i = 0; i < body.at("items").size(); ++i) {
       if (call <= calls_without_memory) {
         items.push_back({{"reason", "room"}});
       } else {
-        items.push_back({{"handle", "h" + std::to_string(i)}});
+        std::string handle = "h" + std::to_string(i);
+        if (call > 1) handle += "-of-call-" + std::to_string(call);
+        items.push_back({{"handle", handle}});
       }
     }
     connection.Write(MakeResponse("", nlohmann::json{{"items", items}}.dump()));
     return true;
   }
 
+  static nlohmann::json ReadBody(const std::string& request) {
+    return nlohmann::json::parse(request.substr(request.find("\r\n\r\n") + 4));
+  }
+
   std::string report_;
+  std::mutex mutex_;
+  std::set<std::string> released_;  // guarded by mutex_
   ScriptedServer server_;
 };
 
@@ -176,5 +203,65 @@
   REQUIRE(Send(MakeStagedRequest(1)).starts_with("HTTP/1.1 503"));
 }
 
+// A server that rejects requests whose stage results have been released. Its
+// first stream breaks after the time within which streams must start.
+class ModelServer {
+ public:
+  explicit ModelServer(StageServer& stage)
+      : server_([this, &stage](RawConnection& connection,
+                               const std::string& request) {
+          return Handle(connection, request, stage);
+        }) {}
+
+  std::string address() const { return server_.address(); }
+  int requests() const { return server_.requests(); }
+
+ private:
+  bool Handle(RawConnection& connection, const std::string& request,
+              StageServer& stage) {
+    if (stage.HasReleasedOneOf(request)) {
+      connection.Write(
+          "HTTP/1.1 409 X\r\nX-Lovagecleat-Not-Executed: 1\r\n"
+          "Content-Length: 0\r\n\r\n");
+      return true;
+    }
+    const bool is_resumed =
+        request.find("Last-Event-Id: ") != std::string::npos;
+    if (is_resumed) {
+      connection.Write(
+          Join({kStreamHead, Chunk("id: 5\ndata: e\n\n"), kStreamEnd}));
+      return true;
+    }
+    connection.Write(kStreamHead);
+    for (int id = 1; id <= 4; ++id) {
+      connection.Write(Chunk("id: " + std::to_string(id) + "\ndata: x\n\n"));
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    }
+    return false;
+  }
+
+  ScriptedServer server_;
+};
+
+// Guards against cut streams: a stream that had to resume at another server
+// after the time limit for its first event counted as too late to resume.
+TEST_CASE_METHOD(StagesFixture,
+                 "A long stream resumes with new results of its stages") {
+  StageServer stage;
+  ModelServer first(stage);
+  ModelServer second(stage);
+  rows.Set("op", "config", kRouting);
+  AddServer("first", "plain", first.address());
+  AddServer("second", "plain", second.address());
+  AddServer("stage", "encoder", stage.address());
+  Start();
+  const std::string response = Send(MakeStagedRequest(1, "/t/"));
+  REQUIRE(response.find("id: 4") != std::string::npos);
+  REQUIRE(response.find("id: 5") != std::string::npos);
+  REQUIRE(response.ends_with(kStreamEnd));
+  // Results that were released are not sent again.
+  REQUIRE(first.requests() + second.requests() == 2);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
