Requests: Count the abandoned attempt before leaving a silent server

Callers saw streams cut after their first events and safe requests answered with 502 while their server was silent for a moment. OnResponseTimeout asked whether another attempt was left before it counted the attempt that it was about to abandon. On the last attempt it therefore closed the call, found no attempt left and failed the request, although the server might have continued.

The question now counts the attempt as used, so that the last one is kept until it responds or the deadline passes.

--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -99,7 +99,8 @@
   void BeginResponse(std::optional<std::uint64_t> length);
   void OnFailureStatus();
   void Retry(std::string_view cause);
-  bool CanRetry() const;
+  // `additional_runs` are counted as if they had ended.
+  bool CanRetry(int additional_runs = 0) const;
 
   // End of the request.
   // `retry_after` is the time until the request could be served; zero means
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -161,8 +161,9 @@
 
 // Runs only for requests that may be repeated.
 void RequestFlow::OnResponseTimeout() {
-  // If the request cannot be retried, the flow goes on waiting.
-  if (!CanRetry() || !context_.retry_budget.HasRetry(service_)) return;
+  // The server may continue, so it is only left for a retry. Leaving it uses up
+  // an attempt.
+  if (!CanRetry(1) || !context_.retry_budget.HasRetry(service_)) return;
   EndSend(
       IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed,
       "silent");
@@ -196,11 +197,11 @@
                       {"outcome", outcome}});
 }
 
-bool RequestFlow::CanRetry() const {
+bool RequestFlow::CanRetry(int additional_runs) const {
   const bool was_not_run =
       send_state_ == SendState::kNotSent || send_state_ == SendState::kNotRun;
   if (!was_not_run && !route_->MayRepeat()) return false;
-  if (runs_ >= route_->attempts) return false;
+  if (runs_ + additional_runs >= route_->attempts) return false;
   if (sends_ - connect_failures_ >= route_->attempts + kExtraSends)
     return false;
   if (connect_failures_ >= kMaximumConnectFailures) return false;
