Requests: Leave a silent server only for one that can take over

Callers saw streams cut while their server was silent for a moment. After the time limit between events, OnResponseTimeout closed the call first and then looked for another server. If every other server had been tried, was suspended or was at its rate limit, no call was left and the response was reset.

The gateway now looks for the other server first, and asks again every 250 ms while there is none.

--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -83,6 +83,8 @@
 
   // Sending.
   void Send();
+  std::vector<routing::ServerRecord*> WithoutUnavailable(
+      std::vector<routing::ServerRecord*> servers) const;
   routing::PromptServerChoice ChooseServer();
   routing::ServerRecord* ChooseLeastLoadedServer(
       std::span<routing::ServerRecord* const> usable);
@@ -91,6 +93,7 @@
   void EndSend(routing::CallResult result, std::string_view outcome);
   void StartResponseTimer(Duration limit);
   void OnResponseTimeout();
+  bool CanLeaveServer() const;
   Duration ResponseTimeout() const;
 
   // Response.
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -14,6 +14,8 @@
 constexpr Duration kMinimumResponseTimeout = milliseconds(150);
 // Maximum wait for the first event of a resumable stream.
 constexpr Duration kFirstEventTimeout = milliseconds(1500);
+// Period of the checks whether a silent server can be left.
+constexpr Duration kLeaveCheckPeriod = milliseconds(250);
 // Sends beyond the route's attempts that servers may reject without running
 // the request.
 constexpr int kExtraSends = 2;
@@ -50,24 +52,27 @@
   SendTo(choice);
 }
 
-routing::PromptServerChoice RequestFlow::ChooseServer() {
+// Removes the servers that this request was sent to and those at their rate
+// limit.
+std::vector<routing::ServerRecord*> RequestFlow::WithoutUnavailable(
+    std::vector<routing::ServerRecord*> servers) const {
   const TimePoint now = Now();
   const routing::ColdRateLimit limit = context_.ColdRateLimitOf(service_);
-  const auto filter = [&](std::vector<routing::ServerRecord*> servers) {
-    std::erase_if(servers, [&](const routing::ServerRecord* server) {
-      const bool was_tried = std::find(tried_.begin(), tried_.end(),
-                                       server->entry.id) != tried_.end();
-      return was_tried ||
-             !context_.limiter.MaySend(server->entry.id, limit,
-                                       WarmthOf(*server, now), now);
-    });
-    return servers;
-  };
+  std::erase_if(servers, [&](const routing::ServerRecord* server) {
+    const bool was_tried = std::find(tried_.begin(), tried_.end(),
+                                     server->entry.id) != tried_.end();
+    return was_tried || !context_.limiter.MaySend(server->entry.id, limit,
+                                                  WarmthOf(*server, now), now);
+  });
+  return servers;
+}
+
+routing::PromptServerChoice RequestFlow::ChooseServer() {
   std::vector<routing::ServerRecord*> usable =
-      filter(context_.directory.Usable(service_, now));
+      WithoutUnavailable(context_.directory.Usable(service_, Now()));
   // If no server is usable, one that has failed recently is better than none.
   if (usable.empty())
-    usable = filter(context_.directory.UsableOrSuspended(service_));
+    usable = WithoutUnavailable(context_.directory.UsableOrSuspended(service_));
   if (usable.empty()) return {};
   if (route_->uses_prompts)
     return context_.placement.Choose(usable, request_.prompt,
@@ -161,9 +166,7 @@
 
 // Runs only for requests that may be repeated.
 void RequestFlow::OnResponseTimeout() {
-  // The server may continue, so it is only left for a retry. Leaving it uses up
-  // an attempt.
-  if (!CanRetry(1) || !context_.retry_budget.HasRetry(service_)) return;
+  if (!CanLeaveServer()) return StartResponseTimer(kLeaveCheckPeriod);
   EndSend(
       IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed,
       "silent");
@@ -172,6 +175,14 @@
   Retry("silent");
 }
 
+// A silent server may continue, so it is only left for another one that is
+// ready to take the request. Leaving it uses up an attempt.
+bool RequestFlow::CanLeaveServer() const {
+  return CanRetry(1) && context_.retry_budget.HasRetry(service_) &&
+         !WithoutUnavailable(context_.directory.Usable(service_, Now()))
+              .empty();
+}
+
 void RequestFlow::EndSend(routing::CallResult result,
                           std::string_view outcome) {
   context_.loop.Cancel(response_timer_);
