Requests: Resume a stream with new stage results while its caller waits

Callers saw streams cut when their server broke off or went silent some seconds after the first event. The gateway releases the stage results of a stream with its first event, yet sent their handles to the server that should continue; it rejected the request, and the results were computed again only until the time limit for the first event, counted from the arrival. Later the request was refused, which reset the response.

The limit now counts from the last event, as callers do. Released handles are not sent: the stages run again first, while a silent server keeps the call and may still continue.

--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -21,12 +21,12 @@
 // Maximum wait for the first configuration, which takes a few milliseconds to
 // read while the store is available.
 constexpr Duration kConfigurationWait = milliseconds(1000);
-// Callers are taken to leave a stream that has not begun within the longest of
-// these: a fixed time, a multiple of the route's latency target, and a multiple
-// of its target for the gap between events.
-constexpr Duration kMinimumStreamStartLimit = milliseconds(2000);
-constexpr int kStreamStartLatencyTargets = 4;
-constexpr int kStreamStartGapTargets = 8;
+// Callers are taken to leave a stream whose next event does not come within the
+// longest of these: a fixed time, a multiple of the route's latency target, and
+// a multiple of its target for the gap between events.
+constexpr Duration kMinimumEventTimeLimit = milliseconds(2000);
+constexpr int kEventLatencyTargets = 4;
+constexpr int kEventGapTargets = 8;
 
 double Milliseconds(Duration time) {
   return static_cast<double>(time.count()) / 1000.0;
@@ -83,19 +83,20 @@
   if (request_.timeout)
     deadline_ = std::min(deadline_, arrived_at_ + *request_.timeout);
   latency_target_at_ = arrived_at_ + route_->latency_target;
-  start_deadline_ = deadline_;
+  event_deadline_ = deadline_;
   if (IsStream())
-    start_deadline_ = std::min(
-        deadline_,
-        arrived_at_ +
-            std::max({kMinimumStreamStartLimit,
-                      route_->latency_target * kStreamStartLatencyTargets,
-                      route_->stream_gap_target * kStreamStartGapTargets}));
+    event_deadline_ = std::min(deadline_, arrived_at_ + EventTimeLimit());
   deadline_timer_ =
       context_.loop.At(deadline_ - kDeadlineMargin, [this] { OnDeadline(); });
   StartStages();
 }
 
+Duration RequestFlow::EventTimeLimit() const {
+  return std::max({kMinimumEventTimeLimit,
+                   route_->latency_target * kEventLatencyTargets,
+                   route_->stream_gap_target * kEventGapTargets});
+}
+
 bool RequestFlow::FindRoute() {
   const http::RequestHead& head = exchange_->head();
   const std::string_view host =
@@ -138,10 +139,10 @@
 void RequestFlow::StartStages() {
   plan_.emplace(route_->stages, request_.stage_items);
   if (plan_->IsDone()) return Send();
-  if (Now() + MinimumStageTime() >= start_deadline_) return Refuse("too_late");
+  if (Now() + MinimumStageTime() >= event_deadline_) return Refuse("too_late");
   const Duration wait = ChooseZone();
   // The request could not finish in time, so it is refused at once.
-  if (Now() + MinimumStageTime() + wait >= start_deadline_)
+  if (Now() + MinimumStageTime() + wait >= event_deadline_)
     return Refuse("overloaded", wait);
   SubmitReadyItems();
   stages_.Flush();
@@ -216,10 +217,8 @@
   context_.loop.Cancel(deadline_timer_);
   context_.loop.Cancel(response_timer_);
   context_.loop.Cancel(wait_timer_);
-  const std::vector<routing::ItemId> items(open_items_.begin(),
-                                           open_items_.end());
-  stages_.CancelItems(items);
-  ReleaseResults();
+  const std::size_t open_items = open_items_.size();
+  DropStageWork();
   const Duration elapsed = Now() - arrived_at_;
   const std::string route = route_ ? route_->name : "none";
   context_.metrics.Count("lovagecleat_requests_total",
@@ -238,7 +237,7 @@
        {"home_place", home_rank_},
        {"events", events_},
        {"is_cut", is_cut_},
-       {"open_items", items.size()},
+       {"open_items", open_items},
        {"sent_ms", MillisecondsSinceArrival(first_sent_at_)},
        {"first_event_ms", MillisecondsSinceArrival(first_event_at_)},
        {"ms", Milliseconds(elapsed)},
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -61,6 +61,8 @@
 
   // Arrival.
   void ApplyRoute();
+  // Returns the longest time for which callers wait for an event of a stream.
+  Duration EventTimeLimit() const;
   bool FindRoute();
   void StartStages();
   Duration MinimumStageTime() const;
@@ -77,6 +79,14 @@
   void SubmitReadyItems();
   TimePoint InputsExpireAt(std::size_t stage) const;
   void ReleaseResults();
+  void DropStageWork();
+  void RecomputeStages(std::size_t stage);
+  void OnStagesDone();
+  // Returns whether the request needs stage results that have been released.
+  bool HasReleasedInputs() const {
+    return has_released_results_ && !plan_->FinalResults().empty();
+  }
+  void GiveUpStages(std::string_view cause);
   void OnItemResult(routing::ItemPosition position, ItemResult item_result);
   void OnItemFailed(routing::ItemPosition position);
   void OnInputsLost(std::size_t stage);
@@ -94,6 +104,7 @@
   void StartResponseTimer(Duration limit);
   void OnResponseTimeout();
   bool CanLeaveServer() const;
+  void LeaveServer();
   Duration ResponseTimeout() const;
 
   // Response.
@@ -135,8 +146,9 @@
   TimePoint arrived_at_;
   TimePoint deadline_;
   TimePoint latency_target_at_;
-  // Callers are taken to have left a stream that has not begun by then.
-  TimePoint start_deadline_;
+  // Callers are taken to have left a stream whose next event has not come by
+  // then.
+  TimePoint event_deadline_;
 
   std::optional<routing::StagePlan> plan_;
   std::set<routing::ItemId> open_items_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -77,9 +77,10 @@
     if (server != nullptr)
       server->pending_tokens -=
           std::min(server->pending_tokens, pending_tokens_);
-    // A server that has sent an event no longer needs the stage results.
-    ReleaseResults();
   }
+  // A server that has sent an event no longer needs the stage results.
+  DropStageWork();
+  event_deadline_ = std::min(deadline_, Now() + EventTimeLimit());
   if (!has_begun_response_) BeginResponse(std::nullopt);
   exchange_->SendBody(passed);
   if (route_->MayRepeat())
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -41,6 +41,9 @@
 }  // namespace
 
 void RequestFlow::Send() {
+  if (HasReleasedInputs()) return RecomputeStages(plan_->stage_count());
+  // OnStagesDone sends the request.
+  if (!plan_->IsDone()) return;
   const routing::PromptServerChoice choice = ChooseServer();
   if (choice.server == nullptr) return WaitForServer();
   // The budget counts what servers receive, so a send that could not connect
@@ -98,7 +101,8 @@
 }
 
 // Every server has been tried or is at its rate limit. Waits until the limit of
-// an untried one allows a send, if that is before the request's latency target.
+// an untried one allows a send, if that is before the request's latency target
+// or, once a stream has begun, before its caller leaves.
 void RequestFlow::WaitForServer() {
   const TimePoint now = Now();
   const routing::ColdRateLimit limit = context_.ColdRateLimitOf(service_);
@@ -112,7 +116,9 @@
         server->entry.id, limit, WarmthOf(*server, now), now);
     if (next_send && (!next || *next_send < *next)) next = next_send;
   }
-  const TimePoint latest = std::min(latency_target_at_, deadline_);
+  const TimePoint latest = has_begun_response_
+                               ? event_deadline_
+                               : std::min(latency_target_at_, deadline_);
   if (!next || *next >= latest)
     return Fail({StatusWithoutResponse(), "no_server"});
   wait_timer_ = context_.loop.At(*next, [this] { Send(); });
@@ -167,6 +173,12 @@
 // Runs only for requests that may be repeated.
 void RequestFlow::OnResponseTimeout() {
   if (!CanLeaveServer()) return StartResponseTimer(kLeaveCheckPeriod);
+  if (plan_->IsDone() && !HasReleasedInputs()) return LeaveServer();
+  StartResponseTimer(kLeaveCheckPeriod);
+  if (HasReleasedInputs()) OnInputsLost(plan_->stage_count());
+}
+
+void RequestFlow::LeaveServer() {
   EndSend(
       IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed,
       "silent");
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -132,7 +132,7 @@
 
 // Returns when the first input of the stage expires on its server.
 TimePoint RequestFlow::InputsExpireAt(std::size_t stage) const {
-  TimePoint end = start_deadline_;
+  TimePoint end = event_deadline_;
   for (const std::size_t before : plan_->stage(stage).dependencies) {
     const auto first_result = first_result_at_.find(before);
     const routing::Service* service =
@@ -151,6 +151,15 @@
   stages_.Release(plan_->Results());
 }
 
+// Also ends the computation of stage results that nothing waits for any more.
+void RequestFlow::DropStageWork() {
+  const std::vector<routing::ItemId> items(open_items_.begin(),
+                                           open_items_.end());
+  open_items_.clear();
+  stages_.CancelItems(items);
+  ReleaseResults();
+}
+
 void RequestFlow::SubmitReadyItems() {
   for (const routing::ItemPosition& position : plan_->TakeReady()) {
     const routing::Stage& stage = plan_->stage(position.stage);
@@ -165,7 +174,7 @@
     item.result_bytes = stage.result_bytes;
     item.priority = priority_;
     item.soft_deadline = latency_target_at_ - ExpectedTimeAfter(position.stage);
-    item.deadline = std::min(start_deadline_ - MinimumTimeAfter(position.stage),
+    item.deadline = std::min(event_deadline_ - MinimumTimeAfter(position.stage),
                              InputsExpireAt(position.stage));
     auto id = std::make_shared<routing::ItemId>();
     *id = stages_.Submit(LocationOf(stage), std::move(item),
@@ -188,14 +197,14 @@
       }
       first_result_at_.try_emplace(position.stage, Now());
       stages_.Release(plan_->TakeReleasable());
-      if (plan_->IsDone()) return Send();
+      if (plan_->IsDone()) return OnStagesDone();
       SubmitReadyItems();
       return;
     case ItemOutcome::kInputLost:
       plan_->Requeue(position);
       return OnInputsLost(position.stage);
     case ItemOutcome::kDeadlinePassed:
-      return Refuse("stage_late");
+      return GiveUpStages("stage_late");
     case ItemOutcome::kNoResultMemory:
     case ItemOutcome::kFailed:
       return OnItemFailed(position);
@@ -205,8 +214,8 @@
 // The item failed on the servers of one zone; those of another may succeed.
 void RequestFlow::OnItemFailed(routing::ItemPosition position) {
   if (++stage_failures_ > kMaximumStageFailures ||
-      Now() + MinimumStageTime() >= start_deadline_)
-    return Refuse("stage_failed");
+      Now() + MinimumStageTime() >= event_deadline_)
+    return GiveUpStages("stage_failed");
   failed_zones_.insert(stage_zone_);
   plan_->Requeue(position);
   SubmitReadyItems();
@@ -214,10 +223,17 @@
 }
 
 void RequestFlow::OnInputsLost(std::size_t stage) {
-  if (recomputations_ >= kMaximumRecomputations ||
-      Now() + MinimumStageTime() >= start_deadline_)
-    return Refuse("inputs_lost");
+  if (recomputations_ >= kMaximumRecomputations)
+    return GiveUpStages("inputs_lost");
   ++recomputations_;
+  RecomputeStages(stage);
+}
+
+// Computes the inputs of `stage` again, or those of the request itself if
+// `stage` is the number of stages.
+void RequestFlow::RecomputeStages(std::size_t stage) {
+  if (Now() + MinimumStageTime() >= event_deadline_)
+    return GiveUpStages("inputs_lost");
   const std::vector<routing::ResultHandle> removed =
       stage < plan_->stage_count() ? plan_->InvalidateInputsOf(stage)
                                    : plan_->InvalidateFinalResults();
@@ -228,4 +244,17 @@
   stages_.Flush();
 }
 
+void RequestFlow::OnStagesDone() {
+  if (!call_) return Send();
+  // The results were computed to leave a silent server. It is kept until
+  // another one can take over, which the response timer checks.
+  if (CanLeaveServer()) LeaveServer();
+}
+
+// A request whose server may still continue does not depend on its stages.
+void RequestFlow::GiveUpStages(std::string_view cause) {
+  if (!call_) return Refuse(cause);
+  DropStageWork();
+}
+
 }  // namespace lovagecleat::gateway
--- a/tests/gateway/stages_test.cc
+++ b/tests/gateway/stages_test.cc
@@ -95,8 +95,10 @@
       if (call <= calls_without_memory) {
         items.push_back({{"reason", "room"}});
       } else {
-        std::string handle = "h" + std::to_string(i);
-        if (call > 1) handle += "-of-call-" + std::to_string(call);
+        // No handle is part of another one.
+        const std::string handle =
+            call == 1 ? "h" + std::to_string(i)
+                      : "call" + std::to_string(call) + "-" + std::to_string(i);
         items.push_back({{"handle", handle}});
       }
     }
