Gateway: Log software versions of servers and resumed streams

Neither the version of a server's software nor the stream that a request resumes was read, so the log could not tell a resumption within a response from one by a caller at another host. Both are now decoded from the store's entry and the request, and written with the server and request lines.

--- a/libraries/routing/model.h
+++ b/libraries/routing/model.h
@@ -104,6 +104,7 @@
   std::string address;  // "IP:PORT"
   ZoneId zone;
   bool is_draining = false;
+  std::string software_version;       // empty if the entry has none
   std::uint64_t started_unix_ms = 0;  // start of this incarnation; 0: unknown
   Duration warm_up_time{};            // reported time until it is warm
 
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -307,6 +307,7 @@
                      {{"server", name},
                       {"service", entry->service.value()},
                       {"zone", entry->zone.value()},
+                      {"software_version", entry->software_version},
                       {"is_draining", entry->is_draining},
                       {"row_version", row.version}});
 }
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -19,6 +19,9 @@
   std::optional<Duration> timeout;            // how long the caller waits
   std::string key;                            // API key; empty if none
   std::optional<std::uint64_t> resume_after;  // ID of the last event received
+  // Id of the request that received the first event of the stream that this one
+  // resumes; empty if the caller names none.
+  std::string resumed_stream;
   routing::Prompt prompt;
   std::vector<std::size_t> stage_items;  // number of items of each stage
   std::string stage_key;                 // sent with items without inputs
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -230,6 +230,8 @@
       {{"route", route},
        {"service", service_.value()},
        {"server", server_.value()},
+       {"software_version", software_version_},
+       {"resumed_stream", request_.resumed_stream},
        {"table_version", table_ ? table_->version : 0},
        {"status", status},
        {"cause", cause},
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -162,6 +162,7 @@
 
   std::unique_ptr<http::Call> call_;
   ServerId server_;
+  std::string software_version_;  // of the server of the last send
   TimePoint sent_at_;
   std::vector<ServerId> tried_;
   int runs_ = 0;  // sends that ran or may have run
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -140,6 +140,7 @@
       exchange_->head(), request_, call, exchange_->body().size());
   bytes.append(exchange_->body());
   server_ = server.entry.id;
+  software_version_ = server.entry.software_version;
   sent_at_ = now;
   if (!first_sent_at_) first_sent_at_ = now;
   ++sends_;
--- a/tests/platform_adapter/message_codec_test.cc
+++ b/tests/platform_adapter/message_codec_test.cc
@@ -18,6 +18,7 @@
                 {"X-Lovagecleat-Deadline-Ms", "1500"},
                 {"X-Api-Key", "key"},
                 {"Last-Event-Id", "12"},
+                {"Resumes", "first"},
                 {"X-Lovagecleat-Token-Usage", "1460,80"},
                 {"X-Lovagecleat-Prompt-Prefix", "a:800,b:410,c:250"},
                 {"X-Lovagecleat-Pieces", "2,0,8"},
@@ -27,6 +28,7 @@
   REQUIRE(request->timeout == std::chrono::milliseconds(1500));
   REQUIRE(request->key == "key");
   REQUIRE(request->resume_after == 12U);
+  REQUIRE(request->resumed_stream == "first");
   REQUIRE(request->prompt.prompt_tokens == 1460);
   REQUIRE(request->prompt.output_tokens == 80);
   REQUIRE(request->prompt.parts.size() == 3);
@@ -121,17 +123,20 @@
 TEST_CASE("Malformed server entries are rejected") {
   const std::string good =
       R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"draining",)"
-      R"("seq":4,"born":1700000000000})";
+      R"("version":"v1.1","seq":4,"born":1700000000000})";
   const auto entry = kCodec.ReadServer("i-1", good);
   REQUIRE(entry);
   REQUIRE(entry->id == ServerId("i-1"));
   REQUIRE(entry->is_draining);
   REQUIRE(entry->started_unix_ms == 1700000000000U);
+  REQUIRE(entry->software_version == "v1.1");
   for (const char* bad :
        {"", "[]", "{\"service\":1}", "\xff\xfe",
         R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"odd"})",
         (R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"ready",)"
-         R"("born":"late"})")}) {
+         R"("born":"late"})"),
+        (R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"ready",)"
+         R"("version":2})")}) {
     INFO(bad);
     REQUIRE_FALSE(kCodec.ReadServer("i-1", bad));
   }
