Requests: Never join the responses of two servers

Callers of safe routes could get a corrupt body that looked complete. Responses above 64 KiB are forwarded while they arrive. If the server of such a response broke off, or was still sending at the route's latency target, the request went to another server, whose whole body was appended to the part that the caller already had. A server that paused within the response lost its call as well.

A request whose response has begun is now only retried if it is a stream, which continues after its last event. Other responses wait for their server, and are cut if it breaks off.

The added test failed before, with a server that pauses and with one that breaks off (two requests instead of one), and passes now.

--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -225,6 +225,8 @@
   const bool was_not_run =
       send_state_ == SendState::kNotSent || send_state_ == SendState::kNotRun;
   if (!was_not_run && !route_->MayRepeat()) return false;
+  // Only a stream continues where another server has stopped.
+  if (has_begun_response_ && !IsStream()) return false;
   if (runs_ + additional_runs >= route_->attempts) return false;
   if (sends_ - connect_failures_ >= route_->attempts + kExtraSends)
     return false;
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -13,6 +13,8 @@
 constexpr const char* kRouting = R"({"version":3,"routes":[
  {"name":"safe","host":"a.example","prefix":"/s1/","kind":"safe",
   "timeoutMs":3000,"goalMs":300,"attempts":1,"service":"plain"},
+ {"name":"safe-2","host":"a.example","prefix":"/s2/","kind":"safe",
+  "timeoutMs":3000,"goalMs":300,"attempts":2,"service":"plain"},
  {"name":"stream-1","host":"a.example","prefix":"/r1/","kind":"stream",
   "timeoutMs":9000,"goalMs":1000,"attempts":1,"service":"plain",
   "resumable":true},
@@ -99,5 +101,30 @@
   REQUIRE(server.requests() == 1);
 }
 
+// Guards against corrupt responses: the response of a second server was
+// appended to the beginning of one that was abandoned while it arrived.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A partly forwarded response is not joined with another") {
+  const std::string half(100'000, 'x');
+  const bool is_broken = GENERATE(false, true);
+  const auto script = [&half, is_broken](RawConnection& connection,
+                                         const std::string&) {
+    connection.Write(Join({"HTTP/1.1 200 X\r\n", kSeal,
+                           "X-Lovagecleat-Request-Id: id1\r\n"
+                           "Content-Length: 200000\r\n\r\n",
+                           half}));
+    if (is_broken) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(900));
+    connection.Write(half);
+    return true;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  StartWith({&first, &second});
+  const std::string response = Send(MakeRequest("/s2/"));
+  REQUIRE(first.requests() + second.requests() == 1);
+  REQUIRE(response.ends_with(kStreamEnd) == !is_broken);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
