Requests: Ignore reports of lost stage results without stages

A request without stages whose server responded 409 and did not run it waited until its deadline and was answered with 504. OnInputsLost computed the inputs again, of which there were none, so no result ever came that would send the request.

Such a response now counts as any other rejection.

--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -108,7 +108,8 @@
     return Retry("other_server");
   }
   if (response_metadata_.is_not_run) {
-    const bool are_inputs_lost = head_.status == 409;
+    const bool are_inputs_lost =
+        head_.status == 409 && !plan_->FinalResults().empty();
     EndSend(routing::CallResult::kNoEvidence, "not_run");
     if (send_state_ == SendState::kNotSent) send_state_ = SendState::kNotRun;
     if (are_inputs_lost) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -365,5 +365,16 @@
   REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(500));
 }
 
+// Guards against requests without an answer: a server that reports lost stage
+// results for a request without stages was taken at its word.
+TEST_CASE_METHOD(GatewayTest,
+                 "A request without stages does not wait for stage results") {
+  ScriptedServer server(RespondWith(MakeResponse(409, kNotRun)));
+  StartWith({&server});
+  const TimePoint start = loop().clock().Now();
+  REQUIRE(Send(MakeRequest("/u/")).starts_with("HTTP/1.1 503"));
+  REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(500));
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
