HTTP server: Keep the idle limit under which a connection became idle

Beside a change of the configuration, callers lost requests on kept connections. A lower idle limit applied at once to all connections.

A connection now keeps the limit that was in force when it became idle, unless the limit is raised. The lower one applies from its next response on.

The added test, on a whole gateway, failed before: on a connection that had been idle for four fifths of its limit, the request after the change got no answer.

--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -1,5 +1,6 @@
 #include "http/server_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -32,7 +33,8 @@
     : server_(server),
       stream_(std::make_unique<TcpStream>(server.poller_, descriptor, *this)),
       phase_since_(Now()),
-      progress_at_(Now()) {}
+      progress_at_(Now()),
+      idle_timeout_(server.limits_.idle_timeout) {}
 
 ServerConnection::~ServerConnection() = default;
 
@@ -138,14 +140,17 @@
 
 void ServerConnection::CheckTimeouts(TimePoint now) {
   const ServerLimits& limits = server_.limits_;
+  // A client may still go by the higher limit that its connection became idle
+  // under.
+  const Duration idle_timeout = std::max(idle_timeout_, limits.idle_timeout);
   switch (phase_) {
     case Phase::kIdle:
-      if (now - progress_at_ > limits.idle_timeout) CloseAndRemove();
+      if (now - progress_at_ > idle_timeout) CloseAndRemove();
       return;
     case Phase::kReading: {
       const bool has_head_timed_out =
           !reader_->has_head() && now - phase_since_ > limits.head_timeout;
-      if (has_head_timed_out || now - progress_at_ > limits.idle_timeout)
+      if (has_head_timed_out || now - progress_at_ > idle_timeout)
         RejectWith(408);
       return;
     }
@@ -213,6 +218,7 @@
   phase_ = Phase::kIdle;
   phase_since_ = Now();
   progress_at_ = phase_since_;
+  idle_timeout_ = server_.limits_.idle_timeout;
   stream_->SetReading(true);
   ReadBuffered();
 }
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -51,6 +51,8 @@
   Phase phase_ = Phase::kIdle;
   TimePoint phase_since_;
   TimePoint progress_at_;
+  // Idle limit in force when the connection was last idle.
+  Duration idle_timeout_;
   std::string unparsed_;
   std::unique_ptr<MessageReader> reader_;
   RequestHead head_;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -365,6 +365,38 @@
   REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(500));
 }
 
+// Guards against lost requests: a lower idle limit closed connections that
+// clients could reuse under the limit with which these became idle.
+TEST_CASE_METHOD(
+    GatewayTest,
+    "A lower idle limit spares connections that are idle already") {
+  using std::chrono::milliseconds;
+  ScriptedServer server(RespondWith(MakeResponse(200, kSeal)));
+  const auto routing = [](int version, int idle_ms) {
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[{"name":"safe","host":"a.example","prefix":"/s/",
+ "kind":"safe","timeoutMs":800,"goalMs":300,"attempts":2,"service":"plain"}],
+ "services":[{"name":"plain","healthPath":"/h","maxConns":9}],
+ "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":)" +
+           std::to_string(idle_ms) + "}}";
+  };
+  rows.Set("op", "config", routing(3, 2000));
+  AddServer("s1", "plain", server.address());
+  Start();
+  loop().After(milliseconds(200),
+               [&] { rows.Set("op", "config", routing(4, 400)); });
+  const std::string head =
+      "GET /s/ HTTP/1.1\r\nHost: a.example\r\n"
+      "X-Lovagecleat-Request-Id: id1\r\n";
+  const std::string responses = RunWithClient([&](RawClient& client) {
+    client.Write(head + "\r\n");
+    std::this_thread::sleep_for(milliseconds(1600));
+    client.Write(head + "Connection: close\r\n\r\n");
+    return client.ReadToEnd();
+  });
+  REQUIRE(responses.find("HTTP/1.1 200", 1) != std::string::npos);
+}
+
 // Guards against requests without an answer: a server that reports lost stage
 // results for a request without stages was taken at its word.
 TEST_CASE_METHOD(GatewayTest,
