Requests: Skip the stage queues when no stage work is open

ForwardStreamBytes drops the stage work of a stream with every event, since a silent server may continue while results are computed again. CancelItems scans all queued items of the host even if it gets no item, so each forwarded event took time in proportion to the queues. It is now called only for open items.

--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -153,10 +153,12 @@
 
 // Also ends the computation of stage results that nothing waits for any more.
 void RequestFlow::DropStageWork() {
-  const std::vector<routing::ItemId> items(open_items_.begin(),
-                                           open_items_.end());
-  open_items_.clear();
-  stages_.CancelItems(items);
+  if (!open_items_.empty()) {
+    const std::vector<routing::ItemId> items(open_items_.begin(),
+                                             open_items_.end());
+    open_items_.clear();
+    stages_.CancelItems(items);
+  }
   ReleaseResults();
 }
 
