Requests: Return a begun stream to a server that was tried before

Callers saw streams cut when their server was silent for a moment and the server chosen to take over rejected the stream, for example as full. Whether it accepts is only known after the silent server has been left. With every server tried, no call was left and the response was reset at once.

The limits on sends, runs and the retry budget hold as before. The added test failed before (cut after event 1) and passes now.

--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -116,6 +116,12 @@
         server->entry.id, limit, WarmthOf(*server, now), now);
     if (next_send && (!next || *next_send < *next)) next = next_send;
   }
+  // A stream that has begun is cut unless it is sent somewhere, and a server
+  // that was silent or full may take it by now.
+  if (!next && has_begun_response_) {
+    tried_.clear();
+    next = now + kLeaveCheckPeriod;
+  }
   const TimePoint latest = has_begun_response_
                                ? event_deadline_
                                : std::min(latency_target_at_, deadline_);
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -101,6 +101,33 @@
   REQUIRE(server.requests() == 1);
 }
 
+// Guards against cut streams: a silent server was abandoned for one that then
+// rejected the stream.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A begun stream survives that the next server is full") {
+  std::atomic<int> resumptions = 0;
+  const auto script = [&resumptions](RawConnection& connection,
+                                     const std::string& request) {
+    if (request.find("Last-Event-Id: ") == std::string::npos)
+      return StreamWithSilence(connection);
+    if (++resumptions == 1) {
+      connection.Write(
+          "HTTP/1.1 503 X\r\nX-Lovagecleat-Not-Executed: 1\r\n"
+          "X-Lovagecleat-Request-Id: id1\r\nContent-Length: 0\r\n\r\n");
+    } else {
+      connection.Write(
+          Join({kStreamHead, Chunk("id: 2\ndata: b\n\n"), kStreamEnd}));
+    }
+    return true;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  StartWith({&first, &second});
+  const std::string response = Send(MakeRequest("/r2/"));
+  REQUIRE(response.find("id: 2") != std::string::npos);
+  REQUIRE(response.ends_with(kStreamEnd));
+}
+
 // Guards against corrupt responses: the response of a second server was
 // appended to the beginning of one that was abandoned while it arrived.
 TEST_CASE_METHOD(SilentServerFixture,
