HTTP server: Keep an idle connection on which a request waits unread

Callers lost whole requests on kept connections whose gateway had not run for a moment. Due timers run before the sockets are read. A lower idle limit makes this more likely, as does the end of a stop.

Idle connections are now only closed if nothing waits to be read on them; what waits is read in the same iteration of the loop. The added test failed before (one response for two requests) and passes now.

--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -145,7 +145,9 @@
   const Duration idle_timeout = std::max(idle_timeout_, limits.idle_timeout);
   switch (phase_) {
     case Phase::kIdle:
-      if (now - progress_at_ > idle_timeout) CloseAndRemove();
+      // A request may have arrived while the process did not run.
+      if (now - progress_at_ > idle_timeout && !stream_->HasUnreadBytes())
+        CloseAndRemove();
       return;
     case Phase::kReading: {
       const bool has_head_timed_out =
@@ -167,7 +169,8 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (phase_ == Phase::kIdle && unparsed_.empty()) CloseAfterSending();
+  if (phase_ == Phase::kIdle && unparsed_.empty() && !stream_->HasUnreadBytes())
+    CloseAfterSending();
 }
 
 void ServerConnection::Respond(int status, const HeaderFields& fields,
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -152,6 +153,12 @@
   UpdateEvents();
 }
 
+bool TcpStream::HasUnreadBytes() const {
+  int count = 0;
+  return descriptor_ >= 0 && ioctl(descriptor_, FIONREAD, &count) == 0 &&
+         count > 0;
+}
+
 void TcpStream::SetReading(bool is_reading) {
   if (is_reading_ == is_reading) return;
   is_reading_ = is_reading;
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -171,5 +171,21 @@
   REQUIRE(response.find("Connection: close") != std::string::npos);
 }
 
+// Guards against requests without an answer: after the process had not run for
+// a while, a connection counted as idle although a request waited on it.
+TEST_CASE_METHOD(ServerFixture,
+                 "A request that waits to be read keeps its connection open") {
+  loop().After(std::chrono::milliseconds(300), [] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  });
+  const std::string responses = RunWithClient([](RawClient& raw) {
+    raw.Write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    raw.Write("GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return raw.ReadToEnd();
+  });
+  REQUIRE(CountOccurrences(responses, "HTTP/1.1 200 OK") == 2);
+}
+
 }  // namespace
 }  // namespace lovagecleat::http
