HTTP server: Let slow readers finish a response before closing

Clients that paused their reading for over a second got a truncated response. The limit on lingering after "Connection: close", and the idle limit of a kept connection, counted from when the response was written, not from when it was sent; closing then dropped the rest of it from the send buffer. The former also applies to every response of a stopping gateway.

Both limits now count from when the last byte has been passed to the kernel. A client that reads nothing at all is still cut by TCP_USER_TIMEOUT. The added test failed before (128,044 and 3,967,551 of 7 MiB arrived) and passes now.

--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -136,17 +136,23 @@
   CloseAndRemove();
 }
 
-void ServerConnection::OnDrained() {}
+// The client can act on the response from now on.
+void ServerConnection::OnDrained() {
+  progress_at_ = Now();
+  if (phase_ == Phase::kClosing) phase_since_ = progress_at_;
+}
 
 void ServerConnection::CheckTimeouts(TimePoint now) {
   const ServerLimits& limits = server_.limits_;
   // A client may still go by the higher limit that its connection became idle
   // under.
   const Duration idle_timeout = std::max(idle_timeout_, limits.idle_timeout);
+  const bool is_sending = stream_->unsent_bytes() > 0;
   switch (phase_) {
     case Phase::kIdle:
       // A request may have arrived while the process did not run.
-      if (now - progress_at_ > idle_timeout && !stream_->HasUnreadBytes())
+      if (!is_sending && now - progress_at_ > idle_timeout &&
+          !stream_->HasUnreadBytes())
         CloseAndRemove();
       return;
     case Phase::kReading: {
@@ -163,7 +169,7 @@
       }
       return;
     case Phase::kClosing:
-      if (now - phase_since_ > kLingerTime) CloseAndRemove();
+      if (!is_sending && now - phase_since_ > kLingerTime) CloseAndRemove();
       return;
   }
 }
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -23,6 +23,8 @@
       exchange.SetObserver(this);
       return;
     }
+    if (exchange.head().target == "/pad")
+      return exchange.Respond(200, {}, std::string(padding, 'x'));
     exchange.Respond(200, {{"X-Target", exchange.head().target}},
                      exchange.body());
   }
@@ -31,6 +33,7 @@
     ++disconnects;
   }
 
+  std::size_t padding = 0;  // body size of responses to /pad
   Exchange* held = nullptr;
   int exchanges = 0;
   int disconnects = 0;
@@ -171,6 +174,24 @@
   REQUIRE(response.find("Connection: close") != std::string::npos);
 }
 
+// Guards against truncated responses: the connection to a client that paused
+// its reading was closed with a part of the response still buffered.
+TEST_CASE_METHOD(ServerFixture,
+                 "A client that pauses its reading gets the whole response") {
+  const std::string field = GENERATE("", "Connection: close\r\n");
+  handler_.padding = std::size_t{7} * 1024 * 1024;
+  const std::string response = RunWithClient([&](RawClient& raw) {
+    raw.Write("GET /pad HTTP/1.1\r\nHost: h\r\n" + field + "\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+    if (field.empty())
+      raw.Write("GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return raw.ReadToEnd();
+  });
+  REQUIRE(response.size() > handler_.padding);
+  REQUIRE(CountOccurrences(response, "HTTP/1.1 200 OK") ==
+          (field.empty() ? 2 : 1));
+}
+
 // Guards against requests without an answer: after the process had not run for
 // a while, a connection counted as idle although a request waited on it.
 TEST_CASE_METHOD(ServerFixture,
