Gateway tests: Run several gateways on one loop

A fixture can start up to any number of gateways that share one store, each with its own host, addresses, connections and log. A client can address any of them, and one can be destroyed, as a killed process, while the others go on. Servers' rows name the version of their software. A gateway is now destroyed before the pool and the poller that it uses.

--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
@@ -9,6 +10,9 @@
 
 namespace {
 
+// Time for the connections between started gateways.
+constexpr auto kConnectTime = std::chrono::milliseconds(500);
+
 // Discards the log lines.
 int OpenNull() { return open("/dev/null", O_WRONLY | O_CLOEXEC); }
 
@@ -62,20 +66,26 @@
   rows_[{table, key}] = {table, key, "", ++version_, true};
 }
 
-GatewayFixture::GatewayFixture()
-    : log_(clock_, "host", OpenNull()), poller_(loop()), pool_(poller_) {
-  settings_.host = HostId("host");
-  settings_.zone = ZoneId("z");
+GatewayFixture::Host::Host(GatewayFixture& fixture, const std::string& name)
+    : log(fixture.clock_, name, OpenNull()), pool(fixture.poller_) {
+  settings.host = HostId(name);
+  settings.zone = ZoneId("z");
   const auto address = [] {
     return "127.0.0.1:" + std::to_string(transport::UnusedPort());
   };
-  settings_.callers = address();
-  settings_.readiness = address();
-  settings_.peers = address();
-  settings_.store = address();
-  settings_.limits.shutdown_timeout = std::chrono::seconds(4);
-  gateway = std::make_unique<Gateway>(loop(), codec_, rows, settings_, poller_,
-                                      pool_, log_);
+  settings.callers = address();
+  settings.readiness = address();
+  settings.peers = address();
+  settings.store = address();
+  settings.limits.shutdown_timeout = std::chrono::seconds(4);
+  gateway =
+      std::make_unique<Gateway>(fixture.loop(), fixture.codec_, fixture.rows,
+                                settings, fixture.poller_, pool, log);
+}
+
+GatewayFixture::GatewayFixture() : poller_(loop()) {
+  hosts_.push_back(std::make_unique<Host>(*this, "host"));
+  gateway = hosts_.front()->gateway.get();
 }
 
 GatewayFixture::~GatewayFixture() = default;
@@ -84,35 +94,67 @@
   REQUIRE(gateway->Start() == Gateway::StartError::kNone);
 }
 
-void GatewayFixture::AddOwnHostRow() {
-  rows.Set("hosts", settings_.host.value(),
-           R"({"peers":")" + settings_.peers + R"(","zone":"z"})");
+void GatewayFixture::StartHosts(std::size_t count) {
+  while (hosts_.size() < count)
+    hosts_.push_back(std::make_unique<Host>(
+        *this, "host-" + std::to_string(hosts_.size() + 1)));
+  for (const auto& host : hosts_) AddHostRow(*host);
+  for (const auto& host : hosts_)
+    REQUIRE(host->gateway->Start() == Gateway::StartError::kNone);
+  RunUntil([&] {
+    return std::all_of(hosts_.begin(), hosts_.end(), [](const auto& host) {
+      return host->gateway->is_ready();
+    });
+  });
+  if (count > 1) RunFor(kConnectTime);
 }
 
+void GatewayFixture::KillHost(std::size_t number) {
+  if (number == 0) gateway = nullptr;
+  hosts_.at(number).reset();
+}
+
+void GatewayFixture::AddHostRow(const Host& host) {
+  rows.Set("hosts", host.settings.host.value(),
+           R"({"peers":")" + host.settings.peers + R"(","zone":"z"})");
+}
+
+void GatewayFixture::AddOwnHostRow() { AddHostRow(*hosts_.front()); }
+
 void GatewayFixture::DisableRetries() {
-  settings_.limits.retry_ratio = 0;
-  settings_.limits.retry_slack = 0;
-  gateway->Reload(settings_);
+  configuration::GatewaySettings& settings = hosts_.front()->settings;
+  settings.limits.retry_ratio = 0;
+  settings.limits.retry_slack = 0;
+  gateway->Reload(settings);
 }
 
 void GatewayFixture::AddServer(const std::string& id,
                                const std::string& service,
-                               const std::string& address) {
+                               const std::string& address,
+                               const std::string& version) {
   rows.Set("servers", id,
            R"({"service":")" + service + R"(","address":")" + address +
-               R"(","zone":"z","state":"ready","slots":4,"seq":1})");
+               R"(","zone":"z","version":")" + version +
+               R"(","state":"ready","slots":4,"seq":1})");
+}
+
+void GatewayFixture::RunFor(Duration time) {
+  RunUntil([this, until = loop().clock().Now() + time] {
+    return loop().clock().Now() >= until;
+  });
 }
 
-std::uint16_t GatewayFixture::callers_port() const {
-  return configuration::ParseEndpoint(settings_.callers)->port;
+std::uint16_t GatewayFixture::callers_port(std::size_t host) const {
+  return configuration::ParseEndpoint(hosts_.at(host)->settings.callers)->port;
 }
 
 std::string GatewayFixture::RunWithClient(
-    const std::function<std::string(transport::RawClient&)>& client) {
+    const std::function<std::string(transport::RawClient&)>& client,
+    std::size_t host) {
   std::atomic<bool> is_done = false;
   std::string text;
-  std::thread thread([&] {
-    transport::RawClient raw(callers_port());
+  std::thread thread([&, port = callers_port(host)] {
+    transport::RawClient raw(port);
     text = client(raw);
     is_done = true;
   });
@@ -122,11 +164,13 @@
   return text;
 }
 
-std::string GatewayFixture::Send(const std::string& bytes) {
-  return RunWithClient([&](transport::RawClient& raw) {
-    raw.Write(bytes);
-    return raw.ReadToEnd();
-  });
+std::string GatewayFixture::Send(const std::string& bytes, std::size_t host) {
+  return RunWithClient(
+      [&](transport::RawClient& raw) {
+        raw.Write(bytes);
+        return raw.ReadToEnd();
+      },
+      host);
 }
 
 std::string Join(std::initializer_list<std::string_view> parts) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <initializer_list>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -47,44 +48,70 @@
   std::uint64_t version_ = 0;
 };
 
-// Runs a gateway on its own loop, with servers scripted by the test.
+// Runs one or several gateways on one loop, with servers scripted by the test.
+// The gateways share `rows` as their store; the first one is number 0.
 class GatewayFixture : public transport::LoopFixture {
  public:
   GatewayFixture();
   ~GatewayFixture();
 
+  // Starts the first gateway.
   void Start();
 
-  // Adds this host's row to the hosts table, as after an earlier start.
+  // Adds gateways until there are `count`, each with its own host, addresses
+  // and row in the hosts table, starts them and waits until all are ready and
+  // had time to connect to each other.
+  void StartHosts(std::size_t count);
+
+  // Destroys a gateway with its connections, as if its process were killed. Its
+  // row in the hosts table stays.
+  void KillHost(std::size_t number);
+
+  // Adds the first host's row to the hosts table, as after an earlier start.
   void AddOwnHostRow();
 
   // Sets the retry budget to zero.
   void DisableRetries();
 
-  // Adds a server's row in the platform's format.
+  // Adds a server's row in the platform's format. `version` is that of the
+  // server's software.
   void AddServer(const std::string& id, const std::string& service,
-                 const std::string& address);
+                 const std::string& address, const std::string& version = "v1");
+
+  // Runs the loop for that time.
+  void RunFor(Duration time);
 
-  // Runs the gateway while `client` runs in another thread, where it may block
-  // on sockets. Returns its result.
+  // Runs the gateways while `client`, which is connected to one of them, runs
+  // in another thread, where it may block on sockets. Returns its result.
   std::string RunWithClient(
-      const std::function<std::string(transport::RawClient&)>& client);
+      const std::function<std::string(transport::RawClient&)>& client,
+      std::size_t host = 0);
 
   // Sends one request and returns all bytes received until the connection ends.
-  std::string Send(const std::string& bytes);
+  std::string Send(const std::string& bytes, std::size_t host = 0);
 
-  std::uint16_t callers_port() const;
+  std::uint16_t callers_port(std::size_t host = 0) const;
 
   FakeRowSource rows;
-  std::unique_ptr<Gateway> gateway;
+  Gateway* gateway = nullptr;  // the first one; null once killed
 
  private:
-  configuration::GatewaySettings settings_;
+  // What one gateway process has for itself.
+  struct Host {
+    Host(GatewayFixture& fixture, const std::string& name);
+
+    configuration::GatewaySettings settings;
+    logging::EventLog log;
+    http::ConnectionPool pool;
+    std::unique_ptr<Gateway> gateway;
+  };
+
+  void AddHostRow(const Host& host);
+
   platform_adapter::PlatformMessageCodec codec_;
   SystemClock clock_;
-  logging::EventLog log_;
   http::Poller poller_;
-  http::ConnectionPool pool_;
+  std::vector<std::unique_ptr<Host>> hosts_;  // null once killed
 };
 
 inline constexpr const char* kSeal = "X-Lovagecleat-Response-Seal: s\r\n";
--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <charconv>
 
 namespace lovagecleat::transport {
@@ -138,6 +139,17 @@
   return all;
 }
 
+bool RawClient::ReadAvailable(std::string& text) const {
+  std::array<char, 4096> bytes;
+  while (true) {
+    const ssize_t count =
+        recv(descriptor_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count < 0) return errno == EAGAIN || errno == EWOULDBLOCK;
+    if (count == 0) return false;
+    text.append(bytes.data(), static_cast<std::size_t>(count));
+  }
+}
+
 std::uint16_t UnusedPort() {
   const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
   const std::uint16_t port = BindToAnyPort(descriptor);
--- a/tests/transport/raw_server.h
+++ b/tests/transport/raw_server.h
@@ -64,6 +64,9 @@
   void Close();
   // Returns all bytes until the server closes the connection.
   std::string ReadToEnd() const;
+  // Appends the bytes that have arrived, without blocking. Returns whether the
+  // connection is still open.
+  bool ReadAvailable(std::string& text) const;
 
  private:
   int descriptor_;
