Gateway tests: Reproduce streams that go on at another software version

Streams of a service whose servers run two software versions held events of both: the gateway chooses the server that continues a stream without regard to its version, within one response and when a client takes the stream up.

The tests cover a server that breaks off within a response, a stream taken up at the same host, at another one and after the end of the host that began it, a stream whose beginning no host knows, and a version without servers left. The others guard what must stay possible: new streams, streams without an event and other requests go to any version, and a stream of unknown version is taken up where a service has had one version only.

--- /dev/null
+++ b/tests/gateway/stream_versions_test.cc
@@ -0,0 +1,439 @@
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <deque>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "tests/gateway/gateway_fixture.h"
+
+// Tests streams of a service whose servers run several software versions. What
+// two versions write does not fit together.
+namespace lovagecleat::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::RawClient;
+using transport::RawConnection;
+
+constexpr const char* kRouting = R"({"version":3,"routes":[
+ {"name":"safe","host":"a.example","prefix":"/s/","kind":"safe",
+  "timeoutMs":5000,"goalMs":1000,"attempts":2,"service":"plain"},
+ {"name":"stream","host":"a.example","prefix":"/r/","kind":"stream",
+  "timeoutMs":5000,"goalMs":1000,"attempts":2,"service":"plain",
+  "resumable":true}],
+ "services":[{"name":"plain","healthPath":"/h","maxConns":9}],
+ "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
+
+// Streams end within 1500 ms.
+constexpr const char* kShortRouting = R"({"version":3,"routes":[
+ {"name":"stream","host":"a.example","prefix":"/r/","kind":"stream",
+  "timeoutMs":1500,"goalMs":500,"attempts":2,"service":"plain",
+  "resumable":true}],
+ "services":[{"name":"plain","healthPath":"/h","maxConns":9}],
+ "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
+
+// Longer than any stream of kShortRouting and than the delay of row changes.
+constexpr auto kLongerThanStreams = milliseconds(4000);
+// Changes of the store's tables have taken effect after this time.
+constexpr auto kChangeDelay = milliseconds(1000);
+// A request that cannot be served is refused within this time.
+constexpr auto kRefusalTime = milliseconds(300);
+// Repetitions of a choice between versions, so that no chance passes a test:
+// new fixtures, and streams at one fixture.
+constexpr int kRounds = 10;
+constexpr int kStreams = 12;
+
+constexpr std::string_view kLastEventName = "Last-Event-Id: ";
+constexpr std::string_view kRequestIdName = "X-Lovagecleat-Request-Id: ";
+
+// Returns the value of a header field, empty if it is missing.
+std::string FieldOf(const std::string& request, std::string_view name) {
+  const auto at = request.find(name);
+  if (at == std::string::npos) return {};
+  const auto start = at + name.size();
+  return request.substr(start, request.find("\r\n", start) - start);
+}
+
+std::string MakeRequest(const std::string& path, const std::string& id,
+                        const std::string& extra = "") {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" +
+         Join({kRequestIdName, id}) +
+         "\r\nX-Lovagecleat-Deadline-Ms: 5000\r\nContent-Length: 2\r\n" +
+         extra + "\r\nhi";
+}
+
+// Returns the request of a client that takes a stream up after event `last`.
+// `begun_by` is the id of the attempt that brought the first event.
+std::string TakeUp(const std::string& id, const std::string& begun_by,
+                   int last = 1) {
+  return MakeRequest("/r/", id,
+                     "Last-Event-Id: " + std::to_string(last) +
+                         "\r\nResumes: " + begun_by + "\r\n");
+}
+
+// Returns kStreamHead with the id of the request.
+std::string StreamHeadFor(const std::string& request) {
+  std::string head = kStreamHead;
+  head.replace(head.find("id1"), 3, FieldOf(request, kRequestIdName));
+  return head;
+}
+
+// A server whose events name its version. A stream has three events.
+class VersionServer {
+ public:
+  // What the server does after the first event that it sends in a response.
+  enum class After { kContinue, kBreak, kWaitForClose };
+
+  VersionServer(std::string version, After after_begin,
+                After after_take_up = After::kContinue)
+      : version_(std::move(version)),
+        after_begin_(after_begin),
+        after_take_up_(after_take_up),
+        server_([this](RawConnection& connection, const std::string& request) {
+          return Serve(connection, request);
+        }) {}
+
+  const std::string& version() const { return version_; }
+  std::string address() const { return server_.address(); }
+  int begun() const { return begun_; }
+  int taken_up() const { return taken_up_; }
+  int requests() const { return server_.requests(); }
+
+ private:
+  bool Serve(RawConnection& connection, const std::string& request) {
+    if (request.starts_with("POST /s/")) {
+      connection.Write(Join({"HTTP/1.1 200 X\r\n", kSeal, kRequestIdName,
+                             FieldOf(request, kRequestIdName),
+                             "\r\nContent-Length: 2\r\n\r\n", version_}));
+      return true;
+    }
+    const std::string last = FieldOf(request, kLastEventName);
+    ++(last.empty() ? begun_ : taken_up_);
+    int event = last.empty() ? 0 : std::stoi(last);
+    connection.Write(Join({StreamHeadFor(request), MakeEvent(++event)}));
+    switch (last.empty() ? after_begin_ : after_take_up_) {
+      case After::kBreak:
+        return false;
+      case After::kWaitForClose:
+        connection.WaitForClose();
+        return false;
+      case After::kContinue:
+        break;
+    }
+    while (event < 3) connection.Write(MakeEvent(++event));
+    connection.Write(kStreamEnd);
+    return true;
+  }
+
+  std::string MakeEvent(int number) const {
+    return Chunk("id: " + std::to_string(number) + "\ndata: " + version_ +
+                 "\n\n");
+  }
+
+  std::string version_;
+  After after_begin_;
+  After after_take_up_;
+  std::atomic<int> begun_ = 0;
+  std::atomic<int> taken_up_ = 0;
+  ScriptedServer server_;
+};
+
+using After = VersionServer::After;
+
+// Checks that the response is a whole stream with events of that version only.
+void CheckWholeStream(const std::string& response, const std::string& version) {
+  INFO(response);
+  const std::string other = version == "v1" ? "v2" : "v1";
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(response.find("data: " + version) != std::string::npos);
+  CHECK(response.find("data: " + other) == std::string::npos);
+  CHECK(response.find("id: 3\n") != std::string::npos);
+  CHECK(response.ends_with(kStreamEnd));
+}
+
+class StreamVersionsFixture : public GatewayFixture {
+ public:
+  // Adds a server, with the id "sN" in order.
+  VersionServer& Add(const std::string& version, After after_begin,
+                     After after_take_up = After::kContinue) {
+    VersionServer& server =
+        servers.emplace_back(version, after_begin, after_take_up);
+    AddServer("s" + std::to_string(servers.size()), "plain", server.address(),
+              version);
+    return server;
+  }
+
+  void StartWith(std::size_t hosts, const char* routing = kRouting) {
+    rows.Set("op", "config", routing);
+    StartHosts(hosts);
+  }
+
+  // Sends the request and runs the loop until event `number` has reached the
+  // client; the connection stays open. Returns the event's version.
+  std::string ReadUntilEvent(const RawClient& client,
+                             const std::string& request, int number = 1) {
+    client.Write(request);
+    const std::string event = "id: " + std::to_string(number) + "\ndata: ";
+    std::string text;
+    bool is_open = true;
+    RunUntil([&] {
+      is_open = is_open && client.ReadAvailable(text);
+      return !is_open || text.find(event) != std::string::npos;
+    });
+    INFO(text);
+    const auto at = text.find(event);
+    REQUIRE(at != std::string::npos);
+    return text.substr(at + event.size(), 2);
+  }
+
+  // Begins a stream at a host and closes the client's connection after the
+  // first event. Returns the version that began the stream.
+  std::string BeginAndClose(const std::string& id, std::size_t host = 0) {
+    RawClient client(callers_port(host));
+    return ReadUntilEvent(client, MakeRequest("/r/", id));
+  }
+
+  int taken_up() const {
+    int sum = 0;
+    for (const VersionServer& server : servers) sum += server.taken_up();
+    return sum;
+  }
+
+  // Checks that the request is refused at once and reaches no server.
+  void RequireRefused(const std::string& request, std::size_t host = 0) {
+    const int before = taken_up();
+    const TimePoint sent_at = loop().clock().Now();
+    const std::string response = Send(request, host);
+    INFO(response);
+    CHECK(loop().clock().Now() - sent_at < kRefusalTime);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(taken_up() == before);
+  }
+
+  std::deque<VersionServer> servers;
+};
+
+// Guards against responses with events of two versions: a stream whose server
+// broke off went on at a server of another version.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A response goes on at the version that began it") {
+  const int round = GENERATE(range(0, kRounds));
+  CAPTURE(round);
+  for (const char* version : {"v1", "v2", "v1", "v2"})
+    Add(version, After::kBreak);
+  StartWith(1);
+  const std::string response = Send(MakeRequest("/r/", "a1"));
+  INFO(response);
+  const bool is_first_version = response.find("data: v1") < response.find("v2");
+  CheckWholeStream(response, is_first_version ? "v1" : "v2");
+  REQUIRE(taken_up() == 1);
+}
+
+// Guards against responses with events of two versions: the only server left
+// had another version than the one that began the stream.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A response is cut if its version has no other server") {
+  const int round = GENERATE(range(0, kRounds));
+  CAPTURE(round);
+  for (const char* version : {"v1", "v2"})
+    Add(version, After::kBreak, After::kBreak);
+  StartWith(1);
+  const std::string response = Send(MakeRequest("/r/", "a1"));
+  INFO(response);
+  REQUIRE(response.find("id: 1\n") != std::string::npos);
+  REQUIRE_FALSE(response.ends_with(kStreamEnd));
+  REQUIRE((response.find("data: v1") == std::string::npos ||
+           response.find("data: v2") == std::string::npos));
+  for (const VersionServer& server : servers)
+    REQUIRE((server.taken_up() == 0 || server.begun() == 1));
+}
+
+// Guards against streams with events of two versions: a client that took a
+// stream up was served by any version.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is taken up at the version that began it") {
+  for (const char* version : {"v1", "v2", "v1", "v2"})
+    Add(version, After::kWaitForClose);
+  StartWith(1);
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const std::string version = BeginAndClose(id);
+    CheckWholeStream(Send(TakeUp("b" + id, id)), version);
+  }
+  REQUIRE(taken_up() == kStreams);
+}
+
+// Guards against streams with events of two versions: a stream that was taken
+// up and broke again was taken up for the second time at any version.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is taken up twice at the version that began it") {
+  for (const char* version : {"v1", "v1", "v2", "v2"})
+    Add(version, After::kWaitForClose, After::kWaitForClose);
+  StartWith(1);
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const std::string version = BeginAndClose(id);
+    for (const int last : {1, 2}) {
+      const RawClient client(callers_port());
+      const std::string request =
+          TakeUp(id + "-" + std::to_string(last), id, last);
+      CHECK(ReadUntilEvent(client, request, last + 1) == version);
+    }
+  }
+}
+
+// Guards against streams with events of two versions: another host than the one
+// that began the stream did not know its version.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is taken up at another host at its version") {
+  for (const char* version : {"v1", "v2", "v1", "v2"})
+    Add(version, After::kWaitForClose);
+  StartWith(2);
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const std::string version = BeginAndClose(id, 0);
+    CheckWholeStream(Send(TakeUp("b" + id, id), 1), version);
+  }
+  REQUIRE(taken_up() == kStreams);
+}
+
+// Guards against streams with events of two versions: the version of a stream
+// was lost with the host that began it.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is taken up at its version after its host's end") {
+  const std::size_t next = GENERATE(1U, 2U);
+  CAPTURE(next);
+  for (const char* version : {"v1", "v2", "v1", "v2"})
+    Add(version, After::kWaitForClose);
+  StartWith(3);
+  std::deque<RawClient> clients;
+  std::vector<std::pair<std::string, std::string>> streams;  // id and version
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const RawClient& client = clients.emplace_back(callers_port(0));
+    streams.emplace_back(id, ReadUntilEvent(client, MakeRequest("/r/", id)));
+  }
+  KillHost(0);
+  // The last stream has only just begun.
+  std::reverse(streams.begin(), streams.end());
+  for (const auto& [id, version] : streams)
+    CheckWholeStream(Send(TakeUp("b" + id, id), next), version);
+  REQUIRE(taken_up() == kStreams);
+}
+
+// Guards against streams with events of two versions: a stream whose beginning
+// no host knew was taken up although servers of several versions were listed.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream of unknown version is refused beside two versions") {
+  const std::size_t hosts = GENERATE(1U, 3U);
+  CAPTURE(hosts);
+  for (const char* version : {"v1", "v2"}) Add(version, After::kContinue);
+  StartWith(hosts);
+  RequireRefused(TakeUp("a2", "unknown"));
+}
+
+// Guards against refused streams: a stream whose beginning no host knew was
+// refused although its version could only be the one listed.
+TEST_CASE_METHOD(
+    StreamVersionsFixture,
+    "A stream of unknown version is taken up at the only version") {
+  const std::size_t hosts = GENERATE(1U, 3U);
+  CAPTURE(hosts);
+  for (int i = 0; i < 2; ++i) Add("v1", After::kContinue);
+  StartWith(hosts, kShortRouting);
+  RunFor(kLongerThanStreams);
+  CheckWholeStream(Send(TakeUp("a2", "unknown")), "v1");
+}
+
+// Guards against streams with events of two versions: a stream was taken up at
+// another version since its own had no server any more.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream whose version has left is refused at once") {
+  const std::size_t host = GENERATE(0U, 1U);
+  CAPTURE(host);
+  for (const char* version : {"v1", "v2"}) Add(version, After::kWaitForClose);
+  StartWith(2);
+  const std::string version = BeginAndClose("a1");
+  rows.Remove("servers", version == "v1" ? "s1" : "s2");
+  RunFor(kChangeDelay);
+  RequireRefused(TakeUp("a2", "a1"), host);
+}
+
+// Guards against streams with events of two versions: a stream was taken up at
+// its own server, which had started again under its id with another version.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is refused at its server's next version") {
+  Add("v1", After::kWaitForClose);
+  StartWith(1);
+  REQUIRE(BeginAndClose("a1") == "v1");
+  VersionServer next("v2", After::kWaitForClose);
+  AddServer("s1", "plain", next.address(), "v2");
+  RunFor(kChangeDelay);
+  RequireRefused(TakeUp("a2", "a1"));
+  REQUIRE(next.requests() == 0);
+}
+
+// Guards against new streams kept to one version: they may begin at any.
+TEST_CASE_METHOD(StreamVersionsFixture, "A new stream begins at any version") {
+  for (const char* version : {"v1", "v2"}) Add(version, After::kContinue);
+  StartWith(1);
+  std::set<std::string> versions;
+  for (int i = 0; i < 20; ++i) {
+    const std::string response =
+        Send(MakeRequest("/r/", "a" + std::to_string(i)));
+    const bool is_first = response.find("data: v1") != std::string::npos;
+    versions.insert(is_first ? "v1" : "v2");
+    CheckWholeStream(response, is_first ? "v1" : "v2");
+  }
+  REQUIRE(versions.size() == 2);
+}
+
+// Guards against failed streams: one whose server broke off before its first
+// event was kept to that server's version.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream without an event goes to any version") {
+  const int round = GENERATE(range(0, kRounds));
+  CAPTURE(round);
+  ScriptedServer broken(
+      [](RawConnection&, const std::string&) { return false; });
+  AddServer("broken", "plain", broken.address(), "v1");
+  Add("v2", After::kContinue);
+  StartWith(1);
+  CheckWholeStream(Send(MakeRequest("/r/", "a1")), "v2");
+}
+
+// Guards against requests other than streams kept to one version.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A request that is no stream goes to any version") {
+  for (const char* version : {"v1", "v2"}) Add(version, After::kContinue);
+  StartWith(1);
+  std::set<std::string> versions;
+  for (int i = 0; i < 20; ++i) {
+    const std::string response = Send(
+        MakeRequest("/s/", "a" + std::to_string(i), "Resumes: unknown\r\n"));
+    REQUIRE(response.starts_with("HTTP/1.1 200"));
+    versions.insert(response.substr(response.size() - 2));
+  }
+  REQUIRE(versions == std::set<std::string>{"v1", "v2"});
+}
+
+// Guards against failed requests: one that is no stream was kept to the version
+// of the server that broke off.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A request that is no stream is repeated at any version") {
+  const int round = GENERATE(range(0, kRounds));
+  CAPTURE(round);
+  ScriptedServer broken(
+      [](RawConnection&, const std::string&) { return false; });
+  AddServer("broken", "plain", broken.address(), "v1");
+  Add("v2", After::kContinue);
+  StartWith(1);
+  REQUIRE(Send(MakeRequest("/s/", "a1")).ends_with("v2"));
+}
+
+}  // namespace
+}  // namespace lovagecleat::gateway
