Requests: Resume a stream only at the software version that began it

Servers of several versions serve side by side. The gateway did not know versions, so any server could continue a stream, within one response and when a caller resumed it, mostly at another host.

A response that has begun now stays at the version of the server that sent the first event. The host that forwards this event also tells one reachable host of each of up to three zones where the stream began, before it forwards it. A host that gets a resumed stream looks the origin up there. Without an answer it resumes the stream only if the service has had a single version for longer than streams last, and refuses it otherwise, as it does if no server of the version is left. Nothing is stored, so origins are lost if all hosts that keep them are.

--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -46,6 +46,7 @@
     case Body::kRowsPush:
     case Body::kStageTraffic:
     case Body::kRowsFeed:
+    case Body::kStreamOrigins:
     case Body::BODY_NOT_SET:
       return;
     case Body::kProvisionalDrains:
--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -12,3 +12,5 @@
 #include "routing/server_directory.h"  // IWYU pragma: export
 #include "routing/stage_plan.h"        // IWYU pragma: export
 #include "routing/stage_zones.h"       // IWYU pragma: export
+#include "routing/stream_origins.h"    // IWYU pragma: export
+#include "routing/version_history.h"   // IWYU pragma: export
--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -31,9 +31,13 @@
 
 bool ServerDirectory::Put(const ServerEntry& entry, TimePoint now) {
   ServerRecord& record = servers_[entry.id];
+  if (!record.entry.id.empty())
+    versions_.RemoveServer(record.entry.service, record.entry.software_version,
+                           now);
   if (record.entry.service != entry.service) by_service_.clear();
   const bool is_new_incarnation =
       record.entry.id.empty() ||
+      record.entry.software_version != entry.software_version ||
       record.entry.started_unix_ms != entry.started_unix_ms ||
       record.entry.address != entry.address;
   if (is_new_incarnation) {
@@ -47,13 +51,19 @@
   if (entry.warm_up_time > Duration::zero())
     record.cold_until =
         std::max(record.cold_until, now + entry.warm_up_time + kWarmUpMargin);
+  versions_.AddServer(entry.service, entry.software_version, now);
   record.entry = entry;
   record.expires_at.reset();
   return is_new_incarnation;
 }
 
-void ServerDirectory::Remove(const ServerId& id) {
-  if (servers_.erase(id) > 0) by_service_.clear();
+void ServerDirectory::Remove(const ServerId& id, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  versions_.RemoveServer(found->second.entry.service,
+                         found->second.entry.software_version, now);
+  servers_.erase(found);
+  by_service_.clear();
 }
 
 void ServerDirectory::ExpireAt(const ServerId& id, TimePoint expires_at) {
@@ -62,10 +72,10 @@
 }
 
 void ServerDirectory::RemoveExpired(TimePoint now) {
-  const std::size_t dropped = std::erase_if(servers_, [now](const auto& item) {
-    return item.second.expires_at && *item.second.expires_at <= now;
-  });
-  if (dropped > 0) by_service_.clear();
+  std::vector<ServerId> expired;
+  for (const auto& [id, record] : servers_)
+    if (record.expires_at && *record.expires_at <= now) expired.push_back(id);
+  for (const ServerId& id : expired) Remove(id, now);
 }
 
 void ServerDirectory::SetEvacuated(const ZoneId& zone, bool is_evacuated,
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -9,6 +9,7 @@
 
 #include "base/base.h"
 #include "routing/model.h"
+#include "routing/version_history.h"
 
 namespace lovagecleat::routing {
 
@@ -53,7 +54,7 @@
   bool Put(const ServerEntry& entry, TimePoint now);
 
   // Removes a server whose entry was removed while the store was available.
-  void Remove(const ServerId& id);
+  void Remove(const ServerId& id, TimePoint now);
 
   // Keeps a server until `expires_at` although its entry was removed, unless
   // the entry returns before. Used shortly after an outage of the store, when a
@@ -75,6 +76,8 @@
   // Records the result of a call to the server.
   void Report(const ServerId& id, CallResult result, TimePoint now);
 
+  const VersionHistory& versions() const { return versions_; }
+
   std::size_t size() const { return servers_.size(); }
 
  private:
@@ -86,6 +89,7 @@
   // Index of servers_, whose elements do not move; empty until it is rebuilt.
   std::map<ServiceId, std::vector<ServerRecord*>> by_service_;
   std::set<ZoneId> evacuated_;
+  VersionHistory versions_;
 };
 
 }  // namespace lovagecleat::routing
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -33,6 +33,9 @@
   // The newest one known; null until the first has been read.
   std::shared_ptr<const routing::RoutingTable> table;
   std::size_t host_count = 1;  // known hosts, this one included
+  // Whether this host learns of changes in the store, from it or from a host
+  // that reads it.
+  bool is_store_available = false;
 
   TimePoint Now() const { return loop.clock().Now(); }
 
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -116,6 +116,15 @@
                      const messages::StageTraffic& traffic) {
                 return SendStageTraffic(peer, traffic);
               }),
+      origins_(
+          context_,
+          [this](const std::string& peer) { return stages_.IsReachable(peer); },
+          [this](const std::string& peer,
+                 const messages::StreamOriginTraffic& traffic) {
+            messages::PeerMessage message;
+            *message.mutable_stream_origins() = traffic;
+            return SendPeerMessage(peer, std::move(message));
+          }),
       follower_(context_, rows,
                 [this](const routing::Row& row, RowOrigin origin) {
                   ApplyRow(row, origin);
@@ -195,7 +204,7 @@
     return exchange.Respond(503, {{"Retry-After", kStopRetryAfter}}, {});
   }
   auto flow = std::make_unique<RequestFlow>(
-      context_, stages_, exchange, [this](RequestFlow* ended) {
+      context_, stages_, origins_, exchange, [this](RequestFlow* ended) {
         const auto found = flows_.find(ended);
         if (found == flows_.end()) return;
         context_.loop.After(Duration::zero(),
@@ -275,7 +284,7 @@
   if (row.is_removed) {
     switch (origin) {
       case RowOrigin::kStore:
-        context_.directory.Remove(id);
+        context_.directory.Remove(id, now);
         context_.pool.CloseIdleConnections(name);
         break;
       case RowOrigin::kStoreAfterOutage:
@@ -293,7 +302,7 @@
   }
   const auto entry = context_.codec.ReadServer(name, row.value);
   if (!entry) {
-    context_.directory.Remove(id);
+    context_.directory.Remove(id, now);
     context_.log.Write("server_unreadable", "",
                        {{"server", name}, {"row_version", row.version}});
     return;
@@ -333,6 +342,7 @@
     others.push_back({entry.peers, ZoneId(entry.zone), entry.processor_cores});
   }
   stages_.SetHosts(others);
+  origins_.SetHosts(others);
   context_.host_count = hosts.size();
   context_.limiter.SetHosts(std::move(hosts));
   const configuration::GatewayLimits& limits = context_.settings.limits;
@@ -418,6 +428,10 @@
     return stages_.OnTraffic(message.sender(), message.incarnation(),
                              message.stage_traffic());
   }
+  if (message.has_stream_origins()) {
+    ConnectPeer(message.sender());
+    return origins_.OnTraffic(message.sender(), message.stream_origins());
+  }
   if (message.has_rows_feed()) return OnRowsFeed(message.rows_feed());
   if (message.has_rows_push())
     follower_.MergeFromPeer(ReadRows(message.rows_push().rows()));
@@ -470,16 +484,21 @@
   follower_.ApplyFeed(changes);
 }
 
-bool Gateway::SendStageTraffic(const std::string& peer,
-                               const messages::StageTraffic& traffic) {
+bool Gateway::SendPeerMessage(const std::string& peer,
+                              messages::PeerMessage message) {
   ConnectPeer(peer);
-  messages::PeerMessage message;
   message.set_sender(context_.settings.peers);
   message.set_incarnation(incarnation_);
-  *message.mutable_stage_traffic() = traffic;
   return peers_.Send(HostId(peer), message);
 }
 
+bool Gateway::SendStageTraffic(const std::string& peer,
+                               const messages::StageTraffic& traffic) {
+  messages::PeerMessage message;
+  *message.mutable_stage_traffic() = traffic;
+  return SendPeerMessage(peer, std::move(message));
+}
+
 void Gateway::SendRows(const std::string& peer, std::uint64_t newer_than) {
   messages::PeerMessage message;
   message.set_sender(context_.settings.peers);
@@ -498,6 +517,8 @@
 
 void Gateway::Tick() {
   context_.directory.RemoveExpired(context_.Now());
+  origins_.RemoveExpired();
+  context_.is_store_available = !follower_.is_store_unavailable();
   UpdateReaderRank();
   FetchRowsFromPeers();
   context_.log.Flush();
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "services/gateway/row_follower.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stage_runner.h"
+#include "services/gateway/stream_origin_exchange.h"
 
 namespace lovagecleat::gateway {
 
@@ -60,6 +61,7 @@
   void FinishJoin();
   void OnPeerMessage(const messages::PeerMessage& message);
   void FetchRowsFromPeers();
+  bool SendPeerMessage(const std::string& peer, messages::PeerMessage message);
   bool SendStageTraffic(const std::string& peer,
                         const messages::StageTraffic& traffic);
   void UpdateReaderRank();
@@ -76,6 +78,7 @@
   RowSource& rows_;
   StageRunner runner_;
   StageRouter stages_;
+  StreamOriginExchange origins_;
   RowFollower follower_;
   transport::PeerLink peers_;
   std::uint64_t incarnation_;
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -27,6 +27,9 @@
 constexpr Duration kMinimumEventTimeLimit = milliseconds(2000);
 constexpr int kEventLatencyTargets = 4;
 constexpr int kEventGapTargets = 8;
+// The longest time since the first event of a stream that callers resume, in
+// timeouts of its route.
+constexpr int kStreamAgeTimeouts = 2;
 
 double Milliseconds(Duration time) {
   return static_cast<double>(time.count()) / 1000.0;
@@ -40,9 +43,11 @@
 }  // namespace
 
 RequestFlow::RequestFlow(Context& context, StageRouter& stages,
+                         StreamOriginExchange& origins,
                          http::Exchange& exchange, EndCallback on_end)
     : context_(context),
       stages_(stages),
+      origins_(origins),
       exchange_(&exchange),
       on_end_(std::move(on_end)),
       arrived_at_(exchange.arrived_at()) {
@@ -50,6 +55,7 @@
 }
 
 RequestFlow::~RequestFlow() {
+  origins_.Cancel(this);
   context_.loop.Cancel(deadline_timer_);
   context_.loop.Cancel(response_timer_);
   context_.loop.Cancel(wait_timer_);
@@ -88,6 +94,38 @@
     event_deadline_ = std::min(deadline_, arrived_at_ + EventTimeLimit());
   deadline_timer_ =
       context_.loop.At(deadline_ - kDeadlineMargin, [this] { OnDeadline(); });
+  if (IsStream() && request_.resume_after) return FindOrigin();
+  StartStages();
+}
+
+void RequestFlow::FindOrigin() {
+  if (request_.resumed_stream.empty()) return OnOrigin(std::nullopt);
+  origins_.Find(request_.resumed_stream, this,
+                [this](const std::optional<routing::StreamOrigin>& origin) {
+                  OnOrigin(origin);
+                });
+}
+
+void RequestFlow::OnOrigin(const std::optional<routing::StreamOrigin>& origin) {
+  if (has_ended_) return;
+  if (origin) {
+    if (origin->service == service_)
+      required_version_ = origin->software_version;
+  } else {
+    // The stream began at the only version that there has been, if this host
+    // has known the servers since before it can have begun.
+    if (context_.is_store_available)
+      required_version_ = context_.directory.versions().SoleVersion(
+          service_, Now() - route_->timeout * kStreamAgeTimeouts);
+    if (!required_version_) return Refuse("unknown_origin");
+  }
+  const std::vector<routing::ServerRecord*> servers =
+      context_.directory.UsableOrSuspended(service_);
+  if (std::none_of(servers.begin(), servers.end(),
+                   [this](const routing::ServerRecord* server) {
+                     return IsCandidate(*server);
+                   }))
+    return Refuse("no_server_of_version");
   StartStages();
 }
 
@@ -217,6 +255,7 @@
   context_.loop.Cancel(deadline_timer_);
   context_.loop.Cancel(response_timer_);
   context_.loop.Cancel(wait_timer_);
+  origins_.Cancel(this);
   const std::size_t open_items = open_items_.size();
   DropStageWork();
   const Duration elapsed = Now() - arrived_at_;
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -11,6 +11,7 @@
 
 #include "services/gateway/context.h"
 #include "services/gateway/stage_router.h"
+#include "services/gateway/stream_origin_exchange.h"
 
 namespace lovagecleat::gateway {
 
@@ -33,7 +34,8 @@
   // within the call.
   using EndCallback = std::function<void(RequestFlow*)>;
 
-  RequestFlow(Context& context, StageRouter& stages, http::Exchange& exchange,
+  RequestFlow(Context& context, StageRouter& stages,
+              StreamOriginExchange& origins, http::Exchange& exchange,
               EndCallback on_end);
   ~RequestFlow() override;
 
@@ -64,6 +66,13 @@
   // Returns the longest time for which callers wait for an event of a stream.
   Duration EventTimeLimit() const;
   bool FindRoute();
+  void FindOrigin();
+  void OnOrigin(const std::optional<routing::StreamOrigin>& origin);
+  // Returns the id under which the origin of this request's stream is known.
+  const std::string& StreamId() const {
+    return request_.resumed_stream.empty() ? request_.id
+                                           : request_.resumed_stream;
+  }
   void StartStages();
   Duration MinimumStageTime() const;
   Duration TimeAfter(
@@ -93,6 +102,7 @@
 
   // Sending.
   void Send();
+  bool IsCandidate(const routing::ServerRecord& server) const;
   std::vector<routing::ServerRecord*> WithoutUnavailable(
       std::vector<routing::ServerRecord*> servers) const;
   routing::PromptServerChoice ChooseServer();
@@ -109,6 +119,7 @@
 
   // Response.
   void ForwardStreamBytes(std::string_view bytes);
+  void RememberOrigin();
   bool IsNextOrSeenEvent(const http::RawEvent& event);
   void BeginResponse(std::optional<std::uint64_t> length);
   void OnFailureStatus();
@@ -134,6 +145,7 @@
 
   Context& context_;
   StageRouter& stages_;
+  StreamOriginExchange& origins_;
   http::Exchange* exchange_;
   EndCallback on_end_;
 
@@ -163,6 +175,9 @@
   std::unique_ptr<http::Call> call_;
   ServerId server_;
   std::string software_version_;  // of the server of the last send
+  // Set for a stream that has begun: only servers of this version may continue
+  // it.
+  std::optional<std::string> required_version_;
   TimePoint sent_at_;
   std::vector<ServerId> tried_;
   int runs_ = 0;  // sends that ran or may have run
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -13,6 +13,9 @@
 // times the route's target for gaps, but of at least one second.
 constexpr int kGapTimeoutFactor = 3;
 constexpr Duration kMinimumGapTimeout = milliseconds(1000);
+// The origin of a stream is kept for this long after its caller stops waiting,
+// since hosts may be slow.
+constexpr Duration kOriginMargin = milliseconds(5000);
 // Responses up to this size are buffered until complete, so that the request
 // can be retried at another server if one is truncated.
 constexpr std::size_t kMaximumBufferedBytes = 65536;
@@ -70,7 +73,10 @@
     ++events_;
   }
   if (passed.empty()) return;
-  if (!first_event_at_) first_event_at_ = Now();
+  if (!first_event_at_) {
+    first_event_at_ = Now();
+    RememberOrigin();
+  }
   if (counts_pending_tokens_) {
     counts_pending_tokens_ = false;
     routing::ServerRecord* server = context_.directory.Find(server_);
@@ -88,6 +94,17 @@
                                 route_->stream_gap_target * kGapTimeoutFactor));
 }
 
+// Called before the first event is forwarded, since callers may resume the
+// stream from then on.
+void RequestFlow::RememberOrigin() {
+  if (!route_->MayRepeat()) return;
+  if (!required_version_) required_version_ = software_version_;
+  const Duration remaining =
+      arrived_at_ + request_.timeout.value_or(route_->timeout) - Now();
+  origins_.Add(StreamId(), {service_, *required_version_},
+               std::max(remaining, Duration::zero()) + kOriginMargin);
+}
+
 // Returns false if an event between the last one and this one is missing.
 bool RequestFlow::IsNextOrSeenEvent(const http::RawEvent& event) {
   const std::optional<std::uint64_t> previous =
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -55,17 +55,24 @@
   SendTo(choice);
 }
 
-// Removes the servers that this request was sent to and those at their rate
+// Returns whether the request may be sent to the server, apart from its state.
+bool RequestFlow::IsCandidate(const routing::ServerRecord& server) const {
+  if (required_version_ && server.entry.software_version != *required_version_)
+    return false;
+  return std::find(tried_.begin(), tried_.end(), server.entry.id) ==
+         tried_.end();
+}
+
+// Removes the servers that may not get this request and those at their rate
 // limit.
 std::vector<routing::ServerRecord*> RequestFlow::WithoutUnavailable(
     std::vector<routing::ServerRecord*> servers) const {
   const TimePoint now = Now();
   const routing::ColdRateLimit limit = context_.ColdRateLimitOf(service_);
   std::erase_if(servers, [&](const routing::ServerRecord* server) {
-    const bool was_tried = std::find(tried_.begin(), tried_.end(),
-                                     server->entry.id) != tried_.end();
-    return was_tried || !context_.limiter.MaySend(server->entry.id, limit,
-                                                  WarmthOf(*server, now), now);
+    return !IsCandidate(*server) ||
+           !context_.limiter.MaySend(server->entry.id, limit,
+                                     WarmthOf(*server, now), now);
   });
   return servers;
 }
@@ -109,16 +116,14 @@
   std::optional<TimePoint> next;
   for (const routing::ServerRecord* server :
        context_.directory.UsableOrSuspended(service_)) {
-    if (std::find(tried_.begin(), tried_.end(), server->entry.id) !=
-        tried_.end())
-      continue;
+    if (!IsCandidate(*server)) continue;
     const auto next_send = context_.limiter.NextSendAt(
         server->entry.id, limit, WarmthOf(*server, now), now);
     if (next_send && (!next || *next_send < *next)) next = next_send;
   }
   // A stream that has begun is cut unless it is sent somewhere, and a server
   // that was silent or full may take it by now.
-  if (!next && has_begun_response_) {
+  if (!next && has_begun_response_ && !tried_.empty()) {
     tried_.clear();
     next = now + kLeaveCheckPeriod;
   }
--- /dev/null
+++ b/services/gateway/stream_origin_exchange.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "messages/messages.h"
+#include "services/gateway/context.h"
+#include "services/gateway/stage_router.h"
+
+namespace lovagecleat::gateway {
+
+// Remembers where streams began and shares it with other hosts, so that a
+// caller may resume a stream at any host, even if the host that began it is
+// lost. Nothing is stored; origins are lost if all hosts that keep them are.
+class StreamOriginExchange {
+ public:
+  using ReachableCallback = std::function<bool(const std::string& peer)>;
+  using SendCallback = std::function<bool(
+      const std::string& peer, const messages::StreamOriginTraffic&)>;
+  // Gets nothing if no host that answered in time knows the stream.
+  using Callback = std::function<void(std::optional<routing::StreamOrigin>)>;
+
+  StreamOriginExchange(Context& context, ReachableCallback is_reachable,
+                       SendCallback send);
+  ~StreamOriginExchange();
+  StreamOriginExchange(const StreamOriginExchange&) = delete;
+  StreamOriginExchange& operator=(const StreamOriginExchange&) = delete;
+
+  void SetHosts(std::span<const PeerHost> others);
+
+  // Remembers the origin of a stream for `lifetime`, here and at other hosts.
+  void Add(const std::string& stream, const routing::StreamOrigin& origin,
+           Duration lifetime);
+
+  // Finds the origin here or at other hosts. The callback is called once, from
+  // the loop, unless `owner` cancels it.
+  void Find(const std::string& stream, const void* owner, Callback callback);
+  void Cancel(const void* owner);
+
+  void OnTraffic(const std::string& from,
+                 const messages::StreamOriginTraffic& traffic);
+  void RemoveExpired();
+
+ private:
+  struct Query {
+    std::set<std::string> unanswered;  // hosts that were asked
+    std::map<const void*, Callback> callbacks;
+    TimerId timeout_timer;
+  };
+
+  std::vector<std::string> HoldersOf(const std::string& stream,
+                                     std::size_t hosts_per_zone) const;
+  void FinishQuery(const std::string& stream,
+                   const std::optional<routing::StreamOrigin>& origin);
+  void ScheduleFlush();
+  void Flush();
+
+  Context& context_;
+  ReachableCallback is_reachable_;
+  SendCallback send_;
+  std::vector<PeerHost> hosts_;  // without this one
+  routing::StreamOrigins origins_;
+  std::map<std::string, Query> queries_;  // by stream
+  std::map<std::string, messages::StreamOriginTraffic> outgoing_;
+  TimerId flush_timer_;
+};
+
+}  // namespace lovagecleat::gateway
--- a/tests/routing/server_directory_test.cc
+++ b/tests/routing/server_directory_test.cc
@@ -33,7 +33,7 @@
   REQUIRE(directory.UsableOrSuspended(kService).size() == 1);
   directory.SetEvacuated(ZoneId("other"), false, AtMs(0));
   REQUIRE(directory.Usable(kService, AtMs(0)).size() == 2);
-  directory.Remove(ServerId("a"));
+  directory.Remove(ServerId("a"), TimePoint());
   REQUIRE(directory.Usable(kService, AtMs(0)).size() == 1);
 }
 
