Stream origins: Send again what a host being connected could not take

A query or an origin for a host whose connection was not established yet was dropped, since the peer link queues nothing without a connection. The stream was then refused after 300 ms, or its origin was missing at that host.

--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kAskedHostsPerZone = 2;
 // Hosts answer within a few milliseconds unless they are overloaded or lost.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(300);
+constexpr Duration kSendRetryDelay = std::chrono::milliseconds(20);
 // Longest time for which an origin from another host is kept.
 constexpr Duration kMaximumLifetime = std::chrono::minutes(10);
 
@@ -134,19 +135,22 @@
   origins_.RemoveExpired(context_.Now());
 }
 
-void StreamOriginExchange::ScheduleFlush() {
+void StreamOriginExchange::ScheduleFlush(Duration delay) {
   if (outgoing_.empty() || flush_timer_.value() != 0) return;
-  flush_timer_ = context_.loop.After(Duration::zero(), [this] {
+  flush_timer_ = context_.loop.After(delay, [this] {
     flush_timer_ = TimerId{};
     Flush();
   });
 }
 
-// A message that cannot be sent is dropped: the origin is then unknown at that
-// host, and a query without an answer times out.
+// Messages to a host that is still being connected are sent again. Those to a
+// lost host are dropped: a query without an answer times out.
 void StreamOriginExchange::Flush() {
-  for (const auto& [peer, traffic] : outgoing_) send_(peer, traffic);
-  outgoing_.clear();
+  std::erase_if(outgoing_, [this](const auto& message) {
+    const auto& [peer, traffic] = message;
+    return send_(peer, traffic) || !is_reachable_(peer);
+  });
+  ScheduleFlush(kSendRetryDelay);
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/stream_origin_exchange.h
+++ b/services/gateway/stream_origin_exchange.h
@@ -57,7 +57,7 @@
                                      std::size_t hosts_per_zone) const;
   void FinishQuery(const std::string& stream,
                    const std::optional<routing::StreamOrigin>& origin);
-  void ScheduleFlush();
+  void ScheduleFlush(Duration delay = Duration::zero());
   void Flush();
 
   Context& context_;
