Stream origins: Ask other hosts which versions a service has had

Hosts that have run for longer than the stream can have lasted now answer with the only version that they have seen; a stream is resumed if all that know agree.

The added test failed before (503).

--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -27,9 +27,9 @@
 constexpr Duration kMinimumEventTimeLimit = milliseconds(2000);
 constexpr int kEventLatencyTargets = 4;
 constexpr int kEventGapTargets = 8;
-// The longest time since the first event of a stream that callers resume, in
-// timeouts of its route.
-constexpr int kStreamAgeTimeouts = 2;
+// Added to the timeout of a route for the longest time since the first event of
+// a stream that callers resume: they resume it at once.
+constexpr Duration kStreamAgeMargin = milliseconds(1000);
 
 double Milliseconds(Duration time) {
   return static_cast<double>(time.count()) / 1000.0;
@@ -99,8 +99,8 @@
 }
 
 void RequestFlow::FindOrigin() {
-  if (request_.resumed_stream.empty()) return OnOrigin(std::nullopt);
-  origins_.Find(request_.resumed_stream, this,
+  origins_.Find({StreamId(), service_, route_->timeout + kStreamAgeMargin},
+                this,
                 [this](const std::optional<routing::StreamOrigin>& origin) {
                   OnOrigin(origin);
                 });
@@ -108,17 +108,8 @@
 
 void RequestFlow::OnOrigin(const std::optional<routing::StreamOrigin>& origin) {
   if (has_ended_) return;
-  if (origin) {
-    if (origin->service == service_)
-      required_version_ = origin->software_version;
-  } else {
-    // The stream began at the only version that there has been, if this host
-    // has known the servers since before it can have begun.
-    if (context_.is_store_available)
-      required_version_ = context_.directory.versions().SoleVersion(
-          service_, Now() - route_->timeout * kStreamAgeTimeouts);
-    if (!required_version_) return Refuse("unknown_origin");
-  }
+  if (!origin) return Refuse("unknown_origin");
+  if (origin->service == service_) required_version_ = origin->software_version;
   const std::vector<routing::ServerRecord*> servers =
       context_.directory.UsableOrSuspended(service_);
   if (std::none_of(servers.begin(), servers.end(),
--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -65,27 +65,41 @@
   ScheduleFlush();
 }
 
-void StreamOriginExchange::Find(const std::string& stream, const void* owner,
+void StreamOriginExchange::Find(const ResumedStream& stream, const void* owner,
                                 Callback callback) {
-  const auto [found, is_new] = queries_.try_emplace(stream);
+  const auto [found, is_new] = queries_.try_emplace(stream.id);
   Query& query = found->second;
   query.callbacks[owner] = std::move(callback);
   if (!is_new) return;
-  std::optional<routing::StreamOrigin> known;
-  if (const auto* found_here = origins_.Find(stream, context_.Now()))
-    known = found_here->origin;
-  std::vector<std::string> holders;
-  if (!known) holders = HoldersOf(stream, kAskedHostsPerZone);
-  for (const std::string& holder : holders) {
-    outgoing_[holder].add_queries(stream);
+  query.stream = stream;
+  if (const auto* known = origins_.Find(stream.id, context_.Now())) {
+    query.timeout_timer = context_.loop.After(
+        Duration::zero(), [this, id = stream.id, origin = known->origin] {
+          FinishQuery(id, origin);
+        });
+    return;
+  }
+  for (const std::string& holder : HoldersOf(stream.id, kAskedHostsPerZone)) {
+    messages::StreamOriginQuery& asked = *outgoing_[holder].add_queries();
+    asked.set_stream(stream.id);
+    asked.set_service(stream.service.value());
+    asked.set_age_us(stream.maximum_age.count());
     query.unanswered.insert(holder);
   }
   query.timeout_timer = context_.loop.After(
-      holders.empty() ? Duration::zero() : kQueryTimeout,
-      [this, stream, known] { FinishQuery(stream, known); });
+      query.unanswered.empty() ? Duration::zero() : kQueryTimeout,
+      [this, id = stream.id] { FinishUnknown(id); });
   ScheduleFlush();
 }
 
+// Without the store, servers of another version may serve unnoticed.
+std::optional<std::string> StreamOriginExchange::SoleVersion(
+    const ServiceId& service, Duration age) const {
+  if (!context_.is_store_available) return std::nullopt;
+  return context_.directory.versions().SoleVersion(service,
+                                                   context_.Now() - age);
+}
+
 void StreamOriginExchange::Cancel(const void* owner) {
   for (auto& [stream, query] : queries_) query.callbacks.erase(owner);
 }
@@ -101,6 +115,20 @@
   for (const auto& [owner, callback] : query.callbacks) callback(origin);
 }
 
+// A host that has started lately does not know which versions there were
+// before, so it goes by what the others have seen.
+void StreamOriginExchange::FinishUnknown(const std::string& stream) {
+  const auto query = queries_.find(stream);
+  if (query == queries_.end()) return;
+  std::set<std::string>& versions = query->second.sole_versions;
+  const ResumedStream& resumed = query->second.stream;
+  const auto seen_here = SoleVersion(resumed.service, resumed.maximum_age);
+  if (seen_here) versions.insert(*seen_here);
+  if (versions.size() != 1) return FinishQuery(stream, std::nullopt);
+  FinishQuery(stream,
+              routing::StreamOrigin{resumed.service, *versions.begin()});
+}
+
 void StreamOriginExchange::OnTraffic(
     const std::string& from, const messages::StreamOriginTraffic& traffic) {
   const TimePoint now = context_.Now();
@@ -112,21 +140,26 @@
     origins_.Add(added.stream(), origin, now + lifetime);
     FinishQuery(added.stream(), origin);
   }
-  for (const std::string& stream : traffic.queries()) {
+  for (const messages::StreamOriginQuery& asked : traffic.queries()) {
     messages::StreamOriginTraffic& answer = outgoing_[from];
-    const routing::KnownOrigin* known = origins_.Find(stream, now);
-    if (known == nullptr) {
-      answer.add_unknown(stream);
-    } else {
-      WriteOrigin(stream, known->origin, known->expires_at - now,
+    if (const auto* known = origins_.Find(asked.stream(), now)) {
+      WriteOrigin(asked.stream(), known->origin, known->expires_at - now,
                   *answer.add_origins());
+      continue;
     }
+    messages::UnknownStreamOrigin& unknown = *answer.add_unknown();
+    unknown.set_stream(asked.stream());
+    const auto sole_version =
+        SoleVersion(ServiceId(asked.service()), Duration(asked.age_us()));
+    if (sole_version) unknown.set_sole_version(*sole_version);
   }
-  for (const std::string& stream : traffic.unknown()) {
-    const auto query = queries_.find(stream);
+  for (const messages::UnknownStreamOrigin& unknown : traffic.unknown()) {
+    const auto query = queries_.find(unknown.stream());
     if (query == queries_.end()) continue;
+    if (unknown.has_sole_version())
+      query->second.sole_versions.insert(unknown.sole_version());
     query->second.unanswered.erase(from);
-    if (query->second.unanswered.empty()) FinishQuery(stream, std::nullopt);
+    if (query->second.unanswered.empty()) FinishUnknown(unknown.stream());
   }
   ScheduleFlush();
 }
--- a/services/gateway/stream_origin_exchange.h
+++ b/services/gateway/stream_origin_exchange.h
@@ -22,7 +22,7 @@
   using ReachableCallback = std::function<bool(const std::string& peer)>;
   using SendCallback = std::function<bool(
       const std::string& peer, const messages::StreamOriginTraffic&)>;
-  // Gets nothing if no host that answered in time knows the stream.
+  // Gets nothing if the origin is not known.
   using Callback = std::function<void(std::optional<routing::StreamOrigin>)>;
 
   StreamOriginExchange(Context& context, ReachableCallback is_reachable,
@@ -37,9 +37,18 @@
   void Add(const std::string& stream, const routing::StreamOrigin& origin,
            Duration lifetime);
 
-  // Finds the origin here or at other hosts. The callback is called once, from
-  // the loop, unless `owner` cancels it.
-  void Find(const std::string& stream, const void* owner, Callback callback);
+  // A stream that a caller resumes.
+  struct ResumedStream {
+    std::string id;
+    ServiceId service;
+    Duration maximum_age{};  // the longest time since it began
+  };
+
+  // Finds the origin here or at other hosts. A stream that no host knows began
+  // at the only version that its service has had since before it can have
+  // begun. The callback is called once, from the loop, unless `owner` cancels
+  // it.
+  void Find(const ResumedStream& stream, const void* owner, Callback callback);
   void Cancel(const void* owner);
 
   void OnTraffic(const std::string& from,
@@ -48,15 +57,23 @@
 
  private:
   struct Query {
-    std::set<std::string> unanswered;  // hosts that were asked
+    ResumedStream stream;
+    std::set<std::string> unanswered;     // hosts that were asked
+    std::set<std::string> sole_versions;  // according to these hosts
     std::map<const void*, Callback> callbacks;
     TimerId timeout_timer;
   };
 
   std::vector<std::string> HoldersOf(const std::string& stream,
                                      std::size_t hosts_per_zone) const;
+  // Returns the version that all servers of the service are known to have had
+  // for that time.
+  std::optional<std::string> SoleVersion(const ServiceId& service,
+                                         Duration age) const;
   void FinishQuery(const std::string& stream,
                    const std::optional<routing::StreamOrigin>& origin);
+  // Finishes a query for a stream whose origin no host has.
+  void FinishUnknown(const std::string& stream);
   void ScheduleFlush(Duration delay = Duration::zero());
   void Flush();
 
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -99,8 +99,9 @@
     hosts_.push_back(std::make_unique<Host>(
         *this, "host-" + std::to_string(hosts_.size() + 1)));
   for (const auto& host : hosts_) AddHostRow(*host);
-  for (const auto& host : hosts_)
-    REQUIRE(host->gateway->Start() == Gateway::StartError::kNone);
+  for (; started_hosts_ < hosts_.size(); ++started_hosts_)
+    REQUIRE(hosts_[started_hosts_]->gateway->Start() ==
+            Gateway::StartError::kNone);
   RunUntil([&] {
     return std::all_of(hosts_.begin(), hosts_.end(), [](const auto& host) {
       return host->gateway->is_ready();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -59,8 +59,8 @@
   void Start();
 
   // Adds gateways until there are `count`, each with its own host, addresses
-  // and row in the hosts table, starts them and waits until all are ready and
-  // had time to connect to each other.
+  // and row in the hosts table, starts the new ones and waits until all are
+  // ready and had time to connect to each other.
   void StartHosts(std::size_t count);
 
   // Destroys a gateway with its connections, as if its process were killed. Its
@@ -112,6 +112,7 @@
   SystemClock clock_;
   http::Poller poller_;
   std::vector<std::unique_ptr<Host>> hosts_;  // null once killed
+  std::size_t started_hosts_ = 0;             // by StartHosts
 };
 
 inline constexpr const char* kSeal = "X-Lovagecleat-Response-Seal: s\r\n";
--- a/tests/gateway/stream_versions_test.cc
+++ b/tests/gateway/stream_versions_test.cc
@@ -349,6 +349,20 @@
   CheckWholeStream(Send(TakeUp("a2", "unknown")), "v1");
 }
 
+// Guards against refused streams: a host that had just started refused every
+// stream that no host knew, since it had not seen which versions there were.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A new host learns from others that a version is the only") {
+  for (int i = 0; i < 2; ++i) Add("v1", After::kContinue);
+  StartWith(1, kShortRouting);
+  RunFor(kLongerThanStreams);
+  StartHosts(2);
+  CheckWholeStream(Send(TakeUp("a2", "unknown"), 1), "v1");
+  // A caller that names no stream gets the same.
+  const std::string request = MakeRequest("/r/", "a3", "Last-Event-Id: 1\r\n");
+  CheckWholeStream(Send(request, 1), "v1");
+}
+
 // Guards against streams with events of two versions: a stream was taken up at
 // another version since its own had no server any more.
 TEST_CASE_METHOD(StreamVersionsFixture,
