Stages: Let the last attempt at a stage wait until its deadline

Callers of the entry program got failures while a sound server was silent for a moment.

Only calls that may be retried have these limits now; the last one waits until its deadline, as a non-idempotent call does.

--- a/libraries/policy/stage_attempts.cc
+++ b/libraries/policy/stage_attempts.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::uint32_t kMaximumAttempts = 3;
 // The time within which a server detects a closed connection or an expired
 // call.
 constexpr Duration kCancellationDetectionTime = std::chrono::milliseconds(250);
--- a/libraries/policy/stage_job.h
+++ b/libraries/policy/stage_job.h
@@ -14,6 +14,9 @@
 
 using JobId = NumberId<struct JobIdTag>;
 
+// Attempts of one job, over all servers and zones.
+inline constexpr std::uint32_t kMaximumAttempts = 3;
+
 // A job for a request that this host accepted from a caller.
 struct LocalOrigin {
   RequestId request;
--- a/libraries/policy/stage_placement.cc
+++ b/libraries/policy/stage_placement.cc
@@ -98,14 +98,16 @@
       PriorityOf(work.stage_deadline - now - stage_time, stage_time);
   call.deadline = std::min(work.deadline, admission.end_before);
   call.send_before = std::min(call.deadline, admission.send_before);
-  // A non-idempotent call that may have run is never retried, so a timeout
-  // before its deadline would only turn a late answer into an unknown outcome.
+  // A non-idempotent call that may have run is never retried, nor is the last
+  // attempt, so a timeout before the deadline would only lose a late answer.
   const Duration remaining = call.deadline - now;
-  call.first_byte_timeout = is_idempotent
+  const bool may_be_retried =
+      is_idempotent && job.attempts + 1 < kMaximumAttempts;
+  call.first_byte_timeout = may_be_retried
                                 ? std::max(kMinimumFirstByteTimeout,
                                            stage_time * kFirstByteTimeoutFactor)
                                 : remaining;
-  call.progress_timeout = is_idempotent ? kProgressTimeout : remaining;
+  call.progress_timeout = may_be_retried ? kProgressTimeout : remaining;
   call.idempotency = work.idempotency;
   call.idempotency_key = work.idempotency_key;
 
--- a/tests/policy/core_test.cc
+++ b/tests/policy/core_test.cc
@@ -98,6 +98,19 @@
   REQUIRE(second.server != first.server);
 }
 
+// Guards against failed requests: the last attempt was abandoned at a silent
+// server, although nothing could take its place.
+TEST_CASE("The last attempt at a stage waits until its deadline") {
+  EntryHostHarness host({.servers = 3});
+  host.SubmitRequest("lookup");
+  for (int i = 0; i < 2; ++i)
+    host.Finish(TakeOnlyCall(host), AttemptOutcome::kNoProgress);
+  const StartBackendCall last = TakeOnlyCall(host);
+  const Duration remaining = last.deadline - host.now();
+  REQUIRE(last.first_byte_timeout >= remaining);
+  REQUIRE(last.progress_timeout >= remaining);
+}
+
 TEST_CASE("A non-idempotent stage that may have run is never retried") {
   for (const auto outcome :
        {AttemptOutcome::kServerError, AttemptOutcome::kConnectionLost,
