Stage tests: Reproduce a stage call beyond the retry budget

An item whose call is slow is queued again. If its second call is over the retry budget, or it has used its three calls, the item fails although its last call is still in progress. The request then submits it again as a new item, whose call counts as a first one, so that the budget limits nothing; after twelve failures the request is refused.

--- a/tests/gateway/stages_test.cc
+++ b/tests/gateway/stages_test.cc
@@ -265,5 +265,33 @@
   REQUIRE(first.requests() + second.requests() == 2);
 }
 
+// Guards against sends beyond the retry budget: an item whose second call was
+// over the budget failed although its first call was in progress, and was
+// submitted again as if it were new.
+TEST_CASE_METHOD(StagesFixture,
+                 "An item over the retry budget waits for its first call") {
+  std::atomic<int> calls = 0;
+  const auto script = [&calls](RawConnection& connection,
+                               const std::string& request) {
+    if (request.starts_with("POST /stage-run") && ++calls == 1)
+      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    connection.Write(
+        request.starts_with("GET /report")
+            ? MakeResponse("", R"({"queued":0,"busy":true,"freeMb":1})")
+            : MakeResponse("", R"({"items":[{"handle":"h0"}]})"));
+    return true;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  rows.Set("op", "config", kRouting);
+  AddServer("plain", "plain", plain.address());
+  AddServer("first", "encoder", first.address());
+  AddServer("second", "encoder", second.address());
+  Start();
+  DisableRetries();
+  REQUIRE(Send(MakeStagedRequest(1)).starts_with("HTTP/1.1 200"));
+  REQUIRE(calls == 1);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
