HTTP tests: Reproduce connections ended because a peer does not read

TCP_USER_TIMEOUT (1.5 s) also counts the time for which the receive window of a peer is closed. The kernel then ends a connection whose peer acknowledges every probe but reads nothing, as a sound server or client may that is silent for a moment.

--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -202,5 +202,23 @@
   REQUIRE_FALSE(recorder.has_ended());
 }
 
+// Guards against failed calls: the kernel ended a connection whose server did
+// not read for longer than TCP_USER_TIMEOUT.
+TEST_CASE_METHOD(ClientFixture, "A server may read nothing for some seconds") {
+  RawServer server([](RawConnection& connection) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    while (connection.ReadRequest()) connection.Write(kResponse);
+  });
+  const std::string body(std::size_t{4} * 1024 * 1024, 'x');
+  Recorder recorder;
+  call_ = pool_.Start({"server", server.address()},
+                      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body,
+                      Reuse::kAny, recorder);
+  RunUntil([&] { return recorder.has_ended(); });
+  call_.reset();
+  REQUIRE(recorder.is_complete);
+}
+
 }  // namespace
 }  // namespace lovagecleat::http
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -192,6 +192,18 @@
           (field.empty() ? 2 : 1));
 }
 
+// Guards against truncated responses: the kernel ended a connection whose
+// client did not read for longer than TCP_USER_TIMEOUT.
+TEST_CASE_METHOD(ServerFixture, "A client may read nothing for some seconds") {
+  handler_.padding = std::size_t{1024} * 1024;
+  const std::string response = RunWithClient([](RawClient& raw) {
+    raw.Write("GET /pad HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    return raw.ReadToEnd();
+  });
+  REQUIRE(response.size() > handler_.padding);
+}
+
 // Guards against requests without an answer: after the process had not run for
 // a while, a connection counted as idle although a request waited on it.
 TEST_CASE_METHOD(ServerFixture,
