TCP stream: Ask poll whether bytes wait to be read

FIONREAD counts no end of the connection, and not every platform that runs the gateway needs to support it on sockets; poll is in use there already.

--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -4,8 +4,8 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -154,9 +154,8 @@
 }
 
 bool TcpStream::HasUnreadBytes() const {
-  int count = 0;
-  return descriptor_ >= 0 && ioctl(descriptor_, FIONREAD, &count) == 0 &&
-         count > 0;
+  pollfd readable{descriptor_, POLLIN, 0};
+  return poll(&readable, 1, 0) > 0 && (readable.revents & POLLIN) != 0;
 }
 
 void TcpStream::SetReading(bool is_reading) {
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -66,7 +66,8 @@
   std::size_t unsent_bytes() const {
     return send_buffer_.size() - send_offset_;
   }
-  // Returns whether the peer has sent bytes that have not been read yet.
+  // Returns whether bytes of the peer, or its end of the connection, wait to be
+  // read.
   bool HasUnreadBytes() const;
   bool is_connected() const { return state_ == State::kOpen; }
 
