Requests: Answer a stream that does not begin while its caller waits

Callers whose stream brought no event left it after the longest wait that they have for one, with neither an answer nor a refusal.

A stream that has not begun now ends 20 ms before its caller is taken to leave. The added test failed before (answered after 8,993 ms) and passes now.

--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -10,8 +10,10 @@
 
 using std::chrono::milliseconds;
 
-// The timeout response is sent this long before the caller's deadline.
+// The timeout response is sent this long before the caller's deadline, or
+// before the caller is taken to leave.
 constexpr Duration kDeadlineMargin = milliseconds(10);
+constexpr Duration kEventDeadlineMargin = milliseconds(20);
 // Retry-After, and the wait for the first configuration, are at most the
 // caller's time divided by this.
 constexpr int kWaitDivisor = 3;
@@ -92,12 +94,21 @@
   event_deadline_ = deadline_;
   if (IsStream())
     event_deadline_ = std::min(deadline_, arrived_at_ + EventTimeLimit());
-  deadline_timer_ =
-      context_.loop.At(deadline_ - kDeadlineMargin, [this] { OnDeadline(); });
+  StartDeadlineTimer();
   if (IsStream() && request_.resume_after) return FindOrigin();
   StartStages();
 }
 
+// A stream that does not begin in time ends while its caller still waits. One
+// that has begun is left to its caller.
+void RequestFlow::StartDeadlineTimer() {
+  TimePoint end = deadline_ - kDeadlineMargin;
+  if (!has_begun_response_)
+    end = std::min(end, event_deadline_ - kEventDeadlineMargin);
+  context_.loop.Cancel(deadline_timer_);
+  deadline_timer_ = context_.loop.At(end, [this] { OnDeadline(); });
+}
+
 void RequestFlow::FindOrigin() {
   origins_.Find({StreamId(), service_, route_->timeout + kStreamAgeMargin},
                 this,
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -65,6 +65,7 @@
   void ApplyRoute();
   // Returns the longest time for which callers wait for an event of a stream.
   Duration EventTimeLimit() const;
+  void StartDeadlineTimer();
   bool FindRoute();
   void FindOrigin();
   void OnOrigin(const std::optional<routing::StreamOrigin>& origin);
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -87,7 +87,10 @@
   // A server that has sent an event no longer needs the stage results.
   DropStageWork();
   event_deadline_ = std::min(deadline_, Now() + EventTimeLimit());
-  if (!has_begun_response_) BeginResponse(std::nullopt);
+  if (!has_begun_response_) {
+    BeginResponse(std::nullopt);
+    StartDeadlineTimer();
+  }
   exchange_->SendBody(passed);
   if (route_->MayRepeat())
     StartResponseTimer(std::max(kMinimumGapTimeout,
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -88,6 +88,21 @@
   REQUIRE(first.requests() + second.requests() == 1);
 }
 
+// Guards against requests without an answer: callers left a stream whose last
+// server sent no event, and the gateway waited until their deadline.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A stream that does not begin is answered in time") {
+  ScriptedServer server([](RawConnection& connection, const std::string&) {
+    connection.WaitForClose();
+    return false;
+  });
+  StartWith({&server});
+  const TimePoint start = loop().clock().Now();
+  REQUIRE(Send(MakeRequest("/r1/")).starts_with("HTTP/1.1 504"));
+  // Callers leave after four latency targets.
+  REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(4000));
+}
+
 // Guards against cut streams: a silent server was abandoned although no other
 // server could continue the stream.
 TEST_CASE_METHOD(SilentServerFixture,
