Soak: Check that streams of silent servers are not cut

The new check "losses" reports a request that was read and got no answer, and a stream that was cut although its server was sound, at gateways that were not killed, frozen or stopped. The check of graceful stops excuses a request whose last allowed server broke off.

--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -1,5 +1,6 @@
 """Records the events of a soak run and checks them for violations. Does no I/O, so that unit tests can use it."""
 
+import collections
 import dataclasses
 
 # Limits from the settings of the gateways; the checks use the same values.
@@ -11,6 +12,10 @@
 RETRY_SLACK = 50
 RETRY_WINDOW_SECONDS = 10.0
 EVACUATION_SECONDS = 5.0
+# A connection may end without an answer within this time if the request crossed its close.
+LOSS_SLACK_SECONDS = 0.5
+# Later in its time limit, a request may be given up.
+GUARDED_SHARE_OF_TIME_LIMIT = 0.7
 # With these statuses the request has not run and will not run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
@@ -24,6 +29,8 @@
     host: str
     incarnation: int
     at: float
+    time_limit: float = 3.0  # the deadline or the shortest time limit of its route
+    attempts: int = 2  # servers on which its route lets it run
 
 
 @dataclasses.dataclass
@@ -65,6 +72,7 @@
     events: list = dataclasses.field(default_factory=list)
     had_server_fault: bool = False
     version_seen: int = 0
+    is_cut: bool = False  # the gateway ended the connection before the end of the response
 
 
 @dataclasses.dataclass
@@ -91,6 +99,7 @@
         self.cold_starts = []  # (server, begin, end, requests per second)
         self.versions = []  # (time of acknowledgement, configuration version)
         self.server_faults = set()  # requests whose response a server truncated
+        self.interrupted = set()  # requests in progress at a server that ended or lost its connections
         self.backends = []
         self.mixed_inputs = []  # descriptions of stage inputs that don't belong to the request
 
@@ -100,6 +109,16 @@
             for span in self.disturbances
         )
 
+    def is_left_alone(self, host, begin, end):
+        """Returns whether the host was not killed, frozen or stopped; faults of its environment don't count."""
+        is_faulty = any(
+            span.begin - CONTACT_SECONDS < end and begin < span.end + CONTACT_SECONDS and span.host == host
+            for span in self.disturbances
+        )
+        return not is_faulty and not any(
+            span.begin < end and begin < span.end and span.host == host for span in self.graceful_stops
+        )
+
 
 def check_at_most_once(record):
     servers_of = {}
@@ -217,6 +236,7 @@
 def check_stops(record):
     """A graceful stop completes every request that the host has accepted."""
     failures = []
+    runs = collections.Counter(execution.id for execution in record.executions)
     for span in record.graceful_stops:
         for response in record.responses:
             sent = record.sent[response.id]
@@ -226,6 +246,7 @@
                 or not is_during
                 or response.is_complete
                 or response.had_server_fault
+                or response.id in record.interrupted and runs[response.id] >= sent.attempts
                 or record.is_disturbed(sent.host, sent.at, response.at)
             ):
                 continue
@@ -234,6 +255,30 @@
     return failures
 
 
+def check_losses(record):
+    """A gateway that runs undisturbed answers or refuses what it has read and does not cut off a sound server."""
+    failures = []
+    arrived = {arrival.id for arrival in record.arrivals}
+    for response in record.responses:
+        sent = record.sent[response.id]
+        seconds = response.at - sent.at
+        if (
+            not response.is_cut
+            or seconds > sent.time_limit * GUARDED_SHARE_OF_TIME_LIMIT
+            or not record.is_left_alone(sent.host, sent.at, response.at)
+        ):
+            continue
+        if not response.status:
+            if response.id in arrived or seconds > LOSS_SLACK_SECONDS:
+                failures.append(f"request {response.id} got no answer from {sent.host} within {seconds:.2f} s")
+        elif not response.had_server_fault and response.id not in record.interrupted:
+            failures.append(
+                f"{response.kind} {response.id} (attempts: {sent.attempts}) was cut by {sent.host} after "
+                f"{seconds:.2f} s and {len(response.events)} events, though its server was sound"
+            )
+    return failures
+
+
 def check_retries(record):
     failures = []
     services = {arrival.service for arrival in record.arrivals}
@@ -281,6 +326,7 @@
     "cold": check_cold,
     "configuration": check_configuration,
     "stops": check_stops,
+    "losses": check_losses,
     "retries": check_retries,
     "inputs": check_inputs,
     "service": check_service,
--- a/tests/soak/record_test.py
+++ b/tests/soak/record_test.py
@@ -115,6 +115,39 @@
         record.responses[2].is_complete = False
         self.assert_violation(record, "stops")
 
+    def test_stream_of_an_interrupted_server_during_a_graceful_stop(self):
+        record = conforming_record()
+        record.graceful_stops.append(Span(12.05, 16.0, "host"))
+        record.responses[2].is_complete = False
+        record.interrupted.add("r2")
+        self.assert_violation(record, "stops")
+        record.sent["r2"].attempts = 1
+        self.assertEqual(violations(record), [])
+
+    def test_stream_of_a_sound_server_cut_by_the_gateway(self):
+        record = conforming_record()
+        record.sent["st"] = SentRequest("st", "stream", "host", 1, 10, 6.0)
+        record.responses.append(Response("st", "stream", "host", 1, 12, 200, events=[1, 2], is_cut=True))
+        self.assert_violation(record, "losses")
+        record.interrupted.add("st")
+        self.assertEqual(violations(record), [])
+
+    def test_request_without_an_answer(self):
+        record = conforming_record()
+        record.responses[2] = Response("r2", "unsafe", "host", 1, 12.2, is_cut=True)
+        self.assert_violation(record, "losses")
+        for span in (Span(11.0, 12.0, "host"), Span(11.0, 12.0, "other")):
+            record.disturbances = [span]
+            self.assertEqual(bool(violations(record)), span.host == "other")
+
+    def test_request_that_crosses_the_close_of_its_connection(self):
+        record = conforming_record()
+        record.sent["r8"] = SentRequest("r8", "unsafe", "host", 1, 18.0)
+        record.responses.append(Response("r8", "unsafe", "host", 1, 18.1, is_cut=True))
+        self.assertEqual(violations(record), [])
+        record.responses[-1].at = 18.9
+        self.assert_violation(record, "losses")
+
     def test_too_many_retries(self):
         record = conforming_record()
         record.arrivals += [Arrival("r1", "s", "plain", "host", 12 + i / 100, 11) for i in range(60)]
