Soak: Check the software versions of streams that callers take up again

Callers close a quarter of their streams in the middle and take broken streams up again at another gateway, with Last-Event-Id and Resumes, with or without mixed versions.

The check "resumed" reports if at least 12 streams were taken up again at undisturbed gateways while two servers of their version served, and they went on less than half as often as new streams began. The check of event numbers covers resumed streams.

--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 # Limits from the settings of the gateways; the checks use the same values.
 CHANGE_SECONDS = 2.0
@@ -16,6 +17,9 @@
 LOSS_SLACK_SECONDS = 0.5
 # Later in its time limit, a request may be given up.
 GUARDED_SHARE_OF_TIME_LIMIT = 0.7
+# From this many streams that were taken up again on, the share that goes on is checked.
+MINIMUM_RESUMED_STREAMS = 12
+RESUMED_SHARE = 0.5
 # With these statuses the request has not run and will not run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
@@ -31,6 +35,9 @@
     at: float
     time_limit: float = 3.0  # the deadline or the shortest time limit of its route
     attempts: int = 2  # servers on which its route lets it run
+    resumes: str = ""  # the request that brought the first event of the stream
+    resumed_after: int = 0  # number of the last event that the caller has
+    begun_at_version: str = ""  # software version of the server that began the stream
 
 
 @dataclasses.dataclass
@@ -72,6 +79,8 @@
     events: list = dataclasses.field(default_factory=list)
     had_server_fault: bool = False
     version_seen: int = 0
+    versions: list = dataclasses.field(default_factory=list)  # the software version of the server of each event
+    is_left: bool = False  # the caller closed the connection before the end of the response
     is_cut: bool = False  # the gateway ended the connection before the end of the response
 
 
@@ -85,6 +94,16 @@
     detail: str = ""
 
 
+@dataclasses.dataclass
+class ServerRun:
+    """The time in which a model server accepts streams, according to the store."""
+
+    server: str
+    version: str
+    begin: float
+    end: float = math.inf
+
+
 class Record:
     def __init__(self):
         self.sent = {}
@@ -98,6 +117,7 @@
         self.zone_of = {}  # server to zone
         self.cold_starts = []  # (server, begin, end, requests per second)
         self.versions = []  # (time of acknowledgement, configuration version)
+        self.server_runs = []
         self.server_faults = set()  # requests whose response a server truncated
         self.interrupted = set()  # requests in progress at a server that ended or lost its connections
         self.backends = []
@@ -158,11 +178,63 @@
     for response in record.responses:
         if response.kind != "stream" or not response.events:
             continue
-        if response.events != list(range(1, len(response.events) + 1)):
-            failures.append(f"stream {response.id} has events {response.events}, expected 1 to {len(response.events)}")
+        begin = record.sent[response.id].resumed_after + 1
+        if response.events != list(range(begin, begin + len(response.events))):
+            failures.append(f"stream {response.id} has events {response.events}, expected {begin} and those after it")
     return failures
 
 
+def check_versions(record):
+    """A stream holds events of one software version, also if its caller takes it up again."""
+    versions = {}
+    for response in record.responses:
+        versions.setdefault(record.sent[response.id].resumes or response.id, set()).update(response.versions)
+    mixed = [f"{id} ({', '.join(sorted(found))})" for id, found in versions.items() if len(found) > 1]
+    if not mixed:
+        return []
+    return [f"{len(mixed)} streams have events of several software versions, such as {', '.join(mixed[:3])}"]
+
+
+def check_resumed(record):
+    """Streams that callers take up again go on about as often as new ones begin."""
+
+    def is_evacuated(server, begin, end):
+        return any(
+            span.detail == record.zone_of.get(server) and span.begin < end and begin < span.end + CHANGE_SECONDS
+            for span in record.evacuations
+        )
+
+    def count_servers(version, begin, end):
+        return sum(
+            run.version == version
+            and run.begin + CHANGE_SECONDS < begin
+            and end < run.end
+            and not is_evacuated(run.server, begin, end)
+            for run in record.server_runs
+        )
+
+    begun = []
+    resumed = []
+    for response in record.responses:
+        sent = record.sent[response.id]
+        if (
+            response.kind != "stream"
+            or record.is_disturbed(sent.host, sent.at, response.at)
+            or not record.is_left_alone(sent.host, sent.at, response.at)
+        ):
+            continue
+        if not sent.resumes:
+            begun.append(bool(response.events))
+        elif count_servers(sent.begun_at_version, sent.at, response.at) >= 2:
+            resumed.append(bool(response.events))
+    if len(resumed) < MINIMUM_RESUMED_STREAMS or sum(resumed) * len(begun) >= RESUMED_SHARE * sum(begun) * len(resumed):
+        return []
+    return [
+        f"{sum(resumed)} of {len(resumed)} streams that were taken up again went on, "
+        f"while {sum(begun)} of {len(begun)} new streams began"
+    ]
+
+
 def check_leaving(record):
     return [
         f"request {arrival.id} reached {arrival.server} "
@@ -245,6 +317,7 @@
                 sent.host != span.host
                 or not is_during
                 or response.is_complete
+                or response.is_left
                 or response.had_server_fault
                 or response.id in record.interrupted and runs[response.id] >= sent.attempts
                 or record.is_disturbed(sent.host, sent.at, response.at)
@@ -321,6 +394,8 @@
     "not run": check_not_run,
     "answers": check_answers,
     "streams": check_streams,
+    "versions": check_versions,
+    "resumed": check_resumed,
     "leaving": check_leaving,
     "evacuations": check_evacuations,
     "cold": check_cold,
--- a/tests/soak/record_test.py
+++ b/tests/soak/record_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from record import Response, Arrival, Record, Execution, SentRequest, Span, violations
+from record import Response, Arrival, Record, Execution, SentRequest, ServerRun, Span, violations
 
 
 def conforming_record():
@@ -27,6 +27,15 @@
     )
 
 
+def add_stream(record, id, events, versions, resumes="", host="host"):
+    resumed_after = events[0] - 1 if events else 1
+    begun_at = "v1" if resumes else ""
+    record.sent[id] = SentRequest(id, "stream", host, 1, 20.0, 6.0, 2, resumes, resumed_after, begun_at)
+    record.responses.append(
+        Response(id, "stream", host, 1, 21.0, 200, False, id, events=events, versions=versions, is_left=True)
+    )
+
+
 class RecordTest(unittest.TestCase):
     def assert_violation(self, record, name):
         found = violations(record)
@@ -68,6 +77,48 @@
             record.responses.append(Response("st", "stream", "host", 1, 11, 200, False, events=events))
             self.assert_violation(record, "streams")
 
+    def test_stream_that_is_resumed_at_the_wrong_event(self):
+        record = conforming_record()
+        add_stream(record, "a", [1, 2], ["v1", "v1"])
+        add_stream(record, "b", [3, 4], ["v1", "v1"], "a")
+        self.assertEqual(violations(record), [])
+        record.sent["b"].resumed_after = 1
+        self.assert_violation(record, "streams")
+
+    def test_events_of_two_versions_in_one_response(self):
+        record = conforming_record()
+        add_stream(record, "a", [1, 2], ["v1", "v1.1"])
+        self.assert_violation(record, "versions")
+
+    def test_events_of_two_versions_in_two_responses(self):
+        record = conforming_record()
+        add_stream(record, "a", [1], ["v1"])
+        add_stream(record, "b", [2], ["v1"], "a")
+        add_stream(record, "other", [1], ["v1.1"])
+        self.assertEqual(violations(record), [])
+        add_stream(record, "c", [3], ["v1.1"], "a")
+        self.assert_violation(record, "versions")
+
+    def test_streams_that_are_taken_up_again_and_do_not_go_on(self):
+        def record_with(servers, going_on, host="host"):
+            record = conforming_record()
+            record.zone_of |= {"m1": "zone-a", "m2": "zone-b"}
+            record.server_runs = [ServerRun(server, "v1", 0.0) for server in servers]
+            record.disturbances.append(Span(20.0, 21.0, "disturbed"))
+            for number in range(12):
+                add_stream(record, f"a{number}", [1], ["v1"])
+                resumed = number < going_on
+                add_stream(record, f"b{number}", [2] if resumed else [], ["v1"] if resumed else [], f"a{number}", host)
+            return record
+
+        self.assertEqual(violations(record_with(["m1", "m2"], 6)), [])
+        self.assertEqual(violations(record_with(["m1"], 5)), [])
+        self.assertEqual(violations(record_with(["m1", "m2"], 5, "disturbed")), [])
+        record = record_with(["m1", "m2"], 5)
+        self.assert_violation(record, "resumed")
+        record.evacuations.append(Span(19.0, 30.0, "", "zone-b"))
+        self.assertEqual(violations(record), [])
+
     def test_request_to_a_drained_server(self):
         record = conforming_record()
         record.drained_at["s"] = 12.0
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,8 @@
 """Runs real gateway processes with randomly injected faults and checks what callers and backend servers observe.
 
-soak.py [--seed N] [--runs N] [--seconds S] [--hosts N] [--keep FOLDER]
+soak.py [--seed N] [--runs N] [--seconds S] [--hosts N] [--mixed-versions] [--keep FOLDER]
 Prints "soak: ok" and exits with 0, or prints the seeds that failed and exits with 1.
+--mixed-versions lets model servers of two software versions serve side by side.
 --keep keeps the logs of failed seeds.
 """
 
@@ -18,11 +19,12 @@
 
 import record as records
 from record import Response, Record, SentRequest, Span
-from stand_ins import ADDRESS, STAGE_ITEMS, Backend, Store, format_response, now, read_message
+from stand_ins import ADDRESS, STAGE_ITEMS, STREAM_EVENTS, Backend, Store, format_response, now, read_message
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BINARY = pathlib.Path(os.environ.get("LOVAGECLEAT_BUILD", ROOT / "build")) / "bin" / "lovagecleat-gateway"
 ZONES = ["zone-a", "zone-b"]
+SERVER_VERSIONS = ["v1", "v1.1"]
 # A graceful stop has time for a request that arrives 2 s after it and takes until its deadline.
 STOP_TIMEOUT_SECONDS = 8
 DEADLINE_SECONDS = 3.0
@@ -32,6 +34,9 @@
 # Total over all callers.
 REQUESTS_PER_SECOND = 60
 CALLER_COUNT = 30
+# Share of the streams whose caller closes the connection in the middle.
+LEFT_STREAM_SHARE = 0.25
+MAXIMUM_RESUMPTIONS = 3
 # No faults are injected for this long at the start and at the end of a run, so that it starts and ends undisturbed.
 FAULT_FREE_SECONDS = 3
 READY_TIMEOUT_SECONDS = 15
@@ -134,10 +139,11 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, hosts, folder):
+    def __init__(self, seed, seconds, hosts, server_versions, folder):
         self.random = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
+        self.server_versions = server_versions
         self.record = Record()
         self.store = Store()
         self.hosts = [Host(f"host-{i}", ZONES[i % len(ZONES)], folder) for i in range(hosts)]
@@ -153,9 +159,12 @@
     async def start(self):
         await self.store.start()
         self.write_configuration()
-        for service, count in (("plain", 4), ("model", 4), ("encoder", 4)):
+        # Two model servers of each version in each zone, so that an evacuation leaves two.
+        models = 4 * len(self.server_versions)
+        for service, count in (("plain", 4), ("model", models), ("encoder", 4)):
             for i in range(count):
-                await self.add_backend(service, ZONES[i % len(ZONES)])
+                version = self.server_versions[i // len(ZONES) % len(self.server_versions)]
+                await self.add_backend(service, ZONES[i % len(ZONES)], version)
         await asyncio.gather(*(self.start_host(host) for host in self.hosts))
         self.begin = now()
 
@@ -173,9 +182,12 @@
                     f"{host.name} is not ready after {READY_TIMEOUT_SECONDS} s: exit code {host.process.poll()}")
             await asyncio.sleep(0.05)
 
-    async def add_backend(self, service, zone):
+    async def replace_backend(self, backend):
+        await self.add_backend(backend.service, backend.zone, self.random.choice(self.server_versions))
+
+    async def add_backend(self, service, zone, version):
         self.next_backend += 1
-        backend = Backend(f"{service}-{self.next_backend}", service, zone, self.store, self.record,
+        backend = Backend(f"{service}-{self.next_backend}", service, zone, version, self.store, self.record,
                           self.random.getrandbits(32))
         backend.cold_until = now() + WARM_UP_SECONDS
         await backend.start_serving(1_700_000_000_000 + self.next_backend)
@@ -215,53 +227,85 @@
             await asyncio.sleep(self.random.expovariate(REQUESTS_PER_SECOND / CALLER_COUNT))
             if writer is None:
                 host = self.random.choice(self.hosts)
-                if not host.is_running() or not await self.is_ready(host):
-                    continue
-                incarnation = host.incarnation
-                try:
-                    reader, writer = await asyncio.wait_for(
-                        asyncio.open_connection(ADDRESS, host.ports["callers"]), 1.0)
-                except (OSError, asyncio.TimeoutError):
-                    reader = writer = None
+                reader, writer, incarnation = await self.connect(host)
+                if writer is None:
                     continue
             kind = self.random.choices(["unsafe", "safe", "stream", "probe"], [4, 3, 3, 1])[0]
             response = await self.send_request(reader, writer, host, incarnation, kind)
-            self.record.responses.append(response)
             if not response.is_complete or self.random.random() < 0.05:
                 writer.transport.abort()
                 reader = writer = None
+            if kind == "stream" and response.events and not response.is_complete:
+                await self.take_up_stream(response)
         if writer is not None:
             writer.transport.abort()
 
-    async def send_request(self, reader, writer, host, incarnation, kind):
+    async def connect(self, host):
+        """Returns reader, writer and the incarnation of the host; reader and writer are None if it is unavailable."""
+        if not host.is_running() or not await self.is_ready(host):
+            return None, None, 0
+        incarnation = host.incarnation
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(ADDRESS, host.ports["callers"]), 1.0)
+            return reader, writer, incarnation
+        except (OSError, asyncio.TimeoutError):
+            return None, None, 0
+
+    async def take_up_stream(self, first):
+        """Continues a broken stream, each time at another host than before."""
+        last_host = first.host
+        last_event = first.events[-1]
+        for _ in range(MAXIMUM_RESUMPTIONS):
+            if last_event == STREAM_EVENTS:
+                return
+            await asyncio.sleep(self.random.uniform(0, 0.5))
+            host = self.random.choice([host for host in self.hosts if host.name != last_host])
+            reader, writer, incarnation = await self.connect(host)
+            if writer is None:
+                continue
+            response = await self.send_request(reader, writer, host, incarnation, "stream", first, last_event)
+            writer.transport.abort()
+            last_host = host.name
+            last_event = (response.events or [last_event])[-1]
+
+    async def send_request(self, reader, writer, host, incarnation, kind, first=None, last_event=0):
+        """Sends a request, or if `first` is given, one that continues the stream that `first` began."""
         self.next_request += 1
         id = f"{self.next_request:08x}"
         requested_version = self.version
+        stream_id = first.id if first else id
         attempts = self.random.choice([1, 2]) if kind == "stream" else 2
         path = {"unsafe": "/u/x", "safe": "/s/x", "stream": "/r/x" if attempts == 2 else "/r1/x",
                 "probe": f"/p/{requested_version}/x"}[kind]
-        body = f"body of {id}".encode()
+        body = f"body of {stream_id}".encode()
         deadline = STREAM_DEADLINE_SECONDS if kind == "stream" else DEADLINE_SECONDS
         time_limit = deadline if kind == "stream" else min(deadline, MINIMUM_TIMEOUT_SECONDS)
         fields = {"Host": "a.example", "X-Lovagecleat-Request-Id": id, "X-Api-Key": API_KEY,
                   "X-Lovagecleat-Deadline-Ms": str(int(deadline * 1000)), "Content-Length": str(len(body))}
         if kind == "stream":
-            prefix_id = self.random.randint(0, 9)
+            prefix_id = int(stream_id, 16) % 10
             fields |= {"X-Lovagecleat-Model": "m", "X-Lovagecleat-Token-Usage": "300,30",
-                       "X-Lovagecleat-Prompt-Prefix": f"a{prefix_id}:200,{id}:100",
-                       "X-Lovagecleat-Pieces": str(STAGE_ITEMS), "X-Lovagecleat-Piece-Key": id}
+                       "X-Lovagecleat-Prompt-Prefix": f"a{prefix_id}:200,{stream_id}:100",
+                       "X-Lovagecleat-Pieces": str(STAGE_ITEMS), "X-Lovagecleat-Piece-Key": stream_id}
+        if first:
+            fields |= {"Resumes": first.id, "Last-Event-Id": str(last_event)}
         head = f"POST {path} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        self.record.sent[id] = SentRequest(id, kind, host.name, incarnation, now(), time_limit, attempts)
+        self.record.sent[id] = SentRequest(id, kind, host.name, incarnation, now(), time_limit, attempts,
+                                           first.id if first else "", last_event, first.versions[0] if first else "")
         response = Response(id, kind, host.name, incarnation, now())
+        leave_after = STREAM_EVENTS
+        if kind == "stream" and self.random.random() < LEFT_STREAM_SHARE:
+            leave_after = self.random.randint(last_event + 1, STREAM_EVENTS)
         try:
             writer.write(head.encode() + b"\r\n" + body)
-            await asyncio.wait_for(self.read_response(reader, response, body.decode()), deadline + 0.5)
+            await asyncio.wait_for(self.read_response(reader, response, body.decode(), leave_after), deadline + 0.5)
         except (asyncio.TimeoutError, asyncio.LimitOverrunError, ValueError):
             pass
         except (OSError, asyncio.IncompleteReadError):
             response.is_cut = True
         response.at = now()
         response.had_server_fault = id in self.record.server_faults
+        self.record.responses.append(response)
         if kind == "probe" and response.is_complete:
             if response.status == 200:
                 response.version_seen = requested_version
@@ -269,7 +313,7 @@
                 response.version_seen = requested_version - 1
         return response
 
-    async def read_response(self, reader, response, body):
+    async def read_response(self, reader, response, body, leave_after):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         response.status = int(head.split(" ")[1])
         fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
@@ -278,6 +322,9 @@
             try:
                 while size := int(await reader.readuntil(b"\r\n"), 16):
                     text += (await reader.readexactly(size + 2))[:-2].decode()
+                    if f"id: {leave_after}\n" in text and leave_after < STREAM_EVENTS:
+                        response.is_left = True
+                        return
                 await reader.readexactly(2)
                 response.is_complete = True
             finally:
@@ -296,8 +343,10 @@
         for event in events:
             lines = event.split("\n")
             response.events.append(int(lines[0].removeprefix("id: ")))
-            response.owner = lines[1].split(" ")[1]
-        response.is_body_intact = len(response.events) == 10 and not incomplete_event
+            _, response.owner, _, version = lines[1].split(" ")
+            response.versions.append(version)
+        is_last = response.events[-1:] == [STREAM_EVENTS]
+        response.is_body_intact = is_last and not incomplete_event
 
     # --- Faults --------------------------------------------------------------
 
@@ -371,15 +420,14 @@
             await backend.crash()
             await asyncio.sleep(seconds)
             self.store.remove("servers", backend.id)
-            await self.add_backend(backend.service, backend.zone)
+            await self.replace_backend(backend)
         elif kind == "drain":
             self.backends.remove(backend)
-            await self.add_backend(backend.service, backend.zone)
+            await self.replace_backend(backend)
             if self.store.mode != "ok":
                 self.backends.append(backend)
                 return
-            backend.is_draining = True
-            backend.publish_entry()
+            backend.drain()
             self.record.drained_at[backend.id] = now()
             await asyncio.sleep(records.CHANGE_SECONDS + 2)
             self.store.remove("servers", backend.id)
@@ -457,7 +505,8 @@
 
 
 def run_seed(seed, options, folder):
-    soak = Soak(seed, options.seconds, options.hosts, folder)
+    server_versions = SERVER_VERSIONS if options.mixed_versions else SERVER_VERSIONS[:1]
+    soak = Soak(seed, options.seconds, options.hosts, server_versions, folder)
     violations = asyncio.run(soak.run())
     responses = soak.record.responses
     served = sum(1 for response in responses if 200 <= response.status < 300 and response.is_complete)
@@ -476,6 +525,8 @@
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--seconds", type=float, default=25, help="duration of a run in seconds")
     parser.add_argument("--hosts", type=int, default=5, help="number of gateway processes")
+    parser.add_argument("--mixed-versions", action="store_true",
+                        help="let model servers of two software versions serve side by side")
     parser.add_argument("--keep", help="folder for the logs of seeds that fail")
     options = parser.parse_args()
     failed = []
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -6,12 +6,13 @@
 import random
 import urllib.parse
 
-from record import Arrival, Execution
+from record import Arrival, Execution, ServerRun
 
 ADDRESS = "127.0.0.1"
 HEARTBEAT_SECONDS = 1.2
 MISSED_HEARTBEATS = 3
 STAGE_ITEMS = 4
+STREAM_EVENTS = 10
 
 
 def now():
@@ -204,11 +205,13 @@
 class Backend(Listener):
     """Simulates a backend server; its service decides whether it serves plain requests, streams or batched items."""
 
-    def __init__(self, id, service, zone, store, record, seed):
+    def __init__(self, id, service, zone, version, store, record, seed):
         super().__init__()
         self.id = id
         self.service = service
         self.zone = zone
+        self.version = version
+        self.run = None  # set for model servers while they serve
         self.store = store
         self.record = record
         self.random = random.Random(seed)
@@ -229,14 +232,28 @@
         self.started_unix_ms = started_unix_ms
         await self.start()
         await self.proxy.start()
+        if self.service == "model":
+            self.run = ServerRun(self.id, self.version, now())
+            self.record.server_runs.append(self.run)
         self.heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
     def interrupt(self):
         """Records that the requests in progress lose their server or its connections."""
         self.record.interrupted |= self.running
 
+    def end_run(self):
+        if self.run:
+            self.run.end = now()
+            self.run = None
+
+    def drain(self):
+        self.end_run()
+        self.is_draining = True
+        self.publish_entry()
+
     async def crash(self):
         self.interrupt()
+        self.end_run()
         self.results.clear()
         self.heartbeat_task.cancel()
         await self.stop()
@@ -248,7 +265,7 @@
             "service": self.service,
             "address": f"{ADDRESS}:{self.proxy.port}",
             "zone": self.zone,
-            "version": "1",
+            "version": self.version,
             "slots": 4,
             "state": "draining" if self.is_draining else "ready",
             "warmupMs": int(max(0.0, self.cold_until - now()) * 1000),
@@ -363,10 +380,10 @@
         )
         writer.write(head.encode())
         event_seconds = self.random.choice([0.03, 0.03, 0.03, 0.15])
-        for number in range(resumed_after + 1, 11):
+        for number in range(resumed_after + 1, STREAM_EVENTS + 1):
             await asyncio.sleep(event_seconds * self.slowness)
             await asyncio.sleep(max(0.0, self.paused_until - now()))
-            event = f"id: {number}\ndata: {id} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {id} {number} {self.version}\n\n".encode()
             if self.random.random() < self.truncated_share / 4:
                 self.record_server_fault(id)
                 writer.write(b"%x\r\n" % len(event) + event[:5])
