Requests: Count a stream that reaches its time limit as slow

A stream that had not begun in time, or lasted until its deadline, counted as a failure of its server, so that two of them suspended a loaded server. Before the limit for the first event such callers left, which was no evidence against the server. It now counts as a slow call, as leaving a silent server does.

--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -232,7 +232,10 @@
 
 void RequestFlow::OnDeadline() {
   if (call_) {
-    EndSend(routing::CallResult::kFailed, "time_up");
+    // A long stream may reach its deadline at a sound server.
+    EndSend(
+        IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed,
+        "time_up");
     send_state_ = SendState::kUnknown;
   }
   const int status = StatusWithoutResponse() == 503 ? 503 : 504;
