Stream origins: Use other hosts when one cannot be connected to

A host that has ended stays in the list of hosts and counts as reachable as long as nothing probes it. Origins for it were kept and sent again every 20 ms without end, and streams that only it was told of could not be resumed once their own host was gone.

After 200 ms such a host is avoided for 3 s, and the origins go to the next one. The added test failed before (all streams of that host refused) and passes now.

--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -14,6 +14,10 @@
 // Hosts answer within a few milliseconds unless they are overloaded or lost.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(300);
 constexpr Duration kSendRetryDelay = std::chrono::milliseconds(20);
+// A host that cannot be connected to within the first time is not used for the
+// second.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
+constexpr Duration kAvoidanceTime = std::chrono::seconds(3);
 // Longest time for which an origin from another host is kept.
 constexpr Duration kMaximumLifetime = std::chrono::minutes(10);
 
@@ -47,9 +51,13 @@
 std::vector<std::string> StreamOriginExchange::HoldersOf(
     const std::string& stream, std::size_t hosts_per_zone) const {
   std::vector<routing::OriginHost> reachable;
-  for (const PeerHost& host : hosts_)
-    if (is_reachable_(host.address))
+  for (const PeerHost& host : hosts_) {
+    const auto avoided = avoided_until_.find(host.address);
+    const bool is_avoided =
+        avoided != avoided_until_.end() && avoided->second > context_.Now();
+    if (!is_avoided && is_reachable_(host.address))
       reachable.push_back({host.address, host.zone.value()});
+  }
   const std::vector<std::string_view> holders = routing::OriginHolders(
       stream, context_.settings.zone.value(), reachable, hosts_per_zone);
   return {holders.begin(), holders.end()};
@@ -60,7 +68,8 @@
                                Duration lifetime) {
   origins_.Add(stream, origin, context_.Now() + lifetime);
   for (const std::string& holder : HoldersOf(stream, kHoldersPerZone)) {
-    WriteOrigin(stream, origin, lifetime, *outgoing_[holder].add_origins());
+    WriteOrigin(stream, origin, lifetime,
+                *outgoing_[holder].traffic.add_origins());
   }
   ScheduleFlush();
 }
@@ -80,7 +89,8 @@
     return;
   }
   for (const std::string& holder : HoldersOf(stream.id, kAskedHostsPerZone)) {
-    messages::StreamOriginQuery& asked = *outgoing_[holder].add_queries();
+    messages::StreamOriginQuery& asked =
+        *outgoing_[holder].traffic.add_queries();
     asked.set_stream(stream.id);
     asked.set_service(stream.service.value());
     asked.set_age_us(stream.maximum_age.count());
@@ -141,7 +151,7 @@
     FinishQuery(added.stream(), origin);
   }
   for (const messages::StreamOriginQuery& asked : traffic.queries()) {
-    messages::StreamOriginTraffic& answer = outgoing_[from];
+    messages::StreamOriginTraffic& answer = outgoing_[from].traffic;
     if (const auto* known = origins_.Find(asked.stream(), now)) {
       WriteOrigin(asked.stream(), known->origin, known->expires_at - now,
                   *answer.add_origins());
@@ -176,14 +186,36 @@
   });
 }
 
-// Messages to a host that is still being connected are sent again. Those to a
-// lost host are dropped: a query without an answer times out.
+// Messages to a host that is still being connected are sent again.
 void StreamOriginExchange::Flush() {
-  std::erase_if(outgoing_, [this](const auto& message) {
-    const auto& [peer, traffic] = message;
-    return send_(peer, traffic) || !is_reachable_(peer);
-  });
+  const TimePoint now = context_.Now();
+  std::vector<messages::StreamOriginTraffic> undelivered;
+  for (auto it = outgoing_.begin(); it != outgoing_.end();) {
+    auto& [peer, outgoing] = *it;
+    const bool is_sent = send_(peer, outgoing.traffic);
+    if (!is_sent && !outgoing.failing_since) outgoing.failing_since = now;
+    if (!is_sent && now - *outgoing.failing_since < kConnectTimeout) {
+      ++it;
+      continue;
+    }
+    if (!is_sent) {
+      avoided_until_[peer] = now + kAvoidanceTime;
+      undelivered.push_back(std::move(outgoing.traffic));
+    }
+    it = outgoing_.erase(it);
+  }
+  for (const messages::StreamOriginTraffic& traffic : undelivered)
+    Redirect(traffic);
   ScheduleFlush(kSendRetryDelay);
 }
 
+// Tells other hosts of the streams; a query for one times out.
+void StreamOriginExchange::Redirect(
+    const messages::StreamOriginTraffic& traffic) {
+  for (const messages::StreamOrigin& origin : traffic.origins())
+    for (const std::string& holder :
+         HoldersOf(origin.stream(), kHoldersPerZone))
+      *outgoing_[holder].traffic.add_origins() = origin;
+}
+
 }  // namespace lovagecleat::gateway
--- a/services/gateway/stream_origin_exchange.h
+++ b/services/gateway/stream_origin_exchange.h
@@ -76,6 +76,7 @@
   void FinishUnknown(const std::string& stream);
   void ScheduleFlush(Duration delay = Duration::zero());
   void Flush();
+  void Redirect(const messages::StreamOriginTraffic& traffic);
 
   Context& context_;
   ReachableCallback is_reachable_;
@@ -83,7 +84,13 @@
   std::vector<PeerHost> hosts_;  // without this one
   routing::StreamOrigins origins_;
   std::map<std::string, Query> queries_;  // by stream
-  std::map<std::string, messages::StreamOriginTraffic> outgoing_;
+  struct Outgoing {
+    messages::StreamOriginTraffic traffic;
+    std::optional<TimePoint> failing_since;
+  };
+  std::map<std::string, Outgoing> outgoing_;  // by host
+  // Hosts that could not be connected to.
+  std::map<std::string, TimePoint> avoided_until_;
   TimerId flush_timer_;
 };
 
--- a/tests/gateway/stream_versions_test.cc
+++ b/tests/gateway/stream_versions_test.cc
@@ -325,6 +325,28 @@
   REQUIRE(taken_up() == kStreams);
 }
 
+// Guards against refused streams: their origin was sent only to a host that was
+// gone, again and again.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is taken up although another host is gone too") {
+  for (const char* version : {"v1", "v2", "v1", "v2"})
+    Add(version, After::kWaitForClose);
+  StartWith(3);
+  KillHost(2);
+  std::deque<RawClient> clients;
+  std::vector<std::pair<std::string, std::string>> streams;  // id and version
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const RawClient& client = clients.emplace_back(callers_port(0));
+    streams.emplace_back(id, ReadUntilEvent(client, MakeRequest("/r/", id)));
+  }
+  RunFor(kChangeDelay);
+  KillHost(0);
+  for (const auto& [id, version] : streams)
+    CheckWholeStream(Send(TakeUp("b" + id, id), 1), version);
+  REQUIRE(taken_up() == kStreams);
+}
+
 // Guards against streams with events of two versions: a stream whose beginning
 // no host knew was taken up although servers of several versions were listed.
 TEST_CASE_METHOD(StreamVersionsFixture,
