--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -14,7 +14,7 @@
 RETRY_WINDOW_SECONDS = 10.0
 EVACUATION_SECONDS = 5.0
 # A connection may end without an answer within this time if the request crossed its close.
-LOSS_SLACK_SECONDS = 0.5
+LOSS_SLACK_SECONDS = 0.2
 # Later in its time limit, a request may be given up.
 GUARDED_SHARE_OF_TIME_LIMIT = 0.7
 # From this many streams that were taken up again on, the share that goes on is checked.
