--- a/tests/routing/stream_origins_test.cc
+++ b/tests/routing/stream_origins_test.cc
@@ -42,6 +42,7 @@
 
 std::vector<OriginHost> Hosts(const std::vector<std::string>& names) {
   std::vector<OriginHost> hosts;
+  hosts.reserve(names.size());
   for (const std::string_view name : names)
     hosts.push_back({name, name.substr(0, 1)});
   return hosts;
