Gateway: Read a server's leaving notice and quiet time

Servers announce in every response that they are about to exit (Server-Leaving) and, with status 503, for how long they want no requests from a host (Retry-After). The codec reads both; values that cannot be read get a defined meaning and are listed as problems. Nothing acts on them yet.

--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -38,6 +38,13 @@
   std::optional<std::uint64_t> resume_after;
 };
 
+// A header field that could not be read; its default meaning was used.
+struct FieldProblem {
+  std::string field;
+  std::string value;
+  std::string_view expected;
+};
+
 // What the head of a server's response tells the gateway.
 struct ResponseMetadata {
   std::string request_id;   // of the request; empty if the field is missing
@@ -45,7 +52,11 @@
   bool is_wrong_server = false;  // another server now has this address
   bool is_sealed = false;        // the server marked the response as complete
   bool is_encoded = false;       // an encoding was applied after the server
+  bool is_leaving = false;       // the server is about to exit
+  // Set if the server wants no calls from this host for that time.
+  std::optional<Duration> quiet_time;
   std::optional<routing::ReportedLoad> load;
+  std::vector<FieldProblem> problems;
 };
 
 enum class ItemOutcome {
--- a/tests/platform_adapter/message_codec_test.cc
+++ b/tests/platform_adapter/message_codec_test.cc
@@ -63,6 +63,52 @@
   REQUIRE_FALSE(loaded.is_sealed);
 }
 
+TEST_CASE("A server's notice that it leaves is read from any response") {
+  const auto metadata_of = [](http::HeaderFields fields) {
+    return kCodec.ReadResponseHead({500, "", std::move(fields)}, TimePoint());
+  };
+  REQUIRE_FALSE(metadata_of({}).is_leaving);
+  REQUIRE(metadata_of({{"Server-Leaving", "1"}}).is_leaving);
+  REQUIRE(metadata_of({{"server-leaving", "0"}, {"Server-Leaving", "1"}})
+              .is_leaving);
+  REQUIRE_FALSE(metadata_of({{"Server-Leaving", "0"}}).is_leaving);
+  for (const char* value : {"yes", "", "1, 1", "-1"}) {
+    CAPTURE(value);
+    const auto unreadable = metadata_of({{"Server-Leaving", value}});
+    REQUIRE(unreadable.is_leaving);
+    REQUIRE(unreadable.problems.size() == 1);
+    REQUIRE(unreadable.problems.front().field == "Server-Leaving");
+    REQUIRE(unreadable.problems.front().value == value);
+  }
+}
+
+TEST_CASE("A server's quiet time is read from status 503 only") {
+  using std::chrono::milliseconds;
+  const auto metadata_of = [](int status, http::HeaderFields fields) {
+    return kCodec.ReadResponseHead({status, "", std::move(fields)},
+                                   TimePoint());
+  };
+  REQUIRE_FALSE(metadata_of(503, {}).quiet_time);
+  REQUIRE_FALSE(metadata_of(429, {{"Retry-After", "2"}}).quiet_time);
+  REQUIRE(metadata_of(503, {{"Retry-After", "2"}}).quiet_time ==
+          milliseconds(2000));
+  REQUIRE(metadata_of(503, {{"Retry-After", "0.25"}}).quiet_time ==
+          milliseconds(250));
+  REQUIRE(metadata_of(503, {{"Retry-After", "2"}, {"Retry-After", "1"}})
+              .quiet_time == milliseconds(2000));
+  const Duration maximum = std::chrono::minutes(10);
+  for (const char* value : {"86400", "1e300", "inf"})
+    REQUIRE(metadata_of(503, {{"Retry-After", value}}).quiet_time == maximum);
+  for (const char* value :
+       {"-1", "", "soon", "nan", "1s", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    CAPTURE(value);
+    const auto unreadable = metadata_of(503, {{"Retry-After", value}});
+    REQUIRE(unreadable.quiet_time == milliseconds(1000));
+    REQUIRE(unreadable.problems.size() == 1);
+    REQUIRE(unreadable.problems.front().value == value);
+  }
+}
+
 TEST_CASE("Batches contain keys or inputs, and results are read in order") {
   routing::QueuedItem first;
   first.request = "r1";
