Gateway: Send a stream's origin again if a host does not acknowledge it

Callers that resumed a stream were refused (503, unknown_origin) although hosts that could have known its origin served.

Cause: the origin is sent to one host of a zone. A message to a host that has just stopped, or is frozen, can still be sent: the connection stays open for a while. The origin is then nowhere if the host that began the stream is lost.

Origins are acknowledged now. If no acknowledgement comes within 200 ms the host is avoided and the origins go to others. Avoided hosts are asked as well, since they may only be slow.

--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -14,9 +14,10 @@
 // Hosts answer within a few milliseconds unless they are overloaded or lost.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(300);
 constexpr Duration kSendRetryDelay = std::chrono::milliseconds(20);
-// A host that cannot be connected to within the first time is not used for the
-// second.
+// A host that cannot be connected to within the first time, or does not
+// acknowledge within the second, is not used for the third.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
+constexpr Duration kAcknowledgementTimeout = std::chrono::milliseconds(200);
 constexpr Duration kAvoidanceTime = std::chrono::seconds(3);
 // Longest time for which an origin from another host is kept.
 constexpr Duration kMaximumLifetime = std::chrono::minutes(10);
@@ -42,6 +43,8 @@
   context_.loop.Cancel(flush_timer_);
   for (auto& [stream, query] : queries_)
     context_.loop.Cancel(query.timeout_timer);
+  for (auto& [batch, sent] : unacknowledged_)
+    context_.loop.Cancel(sent.timeout_timer);
 }
 
 void StreamOriginExchange::SetHosts(std::span<const PeerHost> others) {
@@ -49,13 +52,15 @@
 }
 
 std::vector<std::string> StreamOriginExchange::HoldersOf(
-    const std::string& stream, std::size_t hosts_per_zone) const {
+    const std::string& stream, std::size_t hosts_per_zone,
+    Avoided avoided) const {
   std::vector<routing::OriginHost> reachable;
   for (const PeerHost& host : hosts_) {
-    const auto avoided = avoided_until_.find(host.address);
+    const auto until = avoided_until_.find(host.address);
     const bool is_avoided =
-        avoided != avoided_until_.end() && avoided->second > context_.Now();
-    if (!is_avoided && is_reachable_(host.address))
+        until != avoided_until_.end() && until->second > context_.Now();
+    if (is_avoided && avoided == Avoided::kExclude) continue;
+    if (is_reachable_(host.address))
       reachable.push_back({host.address, host.zone.value()});
   }
   const std::vector<std::string_view> holders = routing::OriginHolders(
@@ -63,11 +68,23 @@
   return {holders.begin(), holders.end()};
 }
 
+// A host that is avoided may only be slow and be the one that knows the stream.
+std::set<std::string> StreamOriginExchange::HostsToAsk(
+    const std::string& stream) const {
+  std::set<std::string> hosts;
+  for (const Avoided avoided : {Avoided::kExclude, Avoided::kInclude})
+    for (const std::string& host :
+         HoldersOf(stream, kAskedHostsPerZone, avoided))
+      hosts.insert(host);
+  return hosts;
+}
+
 void StreamOriginExchange::Add(const std::string& stream,
                                const routing::StreamOrigin& origin,
                                Duration lifetime) {
   origins_.Add(stream, origin, context_.Now() + lifetime);
-  for (const std::string& holder : HoldersOf(stream, kHoldersPerZone)) {
+  for (const std::string& holder :
+       HoldersOf(stream, kHoldersPerZone, Avoided::kExclude)) {
     WriteOrigin(stream, origin, lifetime,
                 *outgoing_[holder].traffic.add_origins());
   }
@@ -88,7 +105,7 @@
         });
     return;
   }
-  for (const std::string& holder : HoldersOf(stream.id, kAskedHostsPerZone)) {
+  for (const std::string& holder : HostsToAsk(stream.id)) {
     messages::StreamOriginQuery& asked =
         *outgoing_[holder].traffic.add_queries();
     asked.set_stream(stream.id);
@@ -142,6 +159,14 @@
 void StreamOriginExchange::OnTraffic(
     const std::string& from, const messages::StreamOriginTraffic& traffic) {
   const TimePoint now = context_.Now();
+  for (const std::uint64_t batch : traffic.acknowledged()) {
+    const auto sent = unacknowledged_.find(batch);
+    if (sent == unacknowledged_.end()) continue;
+    context_.loop.Cancel(sent->second.timeout_timer);
+    unacknowledged_.erase(sent);
+  }
+  if (traffic.batch() != 0)
+    outgoing_[from].traffic.add_acknowledged(traffic.batch());
   for (const messages::StreamOrigin& added : traffic.origins()) {
     const routing::StreamOrigin origin{ServiceId(added.service()),
                                        added.software_version()};
@@ -189,9 +214,12 @@
 // Messages to a host that is still being connected are sent again.
 void StreamOriginExchange::Flush() {
   const TimePoint now = context_.Now();
-  std::vector<messages::StreamOriginTraffic> undelivered;
+  std::vector<std::pair<std::string, messages::StreamOriginTraffic>>
+      undelivered;
   for (auto it = outgoing_.begin(); it != outgoing_.end();) {
     auto& [peer, outgoing] = *it;
+    if (outgoing.traffic.origins_size() > 0)
+      outgoing.traffic.set_batch(last_batch_ + 1);
     const bool is_sent = send_(peer, outgoing.traffic);
     if (!is_sent && !outgoing.failing_since) outgoing.failing_since = now;
     if (!is_sent && now - *outgoing.failing_since < kConnectTimeout) {
@@ -199,23 +227,52 @@
       continue;
     }
     if (!is_sent) {
-      avoided_until_[peer] = now + kAvoidanceTime;
-      undelivered.push_back(std::move(outgoing.traffic));
+      undelivered.emplace_back(peer, std::move(outgoing.traffic));
+    } else if (outgoing.traffic.batch() != 0) {
+      ExpectAcknowledgement(peer, outgoing.traffic);
     }
     it = outgoing_.erase(it);
   }
-  for (const messages::StreamOriginTraffic& traffic : undelivered)
-    Redirect(traffic);
+  for (const auto& [peer, traffic] : undelivered)
+    Redirect(peer, kConnectTimeout, traffic);
   ScheduleFlush(kSendRetryDelay);
 }
 
-// Tells other hosts of the streams; a query for one times out.
+// A message that was sent is lost if the host has just stopped or is frozen.
+void StreamOriginExchange::ExpectAcknowledgement(
+    const std::string& peer, const messages::StreamOriginTraffic& traffic) {
+  const std::uint64_t batch = ++last_batch_;
+  SentBatch& sent = unacknowledged_[batch];
+  sent.peer = peer;
+  *sent.traffic.mutable_origins() = traffic.origins();
+  sent.timeout_timer = context_.loop.After(
+      kAcknowledgementTimeout, [this, batch] { OnNotAcknowledged(batch); });
+}
+
+void StreamOriginExchange::OnNotAcknowledged(std::uint64_t batch) {
+  const auto found = unacknowledged_.find(batch);
+  if (found == unacknowledged_.end()) return;
+  const SentBatch sent = std::move(found->second);
+  unacknowledged_.erase(found);
+  Redirect(sent.peer, kAcknowledgementTimeout, sent.traffic);
+  ScheduleFlush();
+}
+
+// Queries are not sent again; they time out.
 void StreamOriginExchange::Redirect(
+    const std::string& peer, Duration elapsed,
     const messages::StreamOriginTraffic& traffic) {
-  for (const messages::StreamOrigin& origin : traffic.origins())
+  avoided_until_[peer] = context_.Now() + kAvoidanceTime;
+  for (const messages::StreamOrigin& origin : traffic.origins()) {
+    const std::int64_t remaining_us = origin.remaining_us() - elapsed.count();
+    if (remaining_us <= 0) continue;
     for (const std::string& holder :
-         HoldersOf(origin.stream(), kHoldersPerZone))
-      *outgoing_[holder].traffic.add_origins() = origin;
+         HoldersOf(origin.stream(), kHoldersPerZone, Avoided::kExclude)) {
+      messages::StreamOrigin& copy = *outgoing_[holder].traffic.add_origins();
+      copy = origin;
+      copy.set_remaining_us(remaining_us);
+    }
+  }
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/stream_origin_exchange.h
+++ b/services/gateway/stream_origin_exchange.h
@@ -16,7 +16,8 @@
 
 // Remembers where streams began and shares it with other hosts, so that a
 // caller may resume a stream at any host, even if the host that began it is
-// lost. Nothing is stored; origins are lost if all hosts that keep them are.
+// lost. Origins that a host does not acknowledge are sent to another one.
+// Nothing is stored; origins are lost if all hosts that keep them are.
 class StreamOriginExchange {
  public:
   using ReachableCallback = std::function<bool(const std::string& peer)>;
@@ -64,8 +65,11 @@
     TimerId timeout_timer;
   };
 
+  enum class Avoided { kExclude, kInclude };
   std::vector<std::string> HoldersOf(const std::string& stream,
-                                     std::size_t hosts_per_zone) const;
+                                     std::size_t hosts_per_zone,
+                                     Avoided avoided) const;
+  std::set<std::string> HostsToAsk(const std::string& stream) const;
   // Returns the version that all servers of the service are known to have had
   // for that time.
   std::optional<std::string> SoleVersion(const ServiceId& service,
@@ -76,7 +80,13 @@
   void FinishUnknown(const std::string& stream);
   void ScheduleFlush(Duration delay = Duration::zero());
   void Flush();
-  void Redirect(const messages::StreamOriginTraffic& traffic);
+  // Waits for the acknowledgement of the origins in `traffic`.
+  void ExpectAcknowledgement(const std::string& peer,
+                             const messages::StreamOriginTraffic& traffic);
+  void OnNotAcknowledged(std::uint64_t batch);
+  // Stops using the host for a while and sends the origins to others.
+  void Redirect(const std::string& peer, Duration elapsed,
+                const messages::StreamOriginTraffic& traffic);
 
   Context& context_;
   ReachableCallback is_reachable_;
@@ -89,7 +99,14 @@
     std::optional<TimePoint> failing_since;
   };
   std::map<std::string, Outgoing> outgoing_;  // by host
-  // Hosts that could not be connected to.
+  struct SentBatch {
+    std::string peer;
+    messages::StreamOriginTraffic traffic;
+    TimerId timeout_timer;
+  };
+  std::uint64_t last_batch_ = 0;
+  std::map<std::uint64_t, SentBatch> unacknowledged_;
+  // Hosts that could not be connected to or did not acknowledge.
   std::map<std::string, TimePoint> avoided_until_;
   TimerId flush_timer_;
 };
--- a/tests/gateway/stream_versions_test.cc
+++ b/tests/gateway/stream_versions_test.cc
@@ -347,6 +347,34 @@
   REQUIRE(taken_up() == kStreams);
 }
 
+// Guards against refused streams: their origin was sent only to a host that no
+// longer reacted, since messages to it could still be sent.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is taken up although another host is frozen") {
+  for (const char* version : {"v1", "v2", "v1", "v2"})
+    Add(version, After::kWaitForClose);
+  // Accepts connections and never answers.
+  const std::uint16_t port = transport::UnusedPort();
+  transport::PeerLink frozen(loop(), HostId("frozen"));
+  REQUIRE(frozen.Bind("127.0.0.1", port));
+  rows.Set(
+      "hosts", "frozen",
+      R"({"peers":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"z"})");
+  StartWith(2);
+  std::deque<RawClient> clients;
+  std::vector<std::pair<std::string, std::string>> streams;  // id and version
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const RawClient& client = clients.emplace_back(callers_port(0));
+    streams.emplace_back(id, ReadUntilEvent(client, MakeRequest("/r/", id)));
+  }
+  RunFor(kChangeDelay);
+  KillHost(0);
+  for (const auto& [id, version] : streams)
+    CheckWholeStream(Send(TakeUp("b" + id, id), 1), version);
+  REQUIRE(taken_up() == kStreams);
+}
+
 // Guards against streams with events of two versions: a stream whose beginning
 // no host knew was taken up although servers of several versions were listed.
 TEST_CASE_METHOD(StreamVersionsFixture,
