Routing: Order the store's versions by era

A store that is restored from an older copy gives lower versions out again and raises Store-Era in its responses. Rows were ordered by a bare number, so a host ignored everything that such a store wrote until the numbers had caught up.

RowVersion holds the era and the number, and a bare number can no longer be compared with it. Peer messages carry the era.

--- a/libraries/routing/row_replica.cc
+++ b/libraries/routing/row_replica.cc
@@ -30,7 +30,7 @@
 
 std::vector<Row> RowReplica::MarkMissingRemoved(const std::string& table,
                                                 std::span<const Row> present,
-                                                std::uint64_t version) {
+                                                RowVersion version) {
   std::set<std::string_view> keys;
   for (const Row& row : present) keys.insert(row.key);
   std::vector<Row> removed;
@@ -46,7 +46,7 @@
   return removed;
 }
 
-std::vector<Row> RowReplica::NewerThan(std::uint64_t version) const {
+std::vector<Row> RowReplica::NewerThan(RowVersion version) const {
   std::vector<Row> rows;
   for (const auto& [key, row] : rows_)
     if (row.version > version) rows.push_back(row);
--- a/libraries/routing/row_replica.h
+++ b/libraries/routing/row_replica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -9,13 +10,33 @@
 
 namespace lovagecleat::routing {
 
-// One row of the platform's store. Versions come from one counter for the whole
-// store, so they are comparable whether a row came from the store or a host.
+// A version of the platform's store. Numbers come from one counter for the
+// whole store. A store that is restored from an older copy begins a new era and
+// gives numbers out again, so numbers of different eras are not comparable.
+class RowVersion {
+ public:
+  RowVersion() = default;
+  RowVersion(std::uint64_t era, std::uint64_t number)
+      : era_(era), number_(number) {}
+
+  std::uint64_t era() const { return era_; }
+  std::uint64_t number() const { return number_; }
+
+  // NOTE: clang-tidy 14 reports a null pointer in the generated comparison.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  friend auto operator<=>(const RowVersion&, const RowVersion&) = default;
+
+ private:
+  std::uint64_t era_ = 0;
+  std::uint64_t number_ = 0;
+};
+
+// One row of the platform's store, read from it or received from a host.
 struct Row {
   std::string table;
   std::string key;
   std::string value;
-  std::uint64_t version = 0;
+  RowVersion version;
   bool is_removed = false;
 };
 
@@ -34,12 +55,12 @@
   // changed.
   std::vector<Row> MarkMissingRemoved(const std::string& table,
                                       std::span<const Row> present,
-                                      std::uint64_t version);
+                                      RowVersion version);
 
   // Returns all rows newer than `version`, including tombstones.
-  std::vector<Row> NewerThan(std::uint64_t version) const;
+  std::vector<Row> NewerThan(RowVersion version) const;
 
-  std::uint64_t newest_version() const { return newest_version_; }
+  RowVersion newest_version() const { return newest_version_; }
 
  private:
   using Key = std::pair<std::string, std::string>;
@@ -47,7 +68,7 @@
   void EvictOldestTombstone();
 
   std::map<Key, Row> rows_;
-  std::uint64_t newest_version_ = 0;
+  RowVersion newest_version_;
 };
 
 }  // namespace lovagecleat::routing
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -52,7 +52,8 @@
   copy.set_table(row.table);
   copy.set_key(row.key);
   copy.set_value(row.value);
-  copy.set_version(row.version);
+  copy.set_version(row.version.number());
+  copy.set_store_era(row.version.era());
   copy.set_removed(row.is_removed);
 }
 
@@ -60,7 +61,8 @@
 std::vector<routing::Row> ReadRows(const Rows& copies) {
   std::vector<routing::Row> rows;
   for (const messages::ReplicatedRow& copy : copies)
-    rows.push_back({copy.table(), copy.key(), copy.value(), copy.version(),
+    rows.push_back({copy.table(), copy.key(), copy.value(),
+                    routing::RowVersion(copy.store_era(), copy.version()),
                     copy.removed()});
   return rows;
 }
@@ -230,7 +232,8 @@
       context_.log.Write("evacuation", "",
                          {{"zone", subject.name},
                           {"is_out", !row.is_removed},
-                          {"row_version", row.version}});
+                          {"row_version", row.version.number()},
+                          {"store_era", row.version.era()}});
       return;
     case RowSubject::Kind::kServer:
       return ApplyServer(subject.name, row, origin);
@@ -247,13 +250,15 @@
       context_.codec.ReadRouting(row.value);
   if (!table) {
     context_.log.Write("routing_unreadable", "",
-                       {{"row_version", row.version}});
+                       {{"row_version", row.version.number()},
+                        {"store_era", row.version.era()}});
     return;
   }
   if (context_.table && table->version <= context_.table->version) return;
   context_.log.Write("routing", "",
                      {{"table_version", table->version},
-                      {"row_version", row.version},
+                      {"row_version", row.version.number()},
+                      {"store_era", row.version.era()},
                       {"routes", table->routes.size()}});
   http::ServerLimits limits;
   limits.message.header_bytes = table->limits.header_bytes;
@@ -296,7 +301,8 @@
     }
     context_.log.Write("server_removed", "",
                        {{"server", name},
-                        {"row_version", row.version},
+                        {"row_version", row.version.number()},
+                        {"store_era", row.version.era()},
                         {"origin", static_cast<int>(origin)}});
     return;
   }
@@ -304,7 +310,9 @@
   if (!entry) {
     context_.directory.Remove(id, now);
     context_.log.Write("server_unreadable", "",
-                       {{"server", name}, {"row_version", row.version}});
+                       {{"server", name},
+                        {"row_version", row.version.number()},
+                        {"store_era", row.version.era()}});
     return;
   }
   const routing::ServerRecord* before = context_.directory.Find(id);
@@ -318,7 +326,8 @@
                       {"zone", entry->zone.value()},
                       {"software_version", entry->software_version},
                       {"is_draining", entry->is_draining},
-                      {"row_version", row.version}});
+                      {"row_version", row.version.number()},
+                      {"store_era", row.version.era()}});
 }
 
 void Gateway::ApplyHost(const std::string& name, const routing::Row& row) {
@@ -412,7 +421,9 @@
     if (entry.peers != context_.settings.peers) known.push_back(entry.peers);
   messages::PeerMessage message;
   message.set_sender(context_.settings.peers);
-  message.mutable_rows_fetch()->set_newer_than(follower_.known_version());
+  const routing::RowVersion known_version = follower_.known_version();
+  message.mutable_rows_fetch()->set_newer_than(known_version.number());
+  message.mutable_rows_fetch()->set_store_era(known_version.era());
   for (std::size_t i = 0; i < kRowsFetchPeers && !known.empty(); ++i) {
     const std::string& peer = known[context_.random.Below(known.size())];
     ConnectPeer(peer);
@@ -422,7 +433,9 @@
 
 void Gateway::OnPeerMessage(const messages::PeerMessage& message) {
   if (message.has_rows_fetch())
-    return SendRows(message.sender(), message.rows_fetch().newer_than());
+    return SendRows(message.sender(),
+                    routing::RowVersion(message.rows_fetch().store_era(),
+                                        message.rows_fetch().newer_than()));
   if (message.has_stage_traffic()) {
     ConnectPeer(message.sender());
     return stages_.OnTraffic(message.sender(), message.incarnation(),
@@ -458,8 +471,10 @@
   for (const TableChanges& change : changes) {
     messages::TableFeed& table = *feed.add_tables();
     table.set_table(change.table);
-    table.set_after(change.after);
-    table.set_version(change.version);
+    table.set_after(change.after.number());
+    table.set_after_era(change.after.era());
+    table.set_version(change.version.number());
+    table.set_store_era(change.version.era());
     table.set_must_read(change.must_read);
     table.set_recovering_us(change.recovering.count());
     for (const routing::Row& row : change.rows)
@@ -478,7 +493,9 @@
 void Gateway::OnRowsFeed(const messages::RowsFeed& feed) {
   std::vector<TableChanges> changes;
   for (const messages::TableFeed& table : feed.tables())
-    changes.push_back({table.table(), table.after(), table.version(),
+    changes.push_back({table.table(),
+                       routing::RowVersion(table.after_era(), table.after()),
+                       routing::RowVersion(table.store_era(), table.version()),
                        ReadRows(table.rows()), table.must_read(),
                        Duration(table.recovering_us())});
   follower_.ApplyFeed(changes);
@@ -499,7 +516,8 @@
   return SendPeerMessage(peer, std::move(message));
 }
 
-void Gateway::SendRows(const std::string& peer, std::uint64_t newer_than) {
+void Gateway::SendRows(const std::string& peer,
+                       routing::RowVersion newer_than) {
   messages::PeerMessage message;
   message.set_sender(context_.settings.peers);
   std::size_t bytes = 0;
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -67,7 +67,7 @@
   void UpdateReaderRank();
   void SendFeed(std::span<const TableChanges> changes);
   void OnRowsFeed(const messages::RowsFeed& feed);
-  void SendRows(const std::string& peer, std::uint64_t newer_than);
+  void SendRows(const std::string& peer, routing::RowVersion newer_than);
   void ConnectPeer(const std::string& address);
 
   void Tick();
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -133,7 +133,7 @@
   enum class Status { kRead, kHistoryGone, kUnavailable };
   Status status = Status::kUnavailable;
   std::vector<routing::Row> rows;
-  std::uint64_t version = 0;  // the store's newest when it was read
+  routing::RowVersion version;  // the store's newest when it was read
 };
 
 // Reads and writes tables of the platform's store. Each call runs its callback
@@ -151,7 +151,9 @@
   virtual void ReadAll(const std::string& table, Callback callback) = 0;
 
   // Reads the rows changed after `version`; waits up to `wait` for a change.
-  virtual void Follow(const std::string& table, std::uint64_t version,
+  // The response may be of another era than `version`: its rows are then not
+  // all that changed.
+  virtual void Follow(const std::string& table, routing::RowVersion version,
                       Duration wait, Callback callback) = 0;
 
   // Writes this host's own row; the callback gets whether the store accepted
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -1,7 +1,6 @@
 #include "services/gateway/row_follower.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace lovagecleat::gateway {
@@ -116,6 +115,11 @@
     case RowsResponse::Status::kRead:
       break;
   }
+  // The changes between two eras are not known.
+  if (!was_full_read && response.version.era() != table.position.era()) {
+    table.has_read = false;
+    return Read(table);
+  }
   OnReadSucceeded(table);
   const bool is_recovering =
       recovering_until_ && context_.Now() < *recovering_until_;
@@ -135,10 +139,11 @@
       if (row.table == table.name && row.is_removed)
         changed_rows.push_back(std::move(row));
   }
-  const std::uint64_t before = table.position;
+  const routing::RowVersion before = table.position;
   // A feed may have brought a newer version in the meantime.
   table.position = std::max(before, response.version);
-  const bool is_first = !std::exchange(table.has_read, true) && before == 0;
+  const bool is_first =
+      !std::exchange(table.has_read, true) && before == routing::RowVersion();
   if (!is_first) PublishChanges(table, before, std::move(changed_rows));
   context_.loop.Cancel(table.timer);
   table.is_reading = false;
@@ -169,7 +174,9 @@
   if (!table.failing_since) {
     table.failing_since = context_.Now();
     context_.log.Write("store_lost", "",
-                       {{"table", table.name}, {"version", table.position}});
+                       {{"table", table.name},
+                        {"version", table.position.number()},
+                        {"store_era", table.position.era()}});
   }
   context_.metrics.Count("lovagecleat_store_failures_total",
                          {{"table", table.name}});
@@ -247,7 +254,7 @@
          context_.codec.ReadServer(row.key, row.value);
 }
 
-void RowFollower::PublishChanges(const Table& table, std::uint64_t after,
+void RowFollower::PublishChanges(const Table& table, routing::RowVersion after,
                                  std::vector<routing::Row> changed_rows) {
   if (!feed_ || !IsReader(table)) return;
   std::vector<TableChanges> changes = {
@@ -314,11 +321,13 @@
   return false;
 }
 
-std::uint64_t RowFollower::known_version() const {
-  std::uint64_t version = std::numeric_limits<std::uint64_t>::max();
-  for (const Table& table : tables_)
-    version = std::min(version, table.has_read ? table.position : 0);
-  return version;
+routing::RowVersion RowFollower::known_version() const {
+  std::optional<routing::RowVersion> version;
+  for (const Table& table : tables_) {
+    if (!table.has_read) return {};
+    version = std::min(version.value_or(table.position), table.position);
+  }
+  return version.value_or(routing::RowVersion());
 }
 
 void RowFollower::MergeFromPeer(std::span<const routing::Row> rows) {
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -23,8 +23,8 @@
 // sends them to the other hosts of its zone.
 struct TableChanges {
   std::string table;
-  std::uint64_t after = 0;
-  std::uint64_t version = 0;
+  routing::RowVersion after;
+  routing::RowVersion version;
   std::vector<routing::Row> rows;
   bool must_read = false;  // too large for the feed; read them from the store
   Duration recovering{};   // removals are not final for this long
@@ -72,7 +72,7 @@
   }
 
   // Returns the store's version up to which every table is known.
-  std::uint64_t known_version() const;
+  routing::RowVersion known_version() const;
 
   bool has_read_hosts() const { return tables_.back().has_read; }
 
@@ -82,8 +82,9 @@
   struct Table {
     std::string name;
     bool has_read = false;
-    std::uint64_t position = 0;  // the store's version up to which it is known
-    std::uint64_t announced_version = 0;  // the newest version named by a feed
+    // The store's version up to which the table is known.
+    routing::RowVersion position;
+    routing::RowVersion announced_version;  // the newest one named by a feed
     std::optional<TimePoint> failing_since;
     int consecutive_failures = 0;
     std::uint64_t read_id = 0;  // the newest read; others are ignored
@@ -112,7 +113,7 @@
   // Returns whether this host reads the table for the others of its zone.
   bool IsReader(const Table& table) const;
   bool HasChanged(const routing::Row& row) const;
-  void PublishChanges(const Table& table, std::uint64_t after,
+  void PublishChanges(const Table& table, routing::RowVersion after,
                       std::vector<routing::Row> changed_rows);
   void ApplyChanges(Table& table, const TableChanges& changes);
 
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -28,11 +28,11 @@
 }
 
 RowsResponse FakeRowSource::MakeResponse(const std::string& table,
-                                         std::uint64_t after) const {
+                                         routing::RowVersion after) const {
   RowsResponse response;
   response.status =
       table == failing_table ? RowsResponse::Status::kUnavailable : status;
-  response.version = version_;
+  response.version = {era_, version_};
   for (const auto& [key, row] : rows_)
     if (row.table == table && row.version > after) response.rows.push_back(row);
   return response;
@@ -40,14 +40,15 @@
 
 void FakeRowSource::ReadAll(const std::string& table, Callback callback) {
   ++full_reads;
-  RowsResponse response = MakeResponse(table, 0);
+  RowsResponse response = MakeResponse(table, {});
   std::erase_if(response.rows,
                 [](const routing::Row& row) { return row.is_removed; });
   callback(std::move(response));
 }
 
-void FakeRowSource::Follow(const std::string& table, std::uint64_t version,
-                           Duration /*wait*/, Callback callback) {
+void FakeRowSource::Follow(const std::string& table,
+                           routing::RowVersion version, Duration /*wait*/,
+                           Callback callback) {
   ++follows;
   callback(MakeResponse(table, version));
 }
@@ -59,11 +60,11 @@
 
 void FakeRowSource::Set(const std::string& table, const std::string& key,
                         const std::string& value) {
-  rows_[{table, key}] = {table, key, value, ++version_, false};
+  rows_[{table, key}] = {table, key, value, {era_, ++version_}, false};
 }
 
 void FakeRowSource::Remove(const std::string& table, const std::string& key) {
-  rows_[{table, key}] = {table, key, "", ++version_, true};
+  rows_[{table, key}] = {table, key, "", {era_, ++version_}, true};
 }
 
 GatewayFixture::Host::Host(GatewayFixture& fixture, const std::string& name)
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -25,8 +25,8 @@
   }
   RowSubject SubjectOf(const routing::Row& row) const override;
   void ReadAll(const std::string& table, Callback callback) override;
-  void Follow(const std::string& table, std::uint64_t version, Duration wait,
-              Callback callback) override;
+  void Follow(const std::string& table, routing::RowVersion version,
+              Duration wait, Callback callback) override;
   void WriteHost(const HostId& host, std::string value,
                  std::function<void(bool)> callback) override;
 
@@ -42,9 +42,10 @@
 
  private:
   RowsResponse MakeResponse(const std::string& table,
-                            std::uint64_t after) const;
+                            routing::RowVersion after) const;
 
   std::map<std::pair<std::string, std::string>, routing::Row> rows_;
+  std::uint64_t era_ = 0;
   std::uint64_t version_ = 0;
 };
 
--- a/tests/gateway/row_follower_test.cc
+++ b/tests/gateway/row_follower_test.cc
@@ -8,8 +8,14 @@
 namespace lovagecleat::gateway {
 namespace {
 
+using routing::RowVersion;
 using std::chrono::milliseconds;
 
+// Returns the version that is `steps` later, in the same era.
+RowVersion Later(RowVersion version, std::uint64_t steps) {
+  return {version.era(), version.number() + steps};
+}
+
 // Runs a RowFollower without a gateway and records the rows it applies.
 class FollowerFixture : public transport::LoopFixture {
  public:
@@ -43,7 +49,7 @@
   void FeedNoChanges() {
     std::vector<TableChanges> changes;
     for (const std::string& table : rows.tables())
-      changes.push_back({table, 0, 0, {}, false, {}});
+      changes.push_back({table, {}, {}, {}, false, {}});
     follower.ApplyFeed(changes);
   }
 
@@ -113,11 +119,13 @@
 
 TEST_CASE_METHOD(FollowerFixture, "Older rows from other hosts are ignored") {
   follower.Start();
-  const std::vector<routing::Row> newer = {{"servers", "a", "2", 20, false}};
+  const std::vector<routing::Row> newer = {
+      {"servers", "a", "2", {0, 20}, false}};
   follower.MergeFromPeer(newer);
   REQUIRE(applied.size() == 1);
   REQUIRE(applied[0].origin == RowOrigin::kPeer);
-  const std::vector<routing::Row> older = {{"servers", "a", "1", 10, false}};
+  const std::vector<routing::Row> older = {
+      {"servers", "a", "1", {0, 10}, false}};
   follower.MergeFromPeer(older);
   REQUIRE(applied.size() == 1);
 }
@@ -167,12 +175,12 @@
   rows.Set("servers", "a", MakeServerEntry(1, false));
   follower.Start();
   follower.SetRank(1);
-  const std::uint64_t version = follower.known_version();
+  const RowVersion version = follower.known_version();
   const TableChanges change{
       "servers",
       version,
-      version + 5,
-      {{"servers", "a", MakeServerEntry(2, true), version + 5, false}},
+      Later(version, 5),
+      {{"servers", "a", MakeServerEntry(2, true), Later(version, 5), false}},
       false,
       {}};
   follower.ApplyFeed(std::span<const TableChanges>(&change, 1));
@@ -192,8 +200,9 @@
   RunFor(milliseconds(500));
   rows.Set("servers", "a", MakeServerEntry(2, true));
   // A feed with the changes after the missed one.
-  const std::uint64_t version = follower.known_version() + 1;
-  const TableChanges change{"servers", version, version + 1, {}, false, {}};
+  const RowVersion version = Later(follower.known_version(), 1);
+  const TableChanges change{"servers", version, Later(version, 1),
+                            {},        false,   {}};
   const int before = rows.follows;
   follower.ApplyFeed(std::span<const TableChanges>(&change, 1));
   REQUIRE(rows.follows == before + 1);
@@ -210,8 +219,8 @@
   RunFor(milliseconds(500));
   rows.Set("op", "config", "new");
   rows.status = RowsResponse::Status::kUnavailable;
-  const std::uint64_t version = follower.known_version();
-  const TableChanges change{"op", version, version + 1, {}, true, {}};
+  const RowVersion version = follower.known_version();
+  const TableChanges change{"op", version, Later(version, 1), {}, true, {}};
   follower.ApplyFeed(std::span<const TableChanges>(&change, 1));
   rows.status = RowsResponse::Status::kRead;
   for (int i = 0; i < 10 && applied.empty(); ++i) {
@@ -226,11 +235,13 @@
   rows.Set("servers", "a", MakeServerEntry(1, false));
   follower.Start();
   follower.SetRank(1);
-  const std::uint64_t version = follower.known_version();
-  const TableChanges change{
-      "servers",   version,
-      version + 5, {{"servers", "a", "", version + 5, true}},
-      false,       milliseconds(900)};
+  const RowVersion version = follower.known_version();
+  const TableChanges change{"servers",
+                            version,
+                            Later(version, 5),
+                            {{"servers", "a", "", Later(version, 5), true}},
+                            false,
+                            milliseconds(900)};
   follower.ApplyFeed(std::span<const TableChanges>(&change, 1));
   REQUIRE(applied.size() == 2);
   REQUIRE(applied[1].origin == RowOrigin::kStoreAfterOutage);
@@ -263,7 +274,7 @@
   follower.Start();
   rows.Set("op", "config", "new");
   const std::vector<routing::Row> peer_rows = {
-      {"op", "config", "new", 1, false}};
+      {"op", "config", "new", {0, 1}, false}};
   follower.MergeFromPeer(peer_rows);
   RunFor(milliseconds(700));
   const auto with_rows = std::find_if(
@@ -314,7 +325,8 @@
   FeedNoChanges();
   RunFor(milliseconds(500));
   const int before = rows.follows;
-  const std::vector<TableChanges> servers = {{"servers", 0, 0, {}, false, {}}};
+  const std::vector<TableChanges> servers = {
+      {"servers", {}, {}, {}, false, {}}};
   for (int i = 0; i < 8; ++i) {
     follower.ApplyFeed(servers);
     RunFor(milliseconds(100));
