Transport: Destroy objects later without running timers

Objects that wait for their destruction are now kept by the loop apart from the timers. Destructors destroy these only.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -150,9 +150,7 @@
     // the connection later.
     connection_->Detach();
     connection_->CloseNow();
-    connection_->loop().After(
-        Duration::zero(),
-        [ended = std::shared_ptr<Connection>(std::move(connection_))] {});
+    connection_->loop().DestroyLater(std::move(connection_));
   }
 
   bool may_have_been_sent() const override {
@@ -233,8 +231,7 @@
     pool_.AddIdle(std::move(self), keep_alive_time);
   } else {
     CloseNow();
-    loop().After(Duration::zero(),
-                 [ended = std::shared_ptr<Connection>(std::move(self))] {});
+    loop().DestroyLater(std::move(self));
   }
   observer->OnResponseComplete();
 }
@@ -260,8 +257,7 @@
   Detach();
   CloseNow();
   const CallEnd end{failure, was_reused_ && !has_response_bytes_};
-  loop().After(Duration::zero(),
-               [ended = std::shared_ptr<Connection>(std::move(self))] {});
+  loop().DestroyLater(std::move(self));
   observer->OnCallFailed(end);
 }
 
@@ -269,7 +265,7 @@
 
 ConnectionPool::~ConnectionPool() {
   idle_by_server_.clear();
-  poller_.loop().RunDueTimers();
+  poller_.loop().DestroyPending();
 }
 
 std::unique_ptr<Call> ConnectionPool::Start(const CallTarget& target,
@@ -326,9 +322,7 @@
   for (auto it = connections.begin(); it != connections.end(); ++it) {
     if (it->connection.get() != connection) continue;
     connection->CloseNow();
-    poller_.loop().After(
-        Duration::zero(),
-        [ended = std::shared_ptr<Connection>(std::move(it->connection))] {});
+    poller_.loop().DestroyLater(std::move(it->connection));
     connections.erase(it);
     break;
   }
--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -35,7 +35,7 @@
 Server::~Server() {
   poller_.loop().Cancel(sweep_timer_);
   connections_.clear();
-  poller_.loop().RunDueTimers();
+  poller_.loop().DestroyPending();
 }
 
 bool Server::Listen(std::string_view address) {
@@ -63,9 +63,7 @@
 void Server::Remove(ServerConnection* connection) {
   const auto found = connections_.find(connection);
   if (found == connections_.end()) return;
-  poller_.loop().After(Duration::zero(),
-                       [removed = std::shared_ptr<ServerConnection>(
-                            std::move(found->second))] {});
+  poller_.loop().DestroyLater(std::move(found->second));
   connections_.erase(found);
 }
 
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -242,9 +242,7 @@
 // through it.
 void ServerConnection::EndExchange() {
   --server_.active_exchanges_;
-  server_.poller_.loop().After(
-      Duration::zero(),
-      [ended = std::shared_ptr<Exchange>(std::move(exchange_))] {});
+  server_.poller_.loop().DestroyLater(std::move(exchange_));
 }
 
 void ServerConnection::CloseAfterSending() {
--- a/libraries/transport/loop.cc
+++ b/libraries/transport/loop.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <limits>
 #include <list>
+#include <utility>
 #include <vector>
 
 namespace lovagecleat::transport {
@@ -97,6 +98,20 @@
 
   TimerQueue& timers() { return timers_; }
 
+  // Returns whether no other object was pending.
+  bool DestroyLater(std::shared_ptr<void> object) {
+    pending_.push_back(std::move(object));
+    return pending_.size() == 1;
+  }
+
+  // A destructor may add further objects.
+  void DestroyPending() {
+    while (!pending_.empty()) {
+      const std::vector<std::shared_ptr<void>> objects =
+          std::exchange(pending_, {});
+    }
+  }
+
   void OnSignal(int signal_number, std::function<void()> callback) {
     callbacks_.push_back(std::move(callback));
     source_ids_.push_back(g_unix_signal_add(signal_number, RunSignalCallback,
@@ -116,6 +131,7 @@
   std::vector<guint> source_ids_;
   // A list, since the sources hold pointers to its elements.
   std::list<std::function<void()>> callbacks_;
+  std::vector<std::shared_ptr<void>> pending_;
 };
 
 Loop::Loop(const Clock& clock)
@@ -137,7 +153,12 @@
 
 void Loop::Cancel(TimerId timer) { state_->timers().Cancel(timer); }
 
-void Loop::RunDueTimers() { state_->timers().RunDue(clock_.Now()); }
+void Loop::DestroyLater(std::shared_ptr<void> object) {
+  const bool is_first = state_->DestroyLater(std::move(object));
+  if (is_first) After(Duration::zero(), [this] { DestroyPending(); });
+}
+
+void Loop::DestroyPending() { state_->DestroyPending(); }
 
 void Loop::OnSignal(int signal_number, std::function<void()> callback) {
   state_->OnSignal(signal_number, std::move(callback));
--- a/libraries/transport/loop.h
+++ b/libraries/transport/loop.h
@@ -22,9 +22,13 @@
   TimerId After(Duration delay, std::function<void()> callback);
   void Cancel(TimerId timer);
 
-  // Runs the timers that are due now. Call it before the destruction of objects
-  // that pending zero-delay timers refer to.
-  void RunDueTimers();
+  // Destroys the object from the loop, since the caller may have been called by
+  // it.
+  void DestroyLater(std::shared_ptr<void> object);
+
+  // Destroys these objects now. Call it in the destructor of an object that
+  // they refer to. Runs no timers, since their owners may be destroyed in part.
+  void DestroyPending();
 
   // Runs `callback` on the loop each time the signal arrives.
   void OnSignal(int signal_number, std::function<void()> callback);
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -152,7 +152,7 @@
        {tick_timer_, stop_timer_, announce_timer_, waiting_timer_, join_timer_})
     context_.loop.Cancel(timer);
   flows_.clear();
-  context_.loop.RunDueTimers();
+  context_.loop.DestroyPending();
 }
 
 Gateway::StartError Gateway::Start() {
@@ -209,9 +209,7 @@
       context_, stages_, origins_, exchange, [this](RequestFlow* ended) {
         const auto found = flows_.find(ended);
         if (found == flows_.end()) return;
-        context_.loop.After(Duration::zero(),
-                            [destroyed = std::shared_ptr<RequestFlow>(
-                                 std::move(found->second))] {});
+        context_.loop.DestroyLater(std::move(found->second));
         flows_.erase(found);
       });
   RequestFlow* raw = flow.get();
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -564,18 +564,14 @@
 void StageRunner::Remove(ActiveCall* active_call) {
   const auto found = active_calls_.find(active_call);
   if (found == active_calls_.end()) return;
-  context_.loop.After(
-      Duration::zero(),
-      [ended = std::shared_ptr<ActiveCall>(std::move(found->second))] {});
+  context_.loop.DestroyLater(std::move(found->second));
   active_calls_.erase(found);
 }
 
 void StageRunner::Remove(ControlCall* call) {
   const auto found = control_calls_.find(call);
   if (found == control_calls_.end()) return;
-  context_.loop.After(
-      Duration::zero(),
-      [ended = std::shared_ptr<ControlCall>(std::move(found->second))] {});
+  context_.loop.DestroyLater(std::move(found->second));
   control_calls_.erase(found);
 }
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -397,6 +397,18 @@
   REQUIRE(responses.find("HTTP/1.1 200", 1) != std::string::npos);
 }
 
+// Guards against crashes at the end of a process: timers that were due ran
+// while the gateway was destroyed.
+TEST_CASE_METHOD(GatewayTest, "A gateway that is destroyed runs no timers") {
+  StartWith({});
+  AddOwnHostRow();
+  RunFor(std::chrono::milliseconds(500));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  const int before = rows.follows;
+  KillHost(0);
+  REQUIRE(rows.follows == before);
+}
+
 // Guards against requests without an answer: a server that reports lost stage
 // results for a request without stages was taken at its word.
 TEST_CASE_METHOD(GatewayTest,
