Gateway: Answer the open requests before the process ends

Requests that were still open at the stop time of a process got no answer: the process ended with their connections.

100 ms before the process ends, requests whose response has not begun are answered: 503 if no server can have run them, else 502. The process ends as long before the forced end as it took for the answers, so running requests have the same time as before.

The new test failed before (the connection ended without a byte).

--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -46,7 +46,9 @@
 // Value of Retry-After in seconds; short, since other hosts can serve at once.
 constexpr const char* kStopRetryAfter = "0.05";
 // The process exits this long before the stop time, after which it is killed.
-constexpr Duration kStopMargin = milliseconds(600);
+// Requests without a response are answered before, so that clients read it.
+constexpr Duration kStopMargin = milliseconds(500);
+constexpr Duration kFinalAnswerTime = milliseconds(100);
 
 void WriteRow(const routing::Row& row, messages::ReplicatedRow& copy) {
   copy.set_table(row.table);
@@ -552,18 +554,29 @@
 
 void Gateway::ContinueStop() {
   const Duration elapsed = context_.Now() - *stop_at_;
-  const bool must_end =
-      elapsed >= context_.settings.limits.shutdown_timeout - kStopMargin;
+  const Duration until_end =
+      context_.settings.limits.shutdown_timeout - kStopMargin - elapsed;
+  if (until_end <= kFinalAnswerTime) AnswerOpenRequests();
   if (elapsed >= kStopGracePeriod) {
     callers_.StopListening();
     callers_.CloseIdleConnections();
   }
-  if (must_end || (elapsed >= kStopGracePeriod && flows_.empty())) {
+  if (until_end <= Duration::zero() ||
+      (elapsed >= kStopGracePeriod && flows_.empty())) {
     context_.log.Write("stopped", "", {{"requests_left", flows_.size()}});
     context_.log.Flush();
     return context_.loop.Quit();
   }
-  stop_timer_ = context_.loop.After(kTickPeriod, [this] { ContinueStop(); });
+  Duration wait = std::min(kTickPeriod, until_end);
+  if (until_end > kFinalAnswerTime)
+    wait = std::min(wait, until_end - kFinalAnswerTime);
+  stop_timer_ = context_.loop.After(wait, [this] { ContinueStop(); });
+}
+
+void Gateway::AnswerOpenRequests() {
+  std::vector<RequestFlow*> open;
+  for (const auto& [flow, owner] : flows_) open.push_back(flow);
+  for (RequestFlow* flow : open) flow->OnProcessEnding();
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -72,6 +72,7 @@
 
   void Tick();
   void ContinueStop();
+  void AnswerOpenRequests();
 
   metrics::Registry metrics_;
   Context context_;
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -242,6 +242,15 @@
   Fail({status, "time_up"});
 }
 
+void RequestFlow::OnProcessEnding() {
+  if (has_ended_ || has_begun_response_) return;
+  if (call_) {
+    EndSend(routing::CallResult::kNoEvidence, "stopping");
+    send_state_ = SendState::kUnknown;
+  }
+  Refuse("stopping");
+}
+
 void RequestFlow::OnClientDisconnected() {
   if (call_) EndSend(routing::CallResult::kNoEvidence, "client_gone");
   End(499, "client_gone");
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -44,6 +44,10 @@
   // Called when the first configuration has been read.
   void OnConfiguration();
 
+  // Called shortly before the process ends. Answers the request unless its
+  // response has begun.
+  void OnProcessEnding();
+
   void OnClientDisconnected() override;
 
   bool IsOwnResponse(const http::ResponseHead& head) override;
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -103,6 +103,29 @@
   REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(4000));
 }
 
+// Guards against requests without an answer: a stopping process ended while it
+// waited for a silent server.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A request that is open when the process ends is answered") {
+  ScriptedServer server([](RawConnection& connection, const std::string&) {
+    connection.WaitForClose();
+    return false;
+  });
+  StartWith({&server});
+  std::string response;
+  std::thread client([&, port = callers_port()] {
+    const transport::RawClient raw(port);
+    raw.Write(MakeRequest("/r1/"));
+    response = raw.ReadToEnd();
+  });
+  RunUntil([&] { return server.requests() == 1; });
+  gateway->Stop();
+  loop().Run();
+  KillHost(0);
+  client.join();
+  REQUIRE(response.starts_with("HTTP/1.1 502"));
+}
+
 // Guards against cut streams: a silent server was abandoned although no other
 // server could continue the stream.
 TEST_CASE_METHOD(SilentServerFixture,
