Stage runner: End an item only when its last copy is gone

Callers saw failed requests, and stage servers got calls beyond the retry budget and beyond the limit of sends of an item.

Cause: an item of a slow call is queued a second time while its first call is in progress. When the copy was over the retry budget, had its third failed send, or could no longer finish before the deadline, the item failed although the first call could still bring the result. Its request submitted it again as a new item, which counted as a first try, or gave up.

The runner counts the copies of each pending item that are queued or in a running call. A copy that cannot go on is dropped; the item ends with the last one. A call that was hedged queues its items again only if no copy is left. A copy over the budget no longer counts as a send. When no server of the zone may be used, or all are slow, an item with a running call is still handed back to its request, which runs it in another zone; since that is one more send, it takes a retry from the budget.

"An item whose last call failed waits for its earlier ones" and "An item whose copy is too late waits for its first call" failed before, both without a 200 response.

--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -119,7 +119,7 @@
                                {{"service", queue_.location.service.value()},
                                 {"server", call_.server.value()},
                                 {"items", call_.items.size()}});
-    runner_.Requeue(queue_, call_.items);
+    runner_.AddCopies(queue_, call_.items);
     CheckForLostResponse();
     runner_.DispatchCalls();
   }
@@ -176,14 +176,12 @@
          {"outcome", outcome}});
     StageRunner& runner = runner_;
     StageQueue& queue = queue_;
-    if (results.empty() && is_hedged_) {
-      // HedgeItems has queued the items again.
-    } else if (results.empty()) {
+    if (results.empty()) {
       // The items did not reach a server that could run them.
       if (result == routing::CallResult::kUnreachable ||
           response_metadata_.is_not_run)
         runner.UncountSends(call_.items);
-      runner.Requeue(queue, std::move(call_.items));
+      runner.Requeue(queue, std::move(call_.items), is_hedged_);
     } else {
       HandleResults(results, now);
     }
@@ -205,9 +203,8 @@
       const bool is_unfinished =
           result.outcome == ItemOutcome::kNoResultMemory ||
           result.outcome == ItemOutcome::kFailed;
-      if (is_unfinished && is_hedged_) continue;
       if (is_unfinished) {
-        runner_.Requeue(queue_, {call_.items[i]});
+        runner_.Requeue(queue_, {call_.items[i]}, is_hedged_);
         continue;
       }
       runner_.FinishItem(call_.items[i],
@@ -325,7 +322,7 @@
   const ItemId id(++last_item_);
   item.id = id;
   item.queued_at = context_.Now();
-  pending_items_[id] = {std::move(callback), 0};
+  pending_items_[id] = {std::move(callback)};
   StageQueue* queue = FindOrAddQueue(location);
   if (queue == nullptr) {
     // Deferred to the loop, since the caller does not know the item's id yet.
@@ -355,7 +352,7 @@
   const double capacity = queue.scheduler.Capacity(servers, now);
   for (const routing::QueuedItem& item :
        queue.scheduler.TakeInfeasible(capacity, now))
-    FinishItem(item, {ItemOutcome::kDeadlinePassed, {}}, queue.location);
+    DropCopy(item, ItemOutcome::kDeadlinePassed, queue.location);
   const std::vector<routing::ServerRecord*> usable_anywhere =
       context_.directory.Usable(queue.location.service, now);
   const bool has_other_zone =
@@ -365,15 +362,29 @@
                   });
   if (servers.empty() ||
       (has_other_zone && queue.scheduler.AreAllSlow(servers, now))) {
-    // The submitting requests can run the items in another zone.
-    for (const routing::QueuedItem& item : queue.scheduler.TakeAll())
-      FinishItem(item, {ItemOutcome::kFailed, {}}, queue.location);
+    HandBackItems(queue);
     return;
   }
   for (routing::BatchCall& call : queue.scheduler.TakeCalls(servers, now))
     StartCall(queue, std::move(call));
 }
 
+// Fails the queued items, so that their requests can run them in another zone.
+// For an item with a running call that is one more send, which the retry budget
+// must allow.
+void StageRunner::HandBackItems(StageQueue& queue) {
+  for (const routing::QueuedItem& item : queue.scheduler.TakeAll()) {
+    const auto pending = pending_items_.find(item.id);
+    if (pending == pending_items_.end()) continue;
+    if (pending->second.copies > 1 &&
+        !context_.retry_budget.TakeRetry(queue.location.service)) {
+      DropCopy(item, ItemOutcome::kFailed, queue.location);
+      continue;
+    }
+    FinishItem(item, {ItemOutcome::kFailed, {}}, queue.location);
+  }
+}
+
 void StageRunner::StartCall(StageQueue& queue, routing::BatchCall call) {
   routing::ServerRecord* server = context_.directory.Find(call.server);
   std::vector<routing::QueuedItem> over_budget;
@@ -381,17 +392,18 @@
     const auto pending = pending_items_.find(item.id);
     if (pending == pending_items_.end()) return true;
     // Repeated sends count against the retry budget shared by all hosts.
-    const bool is_first = pending->second.sends++ == 0;
-    if (is_first) {
+    int& sends = pending->second.sends;
+    if (sends == 0) {
       context_.retry_budget.CountFirstTry(queue.location.service);
-      return false;
+    } else if (!context_.retry_budget.TakeRetry(queue.location.service)) {
+      over_budget.push_back(std::move(item));
+      return true;
     }
-    if (context_.retry_budget.TakeRetry(queue.location.service)) return false;
-    over_budget.push_back(std::move(item));
-    return true;
+    ++sends;
+    return false;
   });
   for (const routing::QueuedItem& item : over_budget)
-    FinishItem(item, {ItemOutcome::kFailed, {}}, queue.location);
+    DropCopy(item, ItemOutcome::kFailed, queue.location);
   if (server == nullptr || call.items.empty()) {
     queue.scheduler.CancelCall(call.server);
     return;
@@ -410,19 +422,43 @@
   }
 }
 
+void StageRunner::AddCopies(StageQueue& queue,
+                            std::span<const routing::QueuedItem> items) {
+  for (const routing::QueuedItem& item : items) {
+    const auto pending = pending_items_.find(item.id);
+    if (pending == pending_items_.end() ||
+        pending->second.sends >= kMaxSendsPerItem)
+      continue;
+    ++pending->second.copies;
+    queue.scheduler.Add(item);
+  }
+}
+
 void StageRunner::Requeue(StageQueue& queue,
-                          std::vector<routing::QueuedItem> items) {
+                          std::vector<routing::QueuedItem> items,
+                          bool is_hedged) {
   for (routing::QueuedItem& item : items) {
     const auto pending = pending_items_.find(item.id);
     if (pending == pending_items_.end()) continue;
-    if (pending->second.sends >= kMaxSendsPerItem) {
-      FinishItem(item, {ItemOutcome::kFailed, {}}, queue.location);
+    const bool is_replaced = is_hedged && pending->second.copies > 1;
+    if (is_replaced || pending->second.sends >= kMaxSendsPerItem) {
+      DropCopy(item, ItemOutcome::kFailed, queue.location);
       continue;
     }
     queue.scheduler.Add(std::move(item));
   }
 }
 
+// Another copy may still bring the result. If the item failed now, its request
+// would submit it again, and servers would get it beyond the limit of sends and
+// the retry budget.
+void StageRunner::DropCopy(const routing::QueuedItem& item, ItemOutcome outcome,
+                           const StageLocation& location) {
+  const auto pending = pending_items_.find(item.id);
+  if (pending == pending_items_.end()) return;
+  if (--pending->second.copies == 0) FinishItem(item, {outcome, {}}, location);
+}
+
 void StageRunner::FinishItem(const routing::QueuedItem& item,
                              ItemResult item_result,
                              const StageLocation& location) {
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -87,7 +87,17 @@
   void DispatchQueue(StageQueue& queue);
   void StartCall(StageQueue& queue, routing::BatchCall call);
   void UncountSends(std::span<const routing::QueuedItem> items);
-  void Requeue(StageQueue& queue, std::vector<routing::QueuedItem> items);
+  // Queues a further copy of each item, unless it was sent often enough.
+  void AddCopies(StageQueue& queue, std::span<const routing::QueuedItem> items);
+  // Queues the copies that an ended call held again. Those of a call that
+  // `is_hedged` were replaced before and are only needed if they are the last.
+  void Requeue(StageQueue& queue, std::vector<routing::QueuedItem> items,
+               bool is_hedged);
+  // Drops one copy of the item. The item ends with `outcome` if that was its
+  // last one.
+  void DropCopy(const routing::QueuedItem& item, ItemOutcome outcome,
+                const StageLocation& location);
+  void HandBackItems(StageQueue& queue);
   void FinishItem(const routing::QueuedItem& item, ItemResult item_result,
                   const StageLocation& location);
   StageLoad MeasureLoad(StageQueue& queue);
@@ -110,6 +120,7 @@
   struct PendingItem {
     Callback callback;
     int sends = 0;
+    int copies = 1;  // queued or in a running call
   };
   std::map<ItemId, PendingItem> pending_items_;
   std::map<ActiveCall*, std::unique_ptr<ActiveCall>> active_calls_;
--- a/tests/gateway/stages_test.cc
+++ b/tests/gateway/stages_test.cc
@@ -293,5 +293,72 @@
   REQUIRE(calls == 1);
 }
 
+// Guards against sends beyond the limit of an item: it failed when its third
+// call did, although the earlier ones were in progress, and was submitted again
+// as if it were new.
+TEST_CASE_METHOD(StagesFixture,
+                 "An item whose last call failed waits for its earlier ones") {
+  std::atomic<int> calls = 0;
+  const auto script = [&calls](RawConnection& connection,
+                               const std::string& request) {
+    if (request.starts_with("GET /report")) {
+      connection.Write(
+          MakeResponse("", R"({"queued":0,"busy":true,"freeMb":1})"));
+      return true;
+    }
+    const int call = ++calls;
+    if (call == 3) {
+      connection.Write("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+      return true;
+    }
+    // The first two are hedged after 180 ms and end before the timeout.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    connection.Write(MakeResponse("", R"({"items":[{"handle":"h0"}]})"));
+    return true;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  ScriptedServer third(script);
+  rows.Set("op", "config", kRouting);
+  AddServer("plain", "plain", plain.address());
+  AddServer("first", "encoder", first.address());
+  AddServer("second", "encoder", second.address());
+  AddServer("third", "encoder", third.address());
+  Start();
+  REQUIRE(Send(MakeStagedRequest(1)).starts_with("HTTP/1.1 200"));
+  REQUIRE(calls == 3);
+}
+
+// Guards against failed requests: a copy of an item that was queued too long to
+// finish before the deadline ended the item, although its call was in progress.
+TEST_CASE_METHOD(StagesFixture,
+                 "An item whose copy is too late waits for its first call") {
+  // A call with one item takes 300 ms and counts as slow after 900 ms.
+  std::string routing = kRouting;
+  const std::string times = R"("callMs":50,
+   "itemMs":10)";
+  routing.replace(routing.find(times), times.size(),
+                  R"("callMs":200,"itemMs":100)");
+  // A copy is too late 300 ms before the deadline.
+  std::string request = MakeStagedRequest(1);
+  const std::string timeout = "Deadline-Ms: 9000";
+  request.replace(request.find(timeout), timeout.size(), "Deadline-Ms: 2500");
+  ScriptedServer stage([](RawConnection& connection, const std::string& call) {
+    if (call.starts_with("GET /report")) {
+      connection.Write(
+          MakeResponse("", R"({"queued":0,"busy":true,"freeMb":1})"));
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(2300));
+    connection.Write(MakeResponse("", R"({"items":[{"handle":"h0"}]})"));
+    return true;
+  });
+  rows.Set("op", "config", routing);
+  AddServer("plain", "plain", plain.address());
+  AddServer("stage", "encoder", stage.address());
+  Start();
+  REQUIRE(Send(request).starts_with("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
