HTTP: Keep a connection whose peer acknowledges but does not read

Callers saw truncated responses, and calls failed, when the other side read nothing for 1.5 s: 128 KB of a response of 1 MiB arrived.

Cause: TCP_USER_TIMEOUT also bounds the time for which a full receive window stays full, although the peer acknowledges every probe.

The kernel's limit stays for bytes on their way. A stream that has sent more than a receive window may hold without being known to have caught up reads TCP_INFO at most every 500 ms, by one timer for all streams. While the kernel holds bytes back and has none on their way, its limit is lifted, and the stream itself ends when a probe stays unanswered for the same 1.5 s. If TCP_INFO cannot be read, the kernel's limit stays as it was.

A peer that is lost while its window is full is found 1.5 to 2 s after the first unanswered probe; the kernel sends these in growing intervals.

Lost peers are played by a socket filter that drops what arrives. With the check disabled, "A lost peer that was reading nothing", "A peer may read nothing for seconds" and "A lost peer is found after it had read nothing" fail as well; "A lost peer ends the connection" passes with and without.

--- a/libraries/http/http.h
+++ b/libraries/http/http.h
@@ -6,6 +6,7 @@
 #include "http/event_splitter.h"  // IWYU pragma: export
 #include "http/message.h"         // IWYU pragma: export
 #include "http/parser.h"          // IWYU pragma: export
+#include "http/peer_progress.h"   // IWYU pragma: export
 #include "http/poller.h"          // IWYU pragma: export
 #include "http/server.h"          // IWYU pragma: export
 #include "http/tcp_stream.h"      // IWYU pragma: export
--- a/libraries/http/poller.cc
+++ b/libraries/http/poller.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <utility>
 
 namespace lovagecleat::http {
 
@@ -29,7 +30,10 @@
   loop_.OnReadable(epoll_descriptor_, [this] { Dispatch(); });
 }
 
-Poller::~Poller() { close(epoll_descriptor_); }
+Poller::~Poller() {
+  loop_.Cancel(check_timer_);
+  close(epoll_descriptor_);
+}
 
 void Poller::Watch(int descriptor, std::uint32_t events,
                    DescriptorObserver* observer) {
@@ -59,12 +63,34 @@
     const epoll_event& event = events[static_cast<std::size_t>(i)];
     const auto descriptor = static_cast<int>(event.data.u64 & 0xffffffffU);
     const auto generation = static_cast<std::uint32_t>(event.data.u64 >> 32);
-    // An earlier callback may have closed the descriptor, and the kernel may
-    // have reused its number for another connection.
-    const auto found = entries_.find(descriptor);
-    if (found == entries_.end()) continue;
-    if (found->second.generation != generation) continue;
-    found->second.observer->OnDescriptorEvents(event.events);
+    DescriptorObserver* observer = FindObserver(descriptor, generation);
+    if (observer != nullptr) observer->OnDescriptorEvents(event.events);
+  }
+}
+
+// An earlier callback may have closed the descriptor, and the kernel may have
+// reused its number for another connection.
+DescriptorObserver* Poller::FindObserver(int descriptor,
+                                         std::uint32_t generation) {
+  const auto found = entries_.find(descriptor);
+  if (found == entries_.end() || found->second.generation != generation)
+    return nullptr;
+  return found->second.observer;
+}
+
+void Poller::CheckLater(int descriptor) {
+  const auto found = entries_.find(descriptor);
+  if (found == entries_.end()) return;
+  if (checks_.empty())
+    check_timer_ = loop_.After(kCheckPeriod, [this] { RunChecks(); });
+  checks_.push_back({descriptor, found->second.generation});
+}
+
+void Poller::RunChecks() {
+  for (const Check& check : std::exchange(checks_, {})) {
+    DescriptorObserver* observer =
+        FindObserver(check.descriptor, check.generation);
+    if (observer != nullptr) observer->OnCheck();
   }
 }
 
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -2,8 +2,8 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -18,10 +18,15 @@
 
 namespace {
 
-// TCP_USER_TIMEOUT: the connection ends when sent data stays unacknowledged for
-// this long. Set with regard to the shortest time that a client waits on an
-// unread request (1 s).
-constexpr unsigned kUserTimeoutMilliseconds = 1500;
+// The connection ends when the peer does not answer for this long. Set with
+// regard to the shortest time that a client waits on an unread request (1 s).
+// The kernel applies the limit (TCP_USER_TIMEOUT) to bytes on their way, but
+// also to those that a peer with a full receive window does not take while it
+// acknowledges every probe; for such a peer, OnCheck takes over.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(1500);
+// The receive window of a peer takes at least this much, so that fewer bytes
+// need no check.
+constexpr std::size_t kLeastWindowBytes = 4096;
 // Keep-alive probes detect a dead peer on an idle connection in about 3 s.
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -35,10 +40,17 @@
   setsockopt(descriptor, level, name, &value, sizeof(value));
 }
 
+// No limit if `timeout` is zero.
+void SetUserTimeout(int descriptor, Duration timeout) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<unsigned>(milliseconds.count()));
+}
+
 void SetCommonOptions(int descriptor) {
   SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            kUserTimeoutMilliseconds);
+  SetUserTimeout(descriptor, kAnswerTimeout);
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
@@ -147,6 +159,7 @@
       send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   // The next read reports a send error.
   const std::size_t taken = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  CountSent(taken);
   if (taken == bytes.size()) return;
   send_buffer_.assign(bytes.substr(taken));
   send_offset_ = 0;
@@ -214,6 +227,7 @@
                               unsent_bytes(), MSG_NOSIGNAL);
     if (sent <= 0) break;
     send_offset_ += static_cast<std::size_t>(sent);
+    CountSent(static_cast<std::size_t>(sent));
   }
   if (unsent_bytes() > 0) return;
   send_buffer_.clear();
@@ -223,6 +237,60 @@
   observer_.OnDrained();
 }
 
+void TcpStream::CountSent(std::size_t bytes) {
+  unconfirmed_bytes_ += bytes;
+  if (unconfirmed_bytes_ >= kLeastWindowBytes) CheckPeerLater();
+}
+
+void TcpStream::CheckPeerLater() {
+  if (is_check_due_) return;
+  is_check_due_ = true;
+  poller_.CheckLater(descriptor_);
+}
+
+// Runs at least twice within kAnswerTimeout of a write, which is before the
+// kernel ends the connection.
+void TcpStream::OnCheck() {
+  is_check_due_ = false;
+  if (state_ != State::kOpen) return;
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return;
+  const PeerState peer = PeerStateOf(info, size);
+  switch (peer) {
+    case PeerState::kUnknown:
+      return;
+    case PeerState::kCaughtUp:
+      unconfirmed_bytes_ = 0;
+      SetKernelLimit(true);
+      return;
+    case PeerState::kReceiving:
+      SetKernelLimit(true);
+      break;
+    case PeerState::kNotReading:
+    case PeerState::kNotAnswering:
+      SetKernelLimit(false);
+      break;
+  }
+  const std::chrono::milliseconds since_answer(info.tcpi_last_ack_recv);
+  if (peer_progress_ && peer_progress_->IsLost(peer, since_answer,
+                                               poller_.loop().clock().Now())) {
+    ResetOnClose();
+    return End(StreamEnd::kReset);
+  }
+  CheckPeerLater();
+}
+
+void TcpStream::SetKernelLimit(bool is_on) {
+  if (is_on == !peer_progress_) return;
+  if (is_on) {
+    peer_progress_.reset();
+  } else {
+    peer_progress_.emplace(kAnswerTimeout);
+  }
+  SetUserTimeout(descriptor_, is_on ? kAnswerTimeout : Duration::zero());
+}
+
 void TcpStream::ReadAvailable() {
   const std::shared_ptr<bool> alive = alive_;
   std::array<char, kReadBufferBytes> buffer;
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "base/base.h"
+#include "http/peer_progress.h"
 #include "http/poller.h"
 
 namespace lovagecleat::http {
@@ -29,8 +30,8 @@
   virtual void OnStreamEnd(StreamEnd end) = 0;
 };
 
-// A non-blocking TCP connection. The kernel ends it when sent data stays
-// unacknowledged for too long (TCP_USER_TIMEOUT), which detects a dead peer.
+// A non-blocking TCP connection. It ends when the peer acknowledges nothing for
+// too long, but not while a peer that reads nothing still acknowledges.
 class TcpStream final : public DescriptorObserver {
  public:
   // Takes ownership of an accepted descriptor.
@@ -72,6 +73,7 @@
   bool is_connected() const { return state_ == State::kOpen; }
 
   void OnDescriptorEvents(std::uint32_t events) override;
+  void OnCheck() override;
 
  private:
   enum class State { kConnecting, kOpen, kEnded };
@@ -79,6 +81,9 @@
   void FinishConnecting();
   void ReadAvailable();
   void FlushUnsent();
+  void CountSent(std::size_t bytes);
+  void CheckPeerLater();
+  void SetKernelLimit(bool is_on);
   void End(StreamEnd end);
   void UpdateEvents();
 
@@ -91,6 +96,12 @@
   std::uint32_t watched_events_ = 0;
   std::string send_buffer_;
   std::size_t send_offset_ = 0;
+  // Bytes passed to the kernel since the peer was last known to have
+  // acknowledged all.
+  std::size_t unconfirmed_bytes_ = 0;
+  bool is_check_due_ = false;
+  // Watches the peer while the kernel's time limit is off.
+  std::optional<PeerProgress> peer_progress_;
   // Set to false by the destructor; a callback may destroy this object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
