Gateway: Keep connections to different incarnations of a server apart

Requests were sent to a process that was about to exit after a server with the same id had registered at another address.

Cause: pooled connections had the server's id as their key. Idle ones were closed when a new incarnation registered, but a connection whose call was still running became idle later and was then used for the new incarnation.

The key now contains the whole incarnation: id, address, start and software version. The test failed before: the old process got the second request too (2 instead of 1).

--- a/libraries/routing/model.cc
+++ b/libraries/routing/model.cc
@@ -18,4 +18,9 @@
   return found == services.end() ? nullptr : &found->second;
 }
 
+std::string ServerIncarnation::Key() const {
+  return id.value() + '@' + address + '@' + std::to_string(started_unix_ms) +
+         '@' + software_version;
+}
+
 }  // namespace lovagecleat::routing
--- a/libraries/routing/model.h
+++ b/libraries/routing/model.h
@@ -97,6 +97,21 @@
   const Service* FindService(const ServiceId& id) const;
 };
 
+// One start of a backend server. A server may start again under the same id,
+// and addresses are used again by other servers.
+struct ServerIncarnation {
+  ServerId id;
+  std::string address;  // "IP:PORT"
+  std::string software_version;
+  std::uint64_t started_unix_ms = 0;  // 0: unknown
+
+  // Returns a text that differs between incarnations.
+  std::string Key() const;
+
+  friend bool operator==(const ServerIncarnation&,
+                         const ServerIncarnation&) = default;
+};
+
 // A backend server as it registered itself.
 struct ServerEntry {
   ServerId id;
@@ -108,6 +123,10 @@
   std::uint64_t started_unix_ms = 0;  // start of this incarnation; 0: unknown
   Duration warm_up_time{};            // reported time until it is warm
 
+  ServerIncarnation incarnation() const {
+    return {id, address, software_version, started_unix_ms};
+  }
+
   friend bool operator==(const ServerEntry&, const ServerEntry&) = default;
 };
 
--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -36,10 +36,7 @@
                            now);
   if (record.entry.service != entry.service) by_service_.clear();
   const bool is_new_incarnation =
-      record.entry.id.empty() ||
-      record.entry.software_version != entry.software_version ||
-      record.entry.started_unix_ms != entry.started_unix_ms ||
-      record.entry.address != entry.address;
+      record.entry.incarnation() != entry.incarnation();
   if (is_new_incarnation) {
     const int in_flight = record.in_flight;
     const std::uint64_t pending_prompt_tokens = record.pending_tokens;
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -47,4 +47,10 @@
   }
 };
 
+// Keeps the connections to different incarnations of a server apart: one that
+// is about to exit still responds after its successor has registered.
+inline http::CallTarget CallTargetOf(const routing::ServerIncarnation& server) {
+  return {server.Key(), server.address};
+}
+
 }  // namespace lovagecleat::gateway
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -286,11 +286,14 @@
                           RowOrigin origin) {
   const ServerId id(name);
   const TimePoint now = context_.Now();
+  const routing::ServerRecord* known = context_.directory.Find(id);
+  const routing::ServerEntry before =
+      known != nullptr ? known->entry : routing::ServerEntry();
   if (row.is_removed) {
     switch (origin) {
       case RowOrigin::kStore:
         context_.directory.Remove(id, now);
-        context_.pool.CloseIdleConnections(name);
+        context_.pool.CloseIdleConnections(before.incarnation().Key());
         break;
       case RowOrigin::kStoreAfterOutage:
         context_.directory.ExpireAt(id, *follower_.recovering_until());
@@ -315,11 +318,10 @@
                         {"store_era", row.version.era()}});
     return;
   }
-  const routing::ServerRecord* before = context_.directory.Find(id);
-  const bool was_draining = before != nullptr && before->entry.is_draining;
   const bool is_new_instance = context_.directory.Put(*entry, now);
-  if (is_new_instance) context_.pool.CloseIdleConnections(name);
-  if (!is_new_instance && was_draining == entry->is_draining) return;
+  if (is_new_instance)
+    context_.pool.CloseIdleConnections(before.incarnation().Key());
+  if (!is_new_instance && before.is_draining == entry->is_draining) return;
   context_.log.Write("server", "",
                      {{"server", name},
                       {"service", entry->service.value()},
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -179,7 +179,8 @@
 
   std::unique_ptr<http::Call> call_;
   ServerId server_;
-  std::string software_version_;  // of the server of the last send
+  routing::ServerIncarnation incarnation_;  // of the server of the last send
+  std::string software_version_;            // of the server of the last send
   // Set for a stream that has begun: only servers of this version may continue
   // it.
   std::optional<std::string> required_version_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -122,7 +122,7 @@
 
 void RequestFlow::OnResponseComplete() {
   if (response_metadata_.is_wrong_server) {
-    context_.pool.CloseIdleConnections(server_.value());
+    context_.pool.CloseIdleConnections(incarnation_.Key());
     EndSend(routing::CallResult::kUnreachable, "other_server");
     if (send_state_ == SendState::kNotSent) send_state_ = SendState::kNotRun;
     return Retry("other_server");
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -151,6 +151,7 @@
       exchange_->head(), request_, call, exchange_->body().size());
   bytes.append(exchange_->body());
   server_ = server.entry.id;
+  incarnation_ = server.entry.incarnation();
   software_version_ = server.entry.software_version;
   sent_at_ = now;
   if (!first_sent_at_) first_sent_at_ = now;
@@ -167,7 +168,7 @@
   body_.clear();
   splitter_ = {};
   call_ = context_.pool.Start(
-      {server_.value(), server.entry.address}, std::move(bytes),
+      CallTargetOf(incarnation_), std::move(bytes),
       route_->MayRepeat() ? http::Reuse::kAny : http::Reuse::kRecent, *this);
   if (route_->MayRepeat()) StartResponseTimer(ResponseTimeout());
 }
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -62,7 +62,7 @@
     slow_timer_ = loop().After(queue_.scheduler.HedgeDelay(call_.items.size()),
                                [this] { HedgeItems(); });
     http_ = context.pool.Start(
-        {target.server.value(), target.address},
+        CallTargetOf(server.entry.incarnation()),
         context.codec.WriteBatch(target, call_.items, context.Now()),
         http::Reuse::kAny, *this);
   }
@@ -240,11 +240,11 @@
       : runner_(runner), callback_(std::move(callback)) {}
   ~ControlCall() override { runner_.context_.loop.Cancel(timeout_timer_); }
 
-  void Start(const ForwardedCall& target, std::string_view bytes) {
+  void Start(const routing::ServerRecord& server, std::string_view bytes) {
     Context& context = runner_.context_;
     timeout_timer_ = context.loop.After(kControlCallTimeout,
                                         [this] { Finish(std::nullopt); });
-    http_ = context.pool.Start({target.server.value(), target.address}, bytes,
+    http_ = context.pool.Start(CallTargetOf(server.entry.incarnation()), bytes,
                                http::Reuse::kAny, *this);
   }
 
@@ -534,10 +534,11 @@
     const routing::ServerRecord* record = context_.directory.Find(server);
     // A server that is no longer listed has lost its results.
     if (record == nullptr) continue;
-    const ForwardedCall target = TargetOf(*record);
-    const std::string bytes = context_.codec.WriteRelease(target, handles);
+    const std::string bytes =
+        context_.codec.WriteRelease(TargetOf(*record), handles);
     StartControlCall(
-        target, bytes, [this, handles](const std::optional<std::string>& body) {
+        *record, bytes,
+        [this, handles](const std::optional<std::string>& body) {
           if (body) return OnReleased(handles);
           // The results expire at the server, and their memory is counted as
           // used until then.
@@ -554,12 +555,12 @@
 }
 
 void StageRunner::StartControlCall(
-    const ForwardedCall& target, std::string_view bytes,
+    const routing::ServerRecord& server, std::string_view bytes,
     std::function<void(std::optional<std::string>)> callback) {
   auto call = std::make_unique<ControlCall>(*this, std::move(callback));
   ControlCall* raw = call.get();
   control_calls_.emplace(raw, std::move(call));
-  raw->Start(target, bytes);
+  raw->Start(server, bytes);
 }
 
 void StageRunner::QueryReport(
@@ -567,10 +568,9 @@
     const std::function<void(const StageServerReport&)>& callback) {
   const routing::ServerRecord* record = context_.directory.Find(server);
   if (record == nullptr) return;
-  const ForwardedCall target = TargetOf(*record);
   context_.metrics.Count("lovagecleat_report_questions_total");
   StartControlCall(
-      target, context_.codec.WriteReportRequest(target),
+      *record, context_.codec.WriteReportRequest(TargetOf(*record)),
       [this, server, callback](const std::optional<std::string>& body) {
         const auto report =
             body ? context_.codec.ReadReport(*body) : std::nullopt;
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -107,7 +107,7 @@
   void FlushReleases();
   static ForwardedCall TargetOf(const routing::ServerRecord& server);
   void StartControlCall(
-      const ForwardedCall& target, std::string_view bytes,
+      const routing::ServerRecord& server, std::string_view bytes,
       std::function<void(std::optional<std::string>)> callback);
   void QueryReport(
       const ServerId& server,
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -420,5 +420,27 @@
   REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(500));
 }
 
+// Guards against requests at a server that is about to exit: its connection was
+// used for the server that had registered under the same id in the meantime.
+TEST_CASE_METHOD(GatewayTest,
+                 "A connection is not used for the server's next incarnation") {
+  using std::chrono::milliseconds;
+  ScriptedServer old([](RawConnection& connection, const std::string&) {
+    std::this_thread::sleep_for(milliseconds(1200));
+    connection.Write(MakeResponse(200, kSeal, "data: a\n\n"));
+    return true;
+  });
+  ScriptedServer next(RespondWith(MakeResponse(200, kSeal, "data: a\n\n")));
+  rows.Set("op", "config", kRouting);
+  AddServer("s1", "plain", old.address(), "v1");
+  Start();
+  loop().After(milliseconds(100),
+               [&] { AddServer("s1", "plain", next.address(), "v2"); });
+  REQUIRE(Send(MakeRequest("/o/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(Send(MakeRequest("/o/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(old.requests() == 1);
+  REQUIRE(next.requests() == 1);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
