Routing: Give no new work to servers that are about to exit

A server announces in its responses that it is about to exit, which the directory of servers did not know. It learned of it only from the store, later or, during an outage of the store, not at all.

The directory keeps a notice for one incarnation of a server. The server then gets no new work, trial calls after failures included, while its entry says that it is ready, and after the entry was removed and has returned, as in a store that was restored from an older copy. A notice may arrive before the entry. At most 512 notices are kept; those of listed servers stay in force beyond that.

If all servers of a service are about to exit, they are not used either: requests that arrive later than the drain time must not reach them, and a refused caller reaches new servers with its next attempt.

Seen to fail before: without the check in IsInService three of the new test cases fail. Planted faults (a notice that applies to any incarnation, one that Put forgets, one that is lost with the entry) fail at least one each. Nothing records notices yet.

--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -19,6 +19,10 @@
 // Added to the warm-up time that a server reports, for the delay of the report.
 constexpr Duration kWarmUpMargin = std::chrono::milliseconds(500);
 
+// Maximum number of kept notices of servers that are about to exit. Those of
+// listed servers stay in force beyond it.
+constexpr std::size_t kMaximumNotices = 512;
+
 Duration SuspensionAfter(int failures) {
   Duration wait = kInitialSuspension;
   for (int i = kFailuresToSuspend; i < failures; ++i) {
@@ -40,7 +44,9 @@
   if (is_new_incarnation) {
     const int in_flight = record.in_flight;
     const std::uint64_t pending_prompt_tokens = record.pending_tokens;
+    if (record.is_leaving) KeepNotice(record.entry.incarnation());
     record = ServerRecord{};
+    record.is_leaving = HasNotice(entry.incarnation());
     record.in_flight = in_flight;
     record.pending_tokens = pending_prompt_tokens;
     record.cold_until = now + kDefaultWarmUpTime;
@@ -59,6 +65,7 @@
   if (found == servers_.end()) return;
   versions_.RemoveServer(found->second.entry.service,
                          found->second.entry.software_version, now);
+  if (found->second.is_leaving) KeepNotice(found->second.entry.incarnation());
   servers_.erase(found);
   by_service_.clear();
 }
@@ -75,6 +82,29 @@
   for (const ServerId& id : expired) Remove(id, now);
 }
 
+bool ServerDirectory::SetLeaving(const ServerIncarnation& incarnation) {
+  ServerRecord* record = Find(incarnation.id);
+  const bool is_listed =
+      record != nullptr && record->entry.incarnation() == incarnation;
+  if (is_listed ? record->is_leaving : HasNotice(incarnation)) return false;
+  if (is_listed) record->is_leaving = true;
+  KeepNotice(incarnation);
+  return true;
+}
+
+bool ServerDirectory::HasNotice(const ServerIncarnation& incarnation) const {
+  return std::find(leaving_.begin(), leaving_.end(), incarnation) !=
+         leaving_.end();
+}
+
+// The entry of a server that has left may return, in a store that was restored
+// from an older copy.
+void ServerDirectory::KeepNotice(const ServerIncarnation& incarnation) {
+  std::erase(leaving_, incarnation);
+  leaving_.push_back(incarnation);
+  if (leaving_.size() > kMaximumNotices) leaving_.pop_front();
+}
+
 void ServerDirectory::SetEvacuated(const ZoneId& zone, bool is_evacuated,
                                    TimePoint now) {
   if (is_evacuated) {
@@ -90,8 +120,12 @@
   return evacuated_.contains(zone);
 }
 
+// A server that is about to exit gets no work even if all others are too: it
+// must not be used for long, and refused callers reach new ones with their next
+// attempt.
 bool ServerDirectory::IsInService(const ServerRecord& record) const {
-  return !record.entry.is_draining && !IsEvacuated(record.entry.zone);
+  return !record.entry.is_draining && !record.is_leaving &&
+         !IsEvacuated(record.entry.zone);
 }
 
 std::vector<ServerRecord*> ServerDirectory::Usable(const ServiceId& service,
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,6 +36,8 @@
   TimePoint cold_until{};
   // No call is sent before this time, then one at a time until one succeeds.
   TimePoint suspended_until{};
+  // The server has announced that it is about to exit (see SetLeaving).
+  bool is_leaving = false;
 };
 
 enum class CallResult {
@@ -45,8 +48,8 @@
   kUnreachable,
 };
 
-// Tracks the backend servers and which of them may be used, from their entries,
-// operators' evacuations of zones, and the results of calls.
+// Tracks the backend servers and which of them may be used, from their entries
+// and notices, operators' evacuations of zones, and the results of calls.
 class ServerDirectory {
  public:
   // Adds or updates a server. Returns true if it is new or has restarted, so
@@ -62,6 +65,13 @@
   void ExpireAt(const ServerId& id, TimePoint expires_at);
   void RemoveExpired(TimePoint now);
 
+  // Records that an incarnation is about to exit, whether its entry is known or
+  // not. From then on it gets no new work, whatever its entry says. Returns
+  // true if this was not known.
+  bool SetLeaving(const ServerIncarnation& incarnation);
+  // Returns the incarnations that are about to exit, the oldest notice first.
+  const std::deque<ServerIncarnation>& leaving() const { return leaving_; }
+
   void SetEvacuated(const ZoneId& zone, bool is_evacuated, TimePoint now);
   bool IsEvacuated(const ZoneId& zone) const;
 
@@ -82,6 +92,8 @@
 
  private:
   bool IsInService(const ServerRecord& record) const;
+  bool HasNotice(const ServerIncarnation& incarnation) const;
+  void KeepNotice(const ServerIncarnation& incarnation);
 
   const std::vector<ServerRecord*>& RecordsOf(const ServiceId& service);
 
@@ -89,6 +101,7 @@
   // Index of servers_, whose elements do not move; empty until it is rebuilt.
   std::map<ServiceId, std::vector<ServerRecord*>> by_service_;
   std::set<ZoneId> evacuated_;
+  std::deque<ServerIncarnation> leaving_;
   VersionHistory versions_;
 };
 
--- a/tests/routing/server_directory_test.cc
+++ b/tests/routing/server_directory_test.cc
@@ -51,6 +51,95 @@
   REQUIRE(directory.Usable(kService, AtMs(1)).size() == 1);
 }
 
+TEST_CASE("A server that is about to exit gets no new work") {
+  ServerDirectory directory;
+  ServerEntry entry = MakeEntry("a");
+  entry.started_unix_ms = 100;
+  directory.Put(entry, AtMs(0));
+  REQUIRE(directory.SetLeaving(entry.incarnation()));
+  REQUIRE_FALSE(directory.SetLeaving(entry.incarnation()));
+  REQUIRE(directory.Usable(kService, AtMs(0)).empty());
+  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  SECTION("Although its heartbeats say that it is ready") {
+    REQUIRE_FALSE(directory.Put(entry, AtMs(1)));
+  }
+  SECTION("Although its calls succeed") {
+    directory.Report(entry.id, CallResult::kSuccess, AtMs(1));
+  }
+  SECTION("Although its entry returns") {
+    directory.Remove(entry.id, AtMs(1));
+    directory.Put(entry, AtMs(2));
+  }
+  SECTION("Although its entry returns after it has expired") {
+    directory.ExpireAt(entry.id, AtMs(1));
+    directory.RemoveExpired(AtMs(1));
+    directory.Put(entry, AtMs(2));
+  }
+  SECTION("Although its entry returns after that of its successor") {
+    ServerEntry successor = entry;
+    successor.started_unix_ms = 200;
+    directory.Put(successor, AtMs(1));
+    REQUIRE(directory.Usable(kService, AtMs(1)).size() == 1);
+    directory.Put(entry, AtMs(2));
+  }
+  REQUIRE(directory.Usable(kService, AtMs(3)).empty());
+  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  REQUIRE(directory.Find(entry.id) != nullptr);
+}
+
+TEST_CASE("A notice applies to one incarnation of a server") {
+  ServerDirectory directory;
+  ServerEntry entry = MakeEntry("a");
+  entry.started_unix_ms = 100;
+  directory.Put(entry, AtMs(0));
+  SECTION("The next one is used") {
+    directory.SetLeaving(entry.incarnation());
+    entry.started_unix_ms = 200;
+    directory.Put(entry, AtMs(1));
+  }
+  SECTION("One at the same address is used") {
+    directory.SetLeaving(entry.incarnation());
+    directory.Remove(entry.id, AtMs(1));
+    directory.Put(MakeEntry("b"), AtMs(1));
+  }
+  SECTION("A late notice of the one before does not apply") {
+    ServerIncarnation before = entry.incarnation();
+    before.started_unix_ms = 50;
+    REQUIRE(directory.SetLeaving(before));
+  }
+  REQUIRE(directory.Usable(kService, AtMs(1)).size() == 1);
+}
+
+TEST_CASE("A notice may arrive before the server's entry") {
+  ServerDirectory directory;
+  const ServerEntry entry = MakeEntry("a");
+  REQUIRE(directory.SetLeaving(entry.incarnation()));
+  REQUIRE_FALSE(directory.SetLeaving(entry.incarnation()));
+  directory.Put(entry, AtMs(0));
+  REQUIRE(directory.UsableOrSuspended(kService).empty());
+}
+
+// Guards against unbounded memory, and against a listed server that is used
+// again after many others have left.
+TEST_CASE("Notices are bounded; that of a listed server stays in force") {
+  constexpr std::size_t kMaximumNotices = 512;
+  ServerDirectory directory;
+  const ServerEntry entry = MakeEntry("a");
+  directory.Put(entry, AtMs(0));
+  directory.SetLeaving(entry.incarnation());
+  for (std::size_t i = 0; i < 2 * kMaximumNotices; ++i) {
+    const std::string id = "gone" + std::to_string(i);
+    REQUIRE(directory.SetLeaving(MakeEntry(id.c_str()).incarnation()));
+  }
+  REQUIRE(directory.leaving().size() == kMaximumNotices);
+  REQUIRE_FALSE(directory.SetLeaving(entry.incarnation()));
+  directory.Put(entry, AtMs(1));
+  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  directory.Remove(entry.id, AtMs(2));
+  directory.Put(entry, AtMs(3));
+  REQUIRE(directory.UsableOrSuspended(kService).empty());
+}
+
 TEST_CASE(
     "An entry that expired in a store outage is used until the given time") {
   ServerDirectory directory;
