Gateway: Act on the leaving notices of servers

Requests were sent to a server for as long as the store listed it as ready, although its responses said that it was about to exit.

The notice is read from every response: to requests of callers, whatever their status, in the head of a stream, to calls of stage servers, releases of results and reports. It is bound to the incarnation that the call was sent to, since the entry may have been replaced in the meantime. Calls that are running finish, and results that the server holds are still released.

--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -114,7 +114,8 @@
                nullptr,
                1},
       rows_(rows),
-      runner_(context_),
+      notices_(context_),
+      runner_(context_, notices_),
       stages_(context_, runner_,
               [this](const std::string& peer,
                      const messages::StageTraffic& traffic) {
@@ -208,7 +209,8 @@
     return exchange.Respond(503, {{"Retry-After", kStopRetryAfter}}, {});
   }
   auto flow = std::make_unique<RequestFlow>(
-      context_, stages_, origins_, exchange, [this](RequestFlow* ended) {
+      context_, stages_, origins_, notices_, exchange,
+      [this](RequestFlow* ended) {
         const auto found = flows_.find(ended);
         if (found == flows_.end()) return;
         context_.loop.DestroyLater(std::move(found->second));
@@ -328,6 +330,7 @@
                       {"zone", entry->zone.value()},
                       {"software_version", entry->software_version},
                       {"is_draining", entry->is_draining},
+                      {"is_leaving", context_.directory.Find(id)->is_leaving},
                       {"row_version", row.version.number()},
                       {"store_era", row.version.era()}});
 }
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "services/gateway/context.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/row_follower.h"
+#include "services/gateway/server_notices.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stage_runner.h"
 #include "services/gateway/stream_origin_exchange.h"
@@ -77,6 +78,7 @@
   metrics::Registry metrics_;
   Context context_;
   RowSource& rows_;
+  ServerNotices notices_;
   StageRunner runner_;
   StageRouter stages_;
   StreamOriginExchange origins_;
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -45,11 +45,12 @@
 }  // namespace
 
 RequestFlow::RequestFlow(Context& context, StageRouter& stages,
-                         StreamOriginExchange& origins,
+                         StreamOriginExchange& origins, ServerNotices& notices,
                          http::Exchange& exchange, EndCallback on_end)
     : context_(context),
       stages_(stages),
       origins_(origins),
+      notices_(notices),
       exchange_(&exchange),
       on_end_(std::move(on_end)),
       arrived_at_(exchange.arrived_at()) {
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "services/gateway/context.h"
+#include "services/gateway/server_notices.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stream_origin_exchange.h"
 
@@ -35,8 +36,8 @@
   using EndCallback = std::function<void(RequestFlow*)>;
 
   RequestFlow(Context& context, StageRouter& stages,
-              StreamOriginExchange& origins, http::Exchange& exchange,
-              EndCallback on_end);
+              StreamOriginExchange& origins, ServerNotices& notices,
+              http::Exchange& exchange, EndCallback on_end);
   ~RequestFlow() override;
 
   void Start();
@@ -151,6 +152,7 @@
   Context& context_;
   StageRouter& stages_;
   StreamOriginExchange& origins_;
+  ServerNotices& notices_;
   http::Exchange* exchange_;
   EndCallback on_end_;
 
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -40,6 +40,7 @@
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
   head_ = head;
   response_metadata_ = context_.codec.ReadResponseHead(head, Now());
+  notices_.OnResponse(incarnation_, response_metadata_);
   routing::ServerRecord* server = context_.directory.Find(server_);
   if (server != nullptr && response_metadata_.load)
     server->load = response_metadata_.load;
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -54,6 +54,7 @@
   void Start(const routing::ServerRecord& server) {
     Context& context = runner_.context_;
     const ForwardedCall target = TargetOf(server);
+    incarnation_ = server.entry.incarnation();
     timeout_timer_ =
         loop().After(queue_.scheduler.CallTimeout(call_.items.size()), [this] {
           http_.reset();
@@ -62,7 +63,7 @@
     slow_timer_ = loop().After(queue_.scheduler.HedgeDelay(call_.items.size()),
                                [this] { HedgeItems(); });
     http_ = context.pool.Start(
-        CallTargetOf(server.entry.incarnation()),
+        CallTargetOf(incarnation_),
         context.codec.WriteBatch(target, call_.items, context.Now()),
         http::Reuse::kAny, *this);
   }
@@ -71,6 +72,7 @@
     status_ = head.status;
     response_metadata_ =
         runner_.context_.codec.ReadResponseHead(head, runner_.context_.Now());
+    runner_.notices_.OnResponse(incarnation_, response_metadata_);
     routing::ServerRecord* server =
         runner_.context_.directory.Find(call_.server);
     if (server != nullptr && response_metadata_.load)
@@ -217,6 +219,7 @@
   StageRunner& runner_;
   StageQueue& queue_;
   routing::BatchCall call_;
+  routing::ServerIncarnation incarnation_;  // that the call was sent to
   TimePoint started_at_;
   std::unique_ptr<http::Call> http_;
   TimerId timeout_timer_;
@@ -242,14 +245,18 @@
 
   void Start(const routing::ServerRecord& server, std::string_view bytes) {
     Context& context = runner_.context_;
+    incarnation_ = server.entry.incarnation();
     timeout_timer_ = context.loop.After(kControlCallTimeout,
                                         [this] { Finish(std::nullopt); });
-    http_ = context.pool.Start(CallTargetOf(server.entry.incarnation()), bytes,
+    http_ = context.pool.Start(CallTargetOf(incarnation_), bytes,
                                http::Reuse::kAny, *this);
   }
 
   void OnResponseHead(const http::ResponseHead& head) override {
+    Context& context = runner_.context_;
     status_ = head.status;
+    runner_.notices_.OnResponse(
+        incarnation_, context.codec.ReadResponseHead(head, context.Now()));
   }
   void OnResponseBody(std::string_view bytes) override { body_.append(bytes); }
   void OnResponseComplete() override {
@@ -269,13 +276,15 @@
 
   StageRunner& runner_;
   Callback callback_;
+  routing::ServerIncarnation incarnation_;  // that the call was sent to
   std::unique_ptr<http::Call> http_;
   TimerId timeout_timer_;
   int status_ = 0;
   std::string body_;
 };
 
-StageRunner::StageRunner(Context& context) : context_(context) {}
+StageRunner::StageRunner(Context& context, ServerNotices& notices)
+    : context_(context), notices_(notices) {}
 
 StageRunner::~StageRunner() {
   context_.loop.Cancel(dispatch_timer_);
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "services/gateway/context.h"
+#include "services/gateway/server_notices.h"
 
 namespace lovagecleat::gateway {
 
@@ -49,7 +50,7 @@
   using Callback = std::function<void(ItemResult)>;
   using ItemId = routing::ItemId;
 
-  explicit StageRunner(Context& context);
+  StageRunner(Context& context, ServerNotices& notices);
   ~StageRunner();
   StageRunner(const StageRunner&) = delete;
   StageRunner& operator=(const StageRunner&) = delete;
@@ -115,6 +116,7 @@
   void QueryFreeMemory(StageQueue& queue, const ServerId& server);
 
   Context& context_;
+  ServerNotices& notices_;
   std::uint64_t last_item_ = 0;
   std::map<StageLocation, std::unique_ptr<StageQueue>> queues_;
   struct PendingItem {
