Row follower: Keep acknowledged rows in force when the store is restored

After a restore from an older copy, callers were served by an older configuration, and hosts took back drains and evacuations that had been acknowledged, used servers that had left, and dropped servers and hosts that wrote their rows again a moment later. A response that was sent before the restore and came after it was applied as well.

The first full read in the new era replaced or removed every row that the copy has otherwise. Now rows that the copy lacks stay in force for a time of their kind, rows that state older content (an older configuration, a lower sequence or incarnation of a server, the end of a drain, a server whose removal was known) keep the known content under the new version, and responses and feeds of an older era are dropped. A new era seen in one table, a feed or a peer's rows causes a full read of all tables, with the log event store_era and metrics. A feed does not lead from one era to another: hosts that are fed read by themselves.

--- a/libraries/routing/model.h
+++ b/libraries/routing/model.h
@@ -122,6 +122,8 @@
   std::string software_version;       // empty if the entry has none
   std::uint64_t started_unix_ms = 0;  // start of this incarnation; 0: unknown
   Duration warm_up_time{};            // reported time until it is warm
+  // Increases with each write of this incarnation.
+  std::optional<std::uint64_t> sequence;
 
   ServerIncarnation incarnation() const {
     return {id, address, software_version, started_unix_ms};
--- a/libraries/routing/row_replica.cc
+++ b/libraries/routing/row_replica.cc
@@ -36,6 +36,7 @@
   std::vector<Row> removed;
   for (auto& [key, row] : rows_) {
     if (row.table != table || row.is_removed || row.version > version) continue;
+    if (row.version.era() < version.era()) continue;
     if (keys.contains(row.key)) continue;
     row.is_removed = true;
     row.value.clear();
@@ -46,6 +47,15 @@
   return removed;
 }
 
+std::vector<Row> RowReplica::RowsBeforeEra(const std::string& table,
+                                           std::uint64_t era) const {
+  std::vector<Row> rows;
+  for (const auto& [key, row] : rows_)
+    if (row.table == table && !row.is_removed && row.version.era() < era)
+      rows.push_back(row);
+  return rows;
+}
+
 std::vector<Row> RowReplica::NewerThan(RowVersion version) const {
   std::vector<Row> rows;
   for (const auto& [key, row] : rows_)
--- a/libraries/routing/row_replica.h
+++ b/libraries/routing/row_replica.h
@@ -50,13 +50,17 @@
   // Returns null for an unknown row. A removed row is returned as a tombstone.
   const Row* Find(const std::string& table, const std::string& key) const;
 
-  // Marks the rows of `table` that are not in `present` as removed. `version`
-  // is the store's version at which `present` was read. Returns the rows that
-  // changed.
+  // Marks the rows of `table` that are not in `present` as removed, except
+  // those of older eras. `version` is the store's version at which `present`
+  // was read. Returns the rows that changed.
   std::vector<Row> MarkMissingRemoved(const std::string& table,
                                       std::span<const Row> present,
                                       RowVersion version);
 
+  // Returns the rows of `table` of eras older than `era`, without tombstones.
+  std::vector<Row> RowsBeforeEra(const std::string& table,
+                                 std::uint64_t era) const;
+
   // Returns all rows newer than `version`, including tombstones.
   std::vector<Row> NewerThan(RowVersion version) const;
 
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -256,7 +256,14 @@
                         {"store_era", row.version.era()}});
     return;
   }
-  if (context_.table && table->version <= context_.table->version) return;
+  // A configuration that a restore of the store has lost may be written again
+  // with other content under the same version.
+  const std::uint64_t era = row.version.era();
+  if (context_.table &&
+      std::pair(table->version, era) <=
+          std::pair(context_.table->version, table_era_))
+    return;
+  table_era_ = era;
   context_.log.Write("routing", "",
                      {{"table_version", table->version},
                       {"row_version", row.version.number()},
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -100,6 +100,8 @@
   std::set<std::string> connected_peers_;
   std::optional<TimePoint> stop_at_;
   TimePoint started_at_{};
+  // Era of the row of the configuration in force.
+  std::uint64_t table_era_ = 0;
   bool has_joined_ = false;  // the other hosts count this one in their limits
   TimePoint rows_fetched_at_{};
   TimerId tick_timer_;
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -1,6 +1,7 @@
 #include "services/gateway/row_follower.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lovagecleat::gateway {
@@ -43,6 +44,31 @@
 constexpr Duration kRecoveryTime = milliseconds(2000);
 // No entry expires in an outage shorter than this.
 constexpr Duration kMinOutage = milliseconds(1000);
+// Operators write what a restore of the store has lost again within seconds. An
+// evacuation that stays in force for longer costs capacity only.
+constexpr Duration kOperatorSettleTime = milliseconds(10000);
+// A host that the store rejects for some time still has to be counted.
+constexpr Duration kHostSettleTime = milliseconds(60000);
+// A host that is fed does not see every write of a server, so it reads the
+// table this often after a restore to find out which servers have written.
+constexpr int kMaxKeptRowChecks = 3;
+
+// Returns for how long a row that a restored store lacks stays in force;
+// nothing if it always does.
+std::optional<Duration> SettleTime(RowSubject::Kind kind) {
+  switch (kind) {
+    case RowSubject::Kind::kRouting:
+      return std::nullopt;
+    case RowSubject::Kind::kServer:
+      return kRecoveryTime;
+    case RowSubject::Kind::kHost:
+      return kHostSettleTime;
+    case RowSubject::Kind::kEvacuation:
+    case RowSubject::Kind::kOther:
+      return kOperatorSettleTime;
+  }
+  return std::nullopt;
+}
 
 }  // namespace
 
@@ -51,6 +77,7 @@
     : context_(context),
       source_(source),
       apply_(std::move(apply)),
+      kept_rows_(context.codec, source),
       started_at_(context.Now()) {
   for (const std::string& name : source.tables()) {
     Table table;
@@ -64,6 +91,7 @@
     context_.loop.Cancel(table.timer);
     context_.loop.Cancel(table.feed_timer);
   }
+  for (const auto& [key, timer] : settle_timers_) context_.loop.Cancel(timer);
 }
 
 void RowFollower::Start() {
@@ -74,7 +102,7 @@
 void RowFollower::Read(Table& table) {
   const std::uint64_t read_id = ++table.read_id;
   table.is_reading = true;
-  const bool is_full_read = !table.has_read;
+  const bool is_full_read = MustReadAll(table);
   const Duration timeout =
       kReadTimeout + (is_full_read ? Duration::zero() : LongPollTime(table));
   context_.loop.Cancel(table.timer);
@@ -115,11 +143,12 @@
     case RowsResponse::Status::kRead:
       break;
   }
+  const std::uint64_t era = response.version.era();
+  // The response was sent before the store was restored.
+  if (era < store_era_) return OnReadFailed(table);
+  if (era > store_era_) BeginEra(era, EraOrigin::kStore, &table);
   // The changes between two eras are not known.
-  if (!was_full_read && response.version.era() != table.position.era()) {
-    table.has_read = false;
-    return Read(table);
-  }
+  if (!was_full_read && era != table.position.era()) return Read(table);
   OnReadSucceeded(table);
   const bool is_recovering =
       recovering_until_ && context_.Now() < *recovering_until_;
@@ -128,7 +157,7 @@
   std::vector<routing::Row> changed_rows;
   for (const routing::Row& row : response.rows) {
     if (HasChanged(row)) changed_rows.push_back(row);
-    if (replica_.Merge(row)) apply_(row, origin);
+    Merge(row, origin);
   }
   if (was_full_read) {
     for (const routing::Row& row : replica_.MarkMissingRemoved(
@@ -144,6 +173,10 @@
   table.position = std::max(before, response.version);
   const bool is_first =
       !std::exchange(table.has_read, true) && before == routing::RowVersion();
+  if (was_full_read) {
+    table.must_read_all = false;
+    StartSettling(table, era != before.era());
+  }
   if (!is_first) PublishChanges(table, before, std::move(changed_rows));
   context_.loop.Cancel(table.timer);
   table.is_reading = false;
@@ -151,6 +184,23 @@
     ScheduleRead(table, ReadInterval(table));
 }
 
+// Rows of an older version, and those that state older content after a restore,
+// have no effect.
+void RowFollower::Merge(const routing::Row& row, RowOrigin origin) {
+  const routing::Row* known = replica_.Find(row.table, row.key);
+  if (known != nullptr) {
+    if (known->version >= row.version) return;
+    if (kept_rows_.Keep(*known, row)) {
+      routing::Row kept = *known;
+      kept.version = row.version;
+      replica_.Merge(kept);
+      return;
+    }
+  }
+  replica_.Merge(row);
+  apply_(row, origin);
+}
+
 void RowFollower::OnReadSucceeded(Table& table) {
   if (!table.failing_since) return;
   const TimePoint now = context_.Now();
@@ -189,6 +239,87 @@
                                              kRetryJitter));
 }
 
+// --- Eras of the store ------------------------------------------------------
+
+bool RowFollower::MustReadAll(const Table& table) const {
+  return !table.has_read || table.must_read_all ||
+         table.position.era() < store_era_;
+}
+
+void RowFollower::BeginEra(std::uint64_t era, EraOrigin origin,
+                           const Table* current) {
+  const std::uint64_t before = std::exchange(store_era_, era);
+  context_.metrics.SetGauge("lovagecleat_store_era", {},
+                            static_cast<double>(era));
+  for (Table& table : tables_)
+    table.announced_version =
+        std::max(table.announced_version, routing::RowVersion(era, 0));
+  const bool knows_older_era =
+      replica_.newest_version() != routing::RowVersion() ||
+      std::any_of(tables_.begin(), tables_.end(),
+                  [](const Table& table) { return table.has_read; });
+  if (!knows_older_era) return;
+  context_.log.Write("store_era", "",
+                     {{"store_era", era},
+                      {"before", before},
+                      {"origin", static_cast<int>(origin)}});
+  context_.metrics.Count("lovagecleat_store_era_changes_total");
+  for (Table& table : tables_) {
+    table.kept_row_checks = 0;
+    const bool is_started = table.read_id > 0;
+    if (is_started && &table != current) Read(table);
+  }
+}
+
+void RowFollower::StartSettling(Table& table, bool is_new_era) {
+  std::set<RowSubject::Kind> kinds;
+  for (const routing::Row& row :
+       replica_.RowsBeforeEra(table.name, table.position.era()))
+    kinds.insert(source_.SubjectOf(row).kind);
+  if (kept_rows_.HasRowsOf(table.name)) kinds.insert(RowSubject::Kind::kServer);
+  for (const RowSubject::Kind kind : kinds)
+    if (is_new_era || !settle_timers_.contains({table.name, kind}))
+      ScheduleSettling(table, kind);
+}
+
+void RowFollower::ScheduleSettling(Table& table, RowSubject::Kind kind) {
+  const std::optional<Duration> time = SettleTime(kind);
+  if (!time) return;
+  TimerId& timer = settle_timers_[{table.name, kind}];
+  context_.loop.Cancel(timer);
+  timer = context_.loop.After(
+      *time, [this, &table, kind] { EndSettling(table, kind); });
+}
+
+void RowFollower::EndSettling(Table& table, RowSubject::Kind kind) {
+  // The owners of the rows could not write them while the store was away, and
+  // an era that was not read may contain them.
+  if (table.failing_since || table.position.era() < store_era_)
+    return ScheduleSettling(table, kind);
+  settle_timers_.erase({table.name, kind});
+  for (routing::Row& row :
+       replica_.RowsBeforeEra(table.name, table.position.era())) {
+    if (source_.SubjectOf(row).kind != kind) continue;
+    row.is_removed = true;
+    row.value.clear();
+    row.version = table.position;
+    Merge(row, RowOrigin::kStore);
+  }
+  if (kind != RowSubject::Kind::kServer || !IsFed(table) ||
+      !kept_rows_.HasRowsOf(table.name) ||
+      table.kept_row_checks >= kMaxKeptRowChecks)
+    return;
+  ++table.kept_row_checks;
+  table.must_read_all = true;
+  Read(table);
+}
+
+std::optional<std::uint64_t> RowFollower::hosts_era() const {
+  const Table& hosts = tables_.back();
+  if (!hosts.has_read) return std::nullopt;
+  return hosts.position.era();
+}
+
 // RowSource::tables lists the hosts table last.
 bool RowFollower::IsHostsTable(const Table& table) const {
   return &table == &tables_.back();
@@ -236,7 +367,7 @@
 
 bool RowFollower::IsReader(const Table& table) const {
   return rank_ < kMaxReaders && table.has_read && !table.failing_since &&
-         !IsFed(table);
+         table.position.era() == store_era_ && !IsFed(table);
 }
 
 // Returns whether the row differs from the known one in a way that matters to
@@ -247,11 +378,15 @@
   if (before == nullptr || before->is_removed != row.is_removed) return true;
   // Known from another host; the hosts that are fed may not have it.
   if (before->version >= row.version) return true;
+  // Missing until now; the hosts that are fed wait for it.
+  if (before->version.era() != row.version.era()) return true;
   if (row.is_removed) return false;
   if (source_.SubjectOf(row).kind != RowSubject::Kind::kServer)
     return before->value != row.value;
-  return context_.codec.ReadServer(row.key, before->value) !=
-         context_.codec.ReadServer(row.key, row.value);
+  const auto known = context_.codec.ReadServer(row.key, before->value);
+  auto entry = context_.codec.ReadServer(row.key, row.value);
+  if (known && entry) entry->sequence = known->sequence;
+  return known != entry;
 }
 
 void RowFollower::PublishChanges(const Table& table, routing::RowVersion after,
@@ -263,7 +398,7 @@
   std::size_t bytes = 0;
   for (const routing::Row& row : first.rows)
     bytes += row.key.size() + row.value.size();
-  if (bytes > kMaxFeedBytes) {
+  if (bytes > kMaxFeedBytes || after.era() != table.position.era()) {
     first.rows.clear();
     first.must_read = true;
   }
@@ -284,6 +419,10 @@
 }
 
 void RowFollower::ApplyChanges(Table& table, const TableChanges& changes) {
+  const std::uint64_t era = changes.version.era();
+  // The sender has not seen that the store was restored.
+  if (era < store_era_) return;
+  if (era > store_era_) BeginEra(era, EraOrigin::kFeed, nullptr);
   if (rank_ > 0) {
     table.fed_until =
         context_.Now() + FractionOfChangeDelay(kFeedTimeoutFraction +
@@ -302,10 +441,10 @@
     const TimePoint until = context_.Now() + changes.recovering;
     recovering_until_ = std::max(recovering_until_.value_or(until), until);
   }
-  for (const routing::Row& row : changes.rows)
-    if (replica_.Merge(row)) apply_(row, origin);
+  for (const routing::Row& row : changes.rows) Merge(row, origin);
   table.announced_version = std::max(table.announced_version, changes.version);
-  if (!changes.must_read && changes.after <= table.position)
+  if (!changes.must_read && era == table.position.era() &&
+      changes.after <= table.position)
     table.position = changes.version;
   // Missing changes are read from the store, unless a read is in progress.
   if (table.IsBehind() && !table.is_reading) Read(table);
@@ -331,8 +470,20 @@
 }
 
 void RowFollower::MergeFromPeer(std::span<const routing::Row> rows) {
+  std::uint64_t era = store_era_;
+  for (const routing::Row& row : rows) era = std::max(era, row.version.era());
+  if (era > store_era_) BeginEra(era, EraOrigin::kPeer, nullptr);
   for (const routing::Row& row : rows)
-    if (replica_.Merge(row)) apply_(row, RowOrigin::kPeer);
+    if (IsAcceptableFromPeer(row)) Merge(row, RowOrigin::kPeer);
+}
+
+// A row of an older era that the restored store lacks is in force only until it
+// would lapse here as well.
+bool RowFollower::IsAcceptableFromPeer(const routing::Row& row) const {
+  if (row.version.era() >= store_era_) return true;
+  for (const Table& table : tables_)
+    if (table.name == row.table && MustReadAll(table)) return true;
+  return settle_timers_.contains({row.table, source_.SubjectOf(row).kind});
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "services/gateway/context.h"
+#include "services/gateway/kept_rows.h"
 #include "services/gateway/message_codec.h"
 
 namespace lovagecleat::gateway {
@@ -37,6 +38,9 @@
 // Calls to the store cost money, so only the first host of a zone keeps reading
 // and sends the others a feed of the changes. The next hosts in order take over
 // when its feed stops, and a host that gets no feed reads by itself.
+//
+// After a restore of the store from an older copy each table is read again in
+// full; rows that the copy lacks stay in force for a time.
 class RowFollower {
  public:
   using ApplyCallback = std::function<void(const routing::Row&, RowOrigin)>;
@@ -59,7 +63,8 @@
   // until the feed timeout, even if it has no changes.
   void ApplyFeed(std::span<const TableChanges> changes);
 
-  // Merges rows from another host; ignores rows older than the known ones.
+  // Merges rows from another host; ignores rows older than the known ones, and
+  // rows of an older era that this host would not keep itself.
   void MergeFromPeer(std::span<const routing::Row> rows);
 
   // Returns whether reads of some table have failed for some hundred
@@ -74,6 +79,9 @@
   // Returns the store's version up to which every table is known.
   routing::RowVersion known_version() const;
 
+  // Returns the era in which the hosts table was read; nothing before.
+  std::optional<std::uint64_t> hosts_era() const;
+
   bool has_read_hosts() const { return tables_.back().has_read; }
 
   const routing::RowReplica& replica() const { return replica_; }
@@ -89,6 +97,8 @@
     int consecutive_failures = 0;
     std::uint64_t read_id = 0;  // the newest read; others are ignored
     bool is_reading = false;    // a read is in progress or scheduled
+    bool must_read_all = false;
+    int kept_row_checks = 0;  // in this era
     TimerId timer;
     TimePoint fed_until{};  // a feed is expected to name the table before this
     TimerId feed_timer;
@@ -97,12 +107,24 @@
     bool IsBehind() const { return !has_read || position < announced_version; }
   };
 
+  // Where this host learned of a new era.
+  enum class EraOrigin { kStore, kFeed, kPeer };
+
   void Read(Table& table);
   void OnReadComplete(Table& table, std::uint64_t read_id, bool was_full_read,
                       RowsResponse response);
   void OnReadFailed(Table& table);
   void OnReadSucceeded(Table& table);
   void ScheduleRead(Table& table, Duration delay);
+  bool MustReadAll(const Table& table) const;
+  // Begins a newer era: all tables but `current`, which is being read in it,
+  // are read again.
+  void BeginEra(std::uint64_t era, EraOrigin origin, const Table* current);
+  void StartSettling(Table& table, bool is_new_era);
+  void ScheduleSettling(Table& table, RowSubject::Kind kind);
+  void EndSettling(Table& table, RowSubject::Kind kind);
+  void Merge(const routing::Row& row, RowOrigin origin);
+  bool IsAcceptableFromPeer(const routing::Row& row) const;
   bool IsHostsTable(const Table& table) const;
   Duration LongPollTime(const Table& table) const;
   Duration MaxLongPollTime() const;
@@ -121,7 +143,12 @@
   RowSource& source_;
   ApplyCallback apply_;
   routing::RowReplica replica_;
+  KeptRows kept_rows_;
   std::vector<Table> tables_;
+  std::uint64_t store_era_ = 0;  // the newest known one
+  // End of the time for which rows of older eras stay in force that are missing
+  // in the restored store, by table and kind.
+  std::map<std::pair<std::string, RowSubject::Kind>, TimerId> settle_timers_;
   std::optional<TimePoint> recovering_until_;
   TimePoint started_at_;
   FeedCallback feed_;
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -28,19 +28,20 @@
 }
 
 RowsResponse FakeRowSource::MakeResponse(const std::string& table,
-                                         routing::RowVersion after) const {
+                                         std::uint64_t after) const {
   RowsResponse response;
   response.status =
       table == failing_table ? RowsResponse::Status::kUnavailable : status;
   response.version = {era_, version_};
   for (const auto& [key, row] : rows_)
-    if (row.table == table && row.version > after) response.rows.push_back(row);
+    if (row.table == table && row.version.number() > after)
+      response.rows.push_back(row);
   return response;
 }
 
 void FakeRowSource::ReadAll(const std::string& table, Callback callback) {
   ++full_reads;
-  RowsResponse response = MakeResponse(table, {});
+  RowsResponse response = MakeResponse(table, 0);
   std::erase_if(response.rows,
                 [](const routing::Row& row) { return row.is_removed; });
   callback(std::move(response));
@@ -50,14 +51,35 @@
                            routing::RowVersion version, Duration /*wait*/,
                            Callback callback) {
   ++follows;
-  callback(MakeResponse(table, version));
+  // As the store does, compares numbers only.
+  RowsResponse response = MakeResponse(table, version.number());
+  if (version.number() > version_ &&
+      response.status == RowsResponse::Status::kRead)
+    response = {RowsResponse::Status::kHistoryGone, {}, {}};
+  callback(std::move(response));
 }
 
-void FakeRowSource::WriteHost(const HostId& /*host*/, std::string /*value*/,
+void FakeRowSource::WriteHost(const HostId& host, std::string value,
                               std::function<void(bool)> callback) {
+  ++host_writes;
+  if (stores_hosts) Set("hosts", host.value(), value);
   callback(true);
 }
 
+void FakeRowSource::Restore(const Copy& copy) {
+  rows_ = copy.rows;
+  version_ = copy.version;
+  ++era_;
+  for (auto& [key, row] : rows_) row.version = {era_, row.version.number()};
+}
+
+const routing::Row* FakeRowSource::Find(const std::string& table,
+                                        const std::string& key) const {
+  const auto found = rows_.find({table, key});
+  return found == rows_.end() || found->second.is_removed ? nullptr
+                                                          : &found->second;
+}
+
 void FakeRowSource::Set(const std::string& table, const std::string& key,
                         const std::string& value) {
   rows_[{table, key}] = {table, key, value, {era_, ++version_}, false};
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -34,15 +34,30 @@
            const std::string& value);
   void Remove(const std::string& table, const std::string& key);
 
+  // The content of the store at some time.
+  struct Copy {
+    std::map<std::pair<std::string, std::string>, routing::Row> rows;
+    std::uint64_t version = 0;
+  };
+  Copy Save() const { return {rows_, version_}; }
+  // Returns to an older copy, in a new era.
+  void Restore(const Copy& copy);
+
+  const routing::Row* Find(const std::string& table,
+                           const std::string& key) const;
+  routing::RowVersion newest_version() const { return {era_, version_}; }
+
   // Status of the next calls.
   RowsResponse::Status status = RowsResponse::Status::kRead;
   std::string failing_table;  // calls for this table return kUnavailable
   int full_reads = 0;
   int follows = 0;
+  int host_writes = 0;
+  bool stores_hosts = false;  // whether WriteHost changes the hosts table
 
  private:
   RowsResponse MakeResponse(const std::string& table,
-                            routing::RowVersion after) const;
+                            std::uint64_t after) const;
 
   std::map<std::pair<std::string, std::string>, routing::Row> rows_;
   std::uint64_t era_ = 0;
--- /dev/null
+++ b/tests/gateway/store_era_test.cc
@@ -0,0 +1,635 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "tests/gateway/gateway_fixture.h"
+#include "tests/policy/property.h"
+
+namespace lovagecleat::gateway {
+namespace {
+
+using routing::RowVersion;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Longer than the time between two reads of a table.
+constexpr Duration kReadTime = milliseconds(1500);
+// Longer than a missing entry of a server or an evacuation stays in force.
+constexpr Duration kServerSettleTime = milliseconds(2500);
+constexpr Duration kEvacuationSettleTime = seconds(12);
+constexpr Duration kHostSettleTime = seconds(62);
+
+std::string MakeConfiguration(std::uint64_t version,
+                              const std::string& route = "r") {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":")" + route +
+         R"(","host":"h","prefix":"/","kind":"safe","timeoutMs":800,)"
+         R"("goalMs":300,"attempts":2,"service":"s"}],)"
+         R"("services":[{"name":"s","healthPath":"/h","maxConns":9}]})";
+}
+
+std::string MakeServer(int sequence, bool is_draining, int born = 1) {
+  return R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,)"
+         R"("state":")" +
+         std::string(is_draining ? "draining" : "ready") + R"(","seq":)" +
+         std::to_string(sequence) + R"(,"born":)" + std::to_string(born) + "}";
+}
+
+// Reaches the common store from one host: it may be cut off, and its responses
+// may be held back.
+class StoreView final : public RowSource {
+ public:
+  explicit StoreView(FakeRowSource& store) : store_(store) {}
+
+  std::vector<std::string> tables() const override { return store_.tables(); }
+  RowSubject SubjectOf(const routing::Row& row) const override {
+    return store_.SubjectOf(row);
+  }
+  void ReadAll(const std::string& table, Callback callback) override {
+    ++full_reads;
+    if (is_cut) return callback({});
+    store_.ReadAll(table, Deliver(std::move(callback)));
+  }
+  void Follow(const std::string& table, RowVersion version, Duration wait,
+              Callback callback) override {
+    if (is_cut) return callback({});
+    store_.Follow(table, version, wait, Deliver(std::move(callback)));
+  }
+  void WriteHost(const HostId& host, std::string value,
+                 std::function<void(bool)> callback) override {
+    store_.WriteHost(host, std::move(value), std::move(callback));
+  }
+
+  // Completes the calls whose responses were held back.
+  void Release() {
+    is_holding = false;
+    for (const auto& deliver : std::exchange(held_, {})) deliver();
+  }
+
+  bool is_cut = false;
+  bool is_holding = false;
+  int full_reads = 0;
+
+ private:
+  Callback Deliver(Callback callback) {
+    if (!is_holding) return callback;
+    return
+        [this, callback = std::move(callback)](const RowsResponse& response) {
+          held_.push_back([callback, response] { callback(response); });
+        };
+  }
+
+  FakeRowSource& store_;
+  std::vector<std::function<void()>> held_;
+};
+
+// One host without a gateway: what is in force there follows from the rows that
+// its follower applies.
+class Host {
+ public:
+  Host(transport::Loop& loop, const Clock& clock, FakeRowSource& store)
+      : view(store),
+        log_(clock, "host", -1),
+        poller_(loop),
+        pool_(poller_),
+        context_{loop,     codec_,
+                 {},       log_,
+                 metrics_, poller_,
+                 pool_,    Random(1),
+                 {},       routing::SendLimiter(HostId("host")),
+                 {},       policy::RetryBudget(),
+                 nullptr,  1},
+        follower(context_, view,
+                 [this](const routing::Row& row, RowOrigin origin) {
+                   Apply(row, origin);
+                 }) {
+    follower.SetFeedCallback([this](std::span<const TableChanges> changes) {
+      fed.emplace_back(changes.begin(), changes.end());
+    });
+  }
+
+  bool IsEvacuated(const std::string& zone) const {
+    return evacuated.contains(zone);
+  }
+  // Returns null for a server that is not in use.
+  const routing::ServerEntry* FindServer(const std::string& id) const {
+    const auto found = servers.find(id);
+    return found == servers.end() ? nullptr : &found->second;
+  }
+  bool IsDraining(const std::string& id) const {
+    const routing::ServerEntry* entry = FindServer(id);
+    return entry != nullptr && entry->is_draining;
+  }
+  std::string metrics_text() const { return metrics_.PrometheusText(); }
+
+  StoreView view;
+  std::uint64_t configuration_version = 0;
+  std::string configuration;
+  std::set<std::string> evacuated;
+  std::map<std::string, routing::ServerEntry> servers;
+  std::set<std::string> hosts;
+  std::vector<std::vector<TableChanges>> fed;
+
+ private:
+  void Apply(const routing::Row& row, RowOrigin origin) {
+    const RowSubject subject = view.SubjectOf(row);
+    switch (subject.kind) {
+      case RowSubject::Kind::kRouting: {
+        const auto table = codec_.ReadRouting(row.value);
+        if (row.is_removed || !table) return;
+        REQUIRE(table->version >= configuration_version);
+        configuration_version = table->version;
+        configuration = row.value;
+        return;
+      }
+      case RowSubject::Kind::kEvacuation:
+        if (row.is_removed) {
+          evacuated.erase(subject.name);
+        } else {
+          evacuated.insert(subject.name);
+        }
+        return;
+      case RowSubject::Kind::kServer: {
+        if (row.is_removed) {
+          // The directory keeps it until recovering_until.
+          if (origin != RowOrigin::kStoreAfterOutage) servers.erase(row.key);
+          return;
+        }
+        const auto entry = codec_.ReadServer(row.key, row.value);
+        REQUIRE(entry);
+        servers.insert_or_assign(row.key, *entry);
+        return;
+      }
+      case RowSubject::Kind::kHost:
+        if (row.is_removed) {
+          hosts.erase(row.key);
+        } else {
+          hosts.insert(row.key);
+        }
+        return;
+      case RowSubject::Kind::kOther:
+        return;
+    }
+  }
+
+  platform_adapter::PlatformMessageCodec codec_;
+  logging::EventLog log_;
+  metrics::Registry metrics_;
+  http::Poller poller_;
+  http::ConnectionPool pool_;
+  Context context_;
+
+ public:
+  RowFollower follower;
+};
+
+class StoreEraFixture {
+ public:
+  StoreEraFixture() : host(loop_, clock_, store), other(loop_, clock_, store) {}
+  ~StoreEraFixture() { loop_.RunDueTimers(); }
+
+  void RunFor(Duration time) {
+    for (Duration step = milliseconds(10); time > Duration::zero();
+         time -= step) {
+      clock_.Advance(step);
+      loop_.RunDueTimers();
+    }
+  }
+
+  FakeRowSource store;
+
+ private:
+  ManualClock clock_;
+  transport::Loop loop_{clock_};
+
+ public:
+  Host host;
+  Host other;
+};
+
+TEST_CASE_METHOD(StoreEraFixture,
+                 "A restored configuration does not replace a newer one") {
+  store.Set("op", "config", MakeConfiguration(3));
+  const FakeRowSource::Copy copy = store.Save();
+  host.follower.Start();
+  store.Set("op", "config", MakeConfiguration(5, "lost"));
+  RunFor(kReadTime);
+  REQUIRE(host.configuration_version == 5);
+  store.Restore(copy);
+  RunFor(kReadTime);
+  REQUIRE(host.configuration_version == 5);
+  // Hosts that ask this one get what is in force.
+  REQUIRE(host.follower.replica().Find("op", "config")->value ==
+          MakeConfiguration(5, "lost"));
+
+  SECTION("and is taken when it is written again") {
+    store.Set("op", "config", MakeConfiguration(5, "again"));
+    RunFor(kReadTime);
+    REQUIRE(host.configuration == MakeConfiguration(5, "again"));
+  }
+  SECTION("and a higher one is taken") {
+    store.Set("op", "config", MakeConfiguration(6));
+    RunFor(kReadTime);
+    REQUIRE(host.configuration_version == 6);
+  }
+  SECTION("nor does one that is written in between") {
+    store.Set("op", "config", MakeConfiguration(4));
+    RunFor(kReadTime);
+    REQUIRE(host.configuration_version == 5);
+    REQUIRE(host.follower.replica().Find("op", "config")->value ==
+            MakeConfiguration(5, "lost"));
+  }
+  SECTION("nor an unreadable one") {
+    store.Set("op", "config", "{");
+    RunFor(kReadTime);
+    REQUIRE(host.follower.replica().Find("op", "config")->value ==
+            MakeConfiguration(5, "lost"));
+  }
+}
+
+// Guards against a configuration that is never taken: the number of its row is
+// given out a second time.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "Another configuration under the same row version is taken") {
+  store.Set("op", "config", MakeConfiguration(3));
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("op", "config", MakeConfiguration(5, "lost"));
+  RunFor(kReadTime);
+  store.Restore(copy);
+  store.Set("op", "config", MakeConfiguration(5, "again"));
+  RunFor(kReadTime);
+  REQUIRE(host.configuration == MakeConfiguration(5, "again"));
+}
+
+TEST_CASE_METHOD(StoreEraFixture,
+                 "A configuration missing in the copy stays in force") {
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("op", "config", MakeConfiguration(3));
+  host.follower.Start();
+  store.Restore(copy);
+  RunFor(kHostSettleTime);
+  REQUIRE(host.configuration_version == 3);
+  REQUIRE_FALSE(host.follower.replica().Find("op", "config")->is_removed);
+}
+
+TEST_CASE_METHOD(StoreEraFixture, "A restore does not lift an evacuation") {
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("op", "evacuate/z", "");
+  RunFor(kReadTime);
+  REQUIRE(host.IsEvacuated("z"));
+  store.Restore(copy);
+  RunFor(seconds(8));
+  REQUIRE(host.IsEvacuated("z"));
+
+  SECTION("that is written again") {
+    store.Set("op", "evacuate/z", "");
+    RunFor(kEvacuationSettleTime);
+    REQUIRE(host.IsEvacuated("z"));
+    store.Remove("op", "evacuate/z");
+    RunFor(kReadTime);
+    REQUIRE_FALSE(host.IsEvacuated("z"));
+  }
+  SECTION("unless it is still missing later") {
+    RunFor(seconds(4));
+    REQUIRE_FALSE(host.IsEvacuated("z"));
+    REQUIRE(host.follower.replica().Find("op", "evacuate/z")->is_removed);
+  }
+  SECTION("that is written again and removed") {
+    store.Set("op", "evacuate/z", "");
+    store.Remove("op", "evacuate/z");
+    RunFor(kReadTime);
+    REQUIRE_FALSE(host.IsEvacuated("z"));
+  }
+  SECTION("nor does a second restore") {
+    store.Restore(copy);
+    RunFor(seconds(8));
+    REQUIRE(host.IsEvacuated("z"));
+  }
+  SECTION("while the store is unavailable again") {
+    store.status = RowsResponse::Status::kUnavailable;
+    RunFor(seconds(20));
+    REQUIRE(host.IsEvacuated("z"));
+    store.status = RowsResponse::Status::kRead;
+    store.Set("op", "evacuate/z", "");
+    RunFor(kEvacuationSettleTime);
+    REQUIRE(host.IsEvacuated("z"));
+  }
+}
+
+TEST_CASE_METHOD(StoreEraFixture,
+                 "An evacuation that the copy still has is in force") {
+  store.Set("op", "evacuate/z", "");
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Remove("op", "evacuate/z");
+  RunFor(kReadTime);
+  REQUIRE_FALSE(host.IsEvacuated("z"));
+  store.Restore(copy);
+  RunFor(kReadTime);
+  REQUIRE(host.IsEvacuated("z"));
+  store.Remove("op", "evacuate/z");
+  RunFor(kReadTime);
+  REQUIRE_FALSE(host.IsEvacuated("z"));
+}
+
+TEST_CASE_METHOD(StoreEraFixture, "A server missing in the copy may return") {
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("servers", "a", MakeServer(1, false));
+  RunFor(kReadTime);
+  store.Restore(copy);
+  RunFor(milliseconds(1500));
+  REQUIRE(host.FindServer("a") != nullptr);
+
+  SECTION("within two seconds") {
+    store.Set("servers", "a", MakeServer(2, false));
+    RunFor(kServerSettleTime);
+    REQUIRE(host.FindServer("a") != nullptr);
+  }
+  SECTION("and is gone afterwards") {
+    RunFor(kServerSettleTime);
+    REQUIRE(host.FindServer("a") == nullptr);
+    store.Set("servers", "a", MakeServer(2, false));
+    RunFor(kReadTime);
+    REQUIRE(host.FindServer("a") != nullptr);
+  }
+}
+
+TEST_CASE_METHOD(StoreEraFixture, "A restore does not end a drain") {
+  store.Set("servers", "a", MakeServer(10, false));
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("servers", "a", MakeServer(12, true));
+  RunFor(kReadTime);
+  REQUIRE(host.IsDraining("a"));
+  store.Restore(copy);
+  RunFor(kServerSettleTime);
+  REQUIRE(host.IsDraining("a"));
+
+  SECTION("nor does a late write of the server") {
+    store.Set("servers", "a", MakeServer(11, false));
+    RunFor(kReadTime);
+    REQUIRE(host.IsDraining("a"));
+    store.Set("servers", "a", MakeServer(12, false));
+    RunFor(kReadTime);
+    REQUIRE(host.IsDraining("a"));
+  }
+  SECTION("but the server itself does") {
+    store.Set("servers", "a", MakeServer(13, false));
+    RunFor(kReadTime);
+    REQUIRE_FALSE(host.IsDraining("a"));
+  }
+  SECTION("but a new incarnation does") {
+    store.Set("servers", "a", MakeServer(1, false, 2));
+    RunFor(kReadTime);
+    REQUIRE_FALSE(host.IsDraining("a"));
+  }
+  SECTION("but its removal does") {
+    store.Remove("servers", "a");
+    RunFor(kReadTime);
+    REQUIRE(host.FindServer("a") == nullptr);
+  }
+  SECTION("nor do two restores") {
+    store.Restore(copy);
+    store.Restore(copy);
+    RunFor(kReadTime);
+    REQUIRE(host.IsDraining("a"));
+  }
+}
+
+TEST_CASE_METHOD(StoreEraFixture,
+                 "An earlier incarnation in the copy is not taken") {
+  store.Set("servers", "a", MakeServer(90, false, 1));
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("servers", "a", MakeServer(1, false, 2));
+  RunFor(kReadTime);
+  store.Restore(copy);
+  RunFor(kReadTime);
+  REQUIRE(host.FindServer("a")->started_unix_ms == 2);
+  // The clocks of two machines differ; the owner's own write counts.
+  store.Set("servers", "a", MakeServer(91, false, 1));
+  RunFor(kReadTime);
+  REQUIRE(host.FindServer("a")->started_unix_ms == 1);
+}
+
+TEST_CASE_METHOD(StoreEraFixture,
+                 "A restore does not bring a removed server back") {
+  store.Set("servers", "a", MakeServer(10, false));
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Remove("servers", "a");
+  RunFor(kReadTime);
+  REQUIRE(host.FindServer("a") == nullptr);
+  store.Restore(copy);
+  RunFor(kReadTime);
+  REQUIRE(host.FindServer("a") == nullptr);
+  // It was alive.
+  store.Set("servers", "a", MakeServer(11, false));
+  RunFor(kReadTime);
+  REQUIRE(host.FindServer("a") != nullptr);
+}
+
+TEST_CASE_METHOD(StoreEraFixture, "Hosts missing in the copy stay for a time") {
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("hosts", "b", "{}");
+  RunFor(kReadTime);
+  store.Restore(copy);
+  RunFor(seconds(30));
+  REQUIRE(host.hosts.contains("b"));
+  RunFor(kHostSettleTime);
+  REQUIRE_FALSE(host.hosts.contains("b"));
+}
+
+TEST_CASE_METHOD(StoreEraFixture,
+                 "All tables are read again when one shows a new era") {
+  store.Set("hosts", "a", "{}");
+  store.Set("hosts", "b", "{}");
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  RunFor(kReadTime);
+  const int before = host.view.full_reads;
+  store.Restore(copy);
+  RunFor(milliseconds(700));
+  REQUIRE(host.view.full_reads == before + 3);
+  REQUIRE(host.follower.known_version().era() == 1);
+  REQUIRE(host.metrics_text().find("lovagecleat_store_era_changes_total") !=
+          std::string::npos);
+  REQUIRE_FALSE(host.follower.is_store_unavailable());
+}
+
+// Guards against old rows that come back: a response was sent before the
+// restore and arrives after one of the new era.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "A late response of an older era is dropped") {
+  store.Set("servers", "a", MakeServer(1, false));
+  host.view.is_holding = true;
+  host.follower.Start();  // responses of era 0 are held back
+  const std::vector<routing::Row> rows = {
+      {"servers", "b", MakeServer(1, false), {1, 1}, false}};
+  host.follower.MergeFromPeer(rows);
+  host.view.Release();
+  REQUIRE(host.FindServer("a") == nullptr);
+  REQUIRE(host.follower.known_version() == RowVersion());
+  store.Restore({});
+  store.Set("servers", "b", MakeServer(1, false));
+  RunFor(kReadTime);
+  REQUIRE(host.follower.known_version().era() == 1);
+  REQUIRE(host.FindServer("b") != nullptr);
+}
+
+TEST_CASE_METHOD(StoreEraFixture, "A feed of an older era has no effect") {
+  host.follower.SetRank(1);
+  host.follower.Start();
+  store.Restore({});
+  RunFor(kReadTime);
+  REQUIRE(host.follower.known_version().era() == 1);
+  std::vector<TableChanges> late;
+  for (const std::string& table : store.tables())
+    late.push_back({table, {0, 0}, {0, 9}, {}, false, {}});
+  late[0].rows = {{"op", "evacuate/z", "", {0, 9}, false}};
+  const int before = store.follows;
+  // A host that has not seen the restore does not count as a reader.
+  for (int i = 0; i < 10; ++i) {
+    host.follower.ApplyFeed(late);
+    RunFor(milliseconds(100));
+  }
+  REQUIRE_FALSE(host.IsEvacuated("z"));
+  // More than the calls that were due when the first feed arrived.
+  REQUIRE(store.follows > before + 3);
+}
+
+TEST_CASE_METHOD(StoreEraFixture, "A feed of a newer era causes a full read") {
+  store.Set("servers", "a", MakeServer(1, false));
+  store.Set("servers", "b", MakeServer(1, false));
+  host.follower.SetRank(1);
+  host.follower.Start();
+  const auto feed = [&](const RowVersion& version) {
+    std::vector<TableChanges> changes;
+    for (const std::string& table : store.tables())
+      changes.push_back({table, version, version, {}, false, {}});
+    host.follower.ApplyFeed(changes);
+  };
+  feed(host.follower.known_version());
+  RunFor(milliseconds(500));
+  FakeRowSource::Copy copy = store.Save();
+  store.Restore(copy);
+  feed({1, 1});
+  REQUIRE(host.follower.known_version() == RowVersion(1, 2));
+  for (int i = 0; i < 50; ++i) {
+    feed({1, 2});
+    RunFor(milliseconds(100));
+  }
+  REQUIRE(host.FindServer("a") != nullptr);
+  REQUIRE(host.FindServer("b") != nullptr);
+}
+
+// Guards against servers that a fed host loses: the reader left the entry out
+// of the feed, since nothing but its version had changed.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "An entry written again after a restore is fed") {
+  host.follower.Start();
+  other.follower.SetRank(1);
+  other.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("servers", "a", MakeServer(1, false));
+  const auto run = [&](Duration time) {
+    for (Duration step = milliseconds(20); time > Duration::zero();
+         time -= step) {
+      RunFor(step);
+      for (const auto& changes : std::exchange(host.fed, {}))
+        other.follower.ApplyFeed(changes);
+    }
+  };
+  run(kReadTime);
+  REQUIRE(other.FindServer("a") != nullptr);
+  store.Restore(copy);
+  run(milliseconds(800));
+  store.Set("servers", "a", MakeServer(2, false));
+  run(seconds(6));
+  REQUIRE(host.FindServer("a") != nullptr);
+  REQUIRE(other.FindServer("a") != nullptr);
+}
+
+// Guards against a server that stays out of use: a reader that started after
+// the restore sees no change in the entry and does not feed it.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "A fed host finds out that a kept server has written") {
+  store.Set("servers", "a", MakeServer(10, false));
+  host.follower.SetRank(1);
+  host.follower.Start();
+  const FakeRowSource::Copy copy = store.Save();
+  store.Remove("servers", "a");
+  RunFor(kReadTime);
+  store.Restore(copy);
+  const auto feed = [&](Duration time) {
+    for (Duration step = milliseconds(100); time > Duration::zero();
+         time -= step) {
+      std::vector<TableChanges> changes;
+      for (const std::string& table : store.tables())
+        changes.push_back({table,
+                           host.follower.known_version(),
+                           store.newest_version(),
+                           {},
+                           false,
+                           {}});
+      host.follower.ApplyFeed(changes);
+      RunFor(step);
+    }
+  };
+  feed(milliseconds(500));
+  REQUIRE(host.FindServer("a") == nullptr);
+  store.Set("servers", "a", MakeServer(11, false));
+  feed(kServerSettleTime);
+  REQUIRE(host.FindServer("a") != nullptr);
+}
+
+TEST_CASE_METHOD(StoreEraFixture,
+                 "A host that is cut off gets the new era from a peer") {
+  store.Set("servers", "a", MakeServer(1, false));
+  store.Set("op", "config", MakeConfiguration(3));
+  const FakeRowSource::Copy copy = store.Save();
+  store.Set("op", "config", MakeConfiguration(5, "lost"));
+  store.Set("servers", "a", MakeServer(2, true));
+  host.follower.Start();
+  other.follower.Start();
+  host.view.is_cut = true;
+  store.Restore(copy);
+  RunFor(kReadTime);
+  const auto fetch = [&] {
+    host.follower.MergeFromPeer(
+        other.follower.replica().NewerThan(host.follower.known_version()));
+  };
+  fetch();
+  REQUIRE(host.configuration_version == 5);
+  REQUIRE(host.IsDraining("a"));
+  store.Set("op", "config", MakeConfiguration(5, "again"));
+  store.Set("op", "evacuate/z", "");
+  RunFor(kReadTime);
+  fetch();
+  REQUIRE(host.configuration == MakeConfiguration(5, "again"));
+  REQUIRE(host.IsEvacuated("z"));
+  host.view.is_cut = false;
+  RunFor(seconds(3));
+  REQUIRE(host.follower.known_version().era() == 1);
+  REQUIRE(host.IsDraining("a"));
+  REQUIRE(host.IsEvacuated("z"));
+}
+
+// Guards against an evacuation that nobody can lift: a host that has read the
+// new era got a row of the older one from a peer.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "Rows of an older era are not accepted from a peer") {
+  host.follower.Start();
+  store.Restore({});
+  RunFor(kReadTime);
+  const std::vector<routing::Row> rows = {
+      {"op", "evacuate/z", "", {0, 9}, false}};
+  host.follower.MergeFromPeer(rows);
+  REQUIRE_FALSE(host.IsEvacuated("z"));
+}
+
+}  // namespace
+}  // namespace lovagecleat::gateway
--- a/tests/platform_adapter/message_codec_test.cc
+++ b/tests/platform_adapter/message_codec_test.cc
@@ -176,6 +176,7 @@
   REQUIRE(entry->is_draining);
   REQUIRE(entry->started_unix_ms == 1700000000000U);
   REQUIRE(entry->software_version == "v1.1");
+  REQUIRE(entry->sequence == 4U);
   for (const char* bad :
        {"", "[]", "{\"service\":1}", "\xff\xfe",
         R"({"service":"v","address":"1.2.3.4:5","zone":"z","state":"odd"})",
--- a/tests/routing/row_replica_test.cc
+++ b/tests/routing/row_replica_test.cc
@@ -37,6 +37,18 @@
   REQUIRE(replica.MarkMissingRemoved("t", {}, {1, 3}).size() == 1);
 }
 
+TEST_CASE("A full read does not remove rows of an older era") {
+  RowReplica replica;
+  replica.Merge(MakeRow("a", 5));
+  replica.Merge(MakeRow("b", 6, true));
+  REQUIRE(replica.MarkMissingRemoved("t", {}, {1, 3}).empty());
+  const auto rows = replica.RowsBeforeEra("t", 1);
+  REQUIRE(rows.size() == 1);
+  REQUIRE(rows[0].key == "a");
+  REQUIRE(replica.RowsBeforeEra("t", 0).empty());
+  REQUIRE(replica.RowsBeforeEra("other", 1).empty());
+}
+
 TEST_CASE("An older version does not restore a removed row") {
   RowReplica replica;
   REQUIRE(replica.Merge(MakeRow("a", 5)));
