Gateway: Write the host's own row again after a restore of the store

A host whose row the store had lost was not counted in the limits of the others until its next start, since it wrote the row only then. It now looks for its row after the first full read of the hosts table in each era and writes it again, once, after a random delay of up to a second, so that the hosts together stay within the store's write rate.

--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -27,6 +27,9 @@
 // store is used for at most this long.
 constexpr Duration kPeerRemovalDelay = milliseconds(500);
 constexpr Duration kAnnounceRetryDelay = milliseconds(700);
+// All hosts write their rows again after a restore of the store; spread over
+// this time they stay within its write rate.
+constexpr Duration kMaxReannounceDelay = milliseconds(1000);
 // A starting host checks with this period whether it has read the hosts table,
 // and waits for at most the second time if the store is unavailable.
 constexpr Duration kJoinPollPeriod = milliseconds(10);
@@ -259,9 +262,8 @@
   // A configuration that a restore of the store has lost may be written again
   // with other content under the same version.
   const std::uint64_t era = row.version.era();
-  if (context_.table &&
-      std::pair(table->version, era) <=
-          std::pair(context_.table->version, table_era_))
+  if (context_.table && std::pair(table->version, era) <=
+                            std::pair(context_.table->version, table_era_))
     return;
   table_era_ = era;
   context_.log.Write("routing", "",
@@ -395,12 +397,35 @@
   context_.log.Write("counted_in", "", {{"hosts", context_.host_count}});
 }
 
-void Gateway::AnnounceHost() {
+std::string Gateway::OwnRowValue() const {
   const nlohmann::json value = {
       {"peers", context_.settings.peers},
       {"zone", context_.settings.zone.value()},
       {"processor", context_.settings.processor_cores}};
-  rows_.WriteHost(context_.settings.host, value.dump(),
+  return value.dump();
+}
+
+void Gateway::CheckOwnRow() {
+  const std::optional<std::uint64_t> era = follower_.hosts_era();
+  if (!has_announced_ || !era || era == announced_in_era_) return;
+  announced_in_era_ = era;
+  const routing::Row* row = follower_.replica().Find(
+      rows_.tables().back(), context_.settings.host.value());
+  if (row != nullptr && !row->is_removed && row->version.era() == *era &&
+      row->value == OwnRowValue())
+    return;
+  context_.log.Write("own_row_lost", "", {{"store_era", *era}});
+  context_.loop.Cancel(announce_timer_);
+  const auto delay = context_.random.Below(
+      static_cast<std::uint64_t>(kMaxReannounceDelay.count()));
+  announce_timer_ = context_.loop.After(
+      Duration(static_cast<std::int64_t>(delay)), [this] { AnnounceHost(); });
+}
+
+void Gateway::AnnounceHost() {
+  has_announced_ = true;
+  announced_in_era_ = follower_.hosts_era();
+  rows_.WriteHost(context_.settings.host, OwnRowValue(),
                   [this](bool is_written) {
                     if (is_written) return;
                     announce_timer_ = context_.loop.After(
@@ -550,6 +575,7 @@
   origins_.RemoveExpired();
   context_.is_store_available = !follower_.is_store_unavailable();
   UpdateReaderRank();
+  CheckOwnRow();
   FetchRowsFromPeers();
   context_.log.Flush();
   tick_timer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -58,7 +58,10 @@
   void UpdateHosts();
 
   void Join();
+  std::string OwnRowValue() const;
   void AnnounceHost();
+  // Writes this host's row again if a restore of the store has lost it.
+  void CheckOwnRow();
   void FinishJoin();
   void OnPeerMessage(const messages::PeerMessage& message);
   void FetchRowsFromPeers();
@@ -100,6 +103,10 @@
   std::set<std::string> connected_peers_;
   std::optional<TimePoint> stop_at_;
   TimePoint started_at_{};
+  bool has_announced_ = false;  // this host's row was sent to the store
+  // Era of the hosts table when this host's row was written or seen; nothing if
+  // the table had not been read.
+  std::optional<std::uint64_t> announced_in_era_;
   // Era of the row of the configuration in force.
   std::uint64_t table_era_ = 0;
   bool has_joined_ = false;  // the other hosts count this one in their limits
--- a/tests/gateway/store_era_test.cc
+++ b/tests/gateway/store_era_test.cc
@@ -631,5 +631,67 @@
   REQUIRE_FALSE(host.IsEvacuated("z"));
 }
 
+// One gateway whose own row is stored.
+class StoreEraGatewayFixture : public GatewayFixture {
+ public:
+  StoreEraGatewayFixture() {
+    rows.stores_hosts = true;
+    rows.Set("op", "config", MakeConfiguration(3));
+  }
+};
+
+TEST_CASE_METHOD(StoreEraGatewayFixture,
+                 "A host writes its lost row again once") {
+  const FakeRowSource::Copy copy = rows.Save();
+  Start();
+  RunUntil([&] { return gateway->is_ready(); });
+  REQUIRE(rows.host_writes == 1);
+  const FakeRowSource::Copy with_row = rows.Save();
+
+  SECTION("if it is missing") {
+    rows.Restore(copy);
+    RunUntil([&] { return rows.Find("hosts", "host") != nullptr; });
+    RunFor(milliseconds(2500));
+    REQUIRE(rows.host_writes == 2);
+    // After a second restore as well.
+    rows.Restore(copy);
+    RunUntil([&] { return rows.Find("hosts", "host") != nullptr; });
+    RunFor(milliseconds(2500));
+    REQUIRE(rows.host_writes == 3);
+  }
+  SECTION("if it is older") {
+    FakeRowSource::Copy older = with_row;
+    older.rows.at({"hosts", "host"}).value = "{}";
+    rows.Restore(older);
+    RunUntil([&] { return rows.host_writes == 2; });
+    RunFor(milliseconds(2500));
+    REQUIRE(rows.host_writes == 2);
+  }
+  SECTION("but not if the copy has it") {
+    rows.Restore(with_row);
+    RunFor(milliseconds(3000));
+    REQUIRE(rows.host_writes == 1);
+  }
+}
+
+TEST_CASE_METHOD(StoreEraGatewayFixture,
+                 "A gateway takes a configuration that is written again") {
+  const FakeRowSource::Copy copy = rows.Save();
+  rows.Set("op", "config", MakeConfiguration(5, "lost"));
+  Start();
+  RunUntil([&] { return gateway->is_ready(); });
+  const auto request = [&](const std::string& path) {
+    return Send("GET " + path +
+                " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                "X-Lovagecleat-Request-Id: id1\r\n\r\n");
+  };
+  // Without servers a known route gets 503.
+  REQUIRE(request("/").starts_with("HTTP/1.1 503"));
+  rows.Restore(copy);
+  rows.Set("op", "config", R"({"version":5,"routes":[],"services":[]})");
+  RunFor(milliseconds(1500));
+  REQUIRE(request("/").starts_with("HTTP/1.1 404"));
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
