Requests: Wait out the silence of a sound server

A sound server may send nothing for about a second and go on. Callers got late or cut answers, and servers needless work: a safe request was sent again after its route's latency target (300 ms), a stream was resumed elsewhere after a gap of 1 s, and requests whose deadline passed in the silence suspended the server.

The silence of a request counts from the last bytes of its response, or, before the first, from when calls to the server have been waiting, so that the next requests to a silent server do not wait as long again. A request with little time left still leaves its server early enough for another one to answer. A server that answers other calls meanwhile is not silent and counts as failed when a request times out, as before.

--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -30,6 +30,9 @@
   int in_flight = 0;                 // calls of this host
   std::uint64_t pending_tokens = 0;  // prompts of this host in flight
   std::optional<ReportedLoad> load;
+  // When the first call was sent after which nothing has come from the server,
+  // or when something came last while calls were in flight.
+  std::optional<TimePoint> silent_since;
   int consecutive_failures = 0;
   int consecutive_slow_calls = 0;
   // The server may be cold until this time.
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -233,10 +233,7 @@
 
 void RequestFlow::OnDeadline() {
   if (call_) {
-    // A long stream may reach its deadline at a sound server.
-    EndSend(
-        IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed,
-        "time_up");
+    EndSend(ResultOfSilence(), "time_up");
     send_state_ = SendState::kUnknown;
   }
   const int status = StatusWithoutResponse() == 503 ? 503 : 504;
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -121,7 +121,11 @@
   void OnResponseTimeout();
   bool CanLeaveServer() const;
   void LeaveServer();
-  Duration ResponseTimeout() const;
+  TimePoint LeaveServerAt() const;
+  TimePoint ServerSilentSince() const;
+  routing::CallResult ResultOfSilence() const;
+  // Something came from the server.
+  void OnHeard();
 
   // Response.
   void ForwardStreamBytes(std::string_view bytes);
@@ -187,6 +191,7 @@
   // it.
   std::optional<std::string> required_version_;
   TimePoint sent_at_;
+  std::optional<TimePoint> heard_at_;  // when something came from the server
   std::vector<ServerId> tried_;
   int runs_ = 0;  // sends that ran or may have run
   int sends_ = 0;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "services/gateway/request_flow.h"
+#include "services/gateway/silence.h"
 
 namespace lovagecleat::gateway {
 
@@ -10,9 +11,8 @@
 using std::chrono::milliseconds;
 
 // A stream is resumed at another server after a gap between events of this many
-// times the route's target for gaps, but of at least one second.
+// times the route's target for gaps, but of at least kSilenceTimeout.
 constexpr int kGapTimeoutFactor = 3;
-constexpr Duration kMinimumGapTimeout = milliseconds(1000);
 // The origin of a stream is kept for this long after its caller stops waiting,
 // since hosts may be slow.
 constexpr Duration kOriginMargin = milliseconds(5000);
@@ -38,6 +38,7 @@
 }
 
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
+  OnHeard();
   head_ = head;
   response_metadata_ = context_.codec.ReadResponseHead(head, Now());
   notices_.OnResponse(incarnation_, response_metadata_);
@@ -47,6 +48,7 @@
 }
 
 void RequestFlow::OnResponseBody(std::string_view bytes) {
+  OnHeard();
   const bool is_success = head_.status >= 200 && head_.status < 300 &&
                           response_metadata_.is_sealed &&
                           !response_metadata_.is_encoded;
@@ -94,7 +96,7 @@
   }
   exchange_->SendBody(passed);
   if (route_->MayRepeat())
-    StartResponseTimer(std::max(kMinimumGapTimeout,
+    StartResponseTimer(std::max(kSilenceTimeout,
                                 route_->stream_gap_target * kGapTimeoutFactor));
 }
 
@@ -181,6 +183,7 @@
 }
 
 void RequestFlow::OnCallFailed(http::CallEnd end) {
+  OnHeard();
   if (end.failure == http::CallFailure::kNotConnected) {
     EndSend(routing::CallResult::kUnreachable, "unreachable");
     ++connect_failures_;
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "services/gateway/request_flow.h"
+#include "services/gateway/silence.h"
 
 namespace lovagecleat::gateway {
 
@@ -9,11 +10,9 @@
 
 using std::chrono::milliseconds;
 
-// A safe request without a response within the route's latency target is
-// retried at another server, but not before a busy server can respond.
-constexpr Duration kMinimumResponseTimeout = milliseconds(150);
-// Maximum wait for the first event of a resumable stream.
-constexpr Duration kFirstEventTimeout = milliseconds(1500);
+// Another server is taken to need the route's latency target to respond, but at
+// least this long.
+constexpr Duration kMinimumResponseTime = milliseconds(150);
 // Period of the checks whether a silent server can be left.
 constexpr Duration kLeaveCheckPeriod = milliseconds(250);
 // Sends beyond the route's attempts that servers may reject without running
@@ -154,6 +153,8 @@
   incarnation_ = server.entry.incarnation();
   software_version_ = server.entry.software_version;
   sent_at_ = now;
+  heard_at_.reset();
+  if (!server.silent_since) server.silent_since = now;
   if (!first_sent_at_) first_sent_at_ = now;
   ++sends_;
   tried_.push_back(server_);
@@ -170,12 +171,46 @@
   call_ = context_.pool.Start(
       CallTargetOf(incarnation_), std::move(bytes),
       route_->MayRepeat() ? http::Reuse::kAny : http::Reuse::kRecent, *this);
-  if (route_->MayRepeat()) StartResponseTimer(ResponseTimeout());
+  if (route_->MayRepeat()) StartResponseTimer(LeaveServerAt() - now);
 }
 
-Duration RequestFlow::ResponseTimeout() const {
-  if (IsStream()) return kFirstEventTimeout;
-  return std::max(route_->latency_target, kMinimumResponseTimeout);
+// Returns when the server may be left if nothing comes from it until then. A
+// stream needs events and not just bytes, so its events set the timer anew.
+TimePoint RequestFlow::LeaveServerAt() const {
+  if (IsStream()) return sent_at_ + kSilenceTimeout;
+  const TimePoint silent_since = heard_at_.value_or(ServerSilentSince());
+  const Duration response_time =
+      std::max(route_->latency_target, kMinimumResponseTime);
+  const TimePoint latest = deadline_ - response_time;
+  return std::max(std::min(silent_since + kSilenceTimeout, latest),
+                  sent_at_ + response_time);
+}
+
+// Returns since when nothing has come from the server: from before the request
+// was sent if calls were waiting already.
+TimePoint RequestFlow::ServerSilentSince() const {
+  const routing::ServerRecord* server = context_.directory.Find(server_);
+  if (server == nullptr || !server->silent_since) return sent_at_;
+  return std::min(*server->silent_since, sent_at_);
+}
+
+void RequestFlow::OnHeard() {
+  heard_at_ = Now();
+  routing::ServerRecord* server = context_.directory.Find(server_);
+  if (server != nullptr) server->silent_since = heard_at_;
+}
+
+// Returns what a server without a response shows. One that answers other calls
+// meanwhile is not silent.
+routing::CallResult RequestFlow::ResultOfSilence() const {
+  const routing::ServerRecord* server = context_.directory.Find(server_);
+  const bool is_silent = !heard_at_ && server != nullptr &&
+                         server->silent_since &&
+                         *server->silent_since <= sent_at_;
+  if (is_silent && Now() - *server->silent_since < kSoundSilence)
+    return routing::CallResult::kNoEvidence;
+  // A long stream may reach its deadline at a sound server.
+  return IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed;
 }
 
 void RequestFlow::StartResponseTimer(Duration limit) {
@@ -185,6 +220,8 @@
 
 // Runs only for requests that may be repeated.
 void RequestFlow::OnResponseTimeout() {
+  const TimePoint leave_at = IsStream() ? Now() : LeaveServerAt();
+  if (Now() < leave_at) return StartResponseTimer(leave_at - Now());
   if (!CanLeaveServer()) return StartResponseTimer(kLeaveCheckPeriod);
   if (plan_->IsDone() && !HasReleasedInputs()) return LeaveServer();
   StartResponseTimer(kLeaveCheckPeriod);
@@ -192,9 +229,7 @@
 }
 
 void RequestFlow::LeaveServer() {
-  EndSend(
-      IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed,
-      "silent");
+  EndSend(ResultOfSilence(), "silent");
   ++runs_;
   send_state_ = SendState::kUnknown;
   Retry("silent");
@@ -215,6 +250,7 @@
   routing::ServerRecord* server = context_.directory.Find(server_);
   if (server != nullptr) {
     server->in_flight = std::max(0, server->in_flight - 1);
+    if (server->in_flight == 0 && heard_at_) server->silent_since.reset();
     if (counts_pending_tokens_)
       server->pending_tokens -=
           std::min(server->pending_tokens, pending_tokens_);
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -212,6 +212,7 @@
 ScriptedServer::ScriptedServer(Script script)
     : script_(std::move(script)),
       server_([this](transport::RawConnection& connection) {
+        ++connections_;
         while (const auto request = connection.ReadRequest()) {
           ++requests_;
           {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -154,10 +154,12 @@
   explicit ScriptedServer(Script script);
   std::string address() const { return server_.address(); }
   int requests() const { return requests_; }
+  int connections() const { return connections_; }
   std::string last_request();
 
  private:
   std::atomic<int> requests_ = 0;
+  std::atomic<int> connections_ = 0;
   std::mutex mutex_;
   std::string last_request_;
   Script script_;
