Stages: Wait out the silence of a sound server

Callers got late results, and servers repeated work: a stage call was ended, and its server counted as failed, after twelve times its usual time, 720 ms for a short call; a control call was ended with its connection after 1 s. A sound server may be silent for longer.

Both now last at least kSilenceTimeout. The items of a slow call still go to another server after three times the usual time: that costs one more run out of the retry budget, while waiting would cost the caller its latency target, and the first call goes on and its server is not blamed.

--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "services/gateway/silence.h"
+
 namespace lovagecleat::gateway {
 
 namespace {
@@ -19,9 +21,6 @@
 // Period of the search for items that cannot meet their deadline, while all
 // servers are busy. Sorting a long queue at each event takes too long.
 constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(50);
-// Servers answer control calls without queueing them, so a later response
-// counts as lost.
-constexpr Duration kControlCallTimeout = std::chrono::seconds(1);
 // Least time between two queries for a server's free memory.
 constexpr Duration kFreeMemoryQueryPeriod = std::chrono::milliseconds(400);
 
@@ -55,8 +54,10 @@
     Context& context = runner_.context_;
     const ForwardedCall target = TargetOf(server);
     incarnation_ = server.entry.incarnation();
-    timeout_timer_ =
-        loop().After(queue_.scheduler.CallTimeout(call_.items.size()), [this] {
+    timeout_timer_ = loop().After(
+        std::max(queue_.scheduler.CallTimeout(call_.items.size()),
+                 kSilenceTimeout),
+        [this] {
           http_.reset();
           Finish("timeout", routing::CallResult::kFailed, std::nullopt, {});
         });
@@ -246,8 +247,9 @@
   void Start(const routing::ServerRecord& server, std::string_view bytes) {
     Context& context = runner_.context_;
     incarnation_ = server.entry.incarnation();
-    timeout_timer_ = context.loop.After(kControlCallTimeout,
-                                        [this] { Finish(std::nullopt); });
+    // Servers answer control calls without queueing them.
+    timeout_timer_ =
+        context.loop.After(kSilenceTimeout, [this] { Finish(std::nullopt); });
     http_ = context.pool.Start(CallTargetOf(incarnation_), bytes,
                                http::Reuse::kAny, *this);
   }
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -382,5 +382,72 @@
   REQUIRE(other.requests() == (is_sound ? 0 : 1));
 }
 
+// A stage server that is silent on all its connections for a while after it has
+// received the first call.
+class PausingStageServer {
+ public:
+  explicit PausingStageServer(Duration silence)
+      : silence_(silence),
+        server_([this](RawConnection& connection, const std::string& request) {
+          return Handle(connection, request);
+        }) {}
+  ScriptedServer& server() { return server_; }
+
+  std::atomic<int> calls = 0;
+  std::atomic<int> reports = 0;
+
+ private:
+  bool Handle(RawConnection& connection, const std::string& request) {
+    const bool is_call = request.starts_with("POST /stage-run");
+    const bool is_report = request.starts_with("GET /report");
+    if (is_report) ++reports;
+    if (is_call && ++calls == 1) until_ = clock_.Now() + silence_;
+    while (clock_.Now() < until_.load())
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    const std::string body = is_call     ? R"({"items":[{"handle":"h0"}]})"
+                             : is_report ? R"({"queued":0,"busy":true,)"
+                                           R"("freeMb":1})"
+                                         : "";
+    connection.Write("HTTP/1.1 200 X\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+    return true;
+  }
+
+  SystemClock clock_;
+  Duration silence_;
+  std::atomic<TimePoint> until_{TimePoint{}};
+  ScriptedServer server_;
+};
+
+// Guards against abandoned stage calls: a call was ended, and its server
+// blamed, after a multiple of the call's usual time.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A stage call waits out the silence of a sound server") {
+  PausingStageServer stage(kSoundSilence);
+  ScriptedServer server([](RawConnection& connection, const std::string&) {
+    connection.Write(kResponse);
+    return true;
+  });
+  AddServer("stage", "encoder", stage.server().address());
+  StartWith({&server});
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(stage.calls == 1);
+}
+
+// Guards against waiting for stage servers that do not go on.
+TEST_CASE_METHOD(
+    SilentServerFixture,
+    "A stage call to a server that stays silent is ended in time") {
+  PausingStageServer stage(std::chrono::milliseconds(1900));
+  ScriptedServer server([](RawConnection& connection, const std::string&) {
+    connection.Write(kResponse);
+    return true;
+  });
+  AddServer("stage", "encoder", stage.server().address());
+  StartWith({&server});
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(stage.calls == 2);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
