Stages: Ask a silent server one question at a time

A stage server that was silent for 1.2 s got 17 questions whether it had already answered a slow call, each on a connection of its own, since the next one was sent after the usual time of a call although the last had no answer.

The next question now follows the answer to the last, or its time limit.

Test: "A silent stage server is asked one question at a time" failed before (17 instead of 1).

--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -130,13 +130,20 @@
   // Tells a slow server from a lost response: a server that reports itself idle
   // has already responded.
   void CheckForLostResponse() {
+    std::weak_ptr<ActiveCall*> self = self_handle_;
+    runner_.QueryReport(call_.server,
+                        [self](const std::optional<StageServerReport>& report) {
+                          const auto active_call = self.lock();
+                          if (active_call) (*active_call)->OnReport(report);
+                        });
+  }
+
+  // The next query waits for this one, since each takes a connection while the
+  // server does not answer.
+  void OnReport(const std::optional<StageServerReport>& report) {
+    if (report && report->is_idle) return OnResponseLost();
     slow_timer_ = loop().After(queue_.scheduler.CallTime(call_.items.size()),
                                [this] { CheckForLostResponse(); });
-    std::weak_ptr<ActiveCall*> self = self_handle_;
-    runner_.QueryReport(call_.server, [self](const StageServerReport& report) {
-      const auto active_call = self.lock();
-      if (active_call && report.is_idle) (*active_call)->OnResponseLost();
-    });
   }
 
   void OnResponseLost() {
@@ -576,8 +583,10 @@
 
 void StageRunner::QueryReport(
     const ServerId& server,
-    const std::function<void(const StageServerReport&)>& callback) {
+    const std::function<void(const std::optional<StageServerReport>&)>&
+        callback) {
   const routing::ServerRecord* record = context_.directory.Find(server);
+  // A call to a server that is no longer listed ends by its own time limit.
   if (record == nullptr) return;
   context_.metrics.Count("lovagecleat_report_questions_total");
   StartControlCall(
@@ -585,9 +594,10 @@
       [this, server, callback](const std::optional<std::string>& body) {
         const auto report =
             body ? context_.codec.ReadReport(*body) : std::nullopt;
-        if (report) return callback(*report);
-        context_.log.Write("report_unavailable", "",
-                           {{"server", server.value()}});
+        if (!report)
+          context_.log.Write("report_unavailable", "",
+                             {{"server", server.value()}});
+        callback(report);
       });
 }
 
@@ -600,8 +610,11 @@
       queue.free_memory_queried_at.try_emplace(server, now);
   if (!is_first && now - queried->second < kFreeMemoryQueryPeriod) return;
   queried->second = now;
-  QueryReport(server, [this, &queue, server](const StageServerReport& report) {
-    queue.scheduler.UpdateFreeMemory(server, report.free_bytes, context_.Now());
+  QueryReport(server, [this, &queue,
+                       server](const std::optional<StageServerReport>& report) {
+    if (!report) return;
+    queue.scheduler.UpdateFreeMemory(server, report->free_bytes,
+                                     context_.Now());
     DispatchCalls();
   });
 }
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -112,7 +112,8 @@
       std::function<void(std::optional<std::string>)> callback);
   void QueryReport(
       const ServerId& server,
-      const std::function<void(const StageServerReport&)>& callback);
+      const std::function<void(const std::optional<StageServerReport>&)>&
+          callback);
   void QueryFreeMemory(StageQueue& queue, const ServerId& server);
 
   Context& context_;
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -434,6 +434,24 @@
   REQUIRE(stage.calls == 1);
 }
 
+// Guards against connections opened at a silent server: it was asked again and
+// again whether it had already answered a slow call.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A silent stage server is asked one question at a time") {
+  PausingStageServer stage(kSoundSilence);
+  ScriptedServer server([](RawConnection& connection, const std::string&) {
+    connection.Write(kResponse);
+    return true;
+  });
+  AddServer("stage", "encoder", stage.server().address());
+  StartWith({&server});
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(stage.reports == 1);
+  // The release of the result uses one of the connections.
+  RunFor(std::chrono::milliseconds(300));
+  REQUIRE(stage.server().connections() == 2);
+}
+
 // Guards against waiting for stage servers that do not go on.
 TEST_CASE_METHOD(
     SilentServerFixture,
