HTTP: Bound the lines of chunks and the trailer fields

A peer that sent the line of a chunk (its size and extensions) or trailer fields without end made the process keep all of it in memory, in requests as well as in responses: these are read only once they are complete, and only the head had a limit. Time limits end such calls, but 1 Gbit/s for a second is 125 MB; a client could go on for as long as it sent something every 15 s.

Unread bytes beyond the limit on the head now fail the message as too large.

Test: "Lines without end are errors wherever they begin" failed before in 36 of 42 combinations.

--- a/libraries/http/parser.cc
+++ b/libraries/http/parser.cc
@@ -228,6 +228,11 @@
       if (parser.is_done()) Complete();
       if (consumed == 0) break;
     }
+    // Beast buffers no line of a chunk and no trailer, however long: it leaves
+    // them unread until they are complete.
+    if (error_ == ParseError::kNone && !is_complete_ &&
+        bytes.size() - used > limits_.header_bytes)
+      error_ = ParseError::kHeaderTooLarge;
     return used;
   }
 
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -128,6 +128,27 @@
           ParseError::kBodyTooLarge);
 }
 
+// Guards against memory without bounds: the line of a chunk and the trailer
+// fields, which are read only when complete, could have any size.
+TEST_CASE("Lines without end are errors wherever they begin") {
+  const MessageLimits limits{2000, 1'000'000};
+  const std::string_view role_and_start = GENERATE(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string_view begin =
+      GENERATE("", "3\r\nabc\r\n", "1;", "1;a=\"", "0;", "0\r\n", "0\r\nX: ");
+  const std::string_view unit = GENERATE("x", "Y: y\r\n", ";x=y");
+  const auto role = role_and_start.starts_with("POST")
+                        ? MessageReader::Role::kRequest
+                        : MessageReader::Role::kResponse;
+  std::string bytes = std::string(role_and_start) + std::string(begin);
+  while (bytes.size() < 10'000) bytes.append(unit);
+  INFO(begin << unit);
+  const ReadResult result = Read(role, bytes, 100, limits);
+  REQUIRE(result.error != ParseError::kNone);
+  REQUIRE(result.used < 1000);
+}
+
 TEST_CASE("Only the end of the connection completes an unframed response") {
   const std::string_view unframed = "HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc";
   const ReadResult result = Read(MessageReader::Role::kResponse, unframed);
