--- a/tests/routing/server_directory_test.cc
+++ b/tests/routing/server_directory_test.cc
@@ -122,16 +122,16 @@
 // Guards against unbounded memory, and against a listed server that is used
 // again after many others have left.
 TEST_CASE("Notices are bounded; that of a listed server stays in force") {
-  constexpr std::size_t kMaximumNotices = 512;
+  constexpr std::size_t maximum_notices = 512;
   ServerDirectory directory;
   const ServerEntry entry = MakeEntry("a");
   directory.Put(entry, AtMs(0));
   directory.SetLeaving(entry.incarnation());
-  for (std::size_t i = 0; i < 2 * kMaximumNotices; ++i) {
+  for (std::size_t i = 0; i < 2 * maximum_notices; ++i) {
     const std::string id = "gone" + std::to_string(i);
     REQUIRE(directory.SetLeaving(MakeEntry(id.c_str()).incarnation()));
   }
-  REQUIRE(directory.leaving().size() == kMaximumNotices);
+  REQUIRE(directory.leaving().size() == maximum_notices);
   REQUIRE_FALSE(directory.SetLeaving(entry.incarnation()));
   directory.Put(entry, AtMs(1));
   REQUIRE(directory.UsableOrSuspended(kService).empty());
