Gateway tests: Cover streams and queued items of leaving servers

The test of a stream did not show that the notice counts from the head of the response on; now a request that arrives while the stream runs must be refused. New tests: items that are queued for a server which gives notice move to another zone although the retry budget is used up, since no server has received them; requests are refused at once if all their stage servers give notice.

Seen to fail: the first with the notice read at the end of the response, the second with servers that are used in spite of their notice.

--- a/tests/gateway/leaving_server_test.cc
+++ b/tests/gateway/leaving_server_test.cc
@@ -22,7 +22,7 @@
   "timeoutMs":3000,"goalMs":1000,"attempts":2,"service":"plain",
   "stages":[{"service":"encoder","bytes":1000}]}],
  "services":[{"name":"plain","healthPath":"/h","maxConns":9},
-  {"name":"encoder","pieces":{"slots":1,"queue":2,"batch":4,"callMs":50,
+  {"name":"encoder","pieces":{"slots":1,"queue":2,"batch":4,"callMs":400,
    "itemMs":10,"headroomMb":1,"handleS":4,"netMbps":1000}}],
  "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
 
@@ -69,9 +69,10 @@
   }
 
   void SetServer(const std::string& id, const std::string& service,
-                 const std::string& address, std::uint64_t started_unix_ms) {
+                 const std::string& address, std::uint64_t started_unix_ms,
+                 const std::string& zone = "z") {
     const nlohmann::json row = {
-        {"service", service},      {"address", address},  {"zone", "z"},
+        {"service", service},      {"address", address},  {"zone", zone},
         {"version", "v1"},         {"state", "ready"},    {"slots", 4},
         {"born", started_unix_ms}, {"seq", ++heartbeats_}};
     rows.Set("servers", id, row.dump());
@@ -123,37 +124,38 @@
   REQUIRE(RequestsFrom(leaving) == 0);
 }
 
-// Guards against a running stream that is left or cut because of the notice.
+// Guards against a running stream that is left or cut because of the notice,
+// and against a notice that counts only when the response is complete.
 TEST_CASE_METHOD(
     LeavingServerFixture,
-    "A stream at a server that gives notice goes on; new ones go elsewhere") {
+    "A stream at a server that gives notice goes on; new ones are refused") {
   ScriptedServer leaving([](RawConnection& connection, const std::string&) {
     connection.Write(Join(
         {"HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n", kSeal, kNotice,
-         "Content-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n",
-         Chunk("id: 1\ndata: a\n\n")}));
+         "Content-Type: text/event-stream\r\n",
+         "Transfer-Encoding: chunked\r\n\r\n", Chunk("id: 1\ndata: a\n\n")}));
     std::this_thread::sleep_for(milliseconds(500));
     connection.Write(Join({Chunk("id: 2\ndata: b\n\n"), kStreamEnd}));
     return true;
   });
   SetServer("leaving", "plain", leaving.address(), 1);
   Start();
-  loop().After(milliseconds(100),
-               [this] { SetServer("staying", "plain", staying.address(), 1); });
-  const std::string text = RunWithClient([&](transport::RawClient& client) {
+  std::string refusal;
+  const std::string stream = RunWithClient([&](transport::RawClient& client) {
     client.Write(MakeRequest("/s/"));
-    std::string stream;
-    while (stream.find("id: 1") == std::string::npos &&
-           client.ReadAvailable(stream))
+    std::string text;
+    while (text.find("id: 1") == std::string::npos &&
+           client.ReadAvailable(text))
       std::this_thread::sleep_for(milliseconds(1));
-    return stream + client.ReadToEnd();
+    const transport::RawClient other(callers_port());
+    other.Write(MakeRequest("/s/"));
+    refusal = other.ReadToEnd();
+    return text + client.ReadToEnd();
   });
-  REQUIRE(text.find("id: 2") != std::string::npos);
-  REQUIRE(text.ends_with(kStreamEnd));
+  REQUIRE(refusal.starts_with("HTTP/1.1 503"));
+  REQUIRE(stream.find("id: 2") != std::string::npos);
+  REQUIRE(stream.ends_with(kStreamEnd));
   REQUIRE(leaving.requests() == 1);
-  RunFor(kRowsDelay);
-  REQUIRE(RequestsFrom(leaving) == 0);
 }
 
 TEST_CASE_METHOD(LeavingServerFixture,
@@ -317,6 +319,57 @@
   REQUIRE(calls == 1);
 }
 
+TEST_CASE_METHOD(
+    LeavingServerFixture,
+    "Requests are refused at once if all their stage servers give notice") {
+  ScriptedServer leaving(
+      Respond(MakeResponse("200", kNotice, R"({"items":[{"handle":"l"}]})")));
+  SetServer("leaving", "encoder", leaving.address(), 1);
+  SetServer("staying", "plain", staying.address(), 1);
+  Start();
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  // Covers the delay of a release.
+  RunFor(milliseconds(100));
+  const int calls = leaving.requests();
+  const TimePoint start = loop().clock().Now();
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 503"));
+  REQUIRE(loop().clock().Now() - start < milliseconds(200));
+  REQUIRE(leaving.requests() == calls);
+}
+
+// Guards against items that fail, since the retry budget is used up, although
+// no server has received them.
+TEST_CASE_METHOD(LeavingServerFixture,
+                 "Items queued for a server that gives notice move on") {
+  ScriptedServer leaving(
+      [](RawConnection& connection, const std::string& request) {
+        if (request.starts_with("POST /stage-run"))
+          std::this_thread::sleep_for(milliseconds(800));
+        connection.Write(
+            MakeResponse("200", kNotice, R"({"items":[{"handle":"l"}]})"));
+        return true;
+      });
+  ScriptedServer other_zone(
+      Respond(MakeResponse("200", "", R"({"items":[{"handle":"o"}]})")));
+  SetServer("leaving", "encoder", leaving.address(), 1);
+  SetServer("staying", "plain", staying.address(), 1);
+  Start();
+  DisableRetries();
+  // Only after the items are queued.
+  loop().After(milliseconds(200), [&] {
+    SetServer("other", "encoder", other_zone.address(), 1, "other");
+  });
+  const std::string responses = RunWithClient([&](transport::RawClient& first) {
+    first.Write(MakeRequest("/g/"));
+    std::this_thread::sleep_for(milliseconds(50));
+    const transport::RawClient second(callers_port());
+    second.Write(MakeRequest("/g/"));
+    return first.ReadToEnd() + second.ReadToEnd();
+  });
+  REQUIRE(responses.find("503") == std::string::npos);
+  REQUIRE(other_zone.requests() == 1);
+}
+
 // Guards against results that occupy the memory of a server until they expire.
 TEST_CASE_METHOD(LeavingStageServerFixture,
                  "Results at a server that gives notice are released") {
