Gateway: Share the leaving notices of servers between the hosts of a zone

Each host used a server that was about to exit until it got the notice itself or from the store. A host that restarted forgot all notices.

A host that gets a notice from a server sends it, with the server's incarnation, once to the other reachable hosts of its zone; notices within 10 ms share a message, and one to a host that is still being connected is sent again for up to 2 s. A receiver applies it if the incarnation is the one that it knows, or keeps it for an entry to come, and does not forward it. A starting host asks three hosts of its zone for all notices that they know (at most 512).

The tests failed before: the second host, and a host that started later, sent a request to the server. With the sending removed, or the answer to a starting host, one of them fails each.

--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -47,6 +47,7 @@
     case Body::kStageTraffic:
     case Body::kRowsFeed:
     case Body::kStreamOrigins:
+    case Body::kServerNotices:
     case Body::BODY_NOT_SET:
       return;
     case Body::kProvisionalDrains:
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -117,7 +117,15 @@
                nullptr,
                1},
       rows_(rows),
-      notices_(context_),
+      notices_(
+          context_,
+          [this](const std::string& peer) { return stages_.IsReachable(peer); },
+          [this](const std::string& peer,
+                 const messages::ServerNotices& notices) {
+            messages::PeerMessage message;
+            *message.mutable_server_notices() = notices;
+            return SendPeerMessage(peer, std::move(message));
+          }),
       runner_(context_, notices_),
       stages_(context_, runner_,
               [this](const std::string& peer,
@@ -359,13 +367,17 @@
 void Gateway::UpdateHosts() {
   std::vector<HostId> hosts{context_.settings.host};
   std::vector<PeerHost> others;
+  std::vector<std::string> others_in_zone;
   for (const auto& [host, entry] : hosts_) {
     if (host == context_.settings.host) continue;
     hosts.push_back(host);
     others.push_back({entry.peers, ZoneId(entry.zone), entry.processor_cores});
+    if (ZoneId(entry.zone) == context_.settings.zone)
+      others_in_zone.push_back(entry.peers);
   }
   stages_.SetHosts(others);
   origins_.SetHosts(others);
+  notices_.SetHosts(std::move(others_in_zone));
   context_.host_count = hosts.size();
   context_.limiter.SetHosts(std::move(hosts));
   const configuration::GatewayLimits& limits = context_.settings.limits;
@@ -482,6 +494,10 @@
     ConnectPeer(message.sender());
     return origins_.OnTraffic(message.sender(), message.stream_origins());
   }
+  if (message.has_server_notices()) {
+    ConnectPeer(message.sender());
+    return notices_.OnMessage(message.sender(), message.server_notices());
+  }
   if (message.has_rows_feed()) return OnRowsFeed(message.rows_feed());
   if (message.has_rows_push())
     follower_.MergeFromPeer(ReadRows(message.rows_push().rows()));
--- a/services/gateway/server_notices.h
+++ b/services/gateway/server_notices.h
@@ -1,15 +1,34 @@
 #pragma once
 
+#include <functional>
+#include <map>
+#include <string>
 #include <string_view>
+#include <vector>
 
+#include "messages/messages.h"
 #include "services/gateway/context.h"
 
 namespace lovagecleat::gateway {
 
-// Records the notices of servers that are about to exit.
+// Records the notices of servers that are about to exit and shares them with
+// the other hosts of the zone, which use the same servers.
 class ServerNotices {
  public:
-  explicit ServerNotices(Context& context) : context_(context) {}
+  using ReachableCallback = std::function<bool(const std::string& peer)>;
+  // Returns false if the message cannot be sent now.
+  using SendCallback = std::function<bool(const std::string& peer,
+                                          const messages::ServerNotices&)>;
+
+  ServerNotices(Context& context, ReachableCallback is_reachable,
+                SendCallback send);
+  ~ServerNotices();
+  ServerNotices(const ServerNotices&) = delete;
+  ServerNotices& operator=(const ServerNotices&) = delete;
+
+  // Sets the addresses of the other hosts of the zone. When there are some for
+  // the first time, asks a few of them for the notices that they know.
+  void SetHosts(std::vector<std::string> others);
 
   // Records the notice in the head of a response to a call to `server`, if it
   // contains one. `server` is the incarnation that the call was sent to: its
@@ -17,12 +36,31 @@
   void OnResponse(const routing::ServerIncarnation& server,
                   const ResponseMetadata& response);
 
+  void OnMessage(const std::string& from,
+                 const messages::ServerNotices& notices);
+
  private:
+  struct Outgoing {
+    messages::ServerNotices notices;
+    TimePoint added_at;
+  };
+
   // Returns true if the notice was not known.
   bool Record(const routing::ServerIncarnation& server,
               std::string_view source);
+  void AskOtherHosts();
+  messages::ServerNotices& OutgoingTo(const std::string& peer);
+  void ScheduleFlush(Duration delay);
+  void Flush();
 
   Context& context_;
+  ReachableCallback is_reachable_;
+  SendCallback send_;
+  std::vector<std::string> hosts_;  // addresses, without this one
+  bool has_asked_ = false;
+  std::map<std::string, Outgoing> outgoing_;  // by address
+  TimerId flush_timer_;
+  TimerId ask_timer_;
 };
 
 }  // namespace lovagecleat::gateway
--- a/tests/gateway/leaving_server_test.cc
+++ b/tests/gateway/leaving_server_test.cc
@@ -262,6 +262,52 @@
   REQUIRE(RequestsFrom(leaving) + RequestsFrom(also_leaving) == 0);
 }
 
+// Times for messages between hosts, and for a host that starts to ask others.
+constexpr Duration kSpreadDelay = milliseconds(300);
+constexpr Duration kAskDelay = milliseconds(1000);
+
+// Guards against hosts that use a server until they get the notice themselves,
+// or from the store, which may be unavailable.
+TEST_CASE_METHOD(LeavingServerFixture,
+                 "Notices reach the other hosts of the zone") {
+  ScriptedServer leaving(Respond(MakeResponse("200", kNotice, "leaving")));
+  SetServer("leaving", "plain", leaving.address(), 1);
+  SetServer("staying", "plain", staying.address(), 1);
+  StartHosts(2);
+  rows.status = RowsResponse::Status::kUnavailable;
+  SendUntilUsed(leaving);
+  RunFor(kSpreadDelay);
+  REQUIRE(RequestsFrom(leaving, "/p/", 1) == 0);
+}
+
+TEST_CASE_METHOD(LeavingServerFixture,
+                 "A host that starts gets the notices that others know") {
+  ScriptedServer leaving(Respond(MakeResponse("200", kNotice, "leaving")));
+  SetServer("leaving", "plain", leaving.address(), 1);
+  SetServer("staying", "plain", staying.address(), 1);
+  StartHosts(2);
+  SendUntilUsed(leaving);
+  RunFor(kSpreadDelay);
+  StartHosts(3);
+  RunFor(kAskDelay);
+  REQUIRE(RequestsFrom(leaving, "/p/", 2) == 0);
+}
+
+// Guards against a server that is never used at one host because another one
+// reported that its predecessor was about to exit.
+TEST_CASE_METHOD(LeavingServerFixture,
+                 "A notice from another host applies to one incarnation") {
+  ScriptedServer leaving(Respond(MakeResponse("200", kNotice, "leaving")));
+  SetServer("server", "plain", leaving.address(), 1);
+  StartHosts(2);
+  REQUIRE(Send(MakeRequest("/p/")).starts_with("HTTP/1.1 200"));
+  RunFor(kSpreadDelay);
+  REQUIRE(Send(MakeRequest("/p/"), 1).starts_with("HTTP/1.1 503"));
+  SetServer("server", "plain", staying.address(), 2);
+  RunFor(kRowsDelay);
+  REQUIRE(RequestsFrom(staying, "/p/", 1) == kProbeRequests);
+}
+
 // Stage servers without other load are used in the order of their ids.
 class LeavingStageServerFixture : public LeavingServerFixture {
  public:
