--- /dev/null
+++ b/tests/platform_adapter/store_client_test.cc
@@ -0,0 +1,191 @@
+#include "platform/store_client.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <mutex>
+
+#include "tests/transport/loop_fixture.h"
+#include "tests/transport/raw_server.h"
+
+namespace lovagecleat::platform_adapter {
+namespace {
+
+using gateway::RowsResponse;
+using routing::RowVersion;
+using std::chrono::milliseconds;
+
+// Returns a response with one row, or with none if `key` is empty.
+std::string MakePage(const std::string& fields, int version,
+                     const std::string& key, bool has_more = false) {
+  std::string row;
+  if (!key.empty())
+    row = R"({"table":"op","key":")" + key + R"(","value":"dg==","ver":)" +
+          std::to_string(version) + "}";
+  const std::string body =
+      R"({"ver":)" + std::to_string(version) + R"(,"nowMs":1,"morePages":)" +
+      (has_more ? "true" : "false") + R"(,"rows":[)" + row + "]}";
+  return "HTTP/1.1 200 OK\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A client and a store with prepared responses, sent in order.
+class StoreClientFixture : public transport::LoopFixture {
+ public:
+  StoreClientFixture()
+      : server_([this](transport::RawConnection& connection) {
+          while (const auto request = connection.ReadRequest()) {
+            std::string response;
+            {
+              const std::lock_guard<std::mutex> lock(mutex_);
+              requests_.push_back(request->substr(0, request->find('\r')));
+              if (responses_.empty()) return;
+              response = responses_.front();
+              responses_.pop_front();
+            }
+            connection.Write(response);
+          }
+        }),
+        log_descriptors_(OpenPipe()),
+        log_(clock_, "host", log_descriptors_[1]),
+        poller_(loop()),
+        pool_(poller_),
+        client(loop(), pool_, log_, server_.address()) {}
+
+  ~StoreClientFixture() {
+    for (const int descriptor : log_descriptors_) close(descriptor);
+  }
+
+  void Respond(const std::string& response) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    responses_.push_back(response);
+  }
+
+  RowsResponse ReadAll() {
+    return Complete([this](const gateway::RowSource::Callback& callback) {
+      client.ReadAll("op", callback);
+    });
+  }
+
+  RowsResponse Follow(RowVersion version) {
+    return Complete([&](const gateway::RowSource::Callback& callback) {
+      client.Follow("op", version, milliseconds(0), callback);
+    });
+  }
+
+  std::vector<std::string> requests() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return requests_;
+  }
+
+  // Returns the lines logged so far; there must be at least one.
+  std::string ReadLog() {
+    log_.Flush();
+    std::array<char, 4096> bytes{};
+    const ssize_t size = read(log_descriptors_[0], bytes.data(), bytes.size());
+    REQUIRE(size > 0);
+    return {bytes.data(), static_cast<std::size_t>(size)};
+  }
+
+ private:
+  static std::array<int, 2> OpenPipe() {
+    std::array<int, 2> descriptors{};
+    REQUIRE(pipe2(descriptors.data(), O_NONBLOCK | O_CLOEXEC) == 0);
+    return descriptors;
+  }
+
+  RowsResponse Complete(
+      const std::function<void(const gateway::RowSource::Callback&)>& call) {
+    std::optional<RowsResponse> received;
+    call([&](RowsResponse response) { received = std::move(response); });
+    RunUntil([&] { return received.has_value(); });
+    return *received;
+  }
+
+  std::mutex mutex_;
+  std::deque<std::string> responses_;
+  std::vector<std::string> requests_;
+  transport::RawServer server_;
+  SystemClock clock_;
+  std::array<int, 2> log_descriptors_;
+  logging::EventLog log_;
+  http::Poller poller_;
+  http::ConnectionPool pool_;
+
+ public:
+  StoreClient client;
+};
+
+TEST_CASE_METHOD(StoreClientFixture, "Rows have the era of their response") {
+  Respond(MakePage("Store-Era: 2\r\n", 7, "config"));
+  const RowsResponse all = ReadAll();
+  REQUIRE(all.status == RowsResponse::Status::kRead);
+  REQUIRE(all.version == RowVersion(2, 7));
+  REQUIRE(all.rows.at(0).version == RowVersion(2, 7));
+  Respond(MakePage("Store-Era: 3\r\n", 4, "config"));
+  const RowsResponse changes = Follow(all.version);
+  REQUIRE(changes.version == RowVersion(3, 4));
+  REQUIRE(changes.rows.at(0).version == RowVersion(3, 4));
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "A store without the field is in era 0") {
+  Respond(MakePage("", 7, "config"));
+  REQUIRE(ReadAll().version == RowVersion(0, 7));
+}
+
+TEST_CASE_METHOD(StoreClientFixture,
+                 "A response whose era cannot be read is not used") {
+  const auto [fields, expected] = GENERATE(table<const char*, const char*>({
+      {"Store-Era: 1\r\nStore-Era: 2\r\n", "a single field"},
+      {"Store-Era: 1\r\nStore-Era: 1\r\n", "a single field"},
+      {"Store-Era:\r\n", "a whole number"},
+      {"Store-Era: new\r\n", "a whole number"},
+      {"Store-Era: -1\r\n", "a whole number"},
+      {"Store-Era: 1.5\r\n", "a whole number"},
+      {"Store-Era: 99999999999999999999\r\n", "a whole number"},
+  }));
+  INFO(fields);
+  Respond(MakePage(fields, 7, "config"));
+  REQUIRE(ReadAll().status == RowsResponse::Status::kUnavailable);
+  const std::string log = ReadLog();
+  REQUIRE(log.find("store_era_unreadable") != std::string::npos);
+  REQUIRE(log.find(expected) != std::string::npos);
+  // The next response counts again.
+  Respond(MakePage("Store-Era: 1\r\n", 7, "config"));
+  REQUIRE(Follow({1, 6}).status == RowsResponse::Status::kRead);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "Gone history needs no rows") {
+  Respond("HTTP/1.1 410 Gone\r\nStore-Era: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(Follow({0, 9}).status == RowsResponse::Status::kHistoryGone);
+}
+
+// Guards against a table that never existed: its pages are of two eras.
+TEST_CASE_METHOD(StoreClientFixture,
+                 "A read starts anew if its pages are of two eras") {
+  Respond(MakePage("Store-Era: 1\r\n", 9, "a", true));
+  Respond(MakePage("Store-Era: 2\r\n", 5, "b", true));
+  Respond(MakePage("Store-Era: 2\r\n", 5, "a", true));
+  Respond(MakePage("Store-Era: 2\r\n", 6, "b"));
+  const RowsResponse response = ReadAll();
+  REQUIRE(response.status == RowsResponse::Status::kRead);
+  REQUIRE(response.version == RowVersion(2, 5));
+  REQUIRE(response.rows.size() == 2);
+  REQUIRE(response.rows[0].version == RowVersion(2, 5));
+  REQUIRE(response.rows[1].version == RowVersion(2, 6));
+  REQUIRE(requests().size() == 4);
+  REQUIRE(requests()[2] == requests()[0]);
+}
+
+TEST_CASE_METHOD(StoreClientFixture,
+                 "A later page of an older era ends the read") {
+  Respond(MakePage("Store-Era: 2\r\n", 5, "a", true));
+  Respond(MakePage("Store-Era: 1\r\n", 9, "b"));
+  REQUIRE(ReadAll().status == RowsResponse::Status::kUnavailable);
+}
+
+}  // namespace
+}  // namespace lovagecleat::platform_adapter
