Row follower: Feed kept content that is written again

A host that is fed could miss a configuration or a drain for good: it had not seen them before the store was restored, and the host that reads for its zone had kept them. When they were written again nothing changed there, so the feed left them out. A kept row now counts as changed until its owner has written it.

The new case in tests/gateway/store_era_test.cc failed before (configuration 3, not 5).

--- a/services/gateway/kept_rows.cc
+++ b/services/gateway/kept_rows.cc
@@ -5,31 +5,36 @@
 namespace lovagecleat::gateway {
 
 bool KeptRows::Keep(const routing::Row& known, const routing::Row& row) {
-  switch (source_.SubjectOf(row).kind) {
-    case RowSubject::Kind::kRouting: {
-      const auto known_table = codec_.ReadRouting(known.value);
-      if (known.is_removed || !known_table) return false;
-      const auto table = codec_.ReadRouting(row.value);
-      return row.is_removed || !table || table->version < known_table->version;
-    }
-    case RowSubject::Kind::kServer: {
-      const std::pair<std::string, std::string> key(row.table, row.key);
-      const bool is_older =
-          !row.is_removed &&
-          IsOlderServerEntry(known, row, servers_.contains(key));
-      if (is_older) {
-        servers_.insert(key);
-      } else {
-        servers_.erase(key);
-      }
-      return is_older;
-    }
+  const Key key(row.table, row.key);
+  const RowSubject::Kind kind = source_.SubjectOf(row).kind;
+  bool is_older = false;
+  switch (kind) {
+    case RowSubject::Kind::kRouting:
+      is_older = IsOlderTable(known, row);
+      break;
+    case RowSubject::Kind::kServer:
+      is_older = !row.is_removed &&
+                 IsOlderServerEntry(known, row, kept_.contains(key));
+      break;
     case RowSubject::Kind::kEvacuation:
     case RowSubject::Kind::kHost:
     case RowSubject::Kind::kOther:
-      return false;
+      break;
   }
-  return false;
+  if (is_older) {
+    kept_.insert_or_assign(key, kind);
+  } else {
+    kept_.erase(key);
+  }
+  return is_older;
+}
+
+bool KeptRows::IsOlderTable(const routing::Row& known,
+                            const routing::Row& row) const {
+  const auto before = codec_.ReadRouting(known.value);
+  if (known.is_removed || !before) return false;
+  const auto after = codec_.ReadRouting(row.value);
+  return row.is_removed || !after || after->version < before->version;
 }
 
 // Within one era the store orders the entries. Of two entries from different
@@ -58,9 +63,15 @@
              : after->started_unix_ms < before->started_unix_ms;
 }
 
-bool KeptRows::HasRowsOf(const std::string& table) const {
-  return std::any_of(servers_.begin(), servers_.end(),
-                     [&](const auto& key) { return key.first == table; });
+bool KeptRows::IsKept(const routing::Row& row) const {
+  return kept_.contains({row.table, row.key});
+}
+
+bool KeptRows::HasServersOf(const std::string& table) const {
+  return std::any_of(kept_.begin(), kept_.end(), [&](const auto& entry) {
+    return entry.first.first == table &&
+           entry.second == RowSubject::Kind::kServer;
+  });
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/kept_rows.h
+++ b/services/gateway/kept_rows.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <set>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -19,18 +19,23 @@
   // newer version, and remembers that it does.
   bool Keep(const routing::Row& known, const routing::Row& row);
 
-  // Returns whether content of the table is kept that its owner may have
-  // written anew since.
-  bool HasRowsOf(const std::string& table) const;
+  // Returns whether the content of the row with this key is kept.
+  bool IsKept(const routing::Row& row) const;
+
+  // Returns whether entries of servers in the table are kept, which the servers
+  // may have written again since.
+  bool HasServersOf(const std::string& table) const;
 
  private:
+  using Key = std::pair<std::string, std::string>;  // table and key
+
+  bool IsOlderTable(const routing::Row& known, const routing::Row& row) const;
   bool IsOlderServerEntry(const routing::Row& known, const routing::Row& row,
                           bool is_kept) const;
 
   const MessageCodec& codec_;
   const RowSource& source_;
-  // Servers' rows whose content is kept, by table and key.
-  std::set<std::pair<std::string, std::string>> servers_;
+  std::map<Key, RowSubject::Kind> kept_;
 };
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -276,7 +276,8 @@
   for (const routing::Row& row :
        replica_.RowsBeforeEra(table.name, table.position.era()))
     kinds.insert(source_.SubjectOf(row).kind);
-  if (kept_rows_.HasRowsOf(table.name)) kinds.insert(RowSubject::Kind::kServer);
+  if (kept_rows_.HasServersOf(table.name))
+    kinds.insert(RowSubject::Kind::kServer);
   for (const RowSubject::Kind kind : kinds)
     if (is_new_era || !settle_timers_.contains({table.name, kind}))
       ScheduleSettling(table, kind);
@@ -306,7 +307,7 @@
     Merge(row, RowOrigin::kStore);
   }
   if (kind != RowSubject::Kind::kServer || !IsFed(table) ||
-      !kept_rows_.HasRowsOf(table.name) ||
+      !kept_rows_.HasServersOf(table.name) ||
       table.kept_row_checks >= kMaxKeptRowChecks)
     return;
   ++table.kept_row_checks;
@@ -378,8 +379,10 @@
   if (before == nullptr || before->is_removed != row.is_removed) return true;
   // Known from another host; the hosts that are fed may not have it.
   if (before->version >= row.version) return true;
-  // Missing until now; the hosts that are fed wait for it.
-  if (before->version.era() != row.version.era()) return true;
+  // The hosts that are fed may know other content than this host has kept, or
+  // wait for a row that was missing in a restored store.
+  if (kept_rows_.IsKept(row) || before->version.era() != row.version.era())
+    return true;
   if (row.is_removed) return false;
   if (source_.SubjectOf(row).kind != RowSubject::Kind::kServer)
     return before->value != row.value;
--- a/tests/gateway/store_era_test.cc
+++ b/tests/gateway/store_era_test.cc
@@ -1,8 +1,6 @@
-#include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "tests/gateway/gateway_fixture.h"
-#include "tests/policy/property.h"
+#include "tests/gateway/store_era_fixture.h"
 
 namespace lovagecleat::gateway {
 namespace {
@@ -18,194 +16,6 @@
 constexpr Duration kEvacuationSettleTime = seconds(12);
 constexpr Duration kHostSettleTime = seconds(62);
 
-std::string MakeConfiguration(std::uint64_t version,
-                              const std::string& route = "r") {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"name":")" + route +
-         R"(","host":"h","prefix":"/","kind":"safe","timeoutMs":800,)"
-         R"("goalMs":300,"attempts":2,"service":"s"}],)"
-         R"("services":[{"name":"s","healthPath":"/h","maxConns":9}]})";
-}
-
-std::string MakeServer(int sequence, bool is_draining, int born = 1) {
-  return R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,)"
-         R"("state":")" +
-         std::string(is_draining ? "draining" : "ready") + R"(","seq":)" +
-         std::to_string(sequence) + R"(,"born":)" + std::to_string(born) + "}";
-}
-
-// Reaches the common store from one host: it may be cut off, and its responses
-// may be held back.
-class StoreView final : public RowSource {
- public:
-  explicit StoreView(FakeRowSource& store) : store_(store) {}
-
-  std::vector<std::string> tables() const override { return store_.tables(); }
-  RowSubject SubjectOf(const routing::Row& row) const override {
-    return store_.SubjectOf(row);
-  }
-  void ReadAll(const std::string& table, Callback callback) override {
-    ++full_reads;
-    if (is_cut) return callback({});
-    store_.ReadAll(table, Deliver(std::move(callback)));
-  }
-  void Follow(const std::string& table, RowVersion version, Duration wait,
-              Callback callback) override {
-    if (is_cut) return callback({});
-    store_.Follow(table, version, wait, Deliver(std::move(callback)));
-  }
-  void WriteHost(const HostId& host, std::string value,
-                 std::function<void(bool)> callback) override {
-    store_.WriteHost(host, std::move(value), std::move(callback));
-  }
-
-  // Completes the calls whose responses were held back.
-  void Release() {
-    is_holding = false;
-    for (const auto& deliver : std::exchange(held_, {})) deliver();
-  }
-
-  bool is_cut = false;
-  bool is_holding = false;
-  int full_reads = 0;
-
- private:
-  Callback Deliver(Callback callback) {
-    if (!is_holding) return callback;
-    return
-        [this, callback = std::move(callback)](const RowsResponse& response) {
-          held_.push_back([callback, response] { callback(response); });
-        };
-  }
-
-  FakeRowSource& store_;
-  std::vector<std::function<void()>> held_;
-};
-
-// One host without a gateway: what is in force there follows from the rows that
-// its follower applies.
-class Host {
- public:
-  Host(transport::Loop& loop, const Clock& clock, FakeRowSource& store)
-      : view(store),
-        log_(clock, "host", -1),
-        poller_(loop),
-        pool_(poller_),
-        context_{loop,     codec_,
-                 {},       log_,
-                 metrics_, poller_,
-                 pool_,    Random(1),
-                 {},       routing::SendLimiter(HostId("host")),
-                 {},       policy::RetryBudget(),
-                 nullptr,  1},
-        follower(context_, view,
-                 [this](const routing::Row& row, RowOrigin origin) {
-                   Apply(row, origin);
-                 }) {
-    follower.SetFeedCallback([this](std::span<const TableChanges> changes) {
-      fed.emplace_back(changes.begin(), changes.end());
-    });
-  }
-
-  bool IsEvacuated(const std::string& zone) const {
-    return evacuated.contains(zone);
-  }
-  // Returns null for a server that is not in use.
-  const routing::ServerEntry* FindServer(const std::string& id) const {
-    const auto found = servers.find(id);
-    return found == servers.end() ? nullptr : &found->second;
-  }
-  bool IsDraining(const std::string& id) const {
-    const routing::ServerEntry* entry = FindServer(id);
-    return entry != nullptr && entry->is_draining;
-  }
-  std::string metrics_text() const { return metrics_.PrometheusText(); }
-
-  StoreView view;
-  std::uint64_t configuration_version = 0;
-  std::string configuration;
-  std::set<std::string> evacuated;
-  std::map<std::string, routing::ServerEntry> servers;
-  std::set<std::string> hosts;
-  std::vector<std::vector<TableChanges>> fed;
-
- private:
-  void Apply(const routing::Row& row, RowOrigin origin) {
-    const RowSubject subject = view.SubjectOf(row);
-    switch (subject.kind) {
-      case RowSubject::Kind::kRouting: {
-        const auto table = codec_.ReadRouting(row.value);
-        if (row.is_removed || !table) return;
-        REQUIRE(table->version >= configuration_version);
-        configuration_version = table->version;
-        configuration = row.value;
-        return;
-      }
-      case RowSubject::Kind::kEvacuation:
-        if (row.is_removed) {
-          evacuated.erase(subject.name);
-        } else {
-          evacuated.insert(subject.name);
-        }
-        return;
-      case RowSubject::Kind::kServer: {
-        if (row.is_removed) {
-          // The directory keeps it until recovering_until.
-          if (origin != RowOrigin::kStoreAfterOutage) servers.erase(row.key);
-          return;
-        }
-        const auto entry = codec_.ReadServer(row.key, row.value);
-        REQUIRE(entry);
-        servers.insert_or_assign(row.key, *entry);
-        return;
-      }
-      case RowSubject::Kind::kHost:
-        if (row.is_removed) {
-          hosts.erase(row.key);
-        } else {
-          hosts.insert(row.key);
-        }
-        return;
-      case RowSubject::Kind::kOther:
-        return;
-    }
-  }
-
-  platform_adapter::PlatformMessageCodec codec_;
-  logging::EventLog log_;
-  metrics::Registry metrics_;
-  http::Poller poller_;
-  http::ConnectionPool pool_;
-  Context context_;
-
- public:
-  RowFollower follower;
-};
-
-class StoreEraFixture {
- public:
-  StoreEraFixture() : host(loop_, clock_, store), other(loop_, clock_, store) {}
-  ~StoreEraFixture() { loop_.DestroyPending(); }
-
-  void RunFor(Duration time) {
-    for (Duration step = milliseconds(10); time > Duration::zero();
-         time -= step) {
-      clock_.Advance(step);
-      loop_.RunDueTimers();
-    }
-  }
-
-  FakeRowSource store;
-
- private:
-  ManualClock clock_;
-  transport::Loop loop_{clock_};
-
- public:
-  Host host;
-  Host other;
-};
-
 TEST_CASE_METHOD(StoreEraFixture,
                  "A restored configuration does not replace a newer one") {
   store.Set("op", "config", MakeConfiguration(3));
@@ -217,6 +27,7 @@
   store.Restore(copy);
   RunFor(kReadTime);
   REQUIRE(host.configuration_version == 5);
+  REQUIRE_FALSE(host.has_regressed);
   // Hosts that ask this one get what is in force.
   REQUIRE(host.follower.replica().Find("op", "config")->value ==
           MakeConfiguration(5, "lost"));
@@ -553,6 +364,36 @@
   REQUIRE(other.FindServer("a") != nullptr);
 }
 
+// Guards against changes that a fed host misses: the reader had kept the lost
+// content, so nothing changed there when it was written again.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "Content that the reader kept is fed when written again") {
+  store.Set("op", "config", MakeConfiguration(3));
+  store.Set("servers", "a", MakeServer(10, false));
+  const FakeRowSource::Copy copy = store.Save();
+  host.follower.Start();
+  other.follower.SetRank(1);
+  other.follower.Start();
+  other.view.is_cut = true;
+  store.Set("op", "config", MakeConfiguration(5));
+  store.Set("servers", "a", MakeServer(12, true));
+  RunFor(kReadTime);
+  REQUIRE(host.IsDraining("a"));
+  REQUIRE_FALSE(other.IsDraining("a"));
+  store.Restore(copy);
+  RunFor(kReadTime);
+  other.view.is_cut = false;
+  RunFor(kReadTime);
+  host.fed.clear();
+  store.Set("op", "config", MakeConfiguration(5));
+  store.Set("servers", "a", MakeServer(13, true));
+  other.view.is_cut = true;
+  RunFor(kReadTime);
+  for (const auto& changes : host.fed) other.follower.ApplyFeed(changes);
+  REQUIRE(other.configuration_version == 5);
+  REQUIRE(other.IsDraining("a"));
+}
+
 // Guards against a server that stays out of use: a reader that started after
 // the restore sees no change in the entry and does not feed it.
 TEST_CASE_METHOD(StoreEraFixture,
