Row follower: Reject rows of a peer that this host knows to be removed

A zone could stay evacuated for good without any restore: a host that had read the operators' table after the removal got the row from another host that had not seen the removal yet, and no later read or feed named the row again. Rows from peers up to the version that this host has read are now ignored; a row that is unknown up to there was removed.

The new case in tests/gateway/row_follower_test.cc failed before.

--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -480,13 +480,16 @@
     if (IsAcceptableFromPeer(row)) Merge(row, RowOrigin::kPeer);
 }
 
-// A row of an older era that the restored store lacks is in force only until it
-// would lapse here as well.
+// Once a table was read, everything up to its position is known here: a row up
+// to there that is unknown was removed. A row of an older era that the restored
+// store lacks is in force only until it would lapse here as well.
 bool RowFollower::IsAcceptableFromPeer(const routing::Row& row) const {
-  if (row.version.era() >= store_era_) return true;
   for (const Table& table : tables_)
-    if (table.name == row.table && MustReadAll(table)) return true;
-  return settle_timers_.contains({row.table, source_.SubjectOf(row).kind});
+    if (table.name == row.table &&
+        (MustReadAll(table) || row.version > table.position))
+      return true;
+  return row.version.era() < store_era_ &&
+         settle_timers_.contains({row.table, source_.SubjectOf(row).kind});
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -64,7 +64,7 @@
   void ApplyFeed(std::span<const TableChanges> changes);
 
   // Merges rows from another host; ignores rows older than the known ones, and
-  // rows of an older era that this host would not keep itself.
+  // unknown ones that this host knows to be removed or would not keep itself.
   void MergeFromPeer(std::span<const routing::Row> rows);
 
   // Returns whether reads of some table have failed for some hundred
--- a/tests/gateway/row_follower_test.cc
+++ b/tests/gateway/row_follower_test.cc
@@ -130,6 +130,20 @@
   REQUIRE(applied.size() == 1);
 }
 
+// Guards against a removed row that returns for good: a peer that had not seen
+// the removal sent the row after this host had read the table without it.
+TEST_CASE_METHOD(
+    FollowerFixture,
+    "A removed row that was never known is not taken from a peer") {
+  rows.Set("op", "evacuate/z", "");
+  const std::vector<routing::Row> peer_rows = {
+      {"op", "evacuate/z", "", {0, 1}, false}};
+  rows.Remove("op", "evacuate/z");
+  follower.Start();
+  follower.MergeFromPeer(peer_rows);
+  REQUIRE(applied.empty());
+}
+
 std::string MakeServerEntry(int sequence, bool is_draining) {
   return R"({"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,)"
          R"("state":")" +
