--- a/tests/gateway/store_era_fixture.h
+++ b/tests/gateway/store_era_fixture.h
@@ -99,6 +99,11 @@
     });
   }
 
+  void Start() {
+    is_started = true;
+    follower.Start();
+  }
+
   bool IsEvacuated(const std::string& zone) const {
     return evacuated.contains(zone);
   }
@@ -117,6 +122,7 @@
   std::string metrics_text() const { return metrics_.PrometheusText(); }
 
   StoreView view;
+  bool is_started = false;
   std::uint64_t configuration_version = 0;
   std::string configuration;
   bool has_regressed = false;  // an older configuration came into force
