Soak: Leaving notices, quiet times, restores of the store and silences

Servers now announce in every response that they are about to exit, ask hosts for quiet with a 503 and Retry-After, and may send nothing for about a second within an answer; a store may come back from an older copy of itself under a higher era. The soak played none of these.

- A server says in all its responses that it leaves, with or without a draining entry in the store, and stays for four seconds or more.
- A server turns new work away for a while, with and without the field that says "not run", and sometimes with a value that is not a number.
- The store goes away for 0.2 to 1.8 s and returns with an older copy: right after the hosts have joined, twice in a row, while a zone's hosts are cut off from the store, beside a change of the configuration, and after a drain and an evacuation that hosts know of.
Operators write their rows again within two seconds, servers with their next heartbeat.
- A server is silent for 0.8 to 1.2 s within a head, a body or a stage call, or between and within the events of a stream.

New checks: "quiet", "era" and "silence"; "leaving" also covers notices. The hosts of stage calls are found by the owner of the connection. Whether a configuration goes back after a restore is seen by the check "configuration", which no disturbance excuses. record_test feeds each check a violation and the cases that excuse it.

After restores that lost the hosts' own rows, hosts did not write them again.

--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -20,6 +20,15 @@
 # From this many streams that were taken up again on, the share that goes on is checked.
 MINIMUM_RESUMED_STREAMS = 12
 RESUMED_SHARE = 0.5
+# A server that asked a host for quiet may get this many requests from it between the delay and the end of the time.
+QUIET_DELAY_SECONDS = 0.5
+QUIET_REQUESTS = 2
+# Time in which a response to a stage call surely reaches its host.
+NOTICE_SECONDS = 1.5
+# The longest silence of a sound server for which the gateways do nothing.
+SILENCE_SECONDS = 1.2
+# Time for an observation to reach the soak, which may run late itself.
+SILENCE_SLACK_SECONDS = 0.1
 # With these statuses the request has not run and will not run.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 
@@ -61,6 +70,59 @@
     host: str
     at: float
     sent_at: float
+    incarnation: int = 1
+
+
+@dataclasses.dataclass
+class StageCall(Arrival):
+    """The arrival of a call with items of several requests; `id` is the request that its caller sent last."""
+
+    items: list = dataclasses.field(default_factory=list)  # (request ID, stage, number of the piece)
+
+
+@dataclasses.dataclass
+class Notice:
+    """The first response with a server's leaving notice that a host passed on, or certainly has of a stage call."""
+
+    server: str
+    host: str
+    incarnation: int
+    at: float
+
+
+@dataclasses.dataclass
+class QuietAnswer:
+    """A response with which a server asked a host to send nothing for some seconds."""
+
+    server: str
+    host: str
+    incarnation: int
+    at: float
+    seconds: float
+
+
+@dataclasses.dataclass
+class Silence:
+    """A time in which a server sent nothing in the middle of an answer; it went on afterwards."""
+
+    id: str  # of the request; of a stage call, the one that its caller sent first
+    server: str
+    host: str
+    begin: float
+    end: float
+    place: str  # such as "a stream" or "head of a response"
+    is_closed: bool = False  # the connection was closed before the server went on
+    items: list = dataclasses.field(default_factory=list)  # those of a stage call
+
+
+@dataclasses.dataclass
+class LostRow:
+    """A host's own row that a restore of the store took away or replaced by an older one."""
+
+    host: str
+    lost_at: float
+    checked_at: float
+    is_written_again: bool
 
 
 @dataclasses.dataclass
@@ -121,14 +183,45 @@
         self.server_faults = set()  # requests whose response a server truncated
         self.interrupted = set()  # requests in progress at a server that ended or lost its connections
         self.backends = []
+        self.stage_calls = []
+        self.notices = {}  # (server, host, incarnation) to notice
+        self.quiet_answers = []
+        self.silences = []
+        self.server_cuts = []  # (server, time at which its open connections were lost)
+        self.restores = []  # spans from the loss of the store until it is back
+        self.lost_rows = []
+        self.store_cuts = []  # spans in which a host does not reach the store
         self.mixed_inputs = []  # descriptions of stage inputs that don't belong to the request
 
     def is_disturbed(self, host, begin, end):
         return any(
             span.begin - CONTACT_SECONDS < end and begin < span.end + CONTACT_SECONDS and span.host in ("", host)
-            for span in self.disturbances
+            for span in self.disturbances + self.store_cuts
+        )
+
+    def was_interrupted(self, host, begin, end):
+        """Returns whether the host was killed, frozen or stopped in this time, without the time in touch around it."""
+        return any(
+            span.begin < end and begin < span.end and span.host == host
+            for span in self.disturbances + self.graceful_stops
         )
 
+    def has_learned(self, host, begin, end, seconds):
+        """Returns whether the host was in touch with the store for so long at a stretch in this time."""
+        spans = sorted(
+            (span.begin, span.end)
+            for span in self.disturbances + self.store_cuts + self.graceful_stops
+            if span.host in ("", host)
+        )
+        for span_begin, span_end in spans + [(end, end)]:
+            if min(span_begin, end) - begin >= seconds:
+                return True
+            begin = max(begin, span_end)
+        return False
+
+    def is_server_cut(self, server, begin, end):
+        return any(server == cut and begin <= at <= end for cut, at in self.server_cuts)
+
     def is_left_alone(self, host, begin, end):
         """Returns whether the host was not killed, frozen or stopped; faults of its environment don't count."""
         is_faulty = any(
@@ -236,6 +329,28 @@
 
 
 def check_leaving(record):
+    return drained_servers_used(record) + leaving_servers_used(record)
+
+
+def leaving_servers_used(record):
+    """After a host has passed on a server's notice, it sends nothing there that callers sent later than the bound."""
+    failures = []
+    for arrival in record.arrivals + record.stage_calls:
+        notice = record.notices.get((arrival.server, arrival.host, arrival.incarnation))
+        if (
+            notice
+            and arrival.sent_at > notice.at + CHANGE_SECONDS
+            and not record.was_interrupted(arrival.host, notice.at, arrival.at)
+            and not record.is_server_cut(arrival.server, notice.at - NOTICE_SECONDS, notice.at)
+        ):
+            failures.append(
+                f"request {arrival.id}, sent {arrival.sent_at - notice.at:.2f} s after {arrival.host} had passed on "
+                f"the leaving notice of {arrival.server}, reached it, expected none after {CHANGE_SECONDS:.1f} s"
+            )
+    return failures
+
+
+def drained_servers_used(record):
     return [
         f"request {arrival.id} reached {arrival.server} "
         f"{arrival.at - record.drained_at[arrival.server]:.2f} s after it started to drain"
@@ -376,6 +491,99 @@
     return failures
 
 
+def check_quiet(record):
+    """A server that asked a host for quiet gets next to nothing from it until the time is over."""
+    times = {}
+    for arrival in record.arrivals + record.stage_calls:
+        times.setdefault((arrival.server, arrival.host, arrival.incarnation), []).append(arrival.at)
+    worst = {}
+    for answer in record.quiet_answers:
+        process = (answer.server, answer.host, answer.incarnation)
+        begin = answer.at + QUIET_DELAY_SECONDS
+        end = answer.at + answer.seconds
+        count = sum(1 for at in times.get(process, []) if begin < at < end)
+        if (
+            count <= QUIET_REQUESTS
+            or record.was_interrupted(answer.host, answer.at, end)
+            or record.is_server_cut(answer.server, answer.at - QUIET_DELAY_SECONDS, end)
+        ):
+            continue
+        worst[process] = max(worst.get(process, 0), count)
+    return [
+        f"{server} got {count} requests from {host} while it had asked for quiet, expected {QUIET_REQUESTS} at most"
+        for (server, host, _), count in worst.items()
+    ]
+
+
+def check_era(record):
+    """A restore of the store from an older copy takes back nothing that hosts had acted on."""
+    failures = []
+    for restore in record.restores:
+        known = [({server}, at, math.inf, CHANGE_SECONDS) for server, at in record.drained_at.items()]
+        for span in record.evacuations:
+            servers = {server for server, zone in record.zone_of.items() if zone == span.detail}
+            known.append((servers, span.begin, span.end, EVACUATION_SECONDS))
+        for servers, begin, end, bound in known:
+            for arrival in record.arrivals + record.stage_calls:
+                if (
+                    arrival.server in servers
+                    and restore.begin < arrival.sent_at
+                    and arrival.at < end
+                    and record.has_learned(arrival.host, begin, restore.begin, max(bound, CONTACT_SECONDS))
+                    and not record.was_interrupted(arrival.host, begin, arrival.at)
+                ):
+                    failures.append(
+                        f"request {arrival.id} reached {arrival.server} {arrival.at - restore.begin:.2f} s after a "
+                        f"restore of the store, though it was drained or evacuated {restore.begin - begin:.2f} s before"
+                    )
+    for row in record.lost_rows:
+        is_excused = any(
+            span.begin < row.checked_at and row.lost_at < span.end and span.host in ("", row.host)
+            for span in record.disturbances + record.store_cuts + record.graceful_stops
+            if span.detail != "restore"
+        ) or any(row.lost_at < restore.begin < row.checked_at for restore in record.restores)
+        if not row.is_written_again and not is_excused:
+            failures.append(
+                f"{row.host} did not write its own row again within {row.checked_at - row.lost_at:.1f} s "
+                "after a restore of the store"
+            )
+    return failures
+
+
+def check_silence(record):
+    """A sound server that says nothing for about a second and goes on keeps its connection and its requests."""
+    failures = []
+    times = {}
+    for arrival in record.arrivals:
+        times.setdefault(arrival.id, []).append(arrival.at)
+    for call in record.stage_calls:
+        for item in call.items:
+            times.setdefault(item, []).append(call.at)
+    responses = {response.id: response for response in record.responses}
+    for silence in record.silences:
+        sent = record.sent.get(silence.id)
+        response = responses.get(silence.id)
+        if (
+            sent is None
+            or not silence.host
+            or silence.end - silence.begin > SILENCE_SECONDS + SILENCE_SLACK_SECONDS
+            or silence.end - sent.at > sent.time_limit * GUARDED_SHARE_OF_TIME_LIMIT
+            or response is None
+            or response.is_left and response.at < silence.end + SILENCE_SLACK_SECONDS
+            or not record.is_left_alone(silence.host, silence.begin, silence.end)
+            or not record.is_left_alone(sent.host, sent.at, silence.end)
+            or record.is_server_cut(silence.server, sent.at, silence.end)
+        ):
+            continue
+        seconds = silence.end - silence.begin
+        where = f"a silence of {seconds:.2f} s of {silence.server} ({silence.place}) for request {silence.id}"
+        if silence.is_closed:
+            failures.append(f"{silence.host} closed the connection during {where}")
+        elif any(silence.begin < at <= silence.end for item in silence.items or [silence.id] for at in times[item]):
+            failures.append(f"the request was sent again during {where}")
+    return failures
+
+
 def check_inputs(record):
     return list(record.mixed_inputs)
 
@@ -403,6 +611,9 @@
     "stops": check_stops,
     "losses": check_losses,
     "retries": check_retries,
+    "quiet": check_quiet,
+    "era": check_era,
+    "silence": check_silence,
     "inputs": check_inputs,
     "service": check_service,
 }
--- a/tests/soak/record_test.py
+++ b/tests/soak/record_test.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from record import Response, Arrival, Record, Execution, SentRequest, ServerRun, Span, violations
+from record import (Response, Arrival, LostRow, Notice, QuietAnswer, Record, Execution, SentRequest, ServerRun, Silence,
+                    Span, StageCall, violations)
 
 
 def conforming_record():
@@ -36,6 +37,42 @@
     )
 
 
+def record_with_notice(server="s"):
+    """A record in which a host passed on the notice of a server 2.5 s before the last request of its callers."""
+    record = conforming_record()
+    record.notices[(server, "host", 1)] = Notice(server, "host", 1, 14.5)
+    return record
+
+
+def record_with_quiet(requests):
+    """A record in which a server answered at 40 s with 3 s of quiet and got so many requests 1 s later."""
+    record = conforming_record()
+    record.quiet_answers.append(QuietAnswer("s", "host", 1, 40.0, 3.0))
+    # They don't count: too early, too late, of another host and of another process of the host.
+    others = [(40.4, "host", 1)] * 3 + [(43.1, "host", 1)] * 3 + [(41.0, "other", 1)] * 3 + [(41.0, "host", 2)] * 3
+    for number, (at, host, incarnation) in enumerate(others + [(41.0, "host", 1)] * requests):
+        record.arrivals.append(Arrival(f"q{number}", "s", "plain", host, at, at - 0.1, incarnation))
+    return record
+
+
+def record_with_restore(begin=30.0):
+    """A record in which the store went back to an older copy and a request reached a server 1 s later."""
+    record = conforming_record()
+    record.restores.append(Span(begin, begin + 0.5))
+    record.disturbances.append(Span(begin, begin + 2.0, "", "restore"))
+    record.arrivals.append(Arrival("late", "s2", "plain", "host", begin + 1.0, begin + 0.9))
+    record.zone_of["s2"] = "zone-b"
+    return record
+
+
+def record_with_silence(is_closed=False):
+    """A record in which a server was silent for 1 s in its answer to a request."""
+    record = conforming_record()
+    record.sent["r1"].at = 10.9
+    record.silences.append(Silence("r1", "s", "host", 11.1, 12.1, "answer", is_closed))
+    return record
+
+
 class RecordTest(unittest.TestCase):
     def assert_violation(self, record, name):
         found = violations(record)
@@ -199,6 +236,144 @@
         record.responses[-1].at = 18.9
         self.assert_violation(record, "losses")
 
+    def assert_excused_by_interruptions(self, make_record, name, begin, end):
+        """Expects a violation unless the host itself is disturbed in the given time."""
+        for span in (Span(begin, end, "host"), Span(begin, end, "other"), Span(begin, end)):
+            record = make_record()
+            record.disturbances.append(span)
+            found = [text for text in violations(record) if text.startswith(f"{name}:")]
+            self.assertEqual(bool(found), span.host != "host", (span, found))
+
+    def test_request_to_a_server_that_gave_notice(self):
+        self.assert_violation(record_with_notice(), "leaving")
+        self.assertEqual(violations(record_with_notice("other")), [])
+        self.assert_excused_by_interruptions(record_with_notice, "leaving", 15.0, 15.5)
+
+    def test_request_that_was_sent_within_the_bound_of_a_notice(self):
+        record = record_with_notice()
+        record.notices[("s", "host", 1)].at = 15.0
+        record.arrivals[-1].at = 18.0
+        self.assertEqual(violations(record), [])
+
+    def test_request_of_a_restarted_host_to_a_server_that_gave_notice(self):
+        record = record_with_notice()
+        record.arrivals[-1].incarnation = 2
+        self.assertEqual(violations(record), [])
+
+    def test_stage_call_to_a_server_that_gave_notice(self):
+        record = record_with_notice("e")
+        record.stage_calls.append(StageCall("r7", "e", "encoder", "host", 17.2, 17.0, 1, [("r7", 0, 0)]))
+        self.assert_violation(record, "leaving")
+        record.server_cuts.append(("e", 14.4))
+        self.assertEqual(violations(record), [])
+
+    def test_requests_to_a_server_that_asked_for_quiet(self):
+        self.assertEqual(violations(record_with_quiet(2)), [])
+        self.assert_violation(record_with_quiet(3), "quiet")
+        self.assert_excused_by_interruptions(lambda: record_with_quiet(3), "quiet", 41.5, 42.0)
+        record = record_with_quiet(3)
+        record.server_cuts.append(("other", 40.2))
+        self.assert_violation(record, "quiet")
+        record.server_cuts.append(("s", 40.2))
+        self.assertEqual(violations(record), [])
+
+    def test_stage_calls_to_a_server_that_asked_for_quiet(self):
+        record = record_with_quiet(2)
+        record.stage_calls.append(StageCall("r7", "s", "encoder", "host", 41.2, 17.0, 1, [("r7", 0, 0)]))
+        self.assert_violation(record, "quiet")
+
+    def test_request_to_a_drained_server_after_a_restore(self):
+        def record_with_drain(at=25.0):
+            record = record_with_restore()
+            record.drained_at["s2"] = at
+            return record
+
+        self.assertEqual(violations(record_with_restore()), [])
+        self.assert_violation(record_with_drain(), "era")
+        # The drain was not in force yet.
+        self.assertEqual(violations(record_with_drain(28.5)), [])
+        self.assert_excused_by_interruptions(record_with_drain, "era", 30.6, 30.7)
+        # The host was never in touch for long enough between the drain and the restore, so it may not know of it.
+        for name, host in (("disturbances", ""), ("store_cuts", "host")):
+            record = record_with_drain()
+            getattr(record, name).append(Span(24.0, 26.5, host))
+            self.assert_violation(record, "era")
+            getattr(record, name).append(Span(27.0, 28.0, host))
+            self.assertEqual(violations(record), [])
+
+    def test_stage_call_to_a_drained_server_after_a_restore(self):
+        record = record_with_restore()
+        record.drained_at["e"] = 25.0
+        record.stage_calls.append(StageCall("r7", "e", "encoder", "host", 31.2, 31.0, 1, [("r7", 0, 0)]))
+        self.assert_violation(record, "era")
+
+    def test_request_to_an_evacuated_zone_after_a_restore(self):
+        record = record_with_restore()
+        record.evacuations.append(Span(24.0, 40.0, "", "zone-b"))
+        self.assert_violation(record, "era")
+        for begin, end in ((26.0, 40.0), (24.0, 30.9)):
+            record.evacuations = [Span(begin, end, "", "zone-b")]
+            self.assertEqual(violations(record), [])
+
+    def test_configuration_goes_back_after_a_restore(self):
+        record = record_with_restore()
+        add_probe(record, 29.5, 5)
+        add_probe(record, 30.7, 4)
+        self.assert_violation(record, "configuration")
+
+    def test_own_row_that_is_not_written_again_after_a_restore(self):
+        def record_with_row(is_written_again=False):
+            record = record_with_restore()
+            record.lost_rows.append(LostRow("host", 30.5, 35.5, is_written_again))
+            return record
+
+        self.assertEqual(violations(record_with_row(True)), [])
+        self.assert_violation(record_with_row(), "era")
+        for disturbance in (Span(33.0, 34.0), Span(33.0, 34.0, "host")):
+            record = record_with_row()
+            record.disturbances.append(disturbance)
+            self.assertEqual(violations(record), [])
+        record = record_with_row()
+        record.store_cuts.append(Span(33.0, 34.0, "host"))
+        self.assertEqual(violations(record), [])
+        record = record_with_row()
+        record.restores.append(Span(34.0, 35.0))
+        self.assertEqual(violations(record), [])
+
+    def test_connection_that_a_gateway_closes_during_a_silence(self):
+        self.assertEqual(violations(record_with_silence()), [])
+        self.assert_violation(record_with_silence(True), "silence")
+        self.assert_excused_by_interruptions(lambda: record_with_silence(True), "silence", 11.5, 11.6)
+
+    def test_request_that_is_sent_again_during_a_silence(self):
+        record = record_with_silence()
+        record.arrivals.append(Arrival("r1", "other", "plain", "host", 11.8, 10.9))
+        self.assert_violation(record, "silence")
+        record.arrivals[-1].at = 12.2
+        self.assertEqual(violations(record), [])
+
+    def test_stage_item_that_is_sent_again_during_a_silence(self):
+        items = [("r1", 0, 0), ("r2", 0, 0)]
+        record = conforming_record()
+        record.sent["r1"].at = 10.9
+        record.stage_calls.append(StageCall("r2", "e", "encoder", "host", 11.0, 10.9, 1, items))
+        record.silences.append(Silence("r1", "e", "host", 11.1, 12.1, "stage call", False, items))
+        self.assertEqual(violations(record), [])
+        record.stage_calls.append(StageCall("r2", "e2", "encoder", "host", 11.8, 10.9, 1, items[1:]))
+        self.assert_violation(record, "silence")
+
+    def test_silences_that_prove_nothing(self):
+        def check_excused(change):
+            record = record_with_silence(True)
+            change(record)
+            self.assertEqual(violations(record), [])
+
+        check_excused(lambda record: setattr(record.silences[0], "begin", 10.5))  # longer than the bound
+        check_excused(lambda record: record.server_cuts.append(("s", 11.5)))
+        check_excused(lambda record: setattr(record.sent["r1"], "time_limit", 1.5))
+        check_excused(lambda record: setattr(record.responses[1], "is_left", True))
+        check_excused(lambda record: record.graceful_stops.append(Span(11.5, 12.0, "host")))
+
     def test_too_many_retries(self):
         record = conforming_record()
         record.arrivals += [Arrival("r1", "s", "plain", "host", 12 + i / 100, 11) for i in range(60)]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,8 +1,13 @@
 """Runs real gateway processes with randomly injected faults and checks what callers and backend servers observe.
 
-soak.py [--seed N] [--runs N] [--seconds S] [--hosts N] [--mixed-versions] [--keep FOLDER]
+soak.py [--seed N] [--runs N] [--seconds S] [--hosts N] [--mixed-versions] [--leaving] [--quiet] [--restores]
+        [--silence] [--keep FOLDER]
 Prints "soak: ok" and exits with 0, or prints the seeds that failed and exits with 1.
 --mixed-versions lets model servers of two software versions serve side by side.
+--leaving lets servers give notice in their responses before they leave.
+--quiet lets servers turn requests away and ask for quiet.
+--restores replaces the store by an older copy of itself now and then.
+--silence lets sound servers send nothing for about a second within their answers.
 --keep keeps the logs of failed seeds.
 """
 
@@ -18,13 +23,21 @@
 import tempfile
 
 import record as records
-from record import Response, Record, SentRequest, Span
-from stand_ins import ADDRESS, STAGE_ITEMS, STREAM_EVENTS, Backend, Store, format_response, now, read_message
+from record import LostRow, Notice, Response, Record, SentRequest, Span
+from stand_ins import (ADDRESS, HEARTBEAT_SECONDS, MISSED_HEARTBEATS, STAGE_ITEMS, STREAM_EVENTS, Backend, Proxy, Store,
+                       find_owner, now, read_message)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BINARY = pathlib.Path(os.environ.get("LOVAGECLEAT_BUILD", ROOT / "build")) / "bin" / "lovagecleat-gateway"
 ZONES = ["zone-a", "zone-b"]
 SERVER_VERSIONS = ["v1", "v1.1"]
+# Faults that options turn on.
+TROUBLES = {
+    "leaving": "let servers give notice in their responses before they leave",
+    "quiet": "let servers turn requests away and ask for quiet",
+    "restores": "replace the store by an older copy of itself now and then",
+    "silence": "let sound servers send nothing for about a second within their answers",
+}
 # A graceful stop has time for a request that arrives 2 s after it and takes until its deadline.
 STOP_TIMEOUT_SECONDS = 8
 DEADLINE_SECONDS = 3.0
@@ -45,6 +58,14 @@
 # The request rate that a server allows while it warms up, and for how long.
 COLD_REQUESTS_PER_SECOND = 4
 WARM_UP_SECONDS = 3
+# How long a server stays, at least, after it gave notice; longer than hosts may go on sending requests there.
+MINIMUM_LEAVING_SECONDS = records.CHANGE_SECONDS + 2
+# Operators write again what a restore of the store took away within this range of times.
+REWRITE_RANGE_SECONDS = (0.4, 2.0)
+# Hosts must have written their own rows again this long after a restore.
+OWN_ROW_SECONDS = 3
+# A host that is in touch for this long knows of a drain and of an evacuation, so that a restore must not undo them.
+MINIMUM_KNOWN_SECONDS = max(records.EVACUATION_SECONDS, records.CONTACT_SECONDS) + 0.3
 # Few streams take longer, so that most meet one pause of their server at most.
 MINIMUM_SECONDS_BETWEEN_PAUSES = 3
 
@@ -139,25 +160,32 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, hosts, server_versions, folder):
+    def __init__(self, seed, seconds, hosts, server_versions, troubles, folder):
         self.random = random.Random(seed)
         self.seconds = seconds
         self.folder = folder
         self.server_versions = server_versions
+        self.troubles = troubles  # those that options turn on
         self.record = Record()
         self.store = Store()
+        # The hosts of a zone reach the store through a proxy, so that it can be cut off from them.
+        self.store_proxies = {zone: Proxy(lambda: self.store.port) for zone in ZONES}
+        self.configuration_text = ""
         self.hosts = [Host(f"host-{i}", ZONES[i % len(ZONES)], folder) for i in range(hosts)]
         self.backends = []
         self.version = 0
         self.next_backend = 0
         self.next_request = 0
         self.begin = 0.0
+        self.hosts_started_at = 0.0
         self.timeline = []
 
     # --- Setup ---------------------------------------------------------------
 
     async def start(self):
         await self.store.start()
+        for proxy in self.store_proxies.values():
+            await proxy.start()
         self.write_configuration()
         # Two model servers of each version in each zone, so that an evacuation leaves two.
         models = 4 * len(self.server_versions)
@@ -165,6 +193,7 @@
             for i in range(count):
                 version = self.server_versions[i // len(ZONES) % len(self.server_versions)]
                 await self.add_backend(service, ZONES[i % len(ZONES)], version)
+        self.hosts_started_at = now()
         await asyncio.gather(*(self.start_host(host) for host in self.hosts))
         self.begin = now()
 
@@ -175,20 +204,28 @@
                 if host.process is not None:
                     host.choose_ports()
                 seeds = [f"{ADDRESS}:{other.ports['peers']}" for other in self.hosts[:3]]
-                (self.folder / f"{host.name}.json").write_text(json.dumps(host.settings(self.store.port, seeds)))
+                settings = host.settings(self.store_proxies[host.zone].port, seeds)
+                (self.folder / f"{host.name}.json").write_text(json.dumps(settings))
                 host.start()
             if now() > end:
                 raise RuntimeError(
                     f"{host.name} is not ready after {READY_TIMEOUT_SECONDS} s: exit code {host.process.poll()}")
             await asyncio.sleep(0.05)
 
+    def find_host(self, port, server_port):
+        """Returns the name and the incarnation of the host that has a connection to a server."""
+        hosts = {host.process.pid: host for host in self.hosts if host.is_running()}
+        owner = hosts.get(find_owner(port, server_port, hosts))
+        return (owner.name, owner.incarnation) if owner else ("", 0)
+
     async def replace_backend(self, backend):
         await self.add_backend(backend.service, backend.zone, self.random.choice(self.server_versions))
 
     async def add_backend(self, service, zone, version):
         self.next_backend += 1
         backend = Backend(f"{service}-{self.next_backend}", service, zone, version, self.store, self.record,
-                          self.random.getrandbits(32))
+                          self.random.getrandbits(32), self.find_host if self.troubles else None)
+        backend.has_silences = "silence" in self.troubles
         backend.cold_until = now() + WARM_UP_SECONDS
         await backend.start_serving(1_700_000_000_000 + self.next_backend)
         if service != "encoder":
@@ -200,7 +237,8 @@
 
     def write_configuration(self):
         self.version += self.random.randint(1, 3)
-        self.store.write("op", "config", json.dumps(configuration(self.version, self.random)))
+        self.configuration_text = json.dumps(configuration(self.version, self.random))
+        self.store.write("op", "config", self.configuration_text)
         self.record.versions.append((now(), self.version))
 
     async def is_ready(self, host):
@@ -317,6 +355,9 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         response.status = int(head.split(" ")[1])
         fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
+        if "server-leaving" in fields:
+            process = (fields["x-server"], response.host, response.incarnation)
+            self.record.notices.setdefault(process, Notice(*process, now()))
         if fields.get("transfer-encoding") == "chunked":
             text = ""
             try:
@@ -395,6 +436,8 @@
             host.is_restarting = False
 
     async def inject_store_fault(self):
+        if self.store.is_restoring:
+            return
         seconds = self.random.uniform(0.5, 4)
         mode = self.random.choice(["down", "silent", "busy", "slow", "lost", "forget"])
         if mode == "forget":
@@ -422,16 +465,7 @@
             self.store.remove("servers", backend.id)
             await self.replace_backend(backend)
         elif kind == "drain":
-            self.backends.remove(backend)
-            await self.replace_backend(backend)
-            if self.store.mode != "ok":
-                self.backends.append(backend)
-                return
-            backend.drain()
-            self.record.drained_at[backend.id] = now()
-            await asyncio.sleep(records.CHANGE_SECONDS + 2)
-            self.store.remove("servers", backend.id)
-            await backend.crash()
+            await self.drain(backend, records.CHANGE_SECONDS + 2)
         elif kind == "silence":
             # The checks treat it like a reset of all connections.
             self.record_disturbance("silence", 0.5)
@@ -449,6 +483,138 @@
             await asyncio.sleep(seconds)
             setattr(target, attribute, previous_value)
 
+    async def drain(self, backend, seconds):
+        """Replaces a server that drains for this long and then leaves."""
+        self.backends.remove(backend)
+        await self.replace_backend(backend)
+        if self.store.mode != "ok":
+            self.backends.append(backend)
+            return
+        backend.drain()
+        self.record.drained_at[backend.id] = now()
+        await asyncio.sleep(seconds)
+        self.store.remove("servers", backend.id)
+        await backend.crash()
+
+    async def leave(self):
+        """Lets a server give notice in its responses, with or without a draining entry in the store, and leave."""
+        backend = self.random.choice(self.backends)
+        self.backends.remove(backend)
+        await self.replace_backend(backend)
+        backend.is_leaving = True
+        backend.end_run()
+        is_drained = self.random.random() < 0.5
+        self.timeline.append(
+            f"{now() - self.begin:6.2f} {backend.id} gives notice, {'with' if is_drained else 'without'} an entry")
+        if is_drained:
+            await asyncio.sleep(self.random.uniform(0, 2))
+            if self.store.mode == "ok":
+                backend.drain()
+                self.record.drained_at[backend.id] = now()
+        await asyncio.sleep(MINIMUM_LEAVING_SECONDS + self.random.uniform(0, 3))
+        self.store.remove("servers", backend.id)
+        await backend.crash()
+
+    async def ask_for_quiet(self):
+        """Lets one or two servers turn new work away for a while and ask for quiet."""
+        for backend in self.random.sample(self.backends, self.random.randint(1, 2)):
+            seconds = self.random.uniform(0.5, 3)
+            self.timeline.append(f"{now() - self.begin:6.2f} {backend.id} asks for quiet for {seconds:.1f} s")
+            backend.quiet_until = now() + seconds
+
+    async def restore_store(self, age):
+        """Replaces the store by a copy of itself from `age` seconds ago; its writers write again what they had."""
+        while self.store.mode != "ok":
+            await asyncio.sleep(0.05)
+        own_rows = self.store.values("gateways")
+        seconds = self.random.uniform(0.2, 1.8)
+        self.record_disturbance("restore", seconds + REWRITE_RANGE_SECONDS[1])
+        self.timeline[-1] += f" from a copy {age:.1f} s old"
+        restore = Span(now(), now() + seconds)
+        self.record.restores.append(restore)
+        await self.store.restore(age, seconds)
+        restore.end = now()
+        restored_rows = self.store.values("gateways")
+        lost = {host: value for host, value in own_rows.items() if restored_rows.get(host) != value}
+        await asyncio.sleep(self.random.uniform(*REWRITE_RANGE_SECONDS))
+        self.write_operators_rows()
+        return asyncio.create_task(self.finish_restore(lost, restore.end))
+
+    def write_operators_rows(self):
+        """Writes the rows of the operators that the store has not, and removes those that it should not have."""
+        rows = {"config": self.configuration_text}
+        if self.record.evacuations and self.record.evacuations[-1].end > now():
+            rows[f"evacuate/{self.record.evacuations[-1].detail}"] = "{}"
+        for key, value in rows.items():
+            if self.store.values("op").get(key) != value:
+                self.store.write("op", key, value)
+        for key in set(self.store.values("op")) - set(rows):
+            self.store.remove("op", key)
+
+    async def finish_restore(self, lost, restored_at):
+        await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_SECONDS)
+        alive = {backend.id for backend in self.record.backends if not backend.heartbeat_task.cancelled()}
+        for server in set(self.store.values("servers")) - alive:
+            self.store.remove("servers", server)
+        await asyncio.sleep(max(0.0, restored_at + OWN_ROW_SECONDS - now()))
+        rows = self.store.values("gateways")
+        for host, value in lost.items():
+            self.record.lost_rows.append(LostRow(host, restored_at, now(), rows.get(host) == value))
+
+    async def restore_repeatedly(self):
+        """Restores the store again and again, each time beside other events."""
+        tasks = [await self.restore_store(now() - self.hosts_started_at)]
+        await asyncio.sleep(OWN_ROW_SECONDS)
+        kinds = []
+        while now() < self.begin + self.seconds - FAULT_FREE_SECONDS - MINIMUM_KNOWN_SECONDS:
+            await asyncio.sleep(self.random.uniform(0.3, 2))
+            if not kinds:
+                kinds = ["twice", "cut", "configuration"]
+                self.random.shuffle(kinds)
+                # The hosts must be in touch for longer in these, so they come first, in the order of the next choice.
+                kinds += self.random.sample(["drain", "evacuation"], 2)
+            kind = kinds.pop()
+            self.timeline.append(f"{now() - self.begin:6.2f} restore, {kind}")
+            age = self.random.uniform(1, 6)
+            if kind == "twice":
+                tasks.append(await self.restore_store(age))
+                await asyncio.sleep(self.random.uniform(0.1, 2))
+            elif kind == "cut":
+                tasks.append(asyncio.create_task(self.cut_off_zone(self.random.choice(ZONES))))
+                await asyncio.sleep(self.random.uniform(0, 2))
+            elif kind == "configuration":
+                await self.change_configuration()
+                await asyncio.sleep(self.random.choice([0.0, 0.05, 0.3, 1.0]))
+            elif kind == "drain":
+                backend = self.random.choice(self.backends)
+                tasks.append(asyncio.create_task(self.drain(backend, 2 * MINIMUM_KNOWN_SECONDS + 2)))
+                await asyncio.sleep(MINIMUM_KNOWN_SECONDS)
+                age = MINIMUM_KNOWN_SECONDS + self.random.uniform(1, 3)
+            elif kind == "evacuation":
+                tasks.append(asyncio.create_task(self.evacuate_zone(2 * MINIMUM_KNOWN_SECONDS + 2)))
+                await asyncio.sleep(MINIMUM_KNOWN_SECONDS)
+                age = MINIMUM_KNOWN_SECONDS + self.random.uniform(1, 3)
+            tasks.append(await self.restore_store(age))
+        await asyncio.gather(*tasks)
+
+    async def cut_off_zone(self, zone):
+        """Cuts the hosts of a zone off from the store; those of the other zones reach it."""
+        seconds = self.random.uniform(2, 5)
+        self.timeline.append(f"{now() - self.begin:6.2f} cut off {zone} for {seconds:.1f} s")
+        for host in self.hosts:
+            if host.zone == zone:
+                self.record.store_cuts.append(Span(now(), now() + seconds, host.name))
+        proxy = self.store_proxies[zone]
+        proxy.is_refusing = True
+        # Without an end, the hosts notice only that nothing arrives any more.
+        if self.random.random() < 0.5:
+            proxy.reset_open_connections()
+        else:
+            proxy.stall_open_connections()
+        await asyncio.sleep(seconds)
+        proxy.is_refusing = False
+        proxy.reset_open_connections()
+
     async def pause_model_servers(self):
         """Lets servers send nothing for a while and then continue, on the same connections."""
         servers = [backend for backend in self.backends if backend.service == "model"
@@ -463,25 +629,40 @@
             self.timeline.append(f"{now() - self.begin:6.2f} configuration after {self.version}")
             self.write_configuration()
 
-    async def evacuate_zone(self):
+    async def evacuate_zone(self, seconds=0.0):
         if self.store.mode != "ok" or self.record.evacuations and self.record.evacuations[-1].end > now():
             return
         zone = self.random.choice(ZONES)
         self.timeline.append(f"{now() - self.begin:6.2f} evacuate {zone}")
         self.store.write("op", f"evacuate/{zone}", "{}")
-        seconds = self.random.uniform(1, 8)
+        seconds = seconds or self.random.uniform(1, 8)
         self.record.evacuations.append(Span(now(), now() + seconds, "", zone))
         await asyncio.sleep(seconds)
         self.store.remove("op", f"evacuate/{zone}")
 
+    async def repeat(self, fault):
+        """Starts a fault again and again; they may overlap."""
+        running = set()
+        while now() < self.begin + self.seconds - FAULT_FREE_SECONDS:
+            await asyncio.sleep(self.random.uniform(0.3, 2.5))
+            running.add(asyncio.create_task(fault()))
+        await asyncio.gather(*running)
+
     async def inject_faults(self):
         """Starts faults at random intervals; they may overlap."""
         running = set()
+        if "restores" in self.troubles:
+            running.add(asyncio.create_task(self.restore_repeatedly()))
+        for trouble, fault in (("leaving", self.leave), ("quiet", self.ask_for_quiet)):
+            if trouble in self.troubles:
+                running.add(asyncio.create_task(self.repeat(fault)))
         await asyncio.sleep(FAULT_FREE_SECONDS)
         while now() < self.begin + self.seconds - FAULT_FREE_SECONDS:
+            # Restores prove more if other store faults are rare, since these excuse hosts.
+            store_weight = 0.2 if "restores" in self.troubles else 1
             fault = self.random.choices([self.inject_host_fault, self.inject_store_fault, self.inject_backend_fault,
                                          self.change_configuration, self.evacuate_zone, self.pause_model_servers],
-                                        [3, 1, 4, 2, 1, 3])[0]
+                                        [3, store_weight, 4, 2, 1, 3])[0]
             running.add(asyncio.create_task(fault()))
             await asyncio.sleep(self.random.choice([0.05, 0.3, 1.0]))
         await asyncio.gather(*running)
@@ -500,13 +681,16 @@
                     host.process.wait()
             for backend in self.backends:
                 await backend.crash()
+            for proxy in self.store_proxies.values():
+                await proxy.stop()
             await self.store.stop()
         return records.violations(self.record)
 
 
 def run_seed(seed, options, folder):
     server_versions = SERVER_VERSIONS if options.mixed_versions else SERVER_VERSIONS[:1]
-    soak = Soak(seed, options.seconds, options.hosts, server_versions, folder)
+    troubles = {name for name in TROUBLES if getattr(options, name)}
+    soak = Soak(seed, options.seconds, options.hosts, server_versions, troubles, folder)
     violations = asyncio.run(soak.run())
     responses = soak.record.responses
     served = sum(1 for response in responses if 200 <= response.status < 300 and response.is_complete)
@@ -527,6 +711,8 @@
     parser.add_argument("--hosts", type=int, default=5, help="number of gateway processes")
     parser.add_argument("--mixed-versions", action="store_true",
                         help="let model servers of two software versions serve side by side")
+    for name, text in TROUBLES.items():
+        parser.add_argument(f"--{name}", action="store_true", help=text)
     parser.add_argument("--keep", help="folder for the logs of seeds that fail")
     options = parser.parse_args()
     failed = []
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -2,17 +2,28 @@
 
 import asyncio
 import base64
+import collections
 import json
+import os
 import random
 import urllib.parse
 
-from record import Arrival, Execution, ServerRun
+from record import NOTICE_SECONDS, Arrival, Execution, Notice, QuietAnswer, ServerRun, Silence, StageCall
 
 ADDRESS = "127.0.0.1"
 HEARTBEAT_SECONDS = 1.2
 MISSED_HEARTBEATS = 3
 STAGE_ITEMS = 4
 STREAM_EVENTS = 10
+FIRST_ERA = 3
+# How long a store keeps the copies from which it can be restored.
+COPY_SECONDS = 15.0
+# Share of the answers, and of the events of streams, within which a server is silent.
+SILENT_ANSWER_SHARE = 0.04
+SILENT_EVENT_SHARE = 0.01
+SILENCE_RANGE_SECONDS = (0.8, 1.2)
+# Fields of a response with which a server asks for quiet, and the time that they mean; 0 if they mean no exact time.
+QUIET_FIELDS = [("1", 1.0), ("2", 2.0), ("3", 3.0), ("1.5", 1.5), ("soon", 0.0)]
 
 
 def now():
@@ -44,6 +55,23 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode("latin-1") + body
 
 
+def find_owner(port, peer_port, processes):
+    """Returns the process ID, of `processes`, that has the connection from `port` to `peer_port`, or None."""
+    with open("/proc/net/tcp") as table:
+        fields = [line.split() for line in table]
+    ports = [f"{port:04X}", f"{peer_port:04X}"]
+    inodes = [line[9] for line in fields[1:] if [line[1][-4:], line[2][-4:]] == ports]
+    for process in processes:
+        folder = f"/proc/{process}/fd"
+        try:
+            for descriptor in os.listdir(folder):
+                if inodes and os.readlink(f"{folder}/{descriptor}") == f"socket:[{inodes[0]}]":
+                    return process
+        except OSError:
+            continue  # the process or the descriptor is gone
+    return None
+
+
 class Listener:
     """Listens on a loopback port; subclasses implement `handle` for one connection."""
 
@@ -76,9 +104,11 @@
 class Proxy(Listener):
     """Forwards connections to one port and can delay, reset or stall them."""
 
-    def __init__(self, target):
+    def __init__(self, target, find_host=None):
         super().__init__()
         self.target = target
+        self.find_host = find_host  # maps the client's port and the own one to a host and its incarnation
+        self.hosts = {}  # port of a connection to the target to the host and incarnation that it serves
         self.delay = 0.0
         self.is_refusing = False
         # Connections that were accepted in an earlier epoch forward nothing any more and stay open.
@@ -96,7 +126,9 @@
             writer.transport.abort()
             return
         epoch = self.epoch
+        host = self.find_host(writer.get_extra_info("peername")[1], self.port) if self.find_host else ("", 0)
         target_reader, target_writer = await asyncio.open_connection(ADDRESS, self.target())
+        self.hosts[target_writer.get_extra_info("sockname")[1]] = host
 
         async def forward(source, sink):
             while data := await source.read(65536):
@@ -127,12 +159,18 @@
         self.rows = {}
         self.version = 0
         self.discarded_version = 0
+        self.era = FIRST_ERA
+        self.copies = collections.deque()  # (time, version, rows)
+        self.is_restoring = False
         self.mode = "ok"  # or "down", "silent", "busy", "slow", "lost" (carries out requests without a response)
         self.changed = asyncio.Event()
 
     def write(self, table, key, value):
         self.version += 1
         self.rows[(table, key)] = (value, self.version)
+        self.copies.append((now(), self.version, dict(self.rows)))
+        while self.copies[0][0] < now() - COPY_SECONDS:
+            self.copies.popleft()
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -143,6 +181,29 @@
     def discard_history(self):
         self.discarded_version = self.version
 
+    async def restore(self, age, seconds):
+        """Is away for a time and returns with the newest copy that is older than `age` when it goes away."""
+        taken_until = now() - age
+        self.is_restoring = True
+        self.mode = "down"
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        while len(self.copies) > 1 and self.copies[-1][0] > taken_until:
+            self.copies.pop()
+        _, self.version, rows = self.copies[-1]
+        self.rows = dict(rows)
+        self.discarded_version = min(self.discarded_version, self.version)
+        self.era += 1
+        self.mode = "ok"
+        self.is_restoring = False
+
+    def values(self, table):
+        return {key: value for (name, key), (value, _) in self.rows.items() if name == table and value is not None}
+
+    def format(self, status, document):
+        return format_response(status, {"Store-Era": str(self.era)}, json.dumps(document).encode())
+
     def list_rows(self, table, after, include_removed):
         rows = []
         for (name, key), (value, version) in sorted(self.rows.items(), key=lambda item: item[1][1]):
@@ -164,7 +225,7 @@
             if self.mode == "silent":
                 await asyncio.sleep(3600)
             if self.mode == "busy":
-                writer.write(format_response(503, {}, b"{}"))
+                writer.write(self.format(503, {}))
                 continue
             if self.mode == "slow":
                 await asyncio.sleep(0.3)
@@ -182,30 +243,29 @@
             for row in json.loads(body)["writes"]:
                 if row["table"] not in ("op", "servers"):
                     self.write(row["table"], row["key"], base64.b64decode(row["value"]).decode())
-            return format_response(200, {}, json.dumps({"ver": self.version}).encode())
+            return self.format(200, {"ver": self.version})
         if path == "/rows-get":
             # Rows are sorted by key. A page holds 500 rows; the tables here are smaller.
             rows = sorted(self.list_rows(parameters["table"], 0, False), key=lambda row: row["key"])
-            return format_response(
-                200, {}, json.dumps({"rows": rows, "ver": self.version, "morePages": False}).encode())
+            return self.format(200, {"rows": rows, "ver": self.version, "morePages": False})
         if path == "/rows-feed":
             after = int(parameters["after"])
-            if after < self.discarded_version:
-                return format_response(410, {}, b"{}")
+            if after < self.discarded_version or after > self.version:
+                return self.format(410, {})
             end = now() + int(parameters.get("waitMs", "0")) / 1000
             while not (rows := self.list_rows(parameters["table"], after, True)) and now() < end and self.mode == "ok":
                 try:
                     await asyncio.wait_for(self.changed.wait(), end - now())
                 except asyncio.TimeoutError:
                     break
-            return format_response(200, {}, json.dumps({"rows": rows, "ver": self.version}).encode())
-        return format_response(404, {}, b"{}")
+            return self.format(200, {"rows": rows, "ver": self.version})
+        return self.format(404, {})
 
 
 class Backend(Listener):
     """Simulates a backend server; its service decides whether it serves plain requests, streams or batched items."""
 
-    def __init__(self, id, service, zone, version, store, record, seed):
+    def __init__(self, id, service, zone, version, store, record, seed, find_host=None):
         super().__init__()
         self.id = id
         self.service = service
@@ -215,7 +275,10 @@
         self.store = store
         self.record = record
         self.random = random.Random(seed)
-        self.proxy = Proxy(lambda: self.port)
+        self.proxy = Proxy(lambda: self.port, find_host)
+        self.is_leaving = False  # says so in all responses
+        self.quiet_until = 0.0  # turns new work away and asks for quiet
+        self.has_silences = False
         self.is_draining = False
         self.slowness = 1.0
         self.no_response_share = 0.0
@@ -240,6 +303,49 @@
     def interrupt(self):
         """Records that the requests in progress lose their server or its connections."""
         self.record.interrupted |= self.running
+        self.record.server_cuts.append((self.id, now()))
+
+    def format(self, status, fields, body):
+        return format_response(status, {**self.own_fields(), **fields}, body)
+
+    def own_fields(self):
+        """Returns the fields of all responses."""
+        return {"X-Server": self.id, **({"Server-Leaving": "1"} if self.is_leaving else {})}
+
+    def record_notice(self, host):
+        """Records that a host, given with its incarnation, is about to get a response that it doesn't pass on."""
+        if self.is_leaving and host[0]:
+            notice = Notice(self.id, *host, now() + NOTICE_SECONDS)
+            self.record.notices.setdefault((self.id, *host), notice)
+
+    def refuse_for_quiet(self, host, id):
+        """Returns a response with which the server asks a host, given with its incarnation, for quiet."""
+        text, seconds = self.random.choice(QUIET_FIELDS)
+        self.record_notice(host)
+        self.record.quiet_answers.append(QuietAnswer(self.id, *host, now(), seconds))
+        fields = {"Retry-After": text, **({"X-Lovagecleat-Request-Id": id} if id else {})}
+        if self.random.random() < 0.7:
+            fields["X-Lovagecleat-Not-Executed"] = "1"
+        return self.format(503, fields, b"")
+
+    async def write(self, data, reader, writer, silence, share=SILENT_ANSWER_SHARE, first=1):
+        """Writes `data`, sometimes in two parts with the silence between them; the first has `first` bytes or more."""
+        if not self.has_silences or self.random.random() >= share:
+            writer.write(data)
+            return
+        position = self.random.randrange(first, len(data))
+        if b"\r\n\r\n" in data[position:]:
+            silence.place = f"head of {silence.place}"
+        writer.write(data[:position])
+        await writer.drain()
+        if position:
+            silence.begin = now()
+        seconds = self.random.uniform(*SILENCE_RANGE_SECONDS)
+        await asyncio.sleep(max(0.0, silence.begin + seconds - now()))
+        silence.end = now()
+        silence.is_closed = reader.at_eof() or writer.transport.is_closing()
+        self.record.silences.append(silence)
+        writer.write(data[position:])
 
     def end_run(self):
         if self.run:
@@ -286,73 +392,90 @@
             path = line.split(" ")[1]
             expected = fields.get("x-lovagecleat-expect-instance", self.id)
             if expected != self.id:
-                writer.write(format_response(421, {"X-Lovagecleat-Not-Executed": "1"}, b""))
+                writer.write(self.format(421, {"X-Lovagecleat-Not-Executed": "1"}, b""))
                 continue
             if path == "/report":
                 body = {"queued": 0, "busy": False, "freeMb": 10}
-                writer.write(format_response(200, {}, json.dumps(body).encode()))
+                writer.write(self.format(200, {}, json.dumps(body).encode()))
             elif path == "/stage-free":
                 for handle in json.loads(body)["handles"]:
                     self.results.pop(handle, None)
-                writer.write(format_response(200, {}, b"{}"))
+                writer.write(self.format(200, {}, b"{}"))
             elif path == "/stage-run":
-                await self.run_items(json.loads(body), writer)
+                host = self.proxy.hosts.get(writer.get_extra_info("peername")[1], ("", 0))
+                await self.run_items(json.loads(body), host, reader, writer)
             else:
                 id = fields.get("x-lovagecleat-request-id", "")
                 self.running.add(id)
                 try:
-                    if not await self.serve(line, fields, body, writer):
+                    if not await self.serve(line, fields, body, reader, writer):
                         return
                 finally:
                     self.running.discard(id)
             await writer.drain()
 
-    async def run_items(self, call, writer):
+    async def run_items(self, call, host, reader, writer):
+        def sent_at(id):
+            return self.record.sent[id].at if id in self.record.sent else 0.0
+
+        ids = sorted((item["id"] for item in call["items"]), key=sent_at)
+        items = [(item["id"], item["stage"], item["piece"]) for item in call["items"]]
+        self.record.stage_calls.append(
+            StageCall(ids[-1], self.id, self.service, host[0], now(), sent_at(ids[-1]), host[1], items))
+        if now() < self.quiet_until:
+            writer.write(self.refuse_for_quiet(host, ""))
+            return
         await asyncio.sleep(0.05 * self.slowness)
-        items = []
+        results = []
         for item in call["items"]:
             handle = f"{ADDRESS}:{self.port}/{self.random.getrandbits(48):x}"
             self.results[handle] = (item["id"], item["stage"], item["piece"])
-            items.append({"handle": handle})
+            results.append({"handle": handle})
         if self.random.random() < self.no_response_share:
             await asyncio.sleep(3600)
-        writer.write(format_response(200, {}, json.dumps({"items": items}).encode()))
+        data = self.format(200, {}, json.dumps({"items": results}).encode())
+        self.record_notice(host)
+        await self.write(data, reader, writer, Silence(ids[0], self.id, host[0], 0.0, 0.0, "a stage call", items=items))
 
-    async def serve(self, line, fields, body, writer):
+    async def serve(self, line, fields, body, reader, writer):
         """Returns False if the connection must be closed."""
         id = fields.get("x-lovagecleat-request-id", "")
-        sent_at = self.record.sent[id].at if id in self.record.sent else 0.0
-        host = self.record.sent[id].host if id in self.record.sent else ""
-        self.record.arrivals.append(Arrival(id, self.id, self.service, host, now(), sent_at))
+        sent = self.record.sent.get(id)
+        sent_at = sent.at if sent else 0.0
+        host = (sent.host, sent.incarnation) if sent else ("", 0)
+        self.record.arrivals.append(Arrival(id, self.id, self.service, host[0], now(), sent_at, host[1]))
         if not id:
-            writer.write(format_response(400, {"X-Lovagecleat-Not-Executed": "1"}, b""))
+            writer.write(self.format(400, {"X-Lovagecleat-Not-Executed": "1"}, b""))
+            return True
+        if now() < self.quiet_until:
+            writer.write(self.refuse_for_quiet(host, id))
             return True
         if self.random.random() < 0.02:
-            writer.write(format_response(503, {"X-Lovagecleat-Not-Executed": "1", "X-Lovagecleat-Request-Id": id}, b""))
+            writer.write(self.format(503, {"X-Lovagecleat-Not-Executed": "1", "X-Lovagecleat-Request-Id": id}, b""))
             return True
         path = line.split(" ")[1]
         is_stream = path.startswith("/r")
         resumed_after = int(fields.get("last-event-id", "0"))
         if is_stream and not self.has_inputs(id, fields):
-            writer.write(format_response(409, {"X-Lovagecleat-Not-Executed": "1", "X-Lovagecleat-Request-Id": id}, b""))
+            writer.write(self.format(409, {"X-Lovagecleat-Not-Executed": "1", "X-Lovagecleat-Request-Id": id}, b""))
             return True
         self.record.executions.append(
             Execution(id, self.id, now(), is_stream or path.startswith(("/s/", "/p/")), resumed_after))
         if is_stream:
-            return await self.stream(id, resumed_after, writer)
+            return await self.stream(id, host[0], resumed_after, reader, writer)
         await asyncio.sleep(self.random.uniform(0.005, 0.04) * self.slowness)
         if self.random.random() < self.no_response_share:
             await asyncio.sleep(3600)
         version = path.split("/")[2] if path.startswith("/p/") else ""
         text = json.dumps({"owner": id, "echo": body.decode(), "version": version, "fill": "x" * 500, "end": id})
-        response = format_response(
+        response = self.format(
             200, {"X-Lovagecleat-Request-Id": id, "X-Lovagecleat-Response-Seal": f"seal-{id}"}, text.encode())
         if self.random.random() < self.truncated_share:
             self.record_server_fault(id)
             writer.write(response[: len(response) // 2])
             await writer.drain()
             return False
-        writer.write(response)
+        await self.write(response, reader, writer, Silence(id, self.id, host[0], 0.0, 0.0, "a response"))
         return True
 
     def record_server_fault(self, id):
@@ -373,12 +496,14 @@
                 f"request {id} got {len(handles)} results, expected {STAGE_ITEMS} distinct ones")
         return all(known_items)
 
-    async def stream(self, id, resumed_after, writer):
+    async def stream(self, id, host, resumed_after, reader, writer):
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-            f"X-Lovagecleat-Request-Id: {id}\r\nX-Lovagecleat-Response-Seal: seal-{id}\r\n\r\n"
-        )
-        writer.write(head.encode())
+            f"X-Lovagecleat-Request-Id: {id}\r\nX-Lovagecleat-Response-Seal: seal-{id}\r\n"
+        ) + "".join(f"{name}: {value}\r\n" for name, value in self.own_fields().items()) + "\r\n"
+        await self.write(head.encode(), reader, writer, Silence(id, self.id, host, 0.0, 0.0, "a stream"))
+        await writer.drain()
+        last_write = now()
         event_seconds = self.random.choice([0.03, 0.03, 0.03, 0.15])
         for number in range(resumed_after + 1, STREAM_EVENTS + 1):
             await asyncio.sleep(event_seconds * self.slowness)
@@ -389,7 +514,12 @@
                 writer.write(b"%x\r\n" % len(event) + event[:5])
                 await writer.drain()
                 return False
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            # Between two events, a silence begins with the last write; a pause would be longer than a silence may be.
+            first = 0 if now() < last_write + SILENCE_RANGE_SECONDS[0] else 1
+            silence = Silence(id, self.id, host, last_write, 0.0, "a stream")
+            data = b"%x\r\n" % len(event) + event + b"\r\n"
+            await self.write(data, reader, writer, silence, SILENT_EVENT_SHARE, first)
             await writer.drain()
+            last_write = now()
         writer.write(b"0\r\n\r\n")
         return True
