HTTP: Read an empty chunked body in any pieces

A client or a server could end the process: an empty chunked body of which "0\r\n" and up to one byte more arrived before the rest made Beast's assertion n >= 5 fail (basic_parser.ipp, line 688), and the process aborted with all its requests. Assertions are on in the default build. If the head and "0\r\n" arrived together, the client's connection fed the same bytes again, so that no further byte was needed.

Once Beast has seen the size of the last chunk it requires five bytes, the least that such a body has. The reader now feeds the line of a chunk again only when there are five bytes; no chunk is shorter, so nothing waits for bytes that its sender does not owe.

Tests: "An empty chunked body is read however its bytes are split" and, with the check taken out, "The reader handles arbitrary chunks however they are split" aborted before. Found by the test for responses without end.

--- a/libraries/http/parser.cc
+++ b/libraries/http/parser.cc
@@ -11,6 +11,10 @@
 
 namespace beast = boost::beast;
 
+// Size of the shortest chunk, "0\r\n\r\n". Once Beast has seen the size of the
+// last chunk, it asserts that it gets at least as many bytes.
+constexpr std::size_t kMinimumChunkBytes = 5;
+
 // Returns the length of the head including its empty line, or nullopt if the
 // head is incomplete.
 std::optional<std::size_t> HeadLength(std::string_view bytes) {
@@ -216,6 +220,7 @@
            used < bytes.size()) {
       const std::string_view rest = bytes.substr(used);
       if (!parser.is_header_done() && !IsHeadReadable(rest)) break;
+      if (is_at_chunk_line_ && rest.size() < kMinimumChunkBytes) break;
       beast::error_code error;
       const std::size_t consumed = parser.put(
           boost::asio::const_buffer(rest.data(), rest.size()), error);
@@ -226,6 +231,8 @@
         break;
       }
       if (parser.is_done()) Complete();
+      // Beast takes every byte of a chunk's data.
+      is_at_chunk_line_ = consumed < rest.size();
       if (consumed == 0) break;
     }
     // Beast buffers no line of a chunk and no trailer, however long: it leaves
@@ -268,6 +275,8 @@
   std::unique_ptr<BeastParser<true>> request_;
   std::unique_ptr<BeastParser<false>> response_;
   bool is_complete_ = false;
+  // Whether the line of a chunk is incomplete.
+  bool is_at_chunk_line_ = false;
   ParseError error_ = ParseError::kNone;
 };
 
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -1,3 +1,4 @@
+#include <array>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -128,6 +129,33 @@
           ParseError::kBodyTooLarge);
 }
 
+// Guards against the end of the process: Beast asserts that at least five bytes
+// are there once it has seen the size of the last chunk.
+TEST_CASE("An empty chunked body is read however its bytes are split") {
+  const std::string_view start = GENERATE(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string_view body = GENERATE("0\r\n\r\n", "0\r\nX: y\r\n\r\n",
+                                         "0;x\r\n\r\n", "1\r\nx\r\n0\r\n\r\n");
+  const std::string bytes = std::string(start) + std::string(body);
+  const auto role = start.starts_with("POST") ? MessageReader::Role::kRequest
+                                              : MessageReader::Role::kResponse;
+  for (std::size_t step = 1; step <= bytes.size(); ++step) {
+    INFO(body << " in steps of " << step);
+    Recorder recorder;
+    MessageReader reader(role, {}, recorder);
+    std::string pending;
+    for (std::size_t i = 0; i < bytes.size(); i += step) {
+      pending.append(bytes.substr(i, step));
+      // The same bytes may be fed again before others arrive.
+      for (int repeat = 0; repeat < 3 && !reader.is_complete(); ++repeat)
+        pending.erase(0, reader.Feed(pending));
+    }
+    REQUIRE(reader.is_complete());
+    REQUIRE(recorder.completed == 1);
+  }
+}
+
 // Guards against memory without bounds: the line of a chunk and the trailer
 // fields, which are read only when complete, could have any size.
 TEST_CASE("Lines without end are errors wherever they begin") {
@@ -195,5 +223,44 @@
   });
 }
 
+// Guards against the end of the process in the chunk parser, whose
+// preconditions depend on how the bytes are split.
+TEST_CASE("The reader handles arbitrary chunks however they are split") {
+  constexpr tests::PropertyRuns runs{
+      .seed = 7, .count = 20000, .maximum_size = 60};
+  constexpr std::array<std::string_view, 17> parts = {
+      "0\r\n",     "\r\n",     "1\r\nx\r\n", "3\r\nabc\r\n",
+      "0;a=b\r\n", "X: y\r\n", " z\r\n",     "0",
+      "5",         ";",        "\"",         "\r",
+      "\n",        "\t",       ":",          "x",
+      "\r\n\r\n"};
+  tests::RequireProperty(runs, [&parts] {
+    tests::Choices choices(*tests::AnyChoices());
+    const bool is_request = choices.Below(2) == 0;
+    std::string bytes =
+        std::string(is_request ? "POST / HTTP/1.1\r\nHost: h\r\n"
+                               : "HTTP/1.1 200 OK\r\n") +
+        "Transfer-Encoding: chunked\r\n\r\n";
+    while (!choices.IsExhausted())
+      bytes.append(parts.at(static_cast<std::size_t>(
+          choices.Below(static_cast<int>(parts.size())))));
+    Recorder recorder;
+    MessageReader reader(is_request ? MessageReader::Role::kRequest
+                                    : MessageReader::Role::kResponse,
+                         {}, recorder);
+    std::string pending;
+    std::size_t step = 1 + bytes.size() % 7;
+    for (std::size_t i = 0; i < bytes.size(); i += step) {
+      step = 1 + (step * 5 + bytes.size()) % 7;
+      pending.append(bytes.substr(i, step));
+      for (int repeat = 0; repeat < 2 && !reader.is_complete() &&
+                           reader.error() == ParseError::kNone;
+           ++repeat)
+        pending.erase(0, reader.Feed(pending));
+    }
+    RC_ASSERT(recorder.completed <= 1);
+  });
+}
+
 }  // namespace
 }  // namespace lovagecleat::http
