Routing: Keep quiet times of servers

A server may ask a host to send nothing to it for some time. The directory of servers keeps that time for the incarnation that asked, also while its entry is removed. Usable and UsableOrSuspended leave out quiet servers; no result of a call ends the time. An earlier end does not replace a later one. A random addition, drawn once a period, keeps a host from returning to all servers of a service at once. Nothing sets the time yet.

UsableOrSuspended needs the time now; callers that ask which servers exist use the new InService.

Tests: four cases in server_directory_test. Each failed on planted faults: without the check of the time, without keeping it for a removed entry, with the last random addition, with a shorter time replacing a longer one, and without the check of the incarnation.

--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -50,6 +50,7 @@
     record.in_flight = in_flight;
     record.pending_tokens = pending_prompt_tokens;
     record.cold_until = now + kDefaultWarmUpTime;
+    record.quiet_until = QuietUntil(entry);
   }
   if (entry.warm_up_time > Duration::zero())
     record.cold_until =
@@ -128,10 +129,41 @@
          !IsEvacuated(record.entry.zone);
 }
 
+bool ServerDirectory::SetQuiet(const ServerIncarnation& incarnation,
+                               const QuietPeriod& period, TimePoint now) {
+  ServerRecord* record = Find(incarnation.id);
+  // The response may be that of an earlier incarnation.
+  if (record != nullptr && record->entry.incarnation() != incarnation)
+    return false;
+  std::erase_if(quiet_periods_, [now](const auto& item) {
+    return item.second.period.end() <= now;
+  });
+  const auto [known, is_new] = quiet_periods_.try_emplace(
+      incarnation.id, KnownPeriod{incarnation, period});
+  if (!is_new && known->second.incarnation != incarnation) {
+    known->second = {incarnation, period};
+  } else if (!is_new) {
+    if (period.until <= known->second.period.until) return false;
+    // The longest of many random times would be nearly the same for all
+    // servers, so only the first one is used.
+    known->second.period.until = period.until;
+  }
+  if (record != nullptr) record->quiet_until = known->second.period.end();
+  return true;
+}
+
+TimePoint ServerDirectory::QuietUntil(const ServerEntry& entry) const {
+  const auto known = quiet_periods_.find(entry.id);
+  return known != quiet_periods_.end() &&
+                 known->second.incarnation == entry.incarnation()
+             ? known->second.period.end()
+             : TimePoint{};
+}
+
 std::vector<ServerRecord*> ServerDirectory::Usable(const ServiceId& service,
                                                    TimePoint now) {
   std::vector<ServerRecord*> usable;
-  for (ServerRecord* record : UsableOrSuspended(service)) {
+  for (ServerRecord* record : UsableOrSuspended(service, now)) {
     if (record->suspended_until > now) continue;
     // After a suspension, one trial call shows whether the server has
     // recovered.
@@ -143,6 +175,15 @@
 }
 
 std::vector<ServerRecord*> ServerDirectory::UsableOrSuspended(
+    const ServiceId& service, TimePoint now) {
+  std::vector<ServerRecord*> records = InService(service);
+  std::erase_if(records, [now](const ServerRecord* record) {
+    return record->IsQuiet(now);
+  });
+  return records;
+}
+
+std::vector<ServerRecord*> ServerDirectory::InService(
     const ServiceId& service) {
   std::vector<ServerRecord*> records;
   for (ServerRecord* record : RecordsOf(service))
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -41,6 +41,10 @@
   TimePoint suspended_until{};
   // The server has announced that it is about to exit (see SetLeaving).
   bool is_leaving = false;
+  // The server asked this host to send nothing to it before this time.
+  TimePoint quiet_until{};
+
+  bool IsQuiet(TimePoint now) const { return quiet_until > now; }
 };
 
 enum class CallResult {
@@ -51,6 +55,16 @@
   kUnreachable,
 };
 
+// A time without new work for a server, which asked for it.
+struct QuietPeriod {
+  TimePoint until;
+  // Random time added to it, so that a host does not return to all servers of a
+  // service at once.
+  Duration spread{};
+
+  TimePoint end() const { return until + spread; }
+};
+
 // Tracks the backend servers and which of them may be used, from their entries
 // and notices, operators' evacuations of zones, and the results of calls.
 class ServerDirectory {
@@ -78,11 +92,22 @@
   void SetEvacuated(const ZoneId& zone, bool is_evacuated, TimePoint now);
   bool IsEvacuated(const ZoneId& zone) const;
 
+  // Sends nothing new to that incarnation of the server before the end of
+  // `period`, also if its entry is removed and returns meanwhile. A period that
+  // ends before the known one has no effect. Returns whether it had one.
+  bool SetQuiet(const ServerIncarnation& incarnation, const QuietPeriod& period,
+                TimePoint now);
+
+  // Returns the servers of the service that are neither leaving nor in an
+  // evacuated zone.
+  std::vector<ServerRecord*> InService(const ServiceId& service);
+
   // Returns the servers of the service that new work may be sent to.
   std::vector<ServerRecord*> Usable(const ServiceId& service, TimePoint now);
 
   // Returns the same as Usable and the servers suspended after failures.
-  std::vector<ServerRecord*> UsableOrSuspended(const ServiceId& service);
+  std::vector<ServerRecord*> UsableOrSuspended(const ServiceId& service,
+                                               TimePoint now);
 
   ServerRecord* Find(const ServerId& id);
 
@@ -97,6 +122,7 @@
   bool IsInService(const ServerRecord& record) const;
   bool HasNotice(const ServerIncarnation& incarnation) const;
   void KeepNotice(const ServerIncarnation& incarnation);
+  TimePoint QuietUntil(const ServerEntry& entry) const;
 
   const std::vector<ServerRecord*>& RecordsOf(const ServiceId& service);
 
@@ -105,6 +131,11 @@
   std::map<ServiceId, std::vector<ServerRecord*>> by_service_;
   std::set<ZoneId> evacuated_;
   std::deque<ServerIncarnation> leaving_;
+  struct KnownPeriod {
+    ServerIncarnation incarnation;
+    QuietPeriod period;
+  };
+  std::map<ServerId, KnownPeriod> quiet_periods_;
   VersionHistory versions_;
 };
 
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -123,7 +123,7 @@
   if (!origin) return Refuse("unknown_origin");
   if (origin->service == service_) required_version_ = origin->software_version;
   const std::vector<routing::ServerRecord*> servers =
-      context_.directory.UsableOrSuspended(service_);
+      context_.directory.InService(service_);
   if (std::none_of(servers.begin(), servers.end(),
                    [this](const routing::ServerRecord* server) {
                      return IsCandidate(*server);
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -81,7 +81,8 @@
       WithoutUnavailable(context_.directory.Usable(service_, Now()));
   // If no server is usable, one that has failed recently is better than none.
   if (usable.empty())
-    usable = WithoutUnavailable(context_.directory.UsableOrSuspended(service_));
+    usable = WithoutUnavailable(
+        context_.directory.UsableOrSuspended(service_, Now()));
   if (usable.empty()) return {};
   if (route_->uses_prompts)
     return context_.placement.Choose(usable, request_.prompt,
@@ -114,7 +115,7 @@
   const routing::ColdRateLimit limit = context_.ColdRateLimitOf(service_);
   std::optional<TimePoint> next;
   for (const routing::ServerRecord* server :
-       context_.directory.UsableOrSuspended(service_)) {
+       context_.directory.InService(service_)) {
     if (!IsCandidate(*server)) continue;
     const auto next_send = context_.limiter.NextSendAt(
         server->entry.id, limit, WarmthOf(*server, now), now);
--- a/services/gateway/stage_router.cc
+++ b/services/gateway/stage_router.cc
@@ -295,7 +295,7 @@
     zones.insert(zone);
   if (!zones.empty()) return zones;
   for (const routing::ServerRecord* server :
-       context_.directory.UsableOrSuspended(service))
+       context_.directory.InService(service))
     zones.insert(server->entry.zone);
   return zones;
 }
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -331,7 +331,8 @@
   const std::vector<routing::ServerRecord*> usable =
       context_.directory.Usable(location.service, context_.Now());
   if (!usable.empty()) return in_zone(usable);
-  return in_zone(context_.directory.UsableOrSuspended(location.service));
+  return in_zone(
+      context_.directory.UsableOrSuspended(location.service, context_.Now()));
 }
 
 StageRunner::ItemId StageRunner::Submit(const StageLocation& location,
--- a/tests/routing/server_directory_test.cc
+++ b/tests/routing/server_directory_test.cc
@@ -30,7 +30,7 @@
   REQUIRE(directory.Usable(kService, AtMs(0)).size() == 2);
   directory.SetEvacuated(ZoneId("other"), true, AtMs(0));
   REQUIRE(directory.Usable(kService, AtMs(0)).size() == 1);
-  REQUIRE(directory.UsableOrSuspended(kService).size() == 1);
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(0)).size() == 1);
   directory.SetEvacuated(ZoneId("other"), false, AtMs(0));
   REQUIRE(directory.Usable(kService, AtMs(0)).size() == 2);
   directory.Remove(ServerId("a"), TimePoint());
@@ -59,7 +59,7 @@
   REQUIRE(directory.SetLeaving(entry.incarnation()));
   REQUIRE_FALSE(directory.SetLeaving(entry.incarnation()));
   REQUIRE(directory.Usable(kService, AtMs(0)).empty());
-  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(3)).empty());
   SECTION("Although its heartbeats say that it is ready") {
     REQUIRE_FALSE(directory.Put(entry, AtMs(1)));
   }
@@ -83,7 +83,7 @@
     directory.Put(entry, AtMs(2));
   }
   REQUIRE(directory.Usable(kService, AtMs(3)).empty());
-  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(3)).empty());
   REQUIRE(directory.Find(entry.id) != nullptr);
 }
 
@@ -116,7 +116,7 @@
   REQUIRE(directory.SetLeaving(entry.incarnation()));
   REQUIRE_FALSE(directory.SetLeaving(entry.incarnation()));
   directory.Put(entry, AtMs(0));
-  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(3)).empty());
 }
 
 // Guards against unbounded memory, and against a listed server that is used
@@ -134,10 +134,10 @@
   REQUIRE(directory.leaving().size() == maximum_notices);
   REQUIRE_FALSE(directory.SetLeaving(entry.incarnation()));
   directory.Put(entry, AtMs(1));
-  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(3)).empty());
   directory.Remove(entry.id, AtMs(2));
   directory.Put(entry, AtMs(3));
-  REQUIRE(directory.UsableOrSuspended(kService).empty());
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(3)).empty());
 }
 
 TEST_CASE(
@@ -164,7 +164,7 @@
   REQUIRE(directory.Usable(kService, AtMs(0)).size() == 1);
   directory.Report(id, CallResult::kFailed, AtMs(0));
   REQUIRE(directory.Usable(kService, AtMs(1)).empty());
-  REQUIRE(directory.UsableOrSuspended(kService).size() == 1);
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(0)).size() == 1);
   const auto trial = directory.Usable(kService, AtMs(600));
   REQUIRE(trial.size() == 1);
   trial[0]->in_flight = 1;
@@ -221,5 +221,88 @@
   REQUIRE(record->cold_until < AtMs(60000));
 }
 
+bool SetQuietUntil(ServerDirectory& directory, const ServerEntry& entry,
+                   int until_ms, int now_ms, int spread_ms = 0) {
+  return directory.SetQuiet(entry.incarnation(),
+                            {AtMs(until_ms), milliseconds(spread_ms)},
+                            AtMs(now_ms));
+}
+
+// Guards against requests to a server that asked for none for some time.
+TEST_CASE("A quiet server gets no new work, whatever its calls return") {
+  ServerDirectory directory;
+  const ServerEntry entry = MakeEntry("a");
+  directory.Put(entry, AtMs(0));
+  directory.Put(MakeEntry("b"), AtMs(0));
+  REQUIRE(SetQuietUntil(directory, entry, 2000, 0));
+  const auto result =
+      GENERATE(CallResult::kSuccess, CallResult::kNoEvidence, CallResult::kSlow,
+               CallResult::kFailed, CallResult::kUnreachable);
+  for (int i = 0; i < 4; ++i) directory.Report(entry.id, result, AtMs(100));
+  for (const int now_ms : {100, 1999}) {
+    const auto usable = directory.Usable(kService, AtMs(now_ms));
+    REQUIRE(usable.size() == 1);
+    REQUIRE(usable[0]->entry.id == ServerId("b"));
+    REQUIRE(directory.UsableOrSuspended(kService, AtMs(now_ms)).size() == 1);
+  }
+  REQUIRE(directory.InService(kService).size() == 2);
+  REQUIRE(directory.UsableOrSuspended(kService, AtMs(2000)).size() == 2);
+}
+
+TEST_CASE("A shorter quiet time does not end a longer one") {
+  ServerDirectory directory;
+  const ServerEntry entry = MakeEntry("a");
+  directory.Put(entry, AtMs(0));
+  REQUIRE(SetQuietUntil(directory, entry, 2000, 0));
+  REQUIRE_FALSE(SetQuietUntil(directory, entry, 1000, 100));
+  REQUIRE(directory.Usable(kService, AtMs(1999)).empty());
+  REQUIRE(SetQuietUntil(directory, entry, 3000, 200));
+  REQUIRE(directory.Usable(kService, AtMs(2999)).empty());
+  REQUIRE(directory.Usable(kService, AtMs(3000)).size() == 1);
+}
+
+// Guards against a return to all servers at once: with the longest of many
+// random times, all servers would return at the same time.
+TEST_CASE("The first random time of a quiet period is kept") {
+  ServerDirectory directory;
+  const ServerEntry entry = MakeEntry("a");
+  directory.Put(entry, AtMs(0));
+  REQUIRE(SetQuietUntil(directory, entry, 2000, 0, 100));
+  REQUIRE(SetQuietUntil(directory, entry, 2010, 10, 400));
+  REQUIRE(directory.Usable(kService, AtMs(2109)).empty());
+  REQUIRE(directory.Usable(kService, AtMs(2110)).size() == 1);
+}
+
+TEST_CASE("A quiet time belongs to one incarnation of a server") {
+  ServerDirectory directory;
+  ServerEntry entry = MakeEntry("a");
+  entry.started_unix_ms = 100;
+  const ServerEntry before = entry;
+  directory.Put(entry, AtMs(0));
+  REQUIRE(SetQuietUntil(directory, before, 2000, 0));
+
+  SECTION("a restarted server starts without it") {
+    entry.started_unix_ms = 200;
+    directory.Put(entry, AtMs(100));
+    REQUIRE(directory.Usable(kService, AtMs(100)).size() == 1);
+    // A late response of the earlier incarnation.
+    REQUIRE_FALSE(SetQuietUntil(directory, before, 3000, 200));
+    REQUIRE(directory.Usable(kService, AtMs(200)).size() == 1);
+  }
+  SECTION("an entry that was removed returns with it") {
+    directory.Remove(entry.id, AtMs(100));
+    directory.Put(entry, AtMs(200));
+    REQUIRE(directory.Usable(kService, AtMs(1999)).empty());
+    REQUIRE(directory.Usable(kService, AtMs(2000)).size() == 1);
+  }
+  SECTION("an updated entry keeps it") {
+    entry.is_draining = true;
+    directory.Put(entry, AtMs(100));
+    entry.is_draining = false;
+    directory.Put(entry, AtMs(200));
+    REQUIRE(directory.Usable(kService, AtMs(1999)).empty());
+  }
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
