Gateway: Send no requests to a server that asks for quiet

A server that responds 503 with Retry-After wants no requests from this host for so long, but the host went on sending: with one such server and a request every 50 ms, each request reached it.

The host keeps the time in its directory of servers, from the head of the response on, for the incarnation that it called. Calls that are running go on. A request waits for a quiet server if that returns before the request's latency target. If all servers of a service are quiet for longer, requests are refused at once with the cause servers_quiet, and Retry-After is the time until the first one returns and up to a quarter more. The status stays 503 only if no server ran the request, which Retry-After does not tell. A stream that has begun is sent again to a server that it was sent to before, if the others are quiet for too long. A request with stages is refused before its stages run.

The fixture of the gateway tests keeps the log, so that tests can read it.

--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -33,6 +33,16 @@
 
 }  // namespace
 
+std::optional<TimePoint> FirstReturn(std::span<ServerRecord* const> servers,
+                                     TimePoint now) {
+  std::optional<TimePoint> first;
+  for (const ServerRecord* server : servers) {
+    if (!server->IsQuiet(now)) return std::nullopt;
+    first = std::min(first.value_or(server->quiet_until), server->quiet_until);
+  }
+  return first;
+}
+
 bool ServerDirectory::Put(const ServerEntry& entry, TimePoint now) {
   ServerRecord& record = servers_[entry.id];
   if (!record.entry.id.empty())
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,11 @@
   bool IsQuiet(TimePoint now) const { return quiet_until > now; }
 };
 
+// Returns when the first of the servers ends its quiet time, or nothing if one
+// is not quiet or there is none.
+std::optional<TimePoint> FirstReturn(std::span<ServerRecord* const> servers,
+                                     TimePoint now);
+
 enum class CallResult {
   kSuccess,
   kNoEvidence,  // no evidence about its health, such as no free slot
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -20,6 +20,11 @@
 // Least Retry-After of a refused request, before that limit and the jitter.
 constexpr Duration kMinimumRetryAfter = milliseconds(400);
 constexpr double kRetryAfterJitter = 0.5;
+// If it is known when the request could be served, Retry-After is at most this
+// fraction later, so that callers do not return all at once.
+constexpr double kReturnSpreadFraction = 0.25;
+// Resolution of Retry-After.
+constexpr Duration kRetryAfterStep = milliseconds(10);
 // Maximum wait for the first configuration, which takes a few milliseconds to
 // read while the store is available.
 constexpr Duration kConfigurationWait = milliseconds(1000);
@@ -181,6 +186,8 @@
   plan_.emplace(route_->stages, request_.stage_items);
   if (plan_->IsDone()) return Send();
   if (Now() + MinimumStageTime() >= event_deadline_) return Refuse("too_late");
+  if (const auto first_return = TooLateReturn())
+    return RefuseUntil(*first_return);
   const Duration wait = ChooseZone();
   // The request could not finish in time, so it is refused at once.
   if (Now() + MinimumStageTime() + wait >= event_deadline_)
@@ -209,6 +216,26 @@
   Fail({StatusWithoutResponse(), cause, retry_after});
 }
 
+Duration RequestFlow::TimeUntilRetry(Duration least) {
+  Duration wait = std::max(least, kMinimumRetryAfter);
+  if (route_ != nullptr)
+    wait = std::min(wait, (deadline_ - Now()) / kWaitDivisor);
+  return std::max(context_.random.Jitter(wait, kRetryAfterJitter),
+                  Duration::zero());
+}
+
+// Rounded up, since an earlier retry would be refused again.
+Duration RequestFlow::TimeUntilReturn(Duration first_return) {
+  const auto spread = std::chrono::duration_cast<Duration>(
+      first_return * (kReturnSpreadFraction * context_.random.Unit()));
+  const Duration wait = first_return + spread;
+  return (wait / kRetryAfterStep + 1) * kRetryAfterStep;
+}
+
+void RequestFlow::RefuseUntil(TimePoint first_return) {
+  Fail({StatusWithoutResponse(), "servers_quiet", first_return - Now(), true});
+}
+
 void RequestFlow::Fail(Failure failure) {
   if (has_ended_) return;
   if (has_begun_response_) {
@@ -218,11 +245,9 @@
   }
   http::HeaderFields fields;
   if (failure.status == 503) {
-    Duration wait = std::max(failure.retry_after, kMinimumRetryAfter);
-    if (route_ != nullptr)
-      wait = std::min(wait, (deadline_ - Now()) / kWaitDivisor);
-    wait = std::max(context_.random.Jitter(wait, kRetryAfterJitter),
-                    Duration::zero());
+    const Duration wait = failure.is_return_known
+                              ? TimeUntilReturn(failure.retry_after)
+                              : TimeUntilRetry(failure.retry_after);
     char text[16];
     std::snprintf(text, sizeof(text), "%.2f", Milliseconds(wait) / 1000.0);
     fields.push_back({"Retry-After", text});
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -64,6 +64,8 @@
     int status = 0;
     std::string_view cause;
     Duration retry_after{};
+    // The request cannot be served before `retry_after`.
+    bool is_return_known = false;
   };
 
   // Arrival.
@@ -116,6 +118,9 @@
       std::span<routing::ServerRecord* const> usable);
   void SendTo(const routing::PromptServerChoice& choice);
   void WaitForServer();
+  TimePoint LatestSend() const;
+  std::optional<TimePoint> FirstReturnOf(const ServiceId& service) const;
+  std::optional<TimePoint> TooLateReturn() const;
   void EndSend(routing::CallResult result, std::string_view outcome);
   void StartResponseTimer(Duration limit);
   void OnResponseTimeout();
@@ -141,7 +146,11 @@
   // `retry_after` is the time until the request could be served; zero means
   // that it is not known.
   void Refuse(std::string_view cause, Duration retry_after = Duration::zero());
+  // Refuses the request because its servers are quiet until then.
+  void RefuseUntil(TimePoint first_return);
   void Fail(Failure failure);
+  Duration TimeUntilRetry(Duration least);
+  Duration TimeUntilReturn(Duration first_return);
   void OnDeadline();
   void End(int status, std::string_view cause);
   int StatusWithoutResponse() const;
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -107,9 +107,42 @@
   return best;
 }
 
-// Every server has been tried or is at its rate limit. Waits until the limit of
-// an untried one allows a send, if that is before the request's latency target
-// or, once a stream has begun, before its caller leaves.
+// Returns the end of waits for a server: the request's latency target or, once
+// a stream has begun, when its caller leaves.
+TimePoint RequestFlow::LatestSend() const {
+  return has_begun_response_ ? event_deadline_
+                             : std::min(latency_target_at_, deadline_);
+}
+
+// Returns when the first server of the service ends its quiet time, or nothing
+// if one is not quiet. Only servers that could continue the request's stream
+// count.
+std::optional<TimePoint> RequestFlow::FirstReturnOf(
+    const ServiceId& service) const {
+  std::vector<routing::ServerRecord*> servers =
+      context_.directory.InService(service);
+  if (required_version_ && service == service_)
+    std::erase_if(servers, [this](const routing::ServerRecord* server) {
+      return server->entry.software_version != *required_version_;
+    });
+  return routing::FirstReturn(servers, Now());
+}
+
+// Returns when the servers that the request needs return, if all of one service
+// are quiet for longer than the request can wait.
+std::optional<TimePoint> RequestFlow::TooLateReturn() const {
+  std::optional<TimePoint> latest = FirstReturnOf(service_);
+  for (std::size_t i = 0; i < plan_->stage_count(); ++i) {
+    if (plan_->item_count(i) == 0) continue;
+    const auto first_return = FirstReturnOf(plan_->stage(i).service);
+    if (first_return)
+      latest = std::max(latest.value_or(*first_return), *first_return);
+  }
+  return latest && *latest >= LatestSend() ? latest : std::nullopt;
+}
+
+// Every server has been tried, is quiet or is at its rate limit. Waits until an
+// untried one may be used, unless that is too late.
 void RequestFlow::WaitForServer() {
   const TimePoint now = Now();
   const routing::ColdRateLimit limit = context_.ColdRateLimitOf(service_);
@@ -119,19 +152,22 @@
     if (!IsCandidate(*server)) continue;
     const auto next_send = context_.limiter.NextSendAt(
         server->entry.id, limit, WarmthOf(*server, now), now);
-    if (next_send && (!next || *next_send < *next)) next = next_send;
+    if (!next_send) continue;
+    const TimePoint usable_at = std::max(*next_send, server->quiet_until);
+    next = std::min(next.value_or(usable_at), usable_at);
   }
   // A stream that has begun is cut unless it is sent somewhere, and a server
   // that was silent or full may take it by now.
-  if (!next && has_begun_response_ && !tried_.empty()) {
+  const bool is_too_late = !next || *next >= LatestSend();
+  if (is_too_late && has_begun_response_ && !tried_.empty()) {
     tried_.clear();
     next = now + kLeaveCheckPeriod;
   }
-  const TimePoint latest = has_begun_response_
-                               ? event_deadline_
-                               : std::min(latency_target_at_, deadline_);
-  if (!next || *next >= latest)
+  if (!next || *next >= LatestSend()) {
+    if (const auto first_return = FirstReturnOf(service_))
+      return RefuseUntil(*first_return);
     return Fail({StatusWithoutResponse(), "no_server"});
+  }
   wait_timer_ = context_.loop.At(*next, [this] { Send(); });
 }
 
--- a/services/gateway/server_notices.cc
+++ b/services/gateway/server_notices.cc
@@ -1,8 +1,11 @@
 #include "services/gateway/server_notices.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
+#include "services/gateway/quiet_servers.h"
+
 namespace lovagecleat::gateway {
 
 namespace {
@@ -18,6 +21,19 @@
 constexpr std::size_t kAskedHosts = 3;
 constexpr Duration kAskDelay = std::chrono::milliseconds(100);
 
+// Longest part of a value that is logged.
+constexpr std::size_t kLoggedValueBytes = 128;
+
+void LogFieldProblems(Context& context, const ServerId& server,
+                      std::span<const FieldProblem> problems) {
+  for (const FieldProblem& problem : problems)
+    context.log.Write("field_unreadable", "",
+                      {{"server", server.value()},
+                       {"field", problem.field},
+                       {"value", problem.value.substr(0, kLoggedValueBytes)},
+                       {"expected", problem.expected}});
+}
+
 void WriteServer(const routing::ServerIncarnation& server,
                  messages::LeavingServer& copy) {
   copy.set_server(server.id.value());
@@ -60,8 +76,12 @@
 
 void ServerNotices::OnResponse(const routing::ServerIncarnation& server,
                                const ResponseMetadata& response) {
+  LogFieldProblems(context_, server.id, response.problems);
   // Another server that now has this address speaks for itself.
-  if (!response.is_leaving || response.is_wrong_server) return;
+  if (response.is_wrong_server) return;
+  if (response.quiet_time && *response.quiet_time > Duration::zero())
+    StartQuietPeriod(context_, server, *response.quiet_time);
+  if (!response.is_leaving) return;
   if (!Record(server, "response")) return;
   for (const std::string& peer : hosts_)
     if (is_reachable_(peer))
--- a/services/gateway/server_notices.h
+++ b/services/gateway/server_notices.h
@@ -11,8 +11,9 @@
 
 namespace lovagecleat::gateway {
 
-// Records the notices of servers that are about to exit and shares them with
-// the other hosts of the zone, which use the same servers.
+// Acts on what servers say of themselves in responses: that they are about to
+// exit, which is shared with the other hosts of the zone, and for how long they
+// want no requests from this host.
 class ServerNotices {
  public:
   using ReachableCallback = std::function<bool(const std::string& peer)>;
@@ -30,9 +31,9 @@
   // the first time, asks a few of them for the notices that they know.
   void SetHosts(std::vector<std::string> others);
 
-  // Records the notice in the head of a response to a call to `server`, if it
-  // contains one. `server` is the incarnation that the call was sent to: its
-  // entry may have been replaced since.
+  // Records the notices in the head of a response to a call to `server`, and
+  // logs fields that cannot be read. `server` is the incarnation that the call
+  // was sent to: its entry may have been replaced since.
   void OnResponse(const routing::ServerIncarnation& server,
                   const ResponseMetadata& response);
 
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -1,6 +1,7 @@
 #include "tests/gateway/gateway_fixture.h"
 
-#include <fcntl.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -13,9 +14,6 @@
 // Time for the connections between started gateways.
 constexpr auto kConnectTime = std::chrono::milliseconds(500);
 
-// Discards the log lines.
-int OpenNull() { return open("/dev/null", O_WRONLY | O_CLOEXEC); }
-
 }  // namespace
 
 RowSubject FakeRowSource::SubjectOf(const routing::Row& row) const {
@@ -90,7 +88,9 @@
 }
 
 GatewayFixture::Host::Host(GatewayFixture& fixture, const std::string& name)
-    : log(fixture.clock_, name, OpenNull()), pool(fixture.poller_) {
+    : log_file(memfd_create("log", MFD_CLOEXEC)),
+      log(fixture.clock_, name, log_file),
+      pool(fixture.poller_) {
   settings.host = HostId(name);
   settings.zone = ZoneId("z");
   const auto address = [] {
@@ -106,6 +106,20 @@
                                 settings, fixture.poller_, pool, log);
 }
 
+GatewayFixture::Host::~Host() { close(log_file); }
+
+std::string GatewayFixture::LogText(std::size_t host) {
+  Host& logging_host = *hosts_.at(host);
+  logging_host.log.Flush();
+  std::string text;
+  char buffer[4096];
+  ssize_t count = 0;
+  while ((count = pread(logging_host.log_file, buffer, sizeof(buffer),
+                        static_cast<off_t>(text.size()))) > 0)
+    text.append(buffer, static_cast<std::size_t>(count));
+  return text;
+}
+
 GatewayFixture::GatewayFixture() : poller_(loop()) {
   hosts_.push_back(std::make_unique<Host>(*this, "host"));
   gateway = hosts_.front()->gateway.get();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -108,6 +108,9 @@
 
   std::uint16_t callers_port(std::size_t host = 0) const;
 
+  // Returns the log lines that a gateway has written.
+  std::string LogText(std::size_t host = 0);
+
   FakeRowSource rows;
   Gateway* gateway = nullptr;  // the first one; null once killed
 
@@ -115,7 +118,11 @@
   // What one gateway process has for itself.
   struct Host {
     Host(GatewayFixture& fixture, const std::string& name);
+    ~Host();
+    Host(const Host&) = delete;
+    Host& operator=(const Host&) = delete;
 
+    int log_file;
     configuration::GatewaySettings settings;
     logging::EventLog log;
     http::ConnectionPool pool;
