Stage runner: Send no calls to a server that asks for quiet

A stage server that responds 503 with Retry-After got batches, requests for its report and releases of results all the same: a call for each of ten requests beside another server, and 26 calls for one request as the only one.

Quiet servers get no batches; the queue goes to the other servers of the zone, or is handed back to its requests for another zone. If all servers of the service are quiet, the items that can still run after the first one returns wait for it, and the others end at once; their requests are refused with the time of the return. No report is requested from a quiet server, and releases for it are sent when it returns; their memory counts as used until then. Calls that are running go on.

Tests: five cases in quiet_server_test failed on the code before. "Results at a quiet server are released when it returns" also failed without holding the releases, and "A server that asks for quiet while it runs a call finishes" also without the check before a report is requested.

--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -255,8 +255,10 @@
 
 // A request whose server may still continue does not depend on its stages.
 void RequestFlow::GiveUpStages(std::string_view cause) {
-  if (!call_) return Refuse(cause);
-  DropStageWork();
+  if (call_) return DropStageWork();
+  if (const auto first_return = TooLateReturn())
+    return RefuseUntil(*first_return);
+  Refuse(cause);
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -33,6 +33,8 @@
   StageLocation location;
   routing::BatchScheduler scheduler;
   TimePoint expiry_checked_at{};
+  // When the first server returns, while all are quiet and items wait for them.
+  std::optional<TimePoint> first_return;
   std::map<ServerId, TimePoint> free_memory_queried_at;
 };
 
@@ -360,9 +362,40 @@
   ArmDispatchTimer();
 }
 
+// Returns when the first server at the location returns, if all of the service
+// that could be used are quiet.
+std::optional<TimePoint> StageRunner::FirstReturnAt(
+    const StageLocation& location) {
+  const TimePoint now = context_.Now();
+  if (!context_.directory.UsableOrSuspended(location.service, now).empty())
+    return std::nullopt;
+  std::vector<routing::ServerRecord*> servers =
+      context_.directory.InService(location.service);
+  std::erase_if(servers, [&location](const routing::ServerRecord* server) {
+    return server->entry.zone != location.zone;
+  });
+  return routing::FirstReturn(servers, now);
+}
+
+// Keeps the items that can run when the first server returns.
+void StageRunner::HoldUntilReturn(StageQueue& queue, TimePoint first_return) {
+  const TimePoint now = context_.Now();
+  const bool is_changed = queue.first_return != first_return;
+  if (!is_changed && now - queue.expiry_checked_at < kExpiryCheckPeriod) return;
+  queue.first_return = first_return;
+  queue.expiry_checked_at = now;
+  for (const routing::QueuedItem& item :
+       queue.scheduler.TakeInfeasible(0, first_return))
+    DropCopy(item, ItemOutcome::kDeadlinePassed, queue.location);
+}
+
 void StageRunner::DispatchQueue(StageQueue& queue) {
   const TimePoint now = context_.Now();
   const std::vector<routing::ServerRecord*> servers = ServersAt(queue.location);
+  if (servers.empty())
+    if (const auto first_return = FirstReturnAt(queue.location))
+      return HoldUntilReturn(queue, *first_return);
+  queue.first_return.reset();
   const bool is_free = queue.scheduler.HasFreeServer(servers, now);
   if (!servers.empty() && !is_free &&
       now - queue.expiry_checked_at < kExpiryCheckPeriod)
@@ -512,12 +545,18 @@
 }
 
 void StageRunner::Release(std::span<const routing::ResultHandle> results) {
-  for (const routing::ResultHandle& result : results) {
+  if (results.empty()) return;
+  for (const routing::ResultHandle& result : results)
     pending_releases_[result.server].push_back(result.handle);
-  }
-  if (pending_releases_.empty() || release_timer_.value() != 0) return;
-  release_timer_ =
-      context_.loop.After(kReleaseBatchDelay, [this] { FlushReleases(); });
+  FlushReleasesAt(context_.Now() + kReleaseBatchDelay);
+}
+
+// Does nothing if the timer is due earlier.
+void StageRunner::FlushReleasesAt(TimePoint at) {
+  if (releases_flushed_at_ && *releases_flushed_at_ <= at) return;
+  context_.loop.Cancel(release_timer_);
+  releases_flushed_at_ = at;
+  release_timer_ = context_.loop.At(at, [this] { FlushReleases(); });
 }
 
 void StageRunner::UncountResult(const HeldResult& held) {
@@ -548,11 +587,18 @@
 
 void StageRunner::FlushReleases() {
   release_timer_ = TimerId{};
+  releases_flushed_at_.reset();
   for (const auto& [server, released] : std::exchange(pending_releases_, {})) {
     const std::vector<std::string>& handles = released;
     const routing::ServerRecord* record = context_.directory.Find(server);
     // A server that is no longer listed has lost its results.
     if (record == nullptr) continue;
+    if (record->IsQuiet(context_.Now())) {
+      std::vector<std::string>& pending = pending_releases_[server];
+      pending.insert(pending.end(), handles.begin(), handles.end());
+      FlushReleasesAt(record->quiet_until);
+      continue;
+    }
     const std::string bytes =
         context_.codec.WriteRelease(TargetOf(*record), handles);
     StartControlCall(
@@ -587,8 +633,9 @@
     const std::function<void(const std::optional<StageServerReport>&)>&
         callback) {
   const routing::ServerRecord* record = context_.directory.Find(server);
-  // A call to a server that is no longer listed ends by its own time limit.
-  if (record == nullptr) return;
+  // A call to a server that is no longer listed, or that is asked nothing for a
+  // while, ends by its own time limit.
+  if (record == nullptr || record->IsQuiet(context_.Now())) return;
   context_.metrics.Count("lovagecleat_report_questions_total");
   StartControlCall(
       *record, context_.codec.WriteReportRequest(TargetOf(*record)),
@@ -644,6 +691,10 @@
   for (const auto& [location, queue] : queues_) {
     const std::optional<TimePoint> at = queue->scheduler.NextDispatchAt(now);
     if (at && (!next || *at < *next)) next = at;
+    const bool is_held =
+        queue->first_return && queue->scheduler.queue_size() > 0;
+    if (is_held && (!next || *queue->first_return < *next))
+      next = queue->first_return;
   }
   if (next)
     dispatch_timer_ = context_.loop.At(*next, [this] { DispatchCalls(); });
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -85,6 +85,7 @@
 
   StageQueue* FindOrAddQueue(const StageLocation& location);
   std::vector<routing::ServerRecord*> ServersAt(const StageLocation& location);
+  std::optional<TimePoint> FirstReturnAt(const StageLocation& location);
   void DispatchQueue(StageQueue& queue);
   void StartCall(StageQueue& queue, routing::BatchCall call);
   void UncountSends(std::span<const routing::QueuedItem> items);
@@ -98,6 +99,7 @@
   // last one.
   void DropCopy(const routing::QueuedItem& item, ItemOutcome outcome,
                 const StageLocation& location);
+  void HoldUntilReturn(StageQueue& queue, TimePoint first_return);
   void HandBackItems(StageQueue& queue);
   void FinishItem(const routing::QueuedItem& item, ItemResult item_result,
                   const StageLocation& location);
@@ -105,6 +107,7 @@
   void Remove(ActiveCall* active_call);
   void Remove(ControlCall* call);
   void ArmDispatchTimer();
+  void FlushReleasesAt(TimePoint at);
   void FlushReleases();
   static ForwardedCall TargetOf(const routing::ServerRecord& server);
   void StartControlCall(
@@ -141,6 +144,7 @@
   std::map<ServerId, std::vector<std::string>> pending_releases_;
   TimerId dispatch_timer_;
   TimerId release_timer_;
+  std::optional<TimePoint> releases_flushed_at_;  // when the timer is due
 };
 
 }  // namespace lovagecleat::gateway
--- a/tests/gateway/quiet_server_test.cc
+++ b/tests/gateway/quiet_server_test.cc
@@ -257,5 +257,125 @@
   REQUIRE(Send(MakeRequest("/s/")).starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE_METHOD(QuietServerFixture,
+                 "Stage calls go to another server while one is quiet") {
+  ScriptedServer plain(Always(kServed));
+  ScriptedServer quiet(Always(MakeQuietResponse("5")));
+  // Slower than expected, so that it is used only in place of the other.
+  ScriptedServer other([](RawConnection& connection, const std::string&) {
+    std::this_thread::sleep_for(milliseconds(100));
+    connection.Write(kStageResult);
+    return true;
+  });
+  AddServer("plain", "plain", plain.address());
+  StartWith({quiet.address(), other.address()}, "encoder");
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+    RunFor(milliseconds(50));
+  }
+  REQUIRE(quiet.requests() == 1);
+}
+
+TEST_CASE_METHOD(QuietServerFixture,
+                 "Items wait for a stage server that returns in time") {
+  ScriptedServer plain(Always(kServed));
+  BrieflyQuietServer server(kStageResult);
+  AddServer("plain", "plain", plain.address());
+  StartWith({server.address()}, "encoder");
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(server.early_requests() == 1);
+}
+
+TEST_CASE_METHOD(
+    QuietServerFixture,
+    "A request is refused at once if its stage servers are quiet") {
+  ScriptedServer plain(Always(kServed));
+  ScriptedServer server(Always(MakeQuietResponse("4")));
+  AddServer("plain", "plain", plain.address());
+  StartWith({server.address()}, "encoder");
+  // The items of the first request cannot wait that long either.
+  for (int i = 0; i < 2; ++i) {
+    const TimePoint start = loop().clock().Now();
+    const std::string refused = Send(MakeRequest("/g/"));
+    REQUIRE(loop().clock().Now() - start < milliseconds(300));
+    REQUIRE(refused.starts_with("HTTP/1.1 503"));
+    REQUIRE(RetryAfterOf(refused) >= 3.5);
+  }
+  REQUIRE(server.requests() == 1);
+  REQUIRE(plain.requests() == 0);
+}
+
+// Guards against requests of the host's own to a quiet server.
+TEST_CASE_METHOD(QuietServerFixture,
+                 "Results at a quiet server are released when it returns") {
+  ScriptedServer plain([](RawConnection& connection, const std::string&) {
+    std::this_thread::sleep_for(milliseconds(800));
+    connection.Write(kServed);
+    return true;
+  });
+  std::atomic<int> runs = 0;
+  std::atomic<int> releases = 0;
+  ScriptedServer stage(
+      [&](RawConnection& connection, const std::string& request) {
+        if (request.starts_with("POST /stage-free")) {
+          ++releases;
+          connection.Write("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+        } else if (++runs == 1) {
+          connection.Write(kStageResult);
+        } else {
+          connection.Write(MakeQuietResponse("3"));
+        }
+        return true;
+      });
+  AddServer("plain", "plain", plain.address());
+  StartWith({stage.address()}, "encoder");
+  std::thread first([port = callers_port()] {
+    transport::RawClient client(port);
+    client.Write(MakeRequest("/g/"));
+    client.ReadToEnd();
+  });
+  RunFor(milliseconds(300));
+  Send(MakeRequest("/g/"));
+  RunFor(milliseconds(1500));
+  first.join();
+  REQUIRE(runs == 2);
+  REQUIRE(releases == 0);
+  RunFor(milliseconds(2700));
+  REQUIRE(releases == 1);
+}
+
+// Guards against a server's answer to a call without a request going unread,
+// and against requests for reports from a quiet server.
+TEST_CASE_METHOD(QuietServerFixture,
+                 "A server that asks for quiet while it runs a call finishes") {
+  ScriptedServer plain(Always(kServed));
+  std::atomic<int> runs = 0;
+  std::atomic<int> reports = 0;
+  ScriptedServer stage(
+      [&](RawConnection& connection, const std::string& request) {
+        if (request.starts_with("GET /report")) {
+          ++reports;
+        } else if (request.starts_with("POST /stage-free")) {
+          // The call of the second request is in progress by then.
+          std::this_thread::sleep_for(milliseconds(100));
+          connection.Write(MakeQuietResponse("5"));
+          return true;
+        } else if (++runs == 2) {
+          // Such a call counts as slow after 180 ms.
+          std::this_thread::sleep_for(milliseconds(500));
+        }
+        connection.Write(kStageResult);
+        return true;
+      });
+  AddServer("plain", "plain", plain.address());
+  StartWith({stage.address()}, "encoder");
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(runs == 2);
+  REQUIRE(reports == 0);
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 503"));
+  REQUIRE(runs == 2);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
