--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -22,6 +22,10 @@
 // Maximum number of kept notices of servers that are about to exit. Those of
 // listed servers stay in force beyond it.
 constexpr std::size_t kMaximumNotices = 512;
+// The random addition to a quiet time is at most this fraction of it, and at
+// most this time.
+constexpr double kQuietSpreadFraction = 0.25;
+constexpr Duration kMaximumQuietSpread = std::chrono::seconds(1);
 
 Duration SuspensionAfter(int failures) {
   Duration wait = kInitialSuspension;
@@ -43,6 +47,15 @@
   return first;
 }
 
+QuietPeriod MakeQuietPeriod(Duration quiet_time, TimePoint now,
+                            Random& random) {
+  const Duration most = std::min(
+      std::chrono::duration_cast<Duration>(quiet_time * kQuietSpreadFraction),
+      kMaximumQuietSpread);
+  return {now + quiet_time,
+          std::chrono::duration_cast<Duration>(most * random.Unit())};
+}
+
 bool ServerDirectory::Put(const ServerEntry& entry, TimePoint now) {
   ServerRecord& record = servers_[entry.id];
   if (!record.entry.id.empty())
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -71,6 +71,9 @@
   TimePoint end() const { return until + spread; }
 };
 
+// Returns the period for a server that now asks for `quiet_time`.
+QuietPeriod MakeQuietPeriod(Duration quiet_time, TimePoint now, Random& random);
+
 // Tracks the backend servers and which of them may be used, from their entries
 // and notices, operators' evacuations of zones, and the results of calls.
 class ServerDirectory {
