Stage runner: Count items that are submitted again as retries

With an empty retry budget and one stage server that fails, an item of one request still reached it 13 times: an item that failed at the budget was submitted again by its request, and the batching host counted it as a new first try.

The result of a failed item now tells, also to other hosts, whether servers had received it and its next run is a retry that the budget has not counted. The request takes that retry from the budget of its host, and otherwise ends with the cause retry_budget. Items that no server received move on without one. The batching host still counts the first send of such an item as a first try, which adds the usual share of a retry to its budget.

Test: "An item is not submitted again beyond the retry budget" failed before with 13 calls instead of 1.

--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -105,7 +105,7 @@
   }
   void GiveUpStages(std::string_view cause);
   void OnItemResult(routing::ItemPosition position, ItemResult item_result);
-  void OnItemFailed(routing::ItemPosition position);
+  void OnItemFailed(routing::ItemPosition position, bool needs_retry);
   void OnInputsLost(std::size_t stage);
 
   // Sending.
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -209,15 +209,19 @@
       return GiveUpStages("stage_late");
     case ItemOutcome::kNoResultMemory:
     case ItemOutcome::kFailed:
-      return OnItemFailed(position);
+      return OnItemFailed(position, item_result.needs_retry);
   }
 }
 
 // The item failed on the servers of one zone; those of another may succeed.
-void RequestFlow::OnItemFailed(routing::ItemPosition position) {
+void RequestFlow::OnItemFailed(routing::ItemPosition position,
+                               bool needs_retry) {
   if (++stage_failures_ > kMaximumStageFailures ||
       Now() + MinimumStageTime() >= event_deadline_)
     return GiveUpStages("stage_failed");
+  if (needs_retry &&
+      !context_.retry_budget.TakeRetry(plan_->stage(position.stage).service))
+    return GiveUpStages("retry_budget");
   failed_zones_.insert(stage_zone_);
   plan_->Requeue(position);
   SubmitReadyItems();
--- a/services/gateway/stage_router.cc
+++ b/services/gateway/stage_router.cc
@@ -434,6 +434,7 @@
           ending.set_outcome(static_cast<std::uint32_t>(item_result.outcome));
           ending.set_handle(item_result.result.handle);
           ending.set_maker(item_result.result.server.value());
+          ending.set_needs_retry(item_result.needs_retry);
           ScheduleFlush();
         });
   }
@@ -453,7 +454,7 @@
   }
   const Callback callback = std::move(found->second.callback);
   remote_.erase(found);
-  callback({outcome, result});
+  callback({outcome, result, ending.needs_retry()});
 }
 
 void StageRouter::ReassignItems(const std::string& host) {
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -433,6 +433,8 @@
       DropCopy(item, ItemOutcome::kFailed, queue.location);
       continue;
     }
+    // The retry of such an item has been counted above.
+    if (pending->second.copies > 1) pending->second.sends = 0;
     FinishItem(item, {ItemOutcome::kFailed, {}}, queue.location);
   }
 }
@@ -534,6 +536,8 @@
       Release(std::span<const routing::ResultHandle>(&item_result.result, 1));
     return;
   }
+  item_result.needs_retry =
+      item_result.outcome == ItemOutcome::kFailed && found->second.sends > 0;
   const Callback callback = std::move(found->second.callback);
   pending_items_.erase(found);
   callback(std::move(item_result));
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -40,6 +40,9 @@
 struct ItemResult {
   ItemOutcome outcome = ItemOutcome::kFailed;
   routing::ResultHandle result;
+  // Servers have received the item, and to run it again is a retry that the
+  // retry budget has not counted yet.
+  bool needs_retry = false;
 };
 
 // Executes stage items in calls that are batched over all requests submitted to
--- a/tests/gateway/stages_test.cc
+++ b/tests/gateway/stages_test.cc
@@ -364,5 +364,24 @@
   REQUIRE(Send(request).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against sends beyond the retry budget: an item that failed at the
+// budget was submitted again by its request, as if it were new.
+TEST_CASE_METHOD(StagesFixture,
+                 "An item is not submitted again beyond the retry budget") {
+  std::atomic<int> calls = 0;
+  ScriptedServer stage([&calls](RawConnection& connection, const std::string&) {
+    ++calls;
+    connection.Write("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+    return true;
+  });
+  rows.Set("op", "config", kRouting);
+  AddServer("plain", "plain", plain.address());
+  AddServer("stage", "encoder", stage.address());
+  Start();
+  DisableRetries();
+  REQUIRE(Send(MakeStagedRequest(1)).starts_with("HTTP/1.1 503"));
+  REQUIRE(calls == 1);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
