--- a/tests/gateway/quiet_server_test.cc
+++ b/tests/gateway/quiet_server_test.cc
@@ -276,6 +276,27 @@
   REQUIRE(quiet.requests() == 1);
 }
 
+// Guards against a zone that counts as able to run items while all of its
+// servers are quiet.
+TEST_CASE_METHOD(
+    QuietServerFixture,
+    "Items go to another zone while the servers of one are quiet") {
+  ScriptedServer plain(Always(kServed));
+  ScriptedServer quiet(Always(MakeQuietResponse("60")));
+  ScriptedServer other(Always(kStageResult));
+  AddServer("plain", "plain", plain.address());
+  rows.Set("servers", "other",
+           R"({"service":"encoder","address":")" + other.address() +
+               R"(","zone":"y","version":"v1","state":"ready","slots":4,)"
+               R"("seq":1})");
+  StartWith({quiet.address()}, "encoder");
+  for (int i = 0; i < 30; ++i) {
+    REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+    RunFor(milliseconds(30));
+  }
+  REQUIRE(quiet.requests() == 1);
+}
+
 TEST_CASE_METHOD(QuietServerFixture,
                  "Items wait for a stage server that returns in time") {
   ScriptedServer plain(Always(kServed));
