Requests: End a stream whose event has no end

A stream that cannot be resumed stalled until its deadline when its server sent an event of more than 1 MiB: the splitter failed and dropped all that followed, and nobody looked at it.

The call now ends as too_large, as for other responses without end.

Test: "An event without end ends a stream" failed before, both for the first event and for a later one.

--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -84,6 +84,8 @@
     passed.append(event.bytes);
     ++events_;
   }
+  if (passed.empty() && splitter_.has_failed())
+    return OnBrokenResponse("too_large");
   if (passed.empty()) return;
   if (!first_event_at_) {
     first_event_at_ = Now();
--- a/tests/gateway/endless_response_test.cc
+++ b/tests/gateway/endless_response_test.cc
@@ -142,6 +142,23 @@
   RunUntil([&] { return sender->closed() == 1; });
 }
 
+// Guards against a stalled stream: an event that was too large was neither
+// forwarded nor did it end the stream.
+TEST_CASE_METHOD(EndlessResponseFixture, "An event without end ends a stream") {
+  const bool has_begun = GENERATE(false, true);
+  const std::string begin =
+      Join({kStreamHead, has_begun ? Chunk("id: 1\ndata: a\n\n") : ""});
+  sender.emplace(EndlessPart{begin, Chunk("data: xxxxxxxx\n")});
+  ScriptedServer server(Endless());
+  StartWith(server);
+  const TimePoint start = loop().clock().Now();
+  const std::string response = Send(MakeRequest("/r/"));
+  REQUIRE(loop().clock().Now() - start < kTimeToFail);
+  REQUIRE(response.starts_with(has_begun ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+  REQUIRE_FALSE(response.ends_with(kStreamEnd));
+  RunUntil([&] { return sender->closed() == 1; });
+}
+
 // Guards against memory and time without bounds: the body of a success is
 // forwarded as it comes.
 TEST_CASE_METHOD(EndlessResponseFixture,
