--- a/tests/transport/peer_link_test.cc
+++ b/tests/transport/peer_link_test.cc
@@ -108,6 +108,34 @@
   zmq_ctx_term(context);
 }
 
+// Guards against memory without bounds: a peer sends a message of any size.
+TEST_CASE_METHOD(LoopFixture, "A message above the limit does not arrive") {
+  const bool is_above = GENERATE(true, false);
+  const std::uint16_t port = UnusedPort();
+  Receiver receiver(loop(), port);
+  void* context = zmq_ctx_new();
+  void* socket = zmq_socket(context, ZMQ_DEALER);
+  const int no_linger = 0;
+  zmq_setsockopt(socket, ZMQ_LINGER, &no_linger, sizeof(no_linger));
+  const std::string endpoint = "tcp://127.0.0.1:" + std::to_string(port);
+  REQUIRE(zmq_connect(socket, endpoint.c_str()) == 0);
+  auto large = Message("a", 1);
+  const std::size_t overhead = 100;  // of the other fields
+  large.mutable_stage_request()->set_input(std::string(
+      PeerLink::kMaximumMessageBytes - (is_above ? 0 : overhead), 'x'));
+  const std::string bytes = large.SerializeAsString();
+  zmq_send(socket, bytes.data(), bytes.size(), 0);
+  const std::string good = Message("a", 2).SerializeAsString();
+  // The connection ends at the large message and is established again.
+  RunUntil([&] {
+    zmq_send(socket, good.data(), good.size(), ZMQ_DONTWAIT);
+    return !receiver.sequences().empty() && receiver.sequences().back() == 2;
+  });
+  REQUIRE(receiver.sequences().front() == (is_above ? 2 : 1));
+  zmq_close(socket);
+  zmq_ctx_term(context);
+}
+
 TEST_CASE_METHOD(LoopFixture,
                  "The queue to a peer that does not read is bounded") {
   const std::uint16_t port = UnusedPort();
