Stages: Wait a moment for a response after its server reports itself idle

A stage call was ended, and its items were run again, although its response was about to arrive: the server, silent for a second, then answered the report on another connection a few milliseconds earlier.

A response now counts as lost 30 ms after the report.

Test: "A stage response may follow the report of its server" failed before (2 calls instead of 1).

--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -21,6 +21,9 @@
 // Period of the search for items that cannot meet their deadline, while all
 // servers are busy. Sorting a long queue at each event takes too long.
 constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(50);
+// A response that was sent before the report that its server is idle may arrive
+// this much later, since it comes on another connection.
+constexpr Duration kLostResponseDelay = std::chrono::milliseconds(30);
 // A result of a batch is described by less than 1 KiB.
 constexpr std::uint64_t kMaximumBatchBytes = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t kMaximumControlBytes = std::uint64_t{64} * 1024;
@@ -155,7 +158,11 @@
   // The next query waits for this one, since each takes a connection while the
   // server does not answer.
   void OnReport(const std::optional<StageServerReport>& report) {
-    if (report && report->is_idle) return OnResponseLost();
+    if (report && report->is_idle) {
+      slow_timer_ =
+          loop().After(kLostResponseDelay, [this] { OnResponseLost(); });
+      return;
+    }
     slow_timer_ = loop().After(queue_.scheduler.CallTime(call_.items.size()),
                                [this] { CheckForLostResponse(); });
   }
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -395,6 +395,9 @@
 
   std::atomic<int> calls = 0;
   std::atomic<int> reports = 0;
+  std::atomic<bool> is_busy = true;  // as its reports say
+  // Time by which responses to calls follow reports after the silence.
+  std::atomic<Duration> call_delay = Duration::zero();
 
  private:
   bool Handle(RawConnection& connection, const std::string& request) {
@@ -404,10 +407,12 @@
     if (is_call && ++calls == 1) until_ = clock_.Now() + silence_;
     while (clock_.Now() < until_.load())
       std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    const std::string body = is_call     ? R"({"items":[{"handle":"h0"}]})"
-                             : is_report ? R"({"queued":0,"busy":true,)"
-                                           R"("freeMb":1})"
-                                         : "";
+    if (is_call) std::this_thread::sleep_for(call_delay.load());
+    const std::string body =
+        is_call     ? R"({"items":[{"handle":"h0"}]})"
+        : is_report ? Join({R"({"queued":0,"busy":)",
+                            is_busy ? "true" : "false", R"(,"freeMb":1})"})
+                    : "";
     connection.Write("HTTP/1.1 200 X\r\nContent-Length: " +
                      std::to_string(body.size()) + "\r\n\r\n" + body);
     return true;
@@ -452,6 +457,24 @@
   REQUIRE(stage.server().connections() == 2);
 }
 
+// Guards against abandoned stage calls: after a silence, the report that the
+// server had finished arrived just before its response on another connection,
+// and the response counted as lost.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A stage response may follow the report of its server") {
+  PausingStageServer stage(kSoundSilence);
+  stage.is_busy = false;
+  stage.call_delay = std::chrono::milliseconds(5);
+  ScriptedServer server([](RawConnection& connection, const std::string&) {
+    connection.Write(kResponse);
+    return true;
+  });
+  AddServer("stage", "encoder", stage.server().address());
+  StartWith({&server});
+  REQUIRE(Send(MakeRequest("/g/")).starts_with("HTTP/1.1 200"));
+  REQUIRE(stage.calls == 1);
+}
+
 // Guards against waiting for stage servers that do not go on.
 TEST_CASE_METHOD(
     SilentServerFixture,
