--- a/tests/gateway/endless_response_test.cc
+++ b/tests/gateway/endless_response_test.cc
@@ -238,7 +238,9 @@
   });
   http::Poller poller(loop());
   http::ConnectionPool pool(poller);
-  platform_adapter::StoreClient client(loop(), pool, store.address());
+  const SystemClock clock;
+  logging::EventLog log(clock, "host", -1);
+  platform_adapter::StoreClient client(loop(), pool, log, store.address());
   std::optional<RowsResponse> response;
   client.ReadAll("servers",
                  [&](RowsResponse read) { response = std::move(read); });
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 
 import argparse
 import asyncio
+import collections
 import json
 import os
 import pathlib
@@ -66,6 +67,8 @@
 OWN_ROW_SECONDS = 3
 # A host that is in touch for this long knows of a drain and of an evacuation, so that a restore must not undo them.
 MINIMUM_KNOWN_SECONDS = max(records.EVACUATION_SECONDS, records.CONTACT_SECONDS) + 0.3
+# Violations of each check that are printed for a run.
+SHOWN_VIOLATIONS = 4
 # Few streams take longer, so that most meet one pause of their server at most.
 MINIMUM_SECONDS_BETWEEN_PAUSES = 3
 
@@ -698,8 +701,13 @@
           f"{len(violations)} violations", flush=True)
     if violations:
         (folder / "timeline.txt").write_text("\n".join(soak.timeline) + "\n")
-        for text in violations[:10]:
-            print(f"  {text}")
+        counts = collections.Counter()
+        for text in violations:
+            name = text.partition(":")[0]
+            counts[name] += 1
+            if counts[name] <= SHOWN_VIOLATIONS:
+                print(f"  {text}")
+        print(f"  by check: {', '.join(f'{name} {count}' for name, count in counts.items())}")
     return not violations
 
 
