Row follower: Read the store if a feed omits a change known here

A host that is fed could keep a removed evacuation, or lack one that is in force, without any restore: a row that changed twice between two reads of one reader was no change to it, so its feed went on without the row, while this host had the first change from another reader and took the feed for complete. A feed is now complete only if it names every row that is known here as changed after the version from which the feed starts; otherwise the host reads the table.

The new case in tests/gateway/row_follower_test.cc failed before.

--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -421,6 +421,17 @@
       if (table.name == change.table) ApplyChanges(table, change);
 }
 
+// A sender feeds what differs between two of its own reads. A row that changed
+// twice in between may be omitted, while this host knows the first change.
+bool RowFollower::OmitsKnownChange(const TableChanges& changes) const {
+  const std::vector<routing::Row> known = replica_.NewerThan(changes.after);
+  return std::any_of(known.begin(), known.end(), [&](const auto& row) {
+    return row.table == changes.table &&
+           std::none_of(changes.rows.begin(), changes.rows.end(),
+                        [&](const auto& fed) { return fed.key == row.key; });
+  });
+}
+
 void RowFollower::ApplyChanges(Table& table, const TableChanges& changes) {
   const std::uint64_t era = changes.version.era();
   // The sender has not seen that the store was restored.
@@ -447,7 +458,7 @@
   for (const routing::Row& row : changes.rows) Merge(row, origin);
   table.announced_version = std::max(table.announced_version, changes.version);
   if (!changes.must_read && era == table.position.era() &&
-      changes.after <= table.position)
+      changes.after <= table.position && !OmitsKnownChange(changes))
     table.position = changes.version;
   // Missing changes are read from the store, unless a read is in progress.
   if (table.IsBehind() && !table.is_reading) Read(table);
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -137,6 +137,7 @@
   bool HasChanged(const routing::Row& row) const;
   void PublishChanges(const Table& table, routing::RowVersion after,
                       std::vector<routing::Row> changed_rows);
+  bool OmitsKnownChange(const TableChanges& changes) const;
   void ApplyChanges(Table& table, const TableChanges& changes);
 
   Context& context_;
--- a/tests/gateway/row_follower_test.cc
+++ b/tests/gateway/row_follower_test.cc
@@ -223,6 +223,32 @@
   REQUIRE(applied.size() == 2);
 }
 
+// Guards against a lost change: a row changed twice between two reads of one
+// reader, which so found no change, while another reader fed the first one.
+TEST_CASE_METHOD(FollowerFixture,
+                 "A feed that omits a known change causes a read") {
+  rows.Set("op", "evacuate/z", "");
+  follower.Start();
+  follower.SetRank(1);
+  FeedNoChanges();
+  RunFor(milliseconds(500));
+  const RowVersion version = follower.known_version();
+  rows.Remove("op", "evacuate/z");
+  const TableChanges removal{
+      "op",
+      version,
+      Later(version, 1),
+      {{"op", "evacuate/z", "", Later(version, 1), true}},
+      false,
+      {}};
+  follower.ApplyFeed(std::span<const TableChanges>(&removal, 1));
+  REQUIRE(applied.back().row.is_removed);
+  rows.Set("op", "evacuate/z", "");
+  const TableChanges none{"op", version, Later(version, 2), {}, false, {}};
+  follower.ApplyFeed(std::span<const TableChanges>(&none, 1));
+  REQUIRE_FALSE(applied.back().row.is_removed);
+}
+
 // Guards against a lost change: the store was busy when a host that was fed
 // tried to read an announced change, and the host did not try again.
 TEST_CASE_METHOD(FollowerFixture,
