Tests: Take unused ports from a range of their own

Three whole runs of gateway_test beside other tests failed once each, in different cases, since a gateway could not listen: another process got the port between its choice and its use. The kernel hands ports of its own range out to all processes. The ports now lie below that range, and each process begins at another one.

--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr int kBacklog = 64;
+// Below the range that the kernel takes ports from.
+constexpr int kFirstTestPort = 12000;
+constexpr int kTestPorts = 20000;
+constexpr int kPortsPerProcess = 307;
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
 constexpr std::string_view kContentLengthPrefix = "Content-Length: ";
 
@@ -164,11 +168,22 @@
   }
 }
 
+// The kernel gives ports that are bound to port 0 to other processes as well,
+// as soon as they are closed. These ports are below those that it gives out,
+// and each process begins at another one.
 std::uint16_t UnusedPort() {
-  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  const std::uint16_t port = BindToAnyPort(descriptor);
-  close(descriptor);
-  return port;
+  static int next = static_cast<int>(getpid()) * kPortsPerProcess % kTestPorts;
+  for (int tries = 0; tries < kTestPorts; ++tries) {
+    const int port = kFirstTestPort + next;
+    next = (next + 1) % kTestPorts;
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = LoopbackAddress(static_cast<std::uint16_t>(port));
+    const bool is_free = bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                              sizeof(address)) == 0;
+    close(descriptor);
+    if (is_free) return static_cast<std::uint16_t>(port);
+  }
+  return 0;
 }
 
 }  // namespace lovagecleat::transport
