Row follower: Drop a response that is older than a feed

A host could lack an evacuation that was in force, or keep one that was taken back, for as long as the row did not change again, without any restore of the store.

Cause: a row changed twice between two reads of one reader, whose feed so went on without it. Another host had asked the store between the two changes, and the response with the first change came after that feed. The follower applied it, while its position was already behind the second change.

Rows of a response that is older than the known position are now dropped: what they state was replaced by the feed.

The new test failed before: the evacuation was lifted.

--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -154,6 +154,10 @@
       recovering_until_ && context_.Now() < *recovering_until_;
   const RowOrigin origin =
       is_recovering ? RowOrigin::kStoreAfterOutage : RowOrigin::kStore;
+  // A feed has brought a newer version meanwhile. It omits rows that have
+  // changed back since, whose earlier changes must not be applied after it.
+  if (!was_full_read && response.version < table.position)
+    response.rows.clear();
   std::vector<routing::Row> changed_rows;
   for (const routing::Row& row : response.rows) {
     if (HasChanged(row)) changed_rows.push_back(row);
--- a/tests/gateway/store_era_test.cc
+++ b/tests/gateway/store_era_test.cc
@@ -515,6 +515,25 @@
   }
 }
 
+// Guards against a lost evacuation: it was removed and set again between two
+// reads of one reader, whose feed so went on without it. The response with the
+// removal reached the host after that feed.
+TEST_CASE_METHOD(StoreEraFixture, "A late response does not undo a feed") {
+  store.Set("op", "evacuate/z", "");
+  host.Start();
+  RunFor(kReadTime);
+  const RowVersion before = host.follower.known_version();
+  host.view.is_holding = true;
+  store.Remove("op", "evacuate/z");
+  RunFor(milliseconds(500));
+  store.Set("op", "evacuate/z", "");
+  const TableChanges none{"op", before, store.newest_version(), {}, false, {}};
+  host.follower.ApplyFeed(std::span<const TableChanges>(&none, 1));
+  host.view.Release();
+  RunFor(kReadTime);
+  REQUIRE(host.IsEvacuated("z"));
+}
+
 TEST_CASE_METHOD(StoreEraGatewayFixture,
                  "A gateway takes a configuration that is written again") {
   const FakeRowSource::Copy copy = rows.Save();
