Row follower: Feed rows that another host knew first

A host that is fed could keep an older configuration, or use a draining server, for good after a restore of the store.

Cause: the reading host learned the newest content from a host that had kept it, under the version of the older row in the restored store. When its owner wrote the content again nothing changed at the reading host, so its feed went on without the row, and a host that had read the older row never got it.

A row that was last learned from another host counts as changed when a newer version of it is read.

The new test failed before: no feed named the row.

--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -161,6 +161,9 @@
   std::vector<routing::Row> changed_rows;
   for (const routing::Row& row : response.rows) {
     if (HasChanged(row)) changed_rows.push_back(row);
+    const routing::Row* known = replica_.Find(row.table, row.key);
+    if (known != nullptr && known->version < row.version)
+      peer_rows_.erase({row.table, row.key});
     Merge(row, origin);
   }
   if (was_full_read) {
@@ -381,8 +384,11 @@
 bool RowFollower::HasChanged(const routing::Row& row) const {
   const routing::Row* before = replica_.Find(row.table, row.key);
   if (before == nullptr || before->is_removed != row.is_removed) return true;
-  // Known from another host; the hosts that are fed may not have it.
-  if (before->version >= row.version) return true;
+  // Known from another host, which may have kept it from an older era; the
+  // hosts that are fed may not have it.
+  if (before->version >= row.version ||
+      peer_rows_.contains({row.table, row.key}))
+    return true;
   // The hosts that are fed may know other content than this host has kept, or
   // wait for a row that was missing in a restored store.
   if (kept_rows_.IsKept(row) || before->version.era() != row.version.era())
@@ -491,8 +497,11 @@
   std::uint64_t era = store_era_;
   for (const routing::Row& row : rows) era = std::max(era, row.version.era());
   if (era > store_era_) BeginEra(era, EraOrigin::kPeer, nullptr);
-  for (const routing::Row& row : rows)
-    if (IsAcceptableFromPeer(row)) Merge(row, RowOrigin::kPeer);
+  for (const routing::Row& row : rows) {
+    if (!IsAcceptableFromPeer(row)) continue;
+    peer_rows_.insert({row.table, row.key});
+    Merge(row, RowOrigin::kPeer);
+  }
 }
 
 // Once a table was read, everything up to its position is known here: a row up
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -145,6 +146,8 @@
   ApplyCallback apply_;
   routing::RowReplica replica_;
   KeptRows kept_rows_;
+  // Table and key of rows that were last learned from another host.
+  std::set<std::pair<std::string, std::string>> peer_rows_;
   std::vector<Table> tables_;
   std::uint64_t store_era_ = 0;  // the newest known one
   // End of the time for which rows of older eras stay in force that are missing
--- a/tests/gateway/store_era_test.cc
+++ b/tests/gateway/store_era_test.cc
@@ -534,6 +534,31 @@
   REQUIRE(host.IsEvacuated("z"));
 }
 
+// Guards against an older configuration in force for good: the reading host
+// knew the newest one from a host that had kept it, so that writing it again
+// was no change there, and its feed went on without it.
+TEST_CASE_METHOD(StoreEraFixture,
+                 "Content that another host kept is fed when written again") {
+  store.Set("op", "config", MakeConfiguration(3));
+  store.Restore(store.Save());
+  const RowVersion restored = store.Find("op", "config")->version;
+  const std::vector<routing::Row> kept = {
+      {"op", "config", MakeConfiguration(5), restored, false}};
+  host.follower.MergeFromPeer(kept);
+  host.Start();
+  RunFor(kReadTime);
+  REQUIRE(host.configuration_version == 5);
+  host.fed.clear();
+  store.Set("op", "config", MakeConfiguration(5));
+  RunFor(kReadTime);
+  const auto has_rows = [](const std::vector<TableChanges>& feed) {
+    return std::any_of(feed.begin(), feed.end(), [](const TableChanges& table) {
+      return table.table == "op" && !table.rows.empty();
+    });
+  };
+  REQUIRE(std::any_of(host.fed.begin(), host.fed.end(), has_rows));
+}
+
 TEST_CASE_METHOD(StoreEraGatewayFixture,
                  "A gateway takes a configuration that is written again") {
   const FakeRowSource::Copy copy = rows.Save();
