Requests: Log the shared prompt parts and events of failed sends

A server that ended left one line for each request that it had, without what they had in common. The line now names the shared parts of the prompt and the events of this send, which tells a request that the server had just begun from one that it had been writing for seconds.

--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -222,6 +222,7 @@
   http::EventSplitter splitter_;
   std::optional<std::uint64_t> last_event_;
   std::uint64_t events_ = 0;
+  std::uint64_t events_before_send_ = 0;
   std::optional<TimePoint> first_sent_at_;
   std::optional<TimePoint> first_event_at_;
 
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -28,10 +28,24 @@
 constexpr int kUrgencyStep = 2;
 constexpr int kLowestUrgency = 9;
 
+// Longest list of prompt parts in a log line.
+constexpr std::size_t kLoggedPartsBytes = 256;
+
 double Milliseconds(Duration time) {
   return static_cast<double>(time.count()) / 1000.0;
 }
 
+// Returns the ids of the parts that other requests may share.
+std::string SharedPartsText(const routing::Prompt& prompt) {
+  std::string text;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    if (!text.empty()) text.push_back(',');
+    text.append(prompt.parts[i].id);
+    if (text.size() > kLoggedPartsBytes) break;
+  }
+  return text.substr(0, kLoggedPartsBytes);
+}
+
 routing::Warmth WarmthOf(const routing::ServerRecord& server, TimePoint now) {
   return server.cold_until > now ? routing::Warmth::kUnknown
                                  : routing::Warmth::kWarm;
@@ -190,6 +204,7 @@
   incarnation_ = server.entry.incarnation();
   software_version_ = server.entry.software_version;
   sent_at_ = now;
+  events_before_send_ = events_;
   heard_at_.reset();
   if (!server.silent_since) server.silent_since = now;
   if (!first_sent_at_) first_sent_at_ = now;
@@ -303,6 +318,8 @@
                       {"send", sends_},
                       {"status", head_.status},
                       {"ms", Milliseconds(Now() - sent_at_)},
+                      {"events", events_ - events_before_send_},
+                      {"shared_parts", SharedPartsText(request_.prompt)},
                       {"outcome", outcome}});
 }
 
