Gateway: Share the sending of batched reports to other hosts

ServerNotices collected messages by host, sent them together after a moment and dropped those that could not be sent. PeerOutbox does that for any message.

--- a/services/gateway/server_notices.cc
+++ b/services/gateway/server_notices.cc
@@ -10,12 +10,6 @@
 
 namespace {
 
-// Notices within this time share a message.
-constexpr Duration kBatchDelay = std::chrono::milliseconds(10);
-// Messages to a host that cannot be connected to for the second time are
-// dropped.
-constexpr Duration kSendRetryDelay = std::chrono::milliseconds(50);
-constexpr Duration kSendTimeout = std::chrono::milliseconds(2000);
 // A starting host asks this many others, so that one that is lost does not
 // matter, once it has had time to read the rows of all hosts.
 constexpr std::size_t kAskedHosts = 3;
@@ -45,15 +39,12 @@
 }  // namespace
 
 ServerNotices::ServerNotices(Context& context, ReachableCallback is_reachable,
-                             SendCallback send)
+                             Outbox::SendCallback send)
     : context_(context),
       is_reachable_(std::move(is_reachable)),
-      send_(std::move(send)) {}
+      outbox_(context.loop, std::move(send)) {}
 
-ServerNotices::~ServerNotices() {
-  context_.loop.Cancel(flush_timer_);
-  context_.loop.Cancel(ask_timer_);
-}
+ServerNotices::~ServerNotices() { context_.loop.Cancel(ask_timer_); }
 
 void ServerNotices::SetHosts(std::vector<std::string> others) {
   hosts_ = std::move(others);
@@ -63,15 +54,10 @@
 }
 
 void ServerNotices::AskOtherHosts() {
-  std::vector<std::string> asked = hosts_;
-  std::erase_if(asked,
-                [this](const auto& peer) { return !is_reachable_(peer); });
-  while (asked.size() > kAskedHosts)
-    asked.erase(asked.begin() + static_cast<std::ptrdiff_t>(
-                                    context_.random.Below(asked.size())));
-  for (const std::string& peer : asked)
-    OutgoingTo(peer).set_requests_notices(true);
-  ScheduleFlush(Duration::zero());
+  for (const std::string& peer :
+       ChooseReachable(hosts_, is_reachable_, kAskedHosts, context_.random))
+    outbox_.To(peer).set_requests_notices(true);
+  outbox_.FlushNow();
 }
 
 void ServerNotices::OnResponse(const routing::ServerIncarnation& server,
@@ -85,8 +71,8 @@
   if (!Record(server, "response")) return;
   for (const std::string& peer : hosts_)
     if (is_reachable_(peer))
-      WriteServer(server, *OutgoingTo(peer).add_leaving());
-  ScheduleFlush(kBatchDelay);
+      WriteServer(server, *outbox_.To(peer).add_leaving());
+  outbox_.FlushSoon();
 }
 
 void ServerNotices::OnMessage(const std::string& from,
@@ -97,11 +83,11 @@
            "peer");
   const auto& known = context_.directory.leaving();
   if (!notices.requests_notices() || known.empty()) return;
-  messages::ServerNotices& answer = OutgoingTo(from);
+  messages::ServerNotices& answer = outbox_.To(from);
   answer.clear_leaving();
   for (const routing::ServerIncarnation& server : known)
     WriteServer(server, *answer.add_leaving());
-  ScheduleFlush(Duration::zero());
+  outbox_.FlushNow();
 }
 
 bool ServerNotices::Record(const routing::ServerIncarnation& server,
@@ -118,27 +104,4 @@
   return true;
 }
 
-messages::ServerNotices& ServerNotices::OutgoingTo(const std::string& peer) {
-  return outgoing_.try_emplace(peer, Outgoing{{}, context_.Now()})
-      .first->second.notices;
-}
-
-void ServerNotices::ScheduleFlush(Duration delay) {
-  if (outgoing_.empty() || flush_timer_.value() != 0) return;
-  flush_timer_ = context_.loop.After(delay, [this] {
-    flush_timer_ = TimerId{};
-    Flush();
-  });
-}
-
-void ServerNotices::Flush() {
-  const TimePoint now = context_.Now();
-  std::erase_if(outgoing_, [&](const auto& item) {
-    const auto& [peer, outgoing] = item;
-    return send_(peer, outgoing.notices) ||
-           now - outgoing.added_at >= kSendTimeout;
-  });
-  ScheduleFlush(kSendRetryDelay);
-}
-
 }  // namespace lovagecleat::gateway
--- a/services/gateway/server_notices.h
+++ b/services/gateway/server_notices.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "messages/messages.h"
 #include "services/gateway/context.h"
+#include "services/gateway/peer_outbox.h"
 
 namespace lovagecleat::gateway {
 
@@ -17,12 +17,10 @@
 class ServerNotices {
  public:
   using ReachableCallback = std::function<bool(const std::string& peer)>;
-  // Returns false if the message cannot be sent now.
-  using SendCallback = std::function<bool(const std::string& peer,
-                                          const messages::ServerNotices&)>;
+  using Outbox = PeerOutbox<messages::ServerNotices>;
 
   ServerNotices(Context& context, ReachableCallback is_reachable,
-                SendCallback send);
+                Outbox::SendCallback send);
   ~ServerNotices();
   ServerNotices(const ServerNotices&) = delete;
   ServerNotices& operator=(const ServerNotices&) = delete;
@@ -41,26 +39,16 @@
                  const messages::ServerNotices& notices);
 
  private:
-  struct Outgoing {
-    messages::ServerNotices notices;
-    TimePoint added_at;
-  };
-
   // Returns true if the notice was not known.
   bool Record(const routing::ServerIncarnation& server,
               std::string_view source);
   void AskOtherHosts();
-  messages::ServerNotices& OutgoingTo(const std::string& peer);
-  void ScheduleFlush(Duration delay);
-  void Flush();
 
   Context& context_;
   ReachableCallback is_reachable_;
-  SendCallback send_;
+  Outbox outbox_;
   std::vector<std::string> hosts_;  // addresses, without this one
   bool has_asked_ = false;
-  std::map<std::string, Outgoing> outgoing_;  // by address
-  TimerId flush_timer_;
   TimerId ask_timer_;
 };
 
