Gateway: Refuse prompt parts under which servers crash

Cause: each host took each end for a fault of the server. Nothing connected an end with the content of the requests at that server, and the hosts do not share what they see: the five first ends were seen by five hosts. Change: a host reports the shared parts of the requests that a server had when its connection was lost to the hosts of all zones. A part with crashes of three servers at distinct times (six, if the servers had not begun to respond), and not served by any host since, is blocked: waiting requests with it are refused, new ones at once, with the time until the block ends. What sound requests share with it is served meanwhile and stays free. The block is kept in the store for hosts that start, is written again after a restore, ends after 15 minutes, when the part is served, or when an operator says so in the row; one host in the deployment lets a single request try again after 45 s, then ever later.

--- a/libraries/http/message.cc
+++ b/libraries/http/message.cc
@@ -126,6 +126,14 @@
   return kept;
 }
 
+bool EndsWithConnection(const ResponseHead& head) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return head.status != kNoContent && head.status != kNotModified &&
+         !FindField(head.fields, "Content-Length") &&
+         !HasToken(head.fields, "Transfer-Encoding", "chunked");
+}
+
 std::string FormatRequestHead(std::string_view method, std::string_view target,
                               const HeaderFields& fields) {
   std::string text;
--- a/libraries/http/message.h
+++ b/libraries/http/message.h
@@ -45,6 +45,10 @@
 bool HasToken(const HeaderFields& fields, std::string_view name,
               std::string_view token);
 
+// Returns whether the body of the response has neither a length nor chunks, so
+// that it ends with its connection.
+bool EndsWithConnection(const ResponseHead& head);
+
 // Return the head including its empty line.
 std::string FormatRequestHead(std::string_view method, std::string_view target,
                               const HeaderFields& fields);
--- /dev/null
+++ b/libraries/routing/crash_suspects.cc
@@ -0,0 +1,240 @@
+#include "routing/crash_suspects.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace lovagecleat::routing {
+
+namespace {
+
+// Score of a part from which on it is blocked, and that of one crash. A server
+// that had begun its response says more than one with a queue.
+constexpr int kScoreToBlock = 6;
+constexpr int kScoreOfJustStarted = 2;
+constexpr int kScoreOfWaiting = 1;
+// Crashes within this time count as one: many servers may crash for one reason
+// that is not in the requests, such as a loss of power.
+constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
+// Crashes count for this long unless the part is served.
+constexpr Duration kCrashMemory = std::chrono::minutes(30);
+constexpr Duration kBlockTime = std::chrono::minutes(15);
+// Time from the last crash to a trial, multiplied by the factor after each one.
+constexpr Duration kFirstTrialDelay = std::chrono::seconds(45);
+constexpr int kTrialDelayFactor = 4;
+constexpr int kMaximumTrialDelaySteps = 4;
+
+// Callers choose the parts, so what is kept of them is bounded.
+constexpr std::size_t kMaximumSuspects = 4096;
+constexpr std::size_t kMaximumCrashesPerPart = 16;
+constexpr std::size_t kMaximumServedParts = 8192;
+constexpr std::size_t kMaximumBlockedParts = 1024;
+
+constexpr std::size_t kMaximumPlainKeyBytes = 32;
+// Precedes a hash, so that no id equals it.
+constexpr char kHashPrefix = 'x';
+
+bool IsHexadecimal(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') ||
+           (c >= 'A' && c <= 'F');
+  });
+}
+
+int ScoreOfMoment(CrashMoment moment) {
+  return moment == CrashMoment::kJustStarted ? kScoreOfJustStarted
+                                             : kScoreOfWaiting;
+}
+
+}  // namespace
+
+PromptPartKey KeyOf(const PromptPart& part) {
+  if (!part.id.empty() && part.id.size() <= kMaximumPlainKeyBytes &&
+      IsHexadecimal(part.id))
+    return PromptPartKey(part.id);
+  const std::uint64_t first = StableHash(part.id);
+  char text[kMaximumKeyBytes + 1];
+  std::snprintf(text, sizeof(text), "%c%016llx%016llx", kHashPrefix,
+                static_cast<unsigned long long>(first),
+                static_cast<unsigned long long>(StableHash(part.id, first)));
+  return PromptPartKey(text);
+}
+
+std::vector<PromptPartKey> SharedPartKeys(const Prompt& prompt) {
+  std::vector<PromptPartKey> keys;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
+    keys.push_back(KeyOf(prompt.parts[i]));
+  return keys;
+}
+
+bool IsPromptPartKey(std::string_view text) {
+  if (text.starts_with(kHashPrefix))
+    return text.size() == kMaximumKeyBytes && IsHexadecimal(text.substr(1));
+  return !text.empty() && text.size() <= kMaximumPlainKeyBytes &&
+         IsHexadecimal(text);
+}
+
+TimePoint BlockedPart::NextTrialAt() const {
+  Duration delay = kFirstTrialDelay;
+  for (int i = 0; i < std::min(trials, kMaximumTrialDelaySteps); ++i)
+    delay *= kTrialDelayFactor;
+  return crashed_at + delay;
+}
+
+int CrashSuspects::ScoreOf(const Crashes& crashes) {
+  int score = 0;
+  int score_of_group = 0;
+  TimePoint group_start{};
+  for (const ServerCrash& crash : crashes) {
+    const bool is_same_group =
+        score_of_group > 0 && crash.at - group_start < kCommonCauseTime;
+    if (!is_same_group) {
+      score += score_of_group;
+      score_of_group = 0;
+      group_start = crash.at;
+    }
+    score_of_group = std::max(score_of_group, ScoreOfMoment(crash.moment));
+  }
+  return score + score_of_group;
+}
+
+// Several hosts, and several requests of one, report the same crash.
+void CrashSuspects::AddTo(Crashes& crashes, const ServerCrash& crash) const {
+  const auto known = std::find_if(
+      crashes.begin(), crashes.end(), [&crash](const ServerCrash& other) {
+        return other.incarnation == crash.incarnation;
+      });
+  if (known != crashes.end()) {
+    if (ScoreOfMoment(crash.moment) > ScoreOfMoment(known->moment))
+      known->moment = crash.moment;
+    return;
+  }
+  std::erase_if(crashes, [&crash](const ServerCrash& other) {
+    return crash.at - other.at > kCrashMemory;
+  });
+  const auto position = std::upper_bound(
+      crashes.begin(), crashes.end(), crash,
+      [](const ServerCrash& a, const ServerCrash& b) { return a.at < b.at; });
+  crashes.insert(position, crash);
+  if (crashes.size() > kMaximumCrashesPerPart) crashes.erase(crashes.begin());
+}
+
+std::vector<PromptPartKey> CrashSuspects::AddCrash(
+    std::span<const PromptPartKey> parts, const ServerCrash& crash) {
+  std::vector<PromptPartKey> blocked;
+  for (const PromptPartKey& part : parts) {
+    const auto known = blocked_.find(part);
+    if (known != blocked_.end()) {
+      known->second.crashed_at = std::max(known->second.crashed_at, crash.at);
+      continue;
+    }
+    if (WasServedSince(part, crash.at)) continue;
+    Crashes& crashes = suspects_[part];
+    AddTo(crashes, crash);
+    if (ScoreOf(crashes) < kScoreToBlock) continue;
+    const TimePoint last = crashes.back().at;
+    if (!Block(part, {last, last + kBlockTime, 0})) continue;
+    suspects_.erase(part);
+    blocked.push_back(part);
+  }
+  LimitSuspects();
+  return blocked;
+}
+
+// Drops the part whose last crash is the oldest of those with the least score.
+void CrashSuspects::LimitSuspects() {
+  while (suspects_.size() > kMaximumSuspects) {
+    const auto weakest = std::min_element(
+        suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
+          return std::pair(ScoreOf(a.second), a.second.back().at) <
+                 std::pair(ScoreOf(b.second), b.second.back().at);
+        });
+    suspects_.erase(weakest);
+  }
+}
+
+std::vector<PromptPartKey> CrashSuspects::AddServed(
+    std::span<const PromptPartKey> parts, TimePoint at) {
+  std::vector<PromptPartKey> cleared;
+  for (const PromptPartKey& part : parts) {
+    RememberServed(part, at);
+    bool is_cleared = false;
+    const auto suspect = suspects_.find(part);
+    if (suspect != suspects_.end()) {
+      is_cleared =
+          std::erase_if(suspect->second, [at](const ServerCrash& crash) {
+            return crash.at <= at;
+          }) > 0;
+      if (suspect->second.empty()) suspects_.erase(suspect);
+    }
+    const auto blocked = blocked_.find(part);
+    if (blocked != blocked_.end() && blocked->second.crashed_at <= at) {
+      blocked_.erase(blocked);
+      is_cleared = true;
+    }
+    if (is_cleared) cleared.push_back(part);
+  }
+  return cleared;
+}
+
+void CrashSuspects::RememberServed(const PromptPartKey& part, TimePoint at) {
+  if (served_.size() >= kMaximumServedParts && !served_.contains(part)) {
+    served_before_ = std::move(served_);
+    served_.clear();
+  }
+  TimePoint& known = served_[part];
+  known = std::max(known, at);
+}
+
+bool CrashSuspects::WasServedSince(const PromptPartKey& part,
+                                   TimePoint at) const {
+  for (const auto* served : {&served_, &served_before_}) {
+    const auto known = served->find(part);
+    if (known != served->end()) return known->second > at;
+  }
+  return false;
+}
+
+bool CrashSuspects::Block(const PromptPartKey& part, const BlockedPart& block) {
+  if (WasServedSince(part, block.crashed_at)) return false;
+  const auto known = blocked_.find(part);
+  if (known == blocked_.end() && blocked_.size() >= kMaximumBlockedParts)
+    return false;
+  if (known != blocked_.end() && known->second.crashed_at >= block.crashed_at)
+    return false;
+  blocked_.insert_or_assign(part, block);
+  return true;
+}
+
+const BlockedPart* CrashSuspects::Find(const PromptPartKey& part) const {
+  const auto found = blocked_.find(part);
+  return found == blocked_.end() ? nullptr : &found->second;
+}
+
+// If the trial brings no result, the next one follows as if it had failed.
+void CrashSuspects::StartTrial(const PromptPartKey& part, TimePoint now) {
+  const auto found = blocked_.find(part);
+  if (found == blocked_.end()) return;
+  ++found->second.trials;
+  found->second.crashed_at = now;
+}
+
+void CrashSuspects::RemoveExpired(TimePoint now) {
+  for (auto block = blocked_.begin(); block != blocked_.end();) {
+    if (block->second.until > now) {
+      ++block;
+      continue;
+    }
+    Crashes& crashes = suspects_[block->first];
+    crashes.clear();
+    // Together with one more crash they block the part.
+    constexpr int kRememberedCrashes = kScoreToBlock / kScoreOfJustStarted - 1;
+    for (int i = 0; i < kRememberedCrashes; ++i)
+      crashes.push_back({~static_cast<std::uint64_t>(i),
+                         CrashMoment::kJustStarted,
+                         now - kCommonCauseTime * (kRememberedCrashes - i)});
+    block = blocked_.erase(block);
+  }
+  LimitSuspects();
+}
+
+}  // namespace lovagecleat::routing
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -126,6 +126,18 @@
             *message.mutable_server_notices() = notices;
             return SendPeerMessage(peer, std::move(message));
           }),
+      prompt_blocks_(
+          context_, rows,
+          [this](const std::string& peer) { return stages_.IsReachable(peer); },
+          [this](const std::string& peer,
+                 const messages::PromptReports& reports) {
+            messages::PeerMessage message;
+            *message.mutable_prompt_reports() = reports;
+            return SendPeerMessage(peer, std::move(message));
+          },
+          [this] {
+            for (RequestFlow* flow : OpenRequests()) flow->OnPromptsBlocked();
+          }),
       runner_(context_, notices_),
       stages_(context_, runner_,
               [this](const std::string& peer,
@@ -220,8 +232,8 @@
     return exchange.Respond(503, {{"Retry-After", kStopRetryAfter}}, {});
   }
   auto flow = std::make_unique<RequestFlow>(
-      context_, stages_, origins_, notices_, exchange,
-      [this](RequestFlow* ended) {
+      context_, RequestServices{stages_, origins_, notices_, prompt_blocks_},
+      exchange, [this](RequestFlow* ended) {
         const auto found = flows_.find(ended);
         if (found == flows_.end()) return;
         context_.loop.DestroyLater(std::move(found->second));
@@ -252,6 +264,8 @@
       return ApplyServer(subject.name, row, origin);
     case RowSubject::Kind::kHost:
       return ApplyHost(subject.name, row);
+    case RowSubject::Kind::kPromptBlock:
+      return prompt_blocks_.ApplyRow(subject.name, row);
     case RowSubject::Kind::kOther:
       return;
   }
@@ -295,9 +309,7 @@
   // Servers are read concurrently with the configuration and may arrive a
   // little later.
   waiting_timer_ = context_.loop.After(kInitialServersDelay, [this] {
-    std::vector<RequestFlow*> waiting;
-    for (const auto& [flow, owner] : flows_) waiting.push_back(flow);
-    for (RequestFlow* flow : waiting) flow->OnConfiguration();
+    for (RequestFlow* flow : OpenRequests()) flow->OnConfiguration();
   });
 }
 
@@ -368,16 +380,19 @@
   std::vector<HostId> hosts{context_.settings.host};
   std::vector<PeerHost> others;
   std::vector<std::string> others_in_zone;
+  std::vector<std::string> all_others;
   for (const auto& [host, entry] : hosts_) {
     if (host == context_.settings.host) continue;
     hosts.push_back(host);
     others.push_back({entry.peers, ZoneId(entry.zone), entry.processor_cores});
+    all_others.push_back(entry.peers);
     if (ZoneId(entry.zone) == context_.settings.zone)
       others_in_zone.push_back(entry.peers);
   }
   stages_.SetHosts(others);
   origins_.SetHosts(others);
   notices_.SetHosts(std::move(others_in_zone));
+  prompt_blocks_.SetHosts(std::move(all_others));
   context_.host_count = hosts.size();
   context_.limiter.SetHosts(std::move(hosts));
   const configuration::GatewayLimits& limits = context_.settings.limits;
@@ -498,6 +513,10 @@
     ConnectPeer(message.sender());
     return notices_.OnMessage(message.sender(), message.server_notices());
   }
+  if (message.has_prompt_reports()) {
+    ConnectPeer(message.sender());
+    return prompt_blocks_.OnMessage(message.sender(), message.prompt_reports());
+  }
   if (message.has_rows_feed()) return OnRowsFeed(message.rows_feed());
   if (message.has_rows_push())
     follower_.MergeFromPeer(ReadRows(message.rows_push().rows()));
@@ -592,6 +611,7 @@
   context_.is_store_available = !follower_.is_store_unavailable();
   UpdateReaderRank();
   CheckOwnRow();
+  prompt_blocks_.Update(follower_.hosts_era());
   FetchRowsFromPeers();
   context_.log.Flush();
   tick_timer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
@@ -628,9 +648,14 @@
 }
 
 void Gateway::AnswerOpenRequests() {
+  for (RequestFlow* flow : OpenRequests()) flow->OnProcessEnding();
+}
+
+// Copied, since requests that end are removed from flows_.
+std::vector<RequestFlow*> Gateway::OpenRequests() const {
   std::vector<RequestFlow*> open;
   for (const auto& [flow, owner] : flows_) open.push_back(flow);
-  for (RequestFlow* flow : open) flow->OnProcessEnding();
+  return open;
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "services/gateway/context.h"
+#include "services/gateway/prompt_blocks.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/row_follower.h"
 #include "services/gateway/server_notices.h"
@@ -77,11 +78,13 @@
   void Tick();
   void ContinueStop();
   void AnswerOpenRequests();
+  std::vector<RequestFlow*> OpenRequests() const;
 
   metrics::Registry metrics_;
   Context context_;
   RowSource& rows_;
   ServerNotices notices_;
+  PromptBlocks prompt_blocks_;
   StageRunner runner_;
   StageRouter stages_;
   StreamOriginExchange origins_;
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -124,9 +124,16 @@
 
 // What a row of the platform's store describes.
 struct RowSubject {
-  enum class Kind { kRouting, kEvacuation, kServer, kHost, kOther };
+  enum class Kind {
+    kRouting,
+    kEvacuation,
+    kServer,
+    kHost,
+    kPromptBlock,
+    kOther
+  };
   Kind kind = Kind::kOther;
-  std::string name;  // of the zone, server or host
+  std::string name;  // of the zone, server, host or prompt part
 };
 
 struct RowsResponse {
@@ -160,6 +167,12 @@
   // it.
   virtual void WriteHost(const HostId& host, std::string value,
                          std::function<void(bool)> callback) = 0;
+
+  // Write and remove the row of a prompt part in the table of hosts. The
+  // callback gets whether the store accepted the row.
+  virtual void WritePromptBlock(const std::string& part, std::string value,
+                                std::function<void(bool)> callback) = 0;
+  virtual void RemovePromptBlock(const std::string& part) = 0;
 };
 
 }  // namespace lovagecleat::gateway
--- /dev/null
+++ b/services/gateway/prompt_watch.cc
@@ -0,0 +1,50 @@
+#include "services/gateway/prompt_watch.h"
+
+namespace lovagecleat::gateway {
+
+namespace {
+
+// A server that has sent content for this long does not crash because it began
+// to. A crash is noticed within a few round trips, and hosts may be slow.
+constexpr Duration kServedTime = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+void PromptWatch::Start(const routing::Prompt& prompt) {
+  parts_ = routing::SharedPartKeys(prompt);
+  if (blocks_.BlockedUntil(parts_)) is_trial_ = blocks_.TryStartTrial(parts_);
+}
+
+std::optional<TimePoint> PromptWatch::BlockedUntil() const {
+  return is_trial_ ? std::nullopt : blocks_.BlockedUntil(parts_);
+}
+
+void PromptWatch::OnSend() {
+  has_head_ = false;
+  first_content_at_.reset();
+  is_served_ = false;
+}
+
+void PromptWatch::OnContent() {
+  const TimePoint now = context_.Now();
+  if (!first_content_at_) first_content_at_ = now;
+  if (is_served_ || now - *first_content_at_ < kServedTime) return;
+  is_served_ = true;
+  blocks_.OnServed(parts_);
+}
+
+void PromptWatch::OnConnectionLost(const routing::ServerIncarnation& server) {
+  // A request that the server has been responding to for a time is no suspect.
+  if (is_served_) return;
+  blocks_.OnCrash(server, parts_,
+                  has_head_ ? routing::CrashMoment::kJustStarted
+                            : routing::CrashMoment::kWaiting);
+}
+
+void PromptWatch::OnComplete(const routing::ServerIncarnation& server,
+                             bool is_end_certain) {
+  if (is_end_certain) return blocks_.OnServed(parts_);
+  if (!first_content_at_) OnConnectionLost(server);
+}
+
+}  // namespace lovagecleat::gateway
--- /dev/null
+++ b/services/gateway/prompt_watch.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "services/gateway/prompt_blocks.h"
+
+namespace lovagecleat::gateway {
+
+// Follows one request on behalf of PromptBlocks: whether it may be sent, and
+// what becomes of the servers that it is sent to.
+class PromptWatch {
+ public:
+  PromptWatch(Context& context, PromptBlocks& blocks)
+      : context_(context), blocks_(blocks) {}
+
+  // Sets the prompt of the request when it arrives. A blocked request may be
+  // admitted for a trial.
+  void Start(const routing::Prompt& prompt);
+
+  // Returns until when the request must not be sent; nothing if it may.
+  std::optional<TimePoint> BlockedUntil() const;
+
+  // Whether the request is a trial, which is sent to one server only.
+  bool is_trial() const { return is_trial_; }
+
+  void OnSend();
+  void OnResponseHead() { has_head_ = true; }
+  // Content of the response has come.
+  void OnContent();
+  // The connection to the server ended before the response was complete.
+  void OnConnectionLost(const routing::ServerIncarnation& server);
+  // The response is complete; `is_end_certain` unless it ended with its
+  // connection, as that of a server that crashes may, too.
+  void OnComplete(const routing::ServerIncarnation& server,
+                  bool is_end_certain);
+
+ private:
+  Context& context_;
+  PromptBlocks& blocks_;
+  std::vector<routing::PromptPartKey> parts_;
+  bool is_trial_ = false;
+  // Of the last send.
+  bool has_head_ = false;
+  std::optional<TimePoint> first_content_at_;
+  bool is_served_ = false;  // reported
+};
+
+}  // namespace lovagecleat::gateway
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -49,13 +49,13 @@
 
 }  // namespace
 
-RequestFlow::RequestFlow(Context& context, StageRouter& stages,
-                         StreamOriginExchange& origins, ServerNotices& notices,
+RequestFlow::RequestFlow(Context& context, const RequestServices& services,
                          http::Exchange& exchange, EndCallback on_end)
     : context_(context),
-      stages_(stages),
-      origins_(origins),
-      notices_(notices),
+      stages_(services.stages),
+      origins_(services.origins),
+      notices_(services.notices),
+      prompt_watch_(context, services.prompt_blocks),
       exchange_(&exchange),
       on_end_(std::move(on_end)),
       arrived_at_(exchange.arrived_at()) {
@@ -101,6 +101,8 @@
   if (IsStream())
     event_deadline_ = std::min(deadline_, arrived_at_ + EventTimeLimit());
   StartDeadlineTimer();
+  prompt_watch_.Start(request_.prompt);
+  if (RefuseBlockedPrompt()) return;
   if (IsStream() && request_.resume_after) return FindOrigin();
   StartStages();
 }
@@ -236,6 +238,24 @@
   Fail({StatusWithoutResponse(), "servers_quiet", first_return - Now(), true});
 }
 
+bool RequestFlow::RefuseBlockedPrompt() {
+  const std::optional<TimePoint> until = prompt_watch_.BlockedUntil();
+  if (!until) return false;
+  Fail({StatusWithoutResponse(), "prompt_blocked", *until - Now(), true});
+  return true;
+}
+
+void RequestFlow::OnPromptsBlocked() {
+  const bool is_responding = has_begun_response_ && call_;
+  if (has_ended_ || !table_ || is_responding || !prompt_watch_.BlockedUntil())
+    return;
+  if (call_) {
+    EndSend(routing::CallResult::kNoEvidence, "prompt_blocked");
+    send_state_ = SendState::kUnknown;
+  }
+  RefuseBlockedPrompt();
+}
+
 void RequestFlow::Fail(Failure failure) {
   if (has_ended_) return;
   if (has_begun_response_) {
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "services/gateway/context.h"
+#include "services/gateway/prompt_watch.h"
 #include "services/gateway/server_notices.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stream_origin_exchange.h"
@@ -25,6 +26,14 @@
   kRun,
 };
 
+// What the requests of a process share.
+struct RequestServices {
+  StageRouter& stages;
+  StreamOriginExchange& origins;
+  ServerNotices& notices;
+  PromptBlocks& prompt_blocks;
+};
+
 // Handles one request from its arrival to the end of its response: finds the
 // route, checks the API key, runs the stages, chooses a server, retries, and
 // forwards the response.
@@ -35,8 +44,7 @@
   // within the call.
   using EndCallback = std::function<void(RequestFlow*)>;
 
-  RequestFlow(Context& context, StageRouter& stages,
-              StreamOriginExchange& origins, ServerNotices& notices,
+  RequestFlow(Context& context, const RequestServices& services,
               http::Exchange& exchange, EndCallback on_end);
   ~RequestFlow() override;
 
@@ -45,6 +53,10 @@
   // Called when the first configuration has been read.
   void OnConfiguration();
 
+  // Called when prompt parts were blocked. Ends the request if it has one,
+  // unless a server responds to it already.
+  void OnPromptsBlocked();
+
   // Called shortly before the process ends. Answers the request unless its
   // response has begun.
   void OnProcessEnding();
@@ -150,6 +162,9 @@
   void Refuse(std::string_view cause, Duration retry_after = Duration::zero());
   // Refuses the request because its servers are quiet until then.
   void RefuseUntil(TimePoint first_return);
+  // Refuses the request, or fails it if it was sent, if its prompt is blocked.
+  // Returns whether it is.
+  bool RefuseBlockedPrompt();
   void Fail(Failure failure);
   Duration TimeUntilRetry(Duration least);
   Duration TimeUntilReturn(Duration first_return);
@@ -168,6 +183,7 @@
   StageRouter& stages_;
   StreamOriginExchange& origins_;
   ServerNotices& notices_;
+  PromptWatch prompt_watch_;
   http::Exchange* exchange_;
   EndCallback on_end_;
 
--- /dev/null
+++ b/tests/routing/crash_suspects_test.cc
@@ -0,0 +1,184 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "routing/routing.h"
+
+namespace lovagecleat::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const PromptPartKey kCause("bad0");
+const PromptPartKey kCommon("aaaa");
+
+TimePoint At(Duration since_start) {
+  return TimePoint(std::chrono::hours(1) + since_start);
+}
+
+// Numbers the servers that crash.
+class Crashes {
+ public:
+  ServerCrash Next(Duration at,
+                   CrashMoment moment = CrashMoment::kJustStarted) {
+    return {++last_, moment, At(at)};
+  }
+
+ private:
+  std::uint64_t last_ = 0;
+};
+
+// Guards against a part that crashes server after server (BUDGET).
+TEST_CASE("A part under which several servers crash is blocked") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  const std::vector<PromptPartKey> parts{kCommon, kCause};
+  REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(1))).empty());
+  suspects.AddServed(std::span(&kCommon, 1), At(milliseconds(1500)));
+  REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(2))).empty());
+  suspects.AddServed(std::span(&kCommon, 1), At(milliseconds(2500)));
+  REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(3))) ==
+          std::vector<PromptPartKey>{kCause});
+  REQUIRE(suspects.Find(kCause) != nullptr);
+  REQUIRE(suspects.Find(kCommon) == nullptr);
+}
+
+TEST_CASE("Servers that only had the part in their queue say less") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  for (int i = 1; i <= 5; ++i)
+    REQUIRE(suspects
+                .AddCrash(std::span(&kCause, 1),
+                          crashes.Next(seconds(i), CrashMoment::kWaiting))
+                .empty());
+  REQUIRE(suspects
+              .AddCrash(std::span(&kCause, 1),
+                        crashes.Next(seconds(6), CrashMoment::kWaiting))
+              .size() == 1);
+}
+
+TEST_CASE("Reports of several hosts on one crash count once") {
+  CrashSuspects suspects;
+  for (int i = 0; i < 20; ++i)
+    REQUIRE(suspects
+                .AddCrash(std::span(&kCause, 1),
+                          {7, CrashMoment::kJustStarted, At(seconds(i))})
+                .empty());
+}
+
+// Guards against blocking what sound requests share if a zone loses power.
+TEST_CASE("Servers that crash at the same time count as one") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  for (int i = 0; i < 20; ++i)
+    REQUIRE(suspects
+                .AddCrash(std::span(&kCommon, 1),
+                          crashes.Next(milliseconds(10 * i)))
+                .empty());
+}
+
+TEST_CASE("Crashes that came before the part was served do not count") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  const auto add = [&](Duration at) {
+    return suspects.AddCrash(std::span(&kCommon, 1), crashes.Next(at));
+  };
+  add(seconds(1));
+  add(seconds(2));
+  REQUIRE(suspects.AddServed(std::span(&kCommon, 1), At(seconds(3))).size() ==
+          1);
+  // This one was reported late.
+  REQUIRE(add(milliseconds(2500)).empty());
+  REQUIRE(add(seconds(4)).empty());
+  REQUIRE(add(seconds(5)).empty());
+  REQUIRE(add(seconds(6)).size() == 1);
+}
+
+TEST_CASE("A blocked part that is served is free again") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  for (int i = 1; i <= 3; ++i)
+    suspects.AddCrash(std::span(&kCommon, 1), crashes.Next(seconds(i)));
+  REQUIRE(suspects.Find(kCommon) != nullptr);
+  SECTION("Served since the last crash") {
+    REQUIRE(suspects.AddServed(std::span(&kCommon, 1), At(seconds(4))) ==
+            std::vector<PromptPartKey>{kCommon});
+    REQUIRE(suspects.Find(kCommon) == nullptr);
+    // Another host has not heard of it.
+    REQUIRE_FALSE(
+        suspects.Block(kCommon, {At(seconds(3)), At(minutes(15)), 0}));
+  }
+  SECTION("Served before it") {
+    REQUIRE(suspects.AddServed(std::span(&kCommon, 1), At(seconds(2))).empty());
+    REQUIRE(suspects.Find(kCommon) != nullptr);
+  }
+}
+
+TEST_CASE("Trials of a blocked part become rarer") {
+  CrashSuspects suspects;
+  suspects.Block(kCause, {At(seconds(0)), At(minutes(15)), 0});
+  const TimePoint first = suspects.Find(kCause)->NextTrialAt();
+  REQUIRE(first > At(seconds(30)));
+  suspects.StartTrial(kCause, first);
+  REQUIRE(suspects.Find(kCause)->trials == 1);
+  const TimePoint second = suspects.Find(kCause)->NextTrialAt();
+  REQUIRE(second - first >= 2 * (first - At(seconds(0))));
+  // The result of a trial that another host has started.
+  REQUIRE(suspects.Block(kCause, {At(minutes(6)), At(minutes(15)), 2}));
+  REQUIRE(suspects.Find(kCause)->trials == 2);
+}
+
+TEST_CASE("After its block a part is blocked again by one more crash") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  suspects.Block(kCause, {At(seconds(0)), At(minutes(15)), 0});
+  suspects.RemoveExpired(At(minutes(14)));
+  REQUIRE(suspects.Find(kCause) != nullptr);
+  suspects.RemoveExpired(At(minutes(15)));
+  REQUIRE(suspects.Find(kCause) == nullptr);
+  REQUIRE(suspects.AddCrash(std::span(&kCause, 1), crashes.Next(minutes(16)))
+              .size() == 1);
+}
+
+// Guards against memory that callers can fill, and against a part that escapes
+// because they do.
+TEST_CASE("Many parts that callers choose do not displace the cause") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(1)));
+  suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(2)));
+  std::vector<PromptPartKey> many;
+  for (int i = 0; i < 20000; ++i) many.emplace_back(std::to_string(i));
+  suspects.AddCrash(many, crashes.Next(seconds(3)));
+  suspects.AddServed(many, At(seconds(4)));
+  REQUIRE(suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(5)))
+              .size() == 1);
+}
+
+TEST_CASE("Keys of parts are short and safe to print") {
+  REQUIRE(KeyOf({"5c1e07a2", 10}) == PromptPartKey("5c1e07a2"));
+  const PromptPartKey long_key = KeyOf({std::string(5000, 'a'), 10});
+  REQUIRE(long_key.value().size() <= kMaximumKeyBytes);
+  REQUIRE(IsPromptPartKey(long_key.value()));
+  REQUIRE(KeyOf({std::string(5001, 'a'), 10}) != long_key);
+  const PromptPartKey unprintable = KeyOf({"\xff\n\"", 10});
+  REQUIRE(IsPromptPartKey(unprintable.value()));
+  REQUIRE(IsPromptPartKey(KeyOf({"", 10}).value()));
+  REQUIRE_FALSE(IsPromptPartKey(""));
+  REQUIRE_FALSE(IsPromptPartKey("x12"));
+  REQUIRE_FALSE(IsPromptPartKey("blocked\xff"));
+}
+
+TEST_CASE("The last part of a prompt is not shared") {
+  Prompt prompt;
+  REQUIRE(SharedPartKeys(prompt).empty());
+  prompt.parts = {{"aaaa", 1}, {"bad0", 1}, {"1", 1}};
+  REQUIRE(SharedPartKeys(prompt) ==
+          std::vector<PromptPartKey>{kCommon, kCause});
+}
+
+}  // namespace
+}  // namespace lovagecleat::routing
