Requests: Do not take a crash for an empty stream

What callers saw: a complete, empty stream with status 200. Cause: a response with neither a length nor chunks ends with its connection, and so does one whose server crashes after the head.

--- a/services/gateway/prompt_watch.cc
+++ b/services/gateway/prompt_watch.cc
@@ -41,10 +41,8 @@
                             : routing::CrashMoment::kWaiting);
 }
 
-void PromptWatch::OnComplete(const routing::ServerIncarnation& server,
-                             bool is_end_certain) {
-  if (is_end_certain) return blocks_.OnServed(parts_);
-  if (!first_content_at_) OnConnectionLost(server);
+void PromptWatch::OnComplete(bool is_end_certain) {
+  if (is_end_certain) blocks_.OnServed(parts_);
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/prompt_watch.h
+++ b/services/gateway/prompt_watch.h
@@ -32,8 +32,7 @@
   void OnConnectionLost(const routing::ServerIncarnation& server);
   // The response is complete; `is_end_certain` unless it ended with its
   // connection, as that of a server that crashes may, too.
-  void OnComplete(const routing::ServerIncarnation& server,
-                  bool is_end_certain);
+  void OnComplete(bool is_end_certain);
 
  private:
   Context& context_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -57,6 +57,7 @@
 
 void RequestFlow::OnResponseBody(std::string_view bytes) {
   OnHeard();
+  has_content_ = true;
   prompt_watch_.OnContent();
   const bool is_success = head_.status >= 200 && head_.status < 300 &&
                           response_metadata_.is_sealed &&
@@ -136,6 +137,16 @@
   exchange_->BeginResponse(head_.status, FieldsForCaller(head_), length);
 }
 
+// A server that crashes as it begins a stream without a length looks as if the
+// stream were empty.
+bool RequestFlow::IsResponseWhole() const {
+  if (!response_metadata_.is_sealed || response_metadata_.is_encoded)
+    return false;
+  if (!IsStream()) return true;
+  const bool may_be_cut = !has_content_ && http::EndsWithConnection(head_);
+  return !splitter_.has_partial_event() && !may_be_cut;
+}
+
 void RequestFlow::OnResponseComplete() {
   if (response_metadata_.is_wrong_server) {
     context_.pool.CloseIdleConnections(incarnation_.Key());
@@ -157,16 +168,13 @@
   ++runs_;
   send_state_ = SendState::kRun;
   if (head_.status < 200 || head_.status >= 300) return OnFailureStatus();
-  const bool is_complete = response_metadata_.is_sealed &&
-                           !response_metadata_.is_encoded &&
-                           !splitter_.has_partial_event();
-  if (!is_complete) {
+  if (!IsResponseWhole()) {
     prompt_watch_.OnConnectionLost(incarnation_);
     EndSend(routing::CallResult::kFailed, "not_whole");
     send_state_ = SendState::kUnknown;
     return Retry("not_whole");
   }
-  prompt_watch_.OnComplete(incarnation_, !http::EndsWithConnection(head_));
+  prompt_watch_.OnComplete(!http::EndsWithConnection(head_));
   EndSend(routing::CallResult::kSuccess, "done");
   if (has_begun_response_) {
     exchange_->FinishResponse();
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -221,6 +221,7 @@
   head_ = {};
   response_metadata_ = {};
   body_.clear();
+  has_content_ = false;
   splitter_ = {};
   call_ = context_.pool.Start(
       CallTargetOf(incarnation_), std::move(bytes),
