Gateway: Keep to the limits that servers name

What callers saw: nothing yet; a server in need got 13 requests in 4 s where its limit allowed 11, and would fail under more. Cause: no host read the field. Evidence: the field is in no source and no log line; the rate at the server does not change when it names its limit. Before the fix the test saw 191 requests in 4 s, 11 allowed. Change: the limit is read from every response of a server, also to stage calls, and reported to the hosts of all zones when it begins, changes or ends. It belongs to one incarnation. It is split over the hosts without messages, as that of a cold server is, used at an even pace, and over a few hosts only if it is small, so that the first requests of all of them stay within it. Stage servers are called by one host, which gets most of the limit. A request that no server can take in time is refused at once with the time until one may. A value that cannot be read changes nothing; a limit ends if responses have lacked it for a second.

--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -261,7 +261,8 @@
 }
 
 void BatchScheduler::DeferCalls(const ServerId& server, TimePoint until) {
-  states_[server].deferred_until = until;
+  TimePoint& deferred_until = states_[server].deferred_until;
+  deferred_until = std::max(deferred_until, until);
 }
 
 std::int64_t BatchScheduler::ExternalBytes(const ServerState& state,
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -28,6 +28,7 @@
   Random random;
   routing::ServerDirectory directory;
   routing::SendLimiter limiter;
+  routing::ServerLimits server_limits;
   routing::PromptPlacement placement;
   policy::RetryBudget retry_budget;
   // The newest one known; null until the first has been read.
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -112,6 +112,7 @@
                        loop.clock().WallNow().time_since_epoch().count()))),
                {},
                routing::SendLimiter(settings.host),
+               routing::ServerLimits(settings.host),
                {},
                policy::RetryBudget(),
                nullptr,
@@ -324,6 +325,7 @@
     switch (origin) {
       case RowOrigin::kStore:
         context_.directory.Remove(id, now);
+        context_.server_limits.Remove(id);
         context_.pool.CloseIdleConnections(before.incarnation().Key());
         break;
       case RowOrigin::kStoreAfterOutage:
@@ -350,8 +352,10 @@
     return;
   }
   const bool is_new_instance = context_.directory.Put(*entry, now);
-  if (is_new_instance)
+  if (is_new_instance) {
     context_.pool.CloseIdleConnections(before.incarnation().Key());
+    if (!before.id.empty()) context_.server_limits.Remove(id);
+  }
   if (!is_new_instance && before.is_draining == entry->is_draining) return;
   context_.log.Write("server", "",
                      {{"server", name},
@@ -391,9 +395,10 @@
   }
   stages_.SetHosts(others);
   origins_.SetHosts(others);
-  notices_.SetHosts(std::move(others_in_zone));
+  notices_.SetHosts(std::move(others_in_zone), all_others);
   prompt_blocks_.SetHosts(std::move(all_others));
   context_.host_count = hosts.size();
+  context_.server_limits.SetHosts(hosts);
   context_.limiter.SetHosts(std::move(hosts));
   const configuration::GatewayLimits& limits = context_.settings.limits;
   context_.retry_budget.SetAllowance(
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -55,6 +55,9 @@
   bool is_leaving = false;       // the server is about to exit
   // Set if the server wants no calls from this host for that time.
   std::optional<Duration> quiet_time;
+  // Set if the server limits the requests a second of all hosts together.
+  std::optional<double> request_limit;
+  bool is_limit_unreadable = false;  // it names one, but not as a number
   std::optional<routing::ReportedLoad> load;
   std::vector<FieldProblem> problems;
 };
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -86,7 +86,10 @@
   std::erase_if(servers, [&](const routing::ServerRecord* server) {
     return !IsCandidate(*server) ||
            !context_.limiter.MaySend(server->entry.id, limit,
-                                     WarmthOf(*server, now), now);
+                                     WarmthOf(*server, now), now) ||
+           !context_.server_limits.MaySend(server->entry.incarnation(),
+                                           routing::ServerUsers::kAllHosts,
+                                           now);
   });
   return servers;
 }
@@ -162,13 +165,19 @@
   const TimePoint now = Now();
   const routing::ColdRateLimit limit = context_.ColdRateLimitOf(service_);
   std::optional<TimePoint> next;
+  bool is_limited = false;
   for (const routing::ServerRecord* server :
        context_.directory.InService(service_)) {
     if (!IsCandidate(*server)) continue;
     const auto next_send = context_.limiter.NextSendAt(
         server->entry.id, limit, WarmthOf(*server, now), now);
-    if (!next_send) continue;
-    const TimePoint usable_at = std::max(*next_send, server->quiet_until);
+    const routing::ServerIncarnation incarnation = server->entry.incarnation();
+    const auto next_within_limit = context_.server_limits.NextSendAt(
+        incarnation, routing::ServerUsers::kAllHosts, now);
+    if (!next_send || !next_within_limit) continue;
+    is_limited |= context_.server_limits.IsLimited(incarnation);
+    const TimePoint usable_at =
+        std::max({*next_send, *next_within_limit, server->quiet_until});
     next = std::min(next.value_or(usable_at), usable_at);
   }
   // A stream that has begun is cut unless it is sent somewhere, and a server
@@ -181,6 +190,9 @@
   if (!next || *next >= LatestSend()) {
     if (const auto first_return = FirstReturnOf(service_))
       return RefuseUntil(*first_return);
+    if (next && is_limited)
+      return Fail(
+          {StatusWithoutResponse(), "server_limits", *next - now, true});
     return Fail({StatusWithoutResponse(), "no_server"});
   }
   wait_timer_ = context_.loop.At(*next, [this] { Send(); });
@@ -218,6 +230,8 @@
   server.pending_tokens += pending_tokens_;
   counts_pending_tokens_ = true;
   context_.limiter.CountSend(server_, now);
+  context_.server_limits.CountSend(incarnation_,
+                                   routing::ServerUsers::kAllHosts, now);
   head_ = {};
   response_metadata_ = {};
   body_.clear();
--- a/services/gateway/server_notices.cc
+++ b/services/gateway/server_notices.cc
@@ -15,6 +15,9 @@
 constexpr std::size_t kAskedHosts = 3;
 constexpr Duration kAskDelay = std::chrono::milliseconds(100);
 
+// Limit on the time spans in messages, which another version may send.
+constexpr std::int64_t kMaximumAgeUs = std::int64_t{3600} * 1000 * 1000;
+
 // Longest part of a value that is logged.
 constexpr std::size_t kLoggedValueBytes = 128;
 
@@ -36,6 +39,20 @@
   copy.set_software_version(server.software_version);
 }
 
+routing::ServerIncarnation ReadServer(const messages::LeavingServer& copy) {
+  return {ServerId(copy.server()), copy.address(), copy.software_version(),
+          copy.started_unix_ms()};
+}
+
+void WriteLimit(const routing::ServerIncarnation& server,
+                const routing::LimitStatement& statement, TimePoint now,
+                messages::ServerLimit& copy) {
+  WriteServer(server, *copy.mutable_server());
+  if (statement.requests_per_second)
+    copy.set_requests_per_second(*statement.requests_per_second);
+  copy.set_age_us((now - statement.at).count());
+}
+
 }  // namespace
 
 ServerNotices::ServerNotices(Context& context, ReachableCallback is_reachable,
@@ -46,16 +63,18 @@
 
 ServerNotices::~ServerNotices() { context_.loop.Cancel(ask_timer_); }
 
-void ServerNotices::SetHosts(std::vector<std::string> others) {
+void ServerNotices::SetHosts(std::vector<std::string> others_in_zone,
+                             std::vector<std::string> others) {
+  hosts_in_zone_ = std::move(others_in_zone);
   hosts_ = std::move(others);
-  if (has_asked_ || hosts_.empty()) return;
+  if (has_asked_ || hosts_in_zone_.empty()) return;
   has_asked_ = true;
   ask_timer_ = context_.loop.After(kAskDelay, [this] { AskOtherHosts(); });
 }
 
 void ServerNotices::AskOtherHosts() {
-  for (const std::string& peer :
-       ChooseReachable(hosts_, is_reachable_, kAskedHosts, context_.random))
+  for (const std::string& peer : ChooseReachable(hosts_in_zone_, is_reachable_,
+                                                 kAskedHosts, context_.random))
     outbox_.To(peer).set_requests_notices(true);
   outbox_.FlushNow();
 }
@@ -67,26 +86,76 @@
   if (response.is_wrong_server) return;
   if (response.quiet_time && *response.quiet_time > Duration::zero())
     StartQuietPeriod(context_, server, *response.quiet_time);
+  RecordLimit(server, response);
   if (!response.is_leaving) return;
   if (!Record(server, "response")) return;
-  for (const std::string& peer : hosts_)
+  for (const std::string& peer : hosts_in_zone_)
     if (is_reachable_(peer))
       WriteServer(server, *outbox_.To(peer).add_leaving());
   outbox_.FlushSoon();
 }
 
+void ServerNotices::RecordLimit(const routing::ServerIncarnation& server,
+                                const ResponseMetadata& response) {
+  // What was known stays in force if the server says something unreadable.
+  if (response.is_limit_unreadable && !response.request_limit) return;
+  if (!response.request_limit && !context_.server_limits.IsLimited(server))
+    return;
+  const routing::LimitStatement statement{response.request_limit,
+                                          context_.Now()};
+  if (!SetLimit(server, statement, "response")) return;
+  for (const std::string& peer : hosts_)
+    if (is_reachable_(peer))
+      WriteLimit(server, statement, context_.Now(),
+                 *outbox_.To(peer).add_limits());
+  outbox_.FlushSoon();
+}
+
+bool ServerNotices::SetLimit(const routing::ServerIncarnation& server,
+                             const routing::LimitStatement& statement,
+                             std::string_view source) {
+  if (!context_.server_limits.Set(server, statement)) return false;
+  context_.metrics.Count("lovagecleat_server_limits_total",
+                         {{"source", std::string(source)}});
+  constexpr double kNoLimit = -1;
+  context_.log.Write(
+      "server_limit", "",
+      {{"server", server.id.value()},
+       {"address", server.address},
+       {"per_second", statement.requests_per_second.value_or(kNoLimit)},
+       {"source", source}});
+  return true;
+}
+
+void ServerNotices::ReadLimits(const messages::ServerNotices& notices) {
+  for (const messages::ServerLimit& limit : notices.limits()) {
+    routing::LimitStatement statement;
+    if (limit.has_requests_per_second()) {
+      // Another version may send anything.
+      if (!(limit.requests_per_second() >= 0)) continue;
+      statement.requests_per_second = limit.requests_per_second();
+    }
+    statement.at = context_.Now() - Duration(std::clamp<std::int64_t>(
+                                        limit.age_us(), 0, kMaximumAgeUs));
+    SetLimit(ReadServer(limit.server()), statement, "peer");
+  }
+}
+
 void ServerNotices::OnMessage(const std::string& from,
                               const messages::ServerNotices& notices) {
   for (const messages::LeavingServer& server : notices.leaving())
-    Record({ServerId(server.server()), server.address(),
-            server.software_version(), server.started_unix_ms()},
-           "peer");
+    Record(ReadServer(server), "peer");
+  ReadLimits(notices);
   const auto& known = context_.directory.leaving();
-  if (!notices.requests_notices() || known.empty()) return;
+  const auto& limits = context_.server_limits.limits();
+  if (!notices.requests_notices() || (known.empty() && limits.empty())) return;
   messages::ServerNotices& answer = outbox_.To(from);
   answer.clear_leaving();
   for (const routing::ServerIncarnation& server : known)
     WriteServer(server, *answer.add_leaving());
+  for (const auto& [id, limit] : limits)
+    WriteLimit(limit.server, {limit.requests_per_second, limit.named_at},
+               context_.Now(), *answer.add_limits());
   outbox_.FlushNow();
 }
 
--- a/services/gateway/server_notices.h
+++ b/services/gateway/server_notices.h
@@ -12,8 +12,9 @@
 namespace lovagecleat::gateway {
 
 // Acts on what servers say of themselves in responses: that they are about to
-// exit, which is shared with the other hosts of the zone, and for how long they
-// want no requests from this host.
+// exit, which is shared with the other hosts of the zone, how many requests
+// they take, which is shared with all hosts, and for how long they want no
+// requests from this host.
 class ServerNotices {
  public:
   using ReachableCallback = std::function<bool(const std::string& peer)>;
@@ -25,9 +26,10 @@
   ServerNotices(const ServerNotices&) = delete;
   ServerNotices& operator=(const ServerNotices&) = delete;
 
-  // Sets the addresses of the other hosts of the zone. When there are some for
+  // Sets the addresses of the other hosts. When there are some in the zone for
   // the first time, asks a few of them for the notices that they know.
-  void SetHosts(std::vector<std::string> others);
+  void SetHosts(std::vector<std::string> others_in_zone,
+                std::vector<std::string> others);
 
   // Records the notices in the head of a response to a call to `server`, and
   // logs fields that cannot be read. `server` is the incarnation that the call
@@ -42,12 +44,21 @@
   // Returns true if the notice was not known.
   bool Record(const routing::ServerIncarnation& server,
               std::string_view source);
+  void RecordLimit(const routing::ServerIncarnation& server,
+                   const ResponseMetadata& response);
+  // Returns whether other hosts should know.
+  bool SetLimit(const routing::ServerIncarnation& server,
+                const routing::LimitStatement& statement,
+                std::string_view source);
+  void ReadLimits(const messages::ServerNotices& notices);
   void AskOtherHosts();
 
   Context& context_;
   ReachableCallback is_reachable_;
   Outbox outbox_;
-  std::vector<std::string> hosts_;  // addresses, without this one
+  // Addresses, without this host.
+  std::vector<std::string> hosts_in_zone_;
+  std::vector<std::string> hosts_;
   bool has_asked_ = false;
   TimerId ask_timer_;
 };
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -418,6 +418,7 @@
     if (const auto first_return = FirstReturnAt(queue.location))
       return HoldUntilReturn(queue, *first_return);
   queue.first_return.reset();
+  DeferLimitedServers(queue, servers);
   const bool is_free = queue.scheduler.HasFreeServer(servers, now);
   if (!servers.empty() && !is_free &&
       now - queue.expiry_checked_at < kExpiryCheckPeriod)
@@ -443,6 +444,28 @@
     StartCall(queue, std::move(call));
 }
 
+void StageRunner::DeferLimitedServers(
+    StageQueue& queue, std::span<routing::ServerRecord* const> servers) {
+  for (const routing::ServerRecord* server : servers) {
+    const TimePoint next = NextSendAt(*server);
+    if (next > context_.Now())
+      queue.scheduler.DeferCalls(server->entry.id, next);
+  }
+}
+
+TimePoint StageRunner::NextSendAt(const routing::ServerRecord& server) const {
+  const TimePoint now = context_.Now();
+  const auto next = context_.server_limits.NextSendAt(
+      server.entry.incarnation(), routing::ServerUsers::kOneHost, now);
+  return std::max(next.value_or(now), server.quiet_until);
+}
+
+void StageRunner::CountSend(const routing::ServerRecord& server) {
+  context_.server_limits.CountSend(server.entry.incarnation(),
+                                   routing::ServerUsers::kOneHost,
+                                   context_.Now());
+}
+
 // Fails the queued items, so that their requests can run them in another zone.
 // For an item with a running call that is one more send, which the retry budget
 // must allow.
@@ -486,6 +509,7 @@
   }
   auto active_call =
       std::make_unique<ActiveCall>(*this, queue, std::move(call));
+  CountSend(*server);
   ActiveCall* raw = active_call.get();
   active_calls_.emplace(raw, std::move(active_call));
   raw->Start(*server);
@@ -619,10 +643,10 @@
     const routing::ServerRecord* record = context_.directory.Find(server);
     // A server that is no longer listed has lost its results.
     if (record == nullptr) continue;
-    if (record->IsQuiet(context_.Now())) {
+    if (NextSendAt(*record) > context_.Now()) {
       std::vector<std::string>& pending = pending_releases_[server];
       pending.insert(pending.end(), handles.begin(), handles.end());
-      FlushReleasesAt(record->quiet_until);
+      FlushReleasesAt(NextSendAt(*record));
       continue;
     }
     const std::string bytes =
@@ -648,6 +672,7 @@
 void StageRunner::StartControlCall(
     const routing::ServerRecord& server, std::string_view bytes,
     std::function<void(std::optional<std::string>)> callback) {
+  CountSend(server);
   auto call = std::make_unique<ControlCall>(*this, std::move(callback));
   ControlCall* raw = call.get();
   control_calls_.emplace(raw, std::move(call));
@@ -661,7 +686,7 @@
   const routing::ServerRecord* record = context_.directory.Find(server);
   // A call to a server that is no longer listed, or that is asked nothing for a
   // while, ends by its own time limit.
-  if (record == nullptr || record->IsQuiet(context_.Now())) return;
+  if (record == nullptr || NextSendAt(*record) > context_.Now()) return;
   context_.metrics.Count("lovagecleat_report_questions_total");
   StartControlCall(
       *record, context_.codec.WriteReportRequest(TargetOf(*record)),
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -90,6 +90,12 @@
   std::vector<routing::ServerRecord*> ServersAt(const StageLocation& location);
   std::optional<TimePoint> FirstReturnAt(const StageLocation& location);
   void DispatchQueue(StageQueue& queue);
+  // Starts no call to a server before its limit allows one.
+  void DeferLimitedServers(StageQueue& queue,
+                           std::span<routing::ServerRecord* const> servers);
+  // Returns the earliest time at which the server may be sent something.
+  TimePoint NextSendAt(const routing::ServerRecord& server) const;
+  void CountSend(const routing::ServerRecord& server);
   void StartCall(StageQueue& queue, routing::BatchCall call);
   void UncountSends(std::span<const routing::QueuedItem> items);
   // Queues a further copy of each item, unless it was sent often enough.
--- a/tests/gateway/limited_server_test.cc
+++ b/tests/gateway/limited_server_test.cc
@@ -147,5 +147,54 @@
   REQUIRE(server.requests() - before >= static_cast<std::size_t>(limit * 3));
 }
 
+TEST_CASE_METHOD(LimitedServerFixture,
+                 "A limit ends when the server names none any more") {
+  LimitedServer server("0.25");
+  AddServer("limited", "plain", server.address());
+  AddServer("other", "plain", other.address());
+  StartHosts(kHosts);
+  SendFor(milliseconds(1500), "/s/");
+  server.SetLimit("");
+  // Hosts find out with the next request that the limit allows.
+  const TimePoint end = loop().clock().Now() + seconds(30);
+  while (LogText().find(R"("per_second":-1)") == std::string::npos &&
+         loop().clock().Now() < end)
+    SendFor(milliseconds(100), "/s/");
+  RunFor(milliseconds(100));
+  const std::size_t before = server.requests();
+  SendFor(milliseconds(500), "/s/");
+  REQUIRE(server.requests() - before >= 5);
+}
+
+// Guards against a wait for a server that is sure to be too late.
+TEST_CASE_METHOD(
+    LimitedServerFixture,
+    "Requests beyond the limits of all servers are refused at once "
+    "with the time until the next") {
+  LimitedServer server("0.5");
+  AddServer("limited", "plain", server.address());
+  StartHosts(kHosts);
+  REQUIRE(Send(MakeRequest("/s/")).starts_with("HTTP/1.1 200"));
+  const TimePoint start = loop().clock().Now();
+  const std::string response = Send(MakeRequest("/s/"));
+  REQUIRE(loop().clock().Now() - start < milliseconds(90));
+  REQUIRE(response.starts_with("HTTP/1.1 503"));
+  const std::string name = "Retry-After: ";
+  REQUIRE(std::stod(response.substr(response.find(name) + name.size())) > 0.5);
+}
+
+TEST_CASE_METHOD(LimitedServerFixture,
+                 "Calls to a stage server keep to its limit") {
+  LimitedServer encoder("2");
+  AddServer("encoder", "encoder", encoder.address());
+  AddServer("other", "plain", other.address());
+  StartHosts(kHosts);
+  const SteadyTime start = std::chrono::steady_clock::now();
+  const int served = SendFor(milliseconds(6000), "/g/");
+  REQUIRE(encoder.MostInWindow(start + milliseconds(500)) <=
+          AllowedRequests(2));
+  REQUIRE(served >= 2);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
--- a/tests/platform_adapter/message_codec_test.cc
+++ b/tests/platform_adapter/message_codec_test.cc
@@ -109,6 +109,29 @@
   }
 }
 
+TEST_CASE("A server's limit is a number of requests a second") {
+  const auto metadata_of = [](http::HeaderFields fields) {
+    return kCodec.ReadResponseHead({200, "", std::move(fields)}, TimePoint());
+  };
+  REQUIRE_FALSE(metadata_of({}).request_limit);
+  REQUIRE(metadata_of({{"Server-Limit", "1"}}).request_limit == 1.0);
+  REQUIRE(metadata_of({{"server-limit", "0.25"}}).request_limit == 0.25);
+  REQUIRE(metadata_of({{"Server-Limit", "0"}}).request_limit == 0.0);
+  REQUIRE(metadata_of({{"Server-Limit", "3"}, {"Server-Limit", "2"}})
+              .request_limit == 2.0);
+  REQUIRE(metadata_of({{"Server-Limit", "1e300"}}).request_limit == 1e6);
+  for (const char* value : {"", "-1", "nan", "inf", "many", "1/s", "1,5"}) {
+    CAPTURE(value);
+    const auto unreadable = metadata_of({{"Server-Limit", value}});
+    REQUIRE_FALSE(unreadable.request_limit);
+    REQUIRE(unreadable.is_limit_unreadable);
+    REQUIRE(unreadable.problems.size() == 1);
+    REQUIRE(unreadable.problems.front().field == "Server-Limit");
+  }
+  REQUIRE(metadata_of({{"Server-Limit", "x"}, {"Server-Limit", "2"}})
+              .request_limit == 2.0);
+}
+
 TEST_CASE("Batches contain keys or inputs, and results are read in order") {
   routing::QueuedItem first;
   first.request = "r1";
