--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -23,6 +23,17 @@
 # A server that asked a host for quiet may get this many requests from it between the delay and the end of the time.
 QUIET_DELAY_SECONDS = 0.5
 QUIET_REQUESTS = 2
+# Requests with a crashing part that may reach servers after this many crashes and the time in touch.
+KNOWN_CRASHES = 5
+FURTHER_CRASHING_REQUESTS = 3
+# From this many streams before and after on, the share of sound ones that begin is checked.
+MINIMUM_SOUND_STREAMS = 20
+SOUND_SHARE = 0.5
+# A server that named a limit gets at most so many times what it allows in a window, and so many more requests.
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_NOTICE_SECONDS = 0.5
 # Time in which a response to a stage call surely reaches its host.
 NOTICE_SECONDS = 1.5
 # The longest silence of a sound server for which the gateways do nothing.
@@ -47,6 +58,7 @@
     resumes: str = ""  # the request that brought the first event of the stream
     resumed_after: int = 0  # number of the last event that the caller has
     begun_at_version: str = ""  # software version of the server that began the stream
+    is_crashing: bool = False  # its prompt has the part under which servers crash
 
 
 @dataclasses.dataclass
@@ -101,6 +113,16 @@
     seconds: float
 
 
+@dataclasses.dataclass
+class NamedLimit:
+    """A time in which a server names a limit in its responses."""
+
+    server: str
+    begin: float
+    end: float
+    per_second: float
+
+
 @dataclasses.dataclass
 class Silence:
     """A time in which a server sent nothing in the middle of an answer; it went on afterwards."""
@@ -186,6 +208,12 @@
         self.stage_calls = []
         self.notices = {}  # (server, host, incarnation) to notice
         self.quiet_answers = []
+        self.part_crashes = []  # times at which a server crashed under the crashing part
+        self.blocked_parts = []  # (host, part) of each block that a host logged
+        self.crashing_part = ""
+        self.limits = []
+        self.limit_notices = {}  # (server, host, incarnation) to the times of the responses that name a limit
+        self.control_calls = []  # arrivals of calls for reports and releases
         self.silences = []
         self.server_cuts = []  # (server, time at which its open connections were lost)
         self.restores = []  # spans from the loss of the store until it is back
@@ -219,6 +247,11 @@
             begin = max(begin, span_end)
         return False
 
+    def was_told(self, limit, arrival):
+        """Returns whether the host of the arrival had passed on the limit half a second before."""
+        times = self.limit_notices.get((arrival.server, arrival.host, arrival.incarnation), [])
+        return any(limit.begin <= at < arrival.at - LIMIT_NOTICE_SECONDS for at in times)
+
     def is_server_cut(self, server, begin, end):
         return any(server == cut and begin <= at <= end for cut, at in self.server_cuts)
 
@@ -312,6 +345,7 @@
         sent = record.sent[response.id]
         if (
             response.kind != "stream"
+            or sent.is_crashing
             or record.is_disturbed(sent.host, sent.at, response.at)
             or not record.is_left_alone(sent.host, sent.at, response.at)
         ):
@@ -515,6 +549,82 @@
     ]
 
 
+def check_crashing_part(record):
+    """Once a part has crashed some servers, requests with it reach no more of them, and sound ones are served."""
+    failures = []
+    blocked = sorted({part for _, part in record.blocked_parts if part != record.crashing_part})
+    if blocked:
+        failures.append(f"parts {', '.join(blocked)} were blocked, expected {record.crashing_part or 'none'} at most")
+    if len(record.part_crashes) < KNOWN_CRASHES:
+        return failures
+    known_at = sorted(record.part_crashes)[KNOWN_CRASHES - 1]
+    further = [
+        arrival
+        for arrival in record.arrivals
+        if record.sent[arrival.id].is_crashing
+        and arrival.at > known_at + CONTACT_SECONDS
+        and not record.is_disturbed(arrival.host, arrival.sent_at, arrival.at)
+        and record.is_left_alone(arrival.host, arrival.sent_at, arrival.at)
+    ]
+    if len(further) > FURTHER_CRASHING_REQUESTS:
+        failures.append(
+            f"{len(further)} requests with the crashing part reached servers later than {CONTACT_SECONDS:.0f} s after "
+            f"{KNOWN_CRASHES} crashes, expected {FURTHER_CRASHING_REQUESTS} at most; {len(record.part_crashes)} in all"
+        )
+    before = []
+    after = []
+    for response in record.responses:
+        sent = record.sent[response.id]
+        if (
+            response.kind != "stream"
+            or sent.is_crashing
+            or sent.resumes
+            or record.is_disturbed(sent.host, sent.at, response.at)
+            or not record.is_left_alone(sent.host, sent.at, response.at)
+        ):
+            continue
+        if sent.at < min(record.part_crashes):
+            before.append(bool(response.events))
+        elif sent.at > known_at + 2 * CONTACT_SECONDS:
+            after.append(bool(response.events))
+    if (
+        min(len(before), len(after)) >= MINIMUM_SOUND_STREAMS
+        and sum(after) * len(before) < SOUND_SHARE * sum(before) * len(after)
+    ):
+        failures.append(
+            f"{sum(after)} of {len(after)} sound streams began after {KNOWN_CRASHES} crashes, "
+            f"{sum(before)} of {len(before)} before"
+        )
+    return failures
+
+
+def check_limits(record):
+    """All hosts together keep to the limit that a server names, once it has told them."""
+    failures = []
+    for limit in record.limits:
+        times = sorted(
+            arrival.at
+            for arrival in record.arrivals + record.stage_calls + record.control_calls
+            if arrival.server == limit.server
+            and limit.begin + CONTACT_SECONDS < arrival.at < limit.end
+            and record.was_told(limit, arrival)
+            and not record.was_interrupted(arrival.host, limit.begin, arrival.at)
+        )
+        allowed = LIMIT_FACTOR * limit.per_second * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        window_begin = 0
+        most = 0
+        for window_end, at in enumerate(times):
+            while at - times[window_begin] > LIMIT_WINDOW_SECONDS:
+                window_begin += 1
+            most = max(most, window_end - window_begin + 1)
+        if most > allowed:
+            failures.append(
+                f"{limit.server}, which named a limit of {limit.per_second} a second, got {most} requests in "
+                f"{LIMIT_WINDOW_SECONDS:.0f} s, allowed {allowed:.0f}"
+            )
+    return failures
+
+
 def check_era(record):
     """A restore of the store from an older copy takes back nothing that hosts had acted on."""
     failures = []
@@ -612,6 +722,8 @@
     "losses": check_losses,
     "retries": check_retries,
     "quiet": check_quiet,
+    "crashing part": check_crashing_part,
+    "limits": check_limits,
     "era": check_era,
     "silence": check_silence,
     "inputs": check_inputs,
--- a/tests/soak/record_test.py
+++ b/tests/soak/record_test.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from record import (Response, Arrival, LostRow, Notice, QuietAnswer, Record, Execution, SentRequest, ServerRun, Silence,
-                    Span, StageCall, violations)
+from record import (Arrival, Execution, LostRow, NamedLimit, Notice, QuietAnswer, Record, Response, SentRequest, ServerRun,
+                    Silence, Span, StageCall, violations)
 
 
 def conforming_record():
@@ -374,6 +374,67 @@
         check_excused(lambda record: setattr(record.responses[1], "is_left", True))
         check_excused(lambda record: record.graceful_stops.append(Span(11.5, 12.0, "host")))
 
+    def test_crashing_part_that_goes_on_reaching_servers(self):
+        def make(count):
+            record = conforming_record()
+            record.crashing_part = "bad1"
+            record.part_crashes = [1.0 + i for i in range(5)]
+            for i in range(count):
+                id = f"c{i}"
+                record.sent[id] = SentRequest(id, "stream", "host", 1, 20.0 + i, is_crashing=True)
+                record.arrivals.append(Arrival(id, "s", "model", "host", 20.1 + i, 20.0 + i))
+            return record
+
+        self.assertEqual(violations(make(3)), [])
+        self.assert_violation(make(4), "crashing part")
+        record = make(4)
+        record.disturbances.append(Span(20.0, 24.0, "host"))
+        self.assertEqual(violations(record), [])
+
+    def test_sound_part_that_is_blocked(self):
+        record = conforming_record()
+        record.crashing_part = "bad1"
+        record.blocked_parts = [("host", "bad1")]
+        self.assertEqual(violations(record), [])
+        record.blocked_parts.append(("host", "a1"))
+        self.assert_violation(record, "crashing part")
+
+    def test_sound_streams_that_are_refused_beside_a_crashing_part(self):
+        def make(served_after):
+            record = conforming_record()
+            record.part_crashes = [100.0 + i for i in range(5)]
+            for begin, served in ((50.0, 20), (120.0, served_after)):
+                for i in range(20):
+                    id = f"{begin}-{i}"
+                    record.sent[id] = SentRequest(id, "stream", "host", 1, begin + i / 10)
+                    response = Response(id, "stream", "host", 1, begin + i / 10 + 0.1, 200, True, id, True)
+                    response.events = [1] if i < served else []
+                    record.responses.append(response)
+            return record
+
+        self.assertEqual(violations(make(10)), [])
+        self.assert_violation(make(9), "crashing part")
+
+    def test_limit_that_is_exceeded(self):
+        def make(count):
+            record = conforming_record()
+            record.limits.append(NamedLimit("s", 40.0, 60.0, 1.0))
+            record.limit_notices[("s", "host", 1)] = [30.0, 41.0]
+            for i in range(count):
+                list_ = (record.stage_calls, record.control_calls, record.arrivals)[i % 3]
+                call = StageCall if i % 3 == 0 else Arrival
+                list_.append(call("r1", "s", "plain", "host", 50.0 + i / 10, 50.0))
+            return record
+
+        self.assertEqual(violations(make(11)), [])
+        self.assert_violation(make(12), "limits")
+        record = make(12)
+        record.limit_notices.clear()
+        self.assertEqual(violations(record), [])
+        record = make(12)
+        record.disturbances.append(Span(50.0, 50.5, "host"))
+        self.assertEqual(violations(record), [])
+
     def test_too_many_retries(self):
         record = conforming_record()
         record.arrivals += [Arrival("r1", "s", "plain", "host", 12 + i / 100, 11) for i in range(60)]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,13 +1,15 @@
 """Runs real gateway processes with randomly injected faults and checks what callers and backend servers observe.
 
 soak.py [--seed N] [--runs N] [--without N] [--seconds S] [--hosts N] [--mixed-versions] [--leaving] [--quiet]
-        [--restores] [--silence] [--keep FOLDER]
+        [--restores] [--silence] [--crashing] [--limits] [--keep FOLDER]
 Prints "soak: ok" and exits with 0, or prints the seeds that failed and exits with 1.
 --mixed-versions lets model servers of two software versions serve side by side.
 --leaving lets servers give notice in their responses before they leave.
 --quiet lets servers turn requests away and ask for quiet.
 --restores replaces the store by an older copy of itself now and then.
 --silence lets sound servers send nothing for about a second within their answers.
+--crashing sends requests with a prompt part under which model servers crash.
+--limits lets servers name limits on the requests that they take.
 --keep keeps the logs of failed seeds.
 """
 
@@ -25,7 +27,7 @@
 
 import record as records
 from record import LostRow, Notice, Response, Record, SentRequest, Span
-from stand_ins import (ADDRESS, HEARTBEAT_SECONDS, MISSED_HEARTBEATS, STAGE_ITEMS, STREAM_EVENTS, Backend, Proxy, Store,
+from stand_ins import (ADDRESS, CRASHING_PART, HEARTBEAT_SECONDS, MISSED_HEARTBEATS, STAGE_ITEMS, STREAM_EVENTS, Backend, Proxy, Store,
                        find_owner, now, read_message)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -38,6 +40,8 @@
     "quiet": "let servers turn requests away and ask for quiet",
     "restores": "replace the store by an older copy of itself now and then",
     "silence": "let sound servers send nothing for about a second within their answers",
+    "crashing": "send requests with a prompt part under which model servers crash",
+    "limits": "let servers name limits on the requests that they take",
 }
 # A graceful stop has time for a request that arrives 2 s after it and takes until its deadline.
 STOP_TIMEOUT_SECONDS = 8
@@ -182,6 +186,9 @@
         self.begin = 0.0
         self.hosts_started_at = 0.0
         self.timeline = []
+        self.tasks = []  # crashes of servers under the crashing part
+        if "crashing" in troubles:
+            self.record.crashing_part = CRASHING_PART
 
     # --- Setup ---------------------------------------------------------------
 
@@ -229,6 +236,8 @@
         backend = Backend(f"{service}-{self.next_backend}", service, zone, version, self.store, self.record,
                           self.random.getrandbits(32), self.find_host if self.troubles else None)
         backend.has_silences = "silence" in self.troubles
+        if "crashing" in self.troubles:
+            backend.crash_under_part = lambda crashed: self.tasks.append(asyncio.create_task(self.crash(crashed)))
         backend.cold_until = now() + WARM_UP_SECONDS
         await backend.start_serving(1_700_000_000_000 + self.next_backend)
         if service != "encoder":
@@ -281,6 +290,18 @@
         if writer is not None:
             writer.transport.abort()
 
+    async def run_crashing_caller(self):
+        """Sends requests with the crashing part, no two alike, to any host."""
+        await asyncio.sleep(FAULT_FREE_SECONDS)
+        while now() < self.begin + self.seconds - FAULT_FREE_SECONDS:
+            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+            host = self.random.choice(self.hosts)
+            reader, writer, incarnation = await self.connect(host)
+            if writer is None:
+                continue
+            await self.send_request(reader, writer, host, incarnation, "stream", is_crashing=True)
+            writer.transport.abort()
+
     async def connect(self, host):
         """Returns reader, writer and the incarnation of the host; reader and writer are None if it is unavailable."""
         if not host.is_running() or not await self.is_ready(host):
@@ -309,7 +330,8 @@
             last_host = host.name
             last_event = (response.events or [last_event])[-1]
 
-    async def send_request(self, reader, writer, host, incarnation, kind, first=None, last_event=0):
+    async def send_request(self, reader, writer, host, incarnation, kind, first=None, last_event=0,
+                           is_crashing=False):
         """Sends a request, or if `first` is given, one that continues the stream that `first` began."""
         self.next_request += 1
         id = f"{self.next_request:08x}"
@@ -326,13 +348,14 @@
         if kind == "stream":
             prefix_id = int(stream_id, 16) % 10
             fields |= {"X-Lovagecleat-Model": "m", "X-Lovagecleat-Token-Usage": "300,30",
-                       "X-Lovagecleat-Prompt-Prefix": f"a{prefix_id}:200,{stream_id}:100",
+                       "X-Lovagecleat-Prompt-Prefix": f"a{prefix_id}:200,"
+                       + (f"{CRASHING_PART}:50," if is_crashing else "") + f"{stream_id}:100",
                        "X-Lovagecleat-Pieces": str(STAGE_ITEMS), "X-Lovagecleat-Piece-Key": stream_id}
         if first:
             fields |= {"Resumes": first.id, "Last-Event-Id": str(last_event)}
         head = f"POST {path} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         self.record.sent[id] = SentRequest(id, kind, host.name, incarnation, now(), time_limit, attempts,
-                                           first.id if first else "", last_event, first.versions[0] if first else "")
+                                           first.id if first else "", last_event, first.versions[0] if first else "", is_crashing)
         response = Response(id, kind, host.name, incarnation, now())
         leave_after = STREAM_EVENTS
         if kind == "stream" and self.random.random() < LEFT_STREAM_SHARE:
@@ -361,6 +384,9 @@
         if "server-leaving" in fields:
             process = (fields["x-server"], response.host, response.incarnation)
             self.record.notices.setdefault(process, Notice(*process, now()))
+        if "server-limit" in fields:
+            process = (fields["x-server"], response.host, response.incarnation)
+            self.record.limit_notices.setdefault(process, []).append(now())
         if fields.get("transfer-encoding") == "chunked":
             text = ""
             try:
@@ -525,6 +551,27 @@
             self.timeline.append(f"{now() - self.begin:6.2f} {backend.id} asks for quiet for {seconds:.1f} s")
             backend.quiet_until = now() + seconds
 
+    async def crash(self, backend):
+        """Ends a server, which is back after some seconds, as a new one."""
+        if backend not in self.backends:
+            return
+        self.timeline.append(f"{now() - self.begin:6.2f} {backend.id} crashes under the part")
+        self.backends.remove(backend)
+        await backend.crash()
+        await asyncio.sleep(self.random.uniform(0.5, 2))
+        self.store.remove("servers", backend.id)
+        await self.replace_backend(backend)
+
+    async def name_limits(self):
+        """Lets a server name a limit for a while."""
+        backend = self.random.choice(self.backends)
+        if backend.limit:
+            return
+        per_second = self.random.choice([0.5, 1.0, 2.0, 5.0])
+        seconds = self.random.uniform(records.CONTACT_SECONDS + 2, records.CONTACT_SECONDS + 8)
+        self.timeline.append(f"{now() - self.begin:6.2f} {backend.id} names a limit of {per_second} for {seconds:.1f} s")
+        await backend.name_limit(per_second, seconds)
+
     async def restore_store(self, age):
         """Replaces the store by a copy of itself from `age` seconds ago; its writers write again what they had."""
         while self.store.mode != "ok":
@@ -656,7 +703,7 @@
         running = set()
         if "restores" in self.troubles:
             running.add(asyncio.create_task(self.restore_repeatedly()))
-        for trouble, fault in (("leaving", self.leave), ("quiet", self.ask_for_quiet)):
+        for trouble, fault in (("leaving", self.leave), ("quiet", self.ask_for_quiet), ("limits", self.name_limits)):
             if trouble in self.troubles:
                 running.add(asyncio.create_task(self.repeat(fault)))
         await asyncio.sleep(FAULT_FREE_SECONDS)
@@ -674,8 +721,11 @@
         try:
             await self.start()
             callers = [asyncio.create_task(self.run_caller()) for _ in range(CALLER_COUNT)]
+            if "crashing" in self.troubles:
+                callers.append(asyncio.create_task(self.run_crashing_caller()))
             await self.inject_faults()
             await asyncio.gather(*callers)
+            await asyncio.gather(*self.tasks)
         finally:
             for host in self.hosts:
                 if host.is_running():
@@ -687,8 +737,15 @@
             for proxy in self.store_proxies.values():
                 await proxy.stop()
             await self.store.stop()
+        self.read_logs()
         return records.violations(self.record)
 
+    def read_logs(self):
+        for host in self.hosts:
+            for line in (self.folder / f"{host.name}.log").read_text(errors="replace").splitlines():
+                if '"event":"prompt_blocked"' in line:
+                    self.record.blocked_parts.append((host.name, json.loads(line)["part"]))
+
 
 def run_seed(seed, options, folder):
     server_versions = SERVER_VERSIONS if options.mixed_versions else SERVER_VERSIONS[:1]
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -8,7 +8,8 @@
 import random
 import urllib.parse
 
-from record import NOTICE_SECONDS, Arrival, Execution, Notice, QuietAnswer, ServerRun, Silence, StageCall
+from record import (NOTICE_SECONDS, Arrival, Execution, NamedLimit, Notice, QuietAnswer, ServerRun, Silence,
+                    StageCall)
 
 ADDRESS = "127.0.0.1"
 HEARTBEAT_SECONDS = 1.2
@@ -23,6 +24,8 @@
 SILENT_EVENT_SHARE = 0.01
 SILENCE_RANGE_SECONDS = (0.8, 1.2)
 # Fields of a response with which a server asks for quiet, and the time that they mean; 0 if they mean no exact time.
+# Part of a prompt under which model servers crash.
+CRASHING_PART = "bad1"
 QUIET_FIELDS = [("1", 1.0), ("2", 2.0), ("3", 3.0), ("1.5", 1.5), ("soon", 0.0)]
 
 
@@ -278,6 +281,8 @@
         self.proxy = Proxy(lambda: self.port, find_host)
         self.is_leaving = False  # says so in all responses
         self.quiet_until = 0.0  # turns new work away and asks for quiet
+        self.limit = 0.0  # requests a second that it takes; 0 if it names none
+        self.crash_under_part = None  # called when it begins to respond to a request with the crashing part
         self.has_silences = False
         self.is_draining = False
         self.slowness = 1.0
@@ -310,13 +315,25 @@
 
     def own_fields(self):
         """Returns the fields of all responses."""
-        return {"X-Server": self.id, **({"Server-Leaving": "1"} if self.is_leaving else {})}
+        return {"X-Server": self.id, **({"Server-Leaving": "1"} if self.is_leaving else {}),
+                **({"Server-Limit": str(self.limit)} if self.limit else {})}
+
+    async def name_limit(self, per_second, seconds):
+        """Names a limit in all responses for a time."""
+        self.limit = per_second
+        named = NamedLimit(self.id, now(), now() + seconds, per_second)
+        self.record.limits.append(named)
+        await asyncio.sleep(seconds)
+        named.end = min(named.end, now())
+        self.limit = 0.0
 
     def record_notice(self, host):
         """Records that a host, given with its incarnation, is about to get a response that it doesn't pass on."""
         if self.is_leaving and host[0]:
             notice = Notice(self.id, *host, now() + NOTICE_SECONDS)
             self.record.notices.setdefault((self.id, *host), notice)
+        if self.limit and host[0]:
+            self.record.limit_notices.setdefault((self.id, *host), []).append(now() + NOTICE_SECONDS)
 
     def refuse_for_quiet(self, host, id):
         """Returns a response with which the server asks a host, given with its incarnation, for quiet."""
@@ -394,6 +411,9 @@
             if expected != self.id:
                 writer.write(self.format(421, {"X-Lovagecleat-Not-Executed": "1"}, b""))
                 continue
+            if path in ("/report", "/stage-free"):
+                host = self.proxy.hosts.get(writer.get_extra_info("peername")[1], ("", 0))
+                self.record.control_calls.append(Arrival("", self.id, self.service, host[0], now(), now(), host[1]))
             if path == "/report":
                 body = {"queued": 0, "busy": False, "freeMb": 10}
                 writer.write(self.format(200, {}, json.dumps(body).encode()))
@@ -462,6 +482,14 @@
         self.record.executions.append(
             Execution(id, self.id, now(), is_stream or path.startswith(("/s/", "/p/")), resumed_after))
         if is_stream:
+            part_ids = [part.split(":")[0] for part in fields.get("x-lovagecleat-prompt-prefix", "").split(",")]
+            if CRASHING_PART in part_ids and self.crash_under_part:
+                self.record_server_fault(id)
+                self.record.part_crashes.append(now())
+                writer.write(self.stream_head(id))
+                await writer.drain()
+                self.crash_under_part(self)
+                return False
             return await self.stream(id, host[0], resumed_after, reader, writer)
         await asyncio.sleep(self.random.uniform(0.005, 0.04) * self.slowness)
         if self.random.random() < self.no_response_share:
@@ -496,12 +524,15 @@
                 f"request {id} got {len(handles)} results, expected {STAGE_ITEMS} distinct ones")
         return all(known_items)
 
-    async def stream(self, id, host, resumed_after, reader, writer):
+    def stream_head(self, id):
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
             f"X-Lovagecleat-Request-Id: {id}\r\nX-Lovagecleat-Response-Seal: seal-{id}\r\n"
         ) + "".join(f"{name}: {value}\r\n" for name, value in self.own_fields().items()) + "\r\n"
-        await self.write(head.encode(), reader, writer, Silence(id, self.id, host, 0.0, 0.0, "a stream"))
+        return head.encode()
+
+    async def stream(self, id, host, resumed_after, reader, writer):
+        await self.write(self.stream_head(id), reader, writer, Silence(id, self.id, host, 0.0, 0.0, "a stream"))
         await writer.drain()
         last_write = now()
         event_seconds = self.random.choice([0.03, 0.03, 0.03, 0.15])
