Stage runner: Compare the time of the next send with one clock reading

What callers saw: stage calls whose response was lost ended by their time limit only, and releases were put off, at random. Cause: NextSendAt read the clock itself and was compared with another reading; if that was taken first, a server without a limit seemed to have one.

--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -446,15 +446,15 @@
 
 void StageRunner::DeferLimitedServers(
     StageQueue& queue, std::span<routing::ServerRecord* const> servers) {
+  const TimePoint now = context_.Now();
   for (const routing::ServerRecord* server : servers) {
-    const TimePoint next = NextSendAt(*server);
-    if (next > context_.Now())
-      queue.scheduler.DeferCalls(server->entry.id, next);
+    const TimePoint next = NextSendAt(*server, now);
+    if (next > now) queue.scheduler.DeferCalls(server->entry.id, next);
   }
 }
 
-TimePoint StageRunner::NextSendAt(const routing::ServerRecord& server) const {
-  const TimePoint now = context_.Now();
+TimePoint StageRunner::NextSendAt(const routing::ServerRecord& server,
+                                  TimePoint now) const {
   const auto next = context_.server_limits.NextSendAt(
       server.entry.incarnation(), routing::ServerUsers::kOneHost, now);
   return std::max(next.value_or(now), server.quiet_until);
@@ -638,15 +638,17 @@
 void StageRunner::FlushReleases() {
   release_timer_ = TimerId{};
   releases_flushed_at_.reset();
+  const TimePoint now = context_.Now();
   for (const auto& [server, released] : std::exchange(pending_releases_, {})) {
     const std::vector<std::string>& handles = released;
     const routing::ServerRecord* record = context_.directory.Find(server);
     // A server that is no longer listed has lost its results.
     if (record == nullptr) continue;
-    if (NextSendAt(*record) > context_.Now()) {
+    const TimePoint next = NextSendAt(*record, now);
+    if (next > now) {
       std::vector<std::string>& pending = pending_releases_[server];
       pending.insert(pending.end(), handles.begin(), handles.end());
-      FlushReleasesAt(NextSendAt(*record));
+      FlushReleasesAt(next);
       continue;
     }
     const std::string bytes =
@@ -686,7 +688,8 @@
   const routing::ServerRecord* record = context_.directory.Find(server);
   // A call to a server that is no longer listed, or that is asked nothing for a
   // while, ends by its own time limit.
-  if (record == nullptr || NextSendAt(*record) > context_.Now()) return;
+  const TimePoint now = context_.Now();
+  if (record == nullptr || NextSendAt(*record, now) > now) return;
   context_.metrics.Count("lovagecleat_report_questions_total");
   StartControlCall(
       *record, context_.codec.WriteReportRequest(TargetOf(*record)),
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -94,7 +94,8 @@
   void DeferLimitedServers(StageQueue& queue,
                            std::span<routing::ServerRecord* const> servers);
   // Returns the earliest time at which the server may be sent something.
-  TimePoint NextSendAt(const routing::ServerRecord& server) const;
+  TimePoint NextSendAt(const routing::ServerRecord& server,
+                       TimePoint now) const;
   void CountSend(const routing::ServerRecord& server);
   void StartCall(StageQueue& queue, routing::BatchCall call);
   void UncountSends(std::span<const routing::QueuedItem> items);
