Requests: Report only lost connections as crashes

A 200 without a seal from a server that fails some of its responses was counted as a crash under the request's prompt, though the server lives.

--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -169,7 +169,8 @@
   send_state_ = SendState::kRun;
   if (head_.status < 200 || head_.status >= 300) return OnFailureStatus();
   if (!IsResponseWhole()) {
-    prompt_watch_.OnConnectionLost(incarnation_);
+    if (http::EndsWithConnection(head_))
+      prompt_watch_.OnConnectionLost(incarnation_);
     EndSend(routing::CallResult::kFailed, "not_whole");
     send_state_ = SendState::kUnknown;
     return Retry("not_whole");
