Crash suspects: Drop surplus parts in one step

A caller's prompt may have thousands of parts; dropping them one by one, each after a search of all, would stop the loop. Reports between hosts lose the ages that nothing set.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -25,6 +25,7 @@
 
 // Callers choose the parts, so what is kept of them is bounded.
 constexpr std::size_t kMaximumSuspects = 4096;
+constexpr std::size_t kSuspectsAfterLimit = 3072;
 constexpr std::size_t kMaximumCrashesPerPart = 16;
 constexpr std::size_t kMaximumServedParts = 8192;
 constexpr std::size_t kMaximumBlockedParts = 1024;
@@ -140,16 +141,23 @@
   return blocked;
 }
 
-// Drops the part whose last crash is the oldest of those with the least score.
+// Drops many parts at once, since sorting them takes time: those with the least
+// score, and of these the ones whose last crash is the oldest.
 void CrashSuspects::LimitSuspects() {
-  while (suspects_.size() > kMaximumSuspects) {
-    const auto weakest = std::min_element(
-        suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
-          return std::pair(ScoreOf(a.second), a.second.back().at) <
-                 std::pair(ScoreOf(b.second), b.second.back().at);
-        });
-    suspects_.erase(weakest);
-  }
+  if (suspects_.size() <= kMaximumSuspects) return;
+  struct Candidate {
+    int score;
+    TimePoint last_crash;
+    PromptPartKey part;
+    auto operator<=>(const Candidate&) const = default;
+  };
+  std::vector<Candidate> candidates;
+  candidates.reserve(suspects_.size());
+  for (const auto& [part, crashes] : suspects_)
+    candidates.push_back({ScoreOf(crashes), crashes.back().at, part});
+  std::sort(candidates.begin(), candidates.end());
+  candidates.resize(candidates.size() - kSuspectsAfterLimit);
+  for (const Candidate& candidate : candidates) suspects_.erase(candidate.part);
 }
 
 std::vector<PromptPartKey> CrashSuspects::AddServed(
--- a/services/gateway/prompt_blocks.cc
+++ b/services/gateway/prompt_blocks.cc
@@ -110,9 +110,8 @@
     context_.log.Write("prompt_cleared", "", {{"part", part.value()}});
   }
   Broadcast([&cleared](messages::PromptReports& reports) {
-    messages::ServedPromptParts& copy = *reports.add_served();
     for (const routing::PromptPartKey& part : cleared)
-      copy.add_parts(part.value());
+      reports.add_served_parts(part.value());
   });
 }
 
@@ -175,7 +174,7 @@
                                   crash.had_started_response()
                                       ? routing::CrashMoment::kJustStarted
                                       : routing::CrashMoment::kWaiting,
-                                  Before(now, crash.age_us())}),
+                                  now}),
               "peer_crash");
   for (const messages::BlockedPromptPart& copy : reports.blocked()) {
     if (!routing::IsPromptPartKey(copy.part())) continue;
@@ -189,8 +188,7 @@
     if (suspects_.Block(part, block) && !was_blocked)
       OnBlocked(std::span(&part, 1), "peer");
   }
-  for (const messages::ServedPromptParts& served : reports.served())
-    suspects_.AddServed(ReadKeys(served.parts()), Before(now, served.age_us()));
+  suspects_.AddServed(ReadKeys(reports.served_parts()), now);
   if (!reports.requests_blocks() || suspects_.blocked().empty()) return;
   messages::PromptReports& answer = outbox_.To(from);
   answer.clear_blocked();
