Crash suspects: Explain crashes by the part that is blocked

Cause: a part of requests that had just begun at the same servers gathered the same score in the seconds in which it was not served. Change: once a part is blocked, the crashes under it count against no other; of several parts only the one with the highest score is blocked, of equal ones the last in the prompt; a part that was served before needs five crashes; a server that had sent content says less than one that had not.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -2,16 +2,21 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iterator>
+#include <utility>
 
 namespace lovagecleat::routing {
 
 namespace {
 
 // Score of a part from which on it is blocked, and that of one crash. A server
-// that had begun its response says more than one with a queue.
+// that had just begun its response says most: it has begun one request at that
+// moment, and may have others that wait or go on.
 constexpr int kScoreToBlock = 6;
+// The same for a part that this host knows to have been served before.
+constexpr int kScoreToBlockServedPart = 10;
 constexpr int kScoreOfJustStarted = 2;
-constexpr int kScoreOfWaiting = 1;
+constexpr int kScoreOfUnclear = 1;
 // Crashes within this time count as one: many servers may crash for one reason
 // that is not in the requests, such as a loss of power.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
@@ -27,6 +32,7 @@
 constexpr std::size_t kMaximumSuspects = 4096;
 constexpr std::size_t kSuspectsAfterLimit = 3072;
 constexpr std::size_t kMaximumCrashesPerPart = 16;
+constexpr std::size_t kMaximumExplainedCrashes = 64;
 constexpr std::size_t kMaximumServedParts = 8192;
 constexpr std::size_t kMaximumBlockedParts = 1024;
 
@@ -43,7 +49,7 @@
 
 int ScoreOfMoment(CrashMoment moment) {
   return moment == CrashMoment::kJustStarted ? kScoreOfJustStarted
-                                             : kScoreOfWaiting;
+                                             : kScoreOfUnclear;
 }
 
 }  // namespace
@@ -121,26 +127,76 @@
 
 std::vector<PromptPartKey> CrashSuspects::AddCrash(
     std::span<const PromptPartKey> parts, const ServerCrash& crash) {
-  std::vector<PromptPartKey> blocked;
+  bool is_explained = false;
   for (const PromptPartKey& part : parts) {
     const auto known = blocked_.find(part);
-    if (known != blocked_.end()) {
-      known->second.crashed_at = std::max(known->second.crashed_at, crash.at);
-      continue;
-    }
-    if (WasServedSince(part, crash.at)) continue;
-    Crashes& crashes = suspects_[part];
-    AddTo(crashes, crash);
-    if (ScoreOf(crashes) < kScoreToBlock) continue;
-    const TimePoint last = crashes.back().at;
-    if (!Block(part, {last, last + kBlockTime, 0})) continue;
-    suspects_.erase(part);
-    blocked.push_back(part);
+    if (known == blocked_.end()) continue;
+    known->second.crashed_at = std::max(known->second.crashed_at, crash.at);
+    is_explained = true;
+  }
+  if (is_explained) Explain(crash.incarnation);
+  if (std::find(explained_.begin(), explained_.end(), crash.incarnation) !=
+      explained_.end())
+    return {};
+  for (const PromptPartKey& part : parts)
+    if (!WasServedSince(part, crash.at)) AddTo(suspects_[part], crash);
+  std::vector<PromptPartKey> blocked;
+  if (const PromptPartKey* cause = FindCause(parts)) {
+    const TimePoint last = suspects_.at(*cause).back().at;
+    if (Block(*cause, {last, last + kBlockTime, 0})) blocked.push_back(*cause);
   }
   LimitSuspects();
   return blocked;
 }
 
+const PromptPartKey* CrashSuspects::FindCause(
+    std::span<const PromptPartKey> parts) const {
+  const PromptPartKey* cause = nullptr;
+  int highest = 0;
+  for (const PromptPartKey& part : parts) {
+    const auto suspect = suspects_.find(part);
+    if (suspect == suspects_.end()) continue;
+    const int score = ScoreOf(suspect->second);
+    if (score < ScoreToBlock(part) || score < highest) continue;
+    cause = &part;
+    highest = score;
+  }
+  return cause;
+}
+
+// Without requests for some seconds, a sound part may have more crashes than
+// servers that served it.
+int CrashSuspects::ScoreToBlock(const PromptPartKey& part) const {
+  return WasServed(part) ? kScoreToBlockServedPart : kScoreToBlock;
+}
+
+bool CrashSuspects::WasServed(const PromptPartKey& part) const {
+  return served_.contains(part) || served_before_.contains(part);
+}
+
+void CrashSuspects::Explain(std::uint64_t incarnation) {
+  if (std::find(explained_.begin(), explained_.end(), incarnation) !=
+      explained_.end())
+    return;
+  explained_.push_back(incarnation);
+  if (explained_.size() > kMaximumExplainedCrashes) explained_.pop_front();
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
+    std::erase_if(suspect->second, [incarnation](const ServerCrash& crash) {
+      return crash.incarnation == incarnation;
+    });
+    suspect =
+        suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
+  }
+}
+
+void CrashSuspects::ExplainCrashesOf(const PromptPartKey& part) {
+  const auto suspect = suspects_.find(part);
+  if (suspect == suspects_.end()) return;
+  const Crashes crashes = std::move(suspect->second);
+  suspects_.erase(suspect);
+  for (const ServerCrash& crash : crashes) Explain(crash.incarnation);
+}
+
 // Drops many parts at once, since sorting them takes time: those with the least
 // score, and of these the ones whose last crash is the oldest.
 void CrashSuspects::LimitSuspects() {
@@ -210,6 +266,7 @@
   if (known != blocked_.end() && known->second.crashed_at >= block.crashed_at)
     return false;
   blocked_.insert_or_assign(part, block);
+  ExplainCrashesOf(part);
   return true;
 }
 
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -30,14 +31,14 @@
 
 // What a server did for a request when it crashed.
 enum class CrashMoment {
-  kWaiting,      // it had sent nothing of its response
-  kJustStarted,  // it had begun its response, but sent no or little content
+  kJustStarted,  // it had begun its response, but sent no content
+  kUnclear,      // it had sent nothing yet, or some content
 };
 
 // One server's crash, as far as it concerns one request.
 struct ServerCrash {
   std::uint64_t incarnation = 0;  // hash of the server's incarnation
-  CrashMoment moment = CrashMoment::kWaiting;
+  CrashMoment moment = CrashMoment::kUnclear;
   TimePoint at{};
 };
 
@@ -54,8 +55,9 @@
 
 // Finds the parts of prompts under which servers crash, whatever else a request
 // has. Every part of the requests that a crashed server had just begun, or was
-// about to begin, is suspect. One that was served since is not: that tells the
-// cause from parts that sound requests share with it.
+// about to begin, is suspect. Two things tell the cause from parts that sound
+// requests share with it: those were served since, and crashes that a blocked
+// part explains do not count against others.
 class CrashSuspects {
  public:
   // Records that a server crashed under a request with these parts. Returns the
@@ -94,12 +96,22 @@
   using Crashes = std::vector<ServerCrash>;
 
   static int ScoreOf(const Crashes& crashes);
+  // Returns the part with the highest score that is to be blocked; null if
+  // there is none. Of equal ones the last, which the fewest requests share.
+  const PromptPartKey* FindCause(std::span<const PromptPartKey> parts) const;
+  int ScoreToBlock(const PromptPartKey& part) const;
+  bool WasServed(const PromptPartKey& part) const;
+  // Records that the crash is no evidence against further parts.
+  void Explain(std::uint64_t incarnation);
+  // Does so for the crashes under a part that is blocked now.
+  void ExplainCrashesOf(const PromptPartKey& part);
   void AddTo(Crashes& crashes, const ServerCrash& crash) const;
   void LimitSuspects();
   void RememberServed(const PromptPartKey& part, TimePoint at);
 
   std::map<PromptPartKey, Crashes> suspects_;
   std::map<PromptPartKey, BlockedPart> blocked_;
+  std::deque<std::uint64_t> explained_;  // incarnations, the latest last
   // When parts were served last. A full map replaces the older one.
   std::map<PromptPartKey, TimePoint> served_;
   std::map<PromptPartKey, TimePoint> served_before_;
--- a/services/gateway/prompt_block_rows.cc
+++ b/services/gateway/prompt_block_rows.cc
@@ -13,7 +13,7 @@
 // A block that another host decided is written by that host; this one writes it
 // if it is missing after this time and a random addition.
 constexpr Duration kForeignWriteDelay = milliseconds(1500);
-constexpr Duration kForeignWriteSpread = milliseconds(1500);
+constexpr Duration kForeignWriteSpread = milliseconds(500);
 // Time until a row that was written is read back, and between two attempts.
 constexpr Duration kWriteInterval = milliseconds(3000);
 // Rows of blocks that are over are removed after this time.
--- a/services/gateway/prompt_blocks.cc
+++ b/services/gateway/prompt_blocks.cc
@@ -173,7 +173,7 @@
                                  {crash.server_incarnation(),
                                   crash.had_started_response()
                                       ? routing::CrashMoment::kJustStarted
-                                      : routing::CrashMoment::kWaiting,
+                                      : routing::CrashMoment::kUnclear,
                                   now}),
               "peer_crash");
   for (const messages::BlockedPromptPart& copy : reports.blocked()) {
--- a/services/gateway/prompt_watch.cc
+++ b/services/gateway/prompt_watch.cc
@@ -37,8 +37,9 @@
   // A request that the server has been responding to for a time is no suspect.
   if (is_served_) return;
   blocks_.OnCrash(server, parts_,
-                  has_head_ ? routing::CrashMoment::kJustStarted
-                            : routing::CrashMoment::kWaiting);
+                  has_head_ && !first_content_at_
+                      ? routing::CrashMoment::kJustStarted
+                      : routing::CrashMoment::kUnclear);
 }
 
 void PromptWatch::OnComplete(bool is_end_certain) {
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -488,6 +488,8 @@
                 self.record.part_crashes.append(now())
                 writer.write(self.stream_head(id))
                 await writer.drain()
+                # The head reaches the host in most cases.
+                await asyncio.sleep(self.random.choice([0.0, 0.03, 0.08]))
                 self.crash_under_part(self)
                 return False
             return await self.stream(id, host[0], resumed_after, reader, writer)
