--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -234,7 +234,7 @@
   http::ResponseHead head_;
   ResponseMetadata response_metadata_;
   std::string body_;
-  bool has_content_ = false;  // the last send brought a part of the body
+  bool has_content_ = false;         // the last send brought a part of the body
   bool has_begun_response_ = false;  // the response head was sent to the caller
   bool is_cut_ = false;  // the connection was reset within the response
   http::EventSplitter splitter_;
