--- a/libraries/http/message.cc
+++ b/libraries/http/message.cc
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Statuses of responses without a body.
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
 constexpr std::array<std::string_view, 8> kHopByHopFields = {
     "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
     "Trailer",    "Upgrade",    "Transfer-Encoding", "Proxy-Authenticate"};
@@ -127,8 +131,6 @@
 }
 
 bool EndsWithConnection(const ResponseHead& head) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
   return head.status != kNoContent && head.status != kNotModified &&
          !FindField(head.fields, "Content-Length") &&
          !HasToken(head.fields, "Transfer-Encoding", "chunked");
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace lovagecleat::routing {
@@ -17,6 +18,9 @@
 constexpr int kScoreToBlockServedPart = 10;
 constexpr int kScoreOfJustStarted = 2;
 constexpr int kScoreOfUnclear = 1;
+// The crashes under a part that was blocked count as this many, which block it
+// again with one more.
+constexpr int kRememberedCrashes = kScoreToBlock / kScoreOfJustStarted - 1;
 // Crashes within this time count as one: many servers may crash for one reason
 // that is not in the requests, such as a loss of power.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
@@ -205,7 +209,10 @@
     int score;
     TimePoint last_crash;
     PromptPartKey part;
-    auto operator<=>(const Candidate&) const = default;
+    bool operator<(const Candidate& other) const {
+      return std::tie(score, last_crash, part) <
+             std::tie(other.score, other.last_crash, other.part);
+    }
   };
   std::vector<Candidate> candidates;
   candidates.reserve(suspects_.size());
@@ -291,8 +298,6 @@
     }
     Crashes& crashes = suspects_[block->first];
     crashes.clear();
-    // Together with one more crash they block the part.
-    constexpr int kRememberedCrashes = kScoreToBlock / kScoreOfJustStarted - 1;
     for (int i = 0; i < kRememberedCrashes; ++i)
       crashes.push_back({~static_cast<std::uint64_t>(i),
                          CrashMoment::kJustStarted,
--- a/services/gateway/server_notices.cc
+++ b/services/gateway/server_notices.cc
@@ -18,6 +18,9 @@
 // Limit on the time spans in messages, which another version may send.
 constexpr std::int64_t kMaximumAgeUs = std::int64_t{3600} * 1000 * 1000;
 
+// Logged for a limit that has ended.
+constexpr double kNoLimit = -1;
+
 // Longest part of a value that is logged.
 constexpr std::size_t kLoggedValueBytes = 128;
 
@@ -117,7 +120,6 @@
   if (!context_.server_limits.Set(server, statement)) return false;
   context_.metrics.Count("lovagecleat_server_limits_total",
                          {{"source", std::string(source)}});
-  constexpr double kNoLimit = -1;
   context_.log.Write(
       "server_limit", "",
       {{"server", server.id.value()},
--- a/tests/gateway_reports/crashing_prompt_test.cc
+++ b/tests/gateway_reports/crashing_prompt_test.cc
@@ -34,6 +34,8 @@
 constexpr Duration kRowsDelay = milliseconds(600);
 // Time until they have read a row in the hosts table.
 constexpr Duration kHostRowsDelay = milliseconds(2500);
+// Time since a crash after which the part is tried again.
+constexpr std::int64_t kLongAgoMs = 60'000;
 // A part that has crashed this many servers must be known.
 constexpr int kMostCrashes = 5;
 // Requests with it that may reach servers after that.
@@ -187,7 +189,6 @@
 // more than one request that shows that it is not.
 TEST_CASE_METHOD(CrashingPromptFixture,
                  "One request at a time tries a blocked part again") {
-  constexpr std::int64_t kLongAgoMs = 60'000;
   StartHosts(kHosts);
   const auto block = [&](const std::string& part) {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -197,8 +197,10 @@
   Crashes crashes;
   suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(1)));
   suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(2)));
+  constexpr int part_count = 20000;
   std::vector<PromptPartKey> many;
-  for (int i = 0; i < 20000; ++i) many.emplace_back(std::to_string(i));
+  many.reserve(part_count);
+  for (int i = 0; i < part_count; ++i) many.emplace_back(std::to_string(i));
   suspects.AddCrash(many, crashes.Next(seconds(3)));
   suspects.AddServed(many, At(seconds(4)));
   REQUIRE(suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(5)))
--- a/tests/routing/server_limits_test.cc
+++ b/tests/routing/server_limits_test.cc
@@ -25,6 +25,7 @@
 
 std::vector<HostId> MakeHosts(int count) {
   std::vector<HostId> hosts;
+  hosts.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) hosts.emplace_back("h" + std::to_string(i));
   return hosts;
 }
