--- a/tests/gateway_reports/crashing_prompt_test.cc
+++ b/tests/gateway_reports/crashing_prompt_test.cc
@@ -206,9 +206,11 @@
       SendCrashing("/r/", i % kHosts);
     REQUIRE(crashing_requests() == 1);
     const std::string key = "part/" + std::string(kCrashingPart);
-    REQUIRE(
-        nlohmann::json::parse(rows.Find("hosts", key)->value).at("trials") ==
-        1);
+    // Rows are written with the next tick.
+    RunUntil([&] {
+      return nlohmann::json::parse(rows.Find("hosts", key)->value)
+                 .at("trials") == 1;
+    });
   }
   SECTION("It is served") {
     block("bbbb");
@@ -218,7 +220,9 @@
       RunFor(milliseconds(50));
     }
     REQUIRE(served >= 3 * static_cast<int>(kHosts) - 2);
-    REQUIRE(rows.Find("hosts", "part/bbbb")->value == R"({"released":true})");
+    RunUntil([&] {
+      return rows.Find("hosts", "part/bbbb")->value == R"({"released":true})";
+    });
   }
 }
 
