Crash suspects: Remember each part that was blocked by itself

What callers saw: after the blocks of two parts had ended, a relapse of one let the other crash servers three more times instead of once. Cause: the crashes that stand for an ended block had the same numbers for all parts, so those of all were explained by the first that was blocked again; and a part that was served before its block was remembered with too few of them. The new test failed before: 0 parts blocked, 1 expected.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -18,9 +18,6 @@
 constexpr int kScoreToBlockServedPart = 10;
 constexpr int kScoreOfJustStarted = 2;
 constexpr int kScoreOfUnclear = 1;
-// The crashes under a part that was blocked count as this many, which block it
-// again with one more.
-constexpr int kRememberedCrashes = kScoreToBlock / kScoreOfJustStarted - 1;
 // Crashes within this time count as one: many servers may crash for one reason
 // that is not in the requests, such as a loss of power.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
@@ -168,8 +165,8 @@
   return cause;
 }
 
-// Without requests for some seconds, a sound part may have more crashes than
-// servers that served it.
+// A sound part whose requests are rare may be at several crashed servers before
+// it is served again.
 int CrashSuspects::ScoreToBlock(const PromptPartKey& part) const {
   return WasServed(part) ? kScoreToBlockServedPart : kScoreToBlock;
 }
@@ -298,10 +295,12 @@
     }
     Crashes& crashes = suspects_[block->first];
     crashes.clear();
-    for (int i = 0; i < kRememberedCrashes; ++i)
-      crashes.push_back({~static_cast<std::uint64_t>(i),
-                         CrashMoment::kJustStarted,
-                         now - kCommonCauseTime * (kRememberedCrashes - i)});
+    // Block the part together with one more crash. They stand for no server.
+    const int remembered = ScoreToBlock(block->first) / kScoreOfJustStarted - 1;
+    for (int i = remembered; i > 0; --i)
+      crashes.push_back(
+          {StableHash(block->first.value(), static_cast<std::uint64_t>(i)),
+           CrashMoment::kJustStarted, now - kCommonCauseTime * i});
     block = blocked_.erase(block);
   }
   LimitSuspects();
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -46,7 +46,7 @@
 struct BlockedPart {
   TimePoint crashed_at{};  // the last known crash
   TimePoint until{};
-  int trials = 0;  // requests sent since, all of which crashed their servers
+  int trials = 0;  // requests sent since to find out
 
   // Returns when a single request may show whether the part still crashes
   // servers.
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -190,6 +190,21 @@
               .size() == 1);
 }
 
+// Guards against a relapse that takes the memory of other blocks with it, and
+// against a part that crashed its way to a block although it was served before.
+TEST_CASE("Each part that was blocked is remembered by itself") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  const PromptPartKey other("bad1");
+  suspects.AddServed(std::span(&other, 1), At(Duration::zero()));
+  for (const PromptPartKey& part : {kCause, other})
+    suspects.Block(part, {At(seconds(1)), At(minutes(15)), 0});
+  suspects.RemoveExpired(At(minutes(15)));
+  for (const PromptPartKey& part : {kCause, other})
+    REQUIRE(suspects.AddCrash(std::span(&part, 1), crashes.Next(minutes(16)))
+                .size() == 1);
+}
+
 // Guards against memory that callers can fill, and against a part that escapes
 // because they do.
 TEST_CASE("Many parts that callers choose do not displace the cause") {
