Server limits: Keep the limits named last

What callers saw: nothing yet. Reports of other hosts on servers that were gone here stayed for good; after 4096 of them no further limit was taken in. The oldest gives way now. The new test failed before: the last of 10,000 servers was not limited.

--- a/libraries/routing/server_limits.cc
+++ b/libraries/routing/server_limits.cc
@@ -63,7 +63,7 @@
   const double limit = *statement.requests_per_second;
   if (!is_known) {
     if (limits_.size() >= kMaximumLimits && known == limits_.end())
-      return false;
+      RemoveOldest();
     NamedLimit named{server, limit, statement.at, {}};
     // This host has just sent a request, and so have others.
     const double rate = std::max(limit, kMinimumRequestsPerSecond);
@@ -84,6 +84,15 @@
   return true;
 }
 
+// Other hosts may report servers that are gone here, whose removal was seen
+// before.
+void ServerLimits::RemoveOldest() {
+  limits_.erase(std::min_element(limits_.begin(), limits_.end(),
+                                 [](const auto& a, const auto& b) {
+                                   return a.second.named_at < b.second.named_at;
+                                 }));
+}
+
 std::optional<double> ServerLimits::RateOf(const NamedLimit& limit,
                                            ServerUsers users) const {
   const double total =
--- a/libraries/routing/server_limits.h
+++ b/libraries/routing/server_limits.h
@@ -65,6 +65,7 @@
   const std::map<ServerId, NamedLimit>& limits() const { return limits_; }
 
  private:
+  void RemoveOldest();
   const NamedLimit* Find(const ServerIncarnation& server) const;
   // Returns this host's part in requests per second; nothing if it has none.
   std::optional<double> RateOf(const NamedLimit& limit,
--- a/tests/routing/server_limits_test.cc
+++ b/tests/routing/server_limits_test.cc
@@ -164,6 +164,20 @@
   }
 }
 
+// Guards against servers that are gone and take the room of those that name a
+// limit now.
+TEST_CASE("The limits named last are kept") {
+  ServerLimits limits{HostId("h0")};
+  constexpr int server_count = 10000;
+  ServerIncarnation server = kServer;
+  for (int i = 0; i < server_count; ++i) {
+    server.id = ServerId("s" + std::to_string(i));
+    limits.Set(server, {1.0, At(seconds(i))});
+  }
+  REQUIRE(limits.IsLimited(server));
+  REQUIRE(limits.limits().size() < server_count);
+}
+
 TEST_CASE("A limit belongs to one incarnation of a server") {
   ServerLimits limits{HostId("h0")};
   limits.Set(kServer, {0.25, At(seconds(0))});
