Stage runner: Check again for the limit of a server while calls wait

What callers saw: stages refused for up to 6 s after their server had restarted or its limit had ended. Cause: calls were put off to the next send that the limit allowed, and nothing took that back. They look again after 200 ms at the latest. The new test failed before: 0 requests served in 500 ms, 2 expected.

--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -27,6 +27,8 @@
 // A result of a batch is described by less than 1 KiB.
 constexpr std::uint64_t kMaximumBatchBytes = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t kMaximumControlBytes = std::uint64_t{64} * 1024;
+// A limit may change or end while calls wait for it.
+constexpr Duration kLimitCheckPeriod = std::chrono::milliseconds(200);
 // Least time between two queries for a server's free memory.
 constexpr Duration kFreeMemoryQueryPeriod = std::chrono::milliseconds(400);
 
@@ -449,7 +451,9 @@
   const TimePoint now = context_.Now();
   for (const routing::ServerRecord* server : servers) {
     const TimePoint next = NextSendAt(*server, now);
-    if (next > now) queue.scheduler.DeferCalls(server->entry.id, next);
+    if (next > now)
+      queue.scheduler.DeferCalls(server->entry.id,
+                                 std::min(next, now + kLimitCheckPeriod));
   }
 }
 
--- a/tests/gateway_reports/limited_server_test.cc
+++ b/tests/gateway_reports/limited_server_test.cc
@@ -196,5 +196,27 @@
   REQUIRE(served >= 2);
 }
 
+// Guards against calls that wait for the limit of an incarnation that has
+// ended.
+TEST_CASE_METHOD(LimitedServerFixture,
+                 "A stage server that restarts is called without its limit") {
+  LimitedServer encoder("0.25");
+  const auto set_encoder = [&](int born) {
+    rows.Set("servers", "encoder",
+             R"({"service":"encoder","address":")" + encoder.address() +
+                 R"(","zone":"z","version":"v1","state":"ready","slots":4,)" +
+                 R"("born":)" + std::to_string(born) + "}");
+  };
+  set_encoder(1);
+  AddServer("other", "plain", other.address());
+  StartHosts(kHosts);
+  SendFor(milliseconds(1000), "/g/");
+  encoder.SetLimit("");
+  set_encoder(2);
+  // The hosts read the row, and calls that wait start.
+  RunFor(milliseconds(1200));
+  REQUIRE(SendFor(milliseconds(500), "/g/") >= 2);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
