--- a/tests/gateway_reports/crashing_prompt_test.cc
+++ b/tests/gateway_reports/crashing_prompt_test.cc
@@ -63,6 +63,12 @@
               if (begins_response_) connection.Write(kStreamHead);
               return false;
             }
+            if (unsealed_) {
+              connection.Write(
+                  "HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n"
+                  "Content-Length: 2\r\n\r\nok");
+              return true;
+            }
             connection.Write(
                 Join({kStreamHead, Chunk("id: 1\ndata: a\n\n"), kStreamEnd}));
             return true;
@@ -113,6 +119,7 @@
   }
 
   std::atomic<bool> begins_response_ = true;
+  std::atomic<bool> unsealed_ = false;  // sound responses lack the seal
 
  private:
   std::atomic<int> crashing_requests_ = 0;
@@ -269,5 +276,15 @@
   }
 }
 
+// Guards against suspects at servers that fail a response and live.
+TEST_CASE_METHOD(CrashingPromptFixture,
+                 "A failed response is no crash of its server") {
+  unsealed_ = true;
+  StartHosts(1);
+  REQUIRE(SendSound("/o/", 0).starts_with("HTTP/1.1 502"));
+  REQUIRE(LogText().find("not_whole") != std::string::npos);
+  REQUIRE(LogText().find("prompt_crash") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
