Logs: Name prompt parts in failed sends as in reports of crashes

Two functions joined the parts of a prompt, one with the caller's ids and one with the keys under which parts are blocked. The keys, cut after 256 bytes, are in both lines now.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -37,6 +37,7 @@
 constexpr std::size_t kMaximumServedParts = 8192;
 constexpr std::size_t kMaximumBlockedParts = 1024;
 
+constexpr std::size_t kMaximumLoggedBytes = 256;
 constexpr std::size_t kMaximumPlainKeyBytes = 32;
 // Precedes a hash, so that no id equals it.
 constexpr char kHashPrefix = 'x';
@@ -74,6 +75,17 @@
   return keys;
 }
 
+std::string FormatForLog(std::span<const PromptPartKey> parts) {
+  std::string text;
+  for (const PromptPartKey& part : parts) {
+    if (text.size() + part.value().size() >= kMaximumLoggedBytes)
+      return text + ",...";
+    if (!text.empty()) text.push_back(',');
+    text.append(part.value());
+  }
+  return text;
+}
+
 bool IsPromptPartKey(std::string_view text) {
   if (text.starts_with(kHashPrefix))
     return text.size() == kMaximumKeyBytes && IsHexadecimal(text.substr(1));
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -24,6 +25,9 @@
 // last.
 std::vector<PromptPartKey> SharedPartKeys(const Prompt& prompt);
 
+// Returns the keys as a list for a log line, cut if it is long.
+std::string FormatForLog(std::span<const PromptPartKey> parts);
+
 inline constexpr std::size_t kMaximumKeyBytes = 33;
 
 // Returns whether `text` could have been returned by KeyOf.
--- a/services/gateway/prompt_blocks.cc
+++ b/services/gateway/prompt_blocks.cc
@@ -28,15 +28,6 @@
   return keys;
 }
 
-std::string JoinKeys(std::span<const routing::PromptPartKey> parts) {
-  std::string text;
-  for (const routing::PromptPartKey& part : parts) {
-    if (!text.empty()) text.push_back(',');
-    text.append(part.value());
-  }
-  return text;
-}
-
 }  // namespace
 
 PromptBlocks::PromptBlocks(Context& context, RowSource& rows,
@@ -87,7 +78,7 @@
   context_.metrics.Count("lovagecleat_prompt_crashes_total");
   context_.log.Write("prompt_crash", "",
                      {{"server", server.id.value()},
-                      {"parts", JoinKeys(parts)},
+                      {"parts", routing::FormatForLog(parts)},
                       {"had_started_response", has_started}});
   Broadcast([&](messages::PromptReports& reports) {
     messages::PromptCrash& copy = *reports.add_crashes();
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -28,24 +28,10 @@
 constexpr int kUrgencyStep = 2;
 constexpr int kLowestUrgency = 9;
 
-// Longest list of prompt parts in a log line.
-constexpr std::size_t kLoggedPartsBytes = 256;
-
 double Milliseconds(Duration time) {
   return static_cast<double>(time.count()) / 1000.0;
 }
 
-// Returns the ids of the parts that other requests may share.
-std::string SharedPartsText(const routing::Prompt& prompt) {
-  std::string text;
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-    if (!text.empty()) text.push_back(',');
-    text.append(prompt.parts[i].id);
-    if (text.size() > kLoggedPartsBytes) break;
-  }
-  return text.substr(0, kLoggedPartsBytes);
-}
-
 routing::Warmth WarmthOf(const routing::ServerRecord& server, TimePoint now) {
   return server.cold_until > now ? routing::Warmth::kUnknown
                                  : routing::Warmth::kWarm;
@@ -329,15 +315,17 @@
   context_.metrics.Count("lovagecleat_sends_total",
                          {{"outcome", std::string(outcome)}});
   if (outcome == "done") return;
-  context_.log.Write("send", request_.id,
-                     {{"service", service_.value()},
-                      {"server", server_.value()},
-                      {"send", sends_},
-                      {"status", head_.status},
-                      {"ms", Milliseconds(Now() - sent_at_)},
-                      {"events", events_ - events_before_send_},
-                      {"shared_parts", SharedPartsText(request_.prompt)},
-                      {"outcome", outcome}});
+  context_.log.Write(
+      "send", request_.id,
+      {{"service", service_.value()},
+       {"server", server_.value()},
+       {"send", sends_},
+       {"status", head_.status},
+       {"ms", Milliseconds(Now() - sent_at_)},
+       {"events", events_ - events_before_send_},
+       {"shared_parts",
+        routing::FormatForLog(routing::SharedPartKeys(request_.prompt))},
+       {"outcome", outcome}});
 }
 
 bool RequestFlow::CanRetry(int additional_runs) const {
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -236,6 +236,14 @@
   REQUIRE_FALSE(IsPromptPartKey("blocked\xff"));
 }
 
+TEST_CASE("A list of parts for the log is bounded") {
+  REQUIRE(FormatForLog({}).empty());
+  REQUIRE(FormatForLog(std::vector{kCommon, kCause}) == "aaaa,bad0");
+  const std::vector<PromptPartKey> many(1000, kCommon);
+  REQUIRE(FormatForLog(many).size() < 300);
+  REQUIRE(FormatForLog(many).ends_with(",aaaa,..."));
+}
+
 TEST_CASE("The last part of a prompt is not shared") {
   Prompt prompt;
   REQUIRE(SharedPartKeys(prompt).empty());
