--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <mutex>
+#include <nlohmann/json.hpp>
 
 #include "tests/transport/loop_fixture.h"
 #include "tests/transport/raw_server.h"
@@ -42,6 +43,7 @@
             {
               const std::lock_guard<std::mutex> lock(mutex_);
               requests_.push_back(request->substr(0, request->find('\r')));
+              last_request_ = *request;
               if (responses_.empty()) return;
               response = responses_.front();
               responses_.pop_front();
@@ -81,6 +83,13 @@
     return requests_;
   }
 
+  // Returns the body of the last request, as JSON.
+  nlohmann::json LastBody() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return nlohmann::json::parse(
+        last_request_.substr(last_request_.find("\r\n\r\n") + 4));
+  }
+
   // Returns the lines logged so far; there must be at least one.
   std::string ReadLog() {
     log_.Flush();
@@ -108,6 +117,7 @@
   std::mutex mutex_;
   std::deque<std::string> responses_;
   std::vector<std::string> requests_;
+  std::string last_request_;
   transport::RawServer server_;
   SystemClock clock_;
   std::array<int, 2> log_descriptors_;
@@ -187,5 +197,34 @@
   REQUIRE(ReadAll().status == RowsResponse::Status::kUnavailable);
 }
 
+TEST_CASE_METHOD(StoreClientFixture,
+                 "Blocked prompt parts are rows in the table of hosts") {
+  using Kind = gateway::RowSubject::Kind;
+  const auto subject_of = [this](const std::string& key) {
+    return client.SubjectOf({"gateways", key, "", RowVersion(0, 1), false});
+  };
+  REQUIRE(subject_of("host-1").kind == Kind::kHost);
+  REQUIRE(subject_of("blocked-part/bad1").kind == Kind::kPromptBlock);
+  REQUIRE(subject_of("blocked-part/bad1").name == "bad1");
+  const std::string ok =
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\":8}";
+  Respond(ok);
+  std::optional<bool> is_written;
+  client.WritePromptBlock("bad1", "v",
+                          [&](bool result) { is_written = result; });
+  RunUntil([&] { return is_written.has_value(); });
+  REQUIRE(*is_written);
+  const nlohmann::json write = LastBody().at("writes").at(0);
+  REQUIRE(write.at("table") == "gateways");
+  REQUIRE(write.at("key") == "blocked-part/bad1");
+  REQUIRE(write.at("value") == "dg==");
+  Respond(ok);
+  client.RemovePromptBlock("bad1");
+  RunUntil([&] { return requests().size() == 2; });
+  const nlohmann::json removal = LastBody();
+  REQUIRE(removal.at("writes").empty());
+  REQUIRE(removal.at("remove").at(0).at("key") == "blocked-part/bad1");
+}
+
 }  // namespace
 }  // namespace lovagecleat::platform_adapter
