--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -48,7 +48,7 @@
     case Body::kRowsFeed:
     case Body::kStreamOrigins:
     case Body::kServerNotices:
-    case Body::kPromptReports:
+    case Body::kContentReports:
     case Body::BODY_NOT_SET:
       return;
     case Body::kProvisionalDrains:
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -10,18 +10,18 @@
 
 namespace {
 
-// Score of a part from which on it is blocked, and that of one crash. A server
-// that had just begun its response says most: it has begun one request at that
-// moment, and may have others that wait or go on.
+// Score of a content from which on it is blocked, and that of one crash. A
+// server that had just begun its response says most: it has begun one request
+// at that moment, and may have others that wait or go on.
 constexpr int kScoreToBlock = 6;
-// The same for a part that this host knows to have been served before.
-constexpr int kScoreToBlockServedPart = 10;
+// The same for a content that this host knows to have been served before.
+constexpr int kScoreToBlockServedContent = 10;
 constexpr int kScoreOfJustStarted = 2;
 constexpr int kScoreOfUnclear = 1;
 // Crashes within this time count as one: many servers may crash for one reason
 // that is not in the requests, such as a loss of power.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
-// Crashes count for this long unless the part is served.
+// Crashes count for this long unless the content is served.
 constexpr Duration kCrashMemory = std::chrono::minutes(30);
 constexpr Duration kBlockTime = std::chrono::minutes(15);
 // Time from the last crash to a trial, multiplied by the factor after each one.
@@ -29,13 +29,13 @@
 constexpr int kTrialDelayFactor = 4;
 constexpr int kMaximumTrialDelaySteps = 4;
 
-// Callers choose the parts, so what is kept of them is bounded.
+// Callers choose the contents, so what is kept of them is bounded.
 constexpr std::size_t kMaximumSuspects = 4096;
 constexpr std::size_t kSuspectsAfterLimit = 3072;
-constexpr std::size_t kMaximumCrashesPerPart = 16;
+constexpr std::size_t kMaximumCrashesPerContent = 16;
 constexpr std::size_t kMaximumExplainedCrashes = 64;
-constexpr std::size_t kMaximumServedParts = 8192;
-constexpr std::size_t kMaximumBlockedParts = 1024;
+constexpr std::size_t kMaximumServedContents = 8192;
+constexpr std::size_t kMaximumBlockedContents = 1024;
 
 constexpr std::size_t kMaximumLoggedBytes = 256;
 constexpr std::size_t kMaximumPlainKeyBytes = 32;
@@ -56,44 +56,44 @@
 
 }  // namespace
 
-PromptPartKey KeyOf(const PromptPart& part) {
-  if (!part.id.empty() && part.id.size() <= kMaximumPlainKeyBytes &&
-      IsHexadecimal(part.id))
-    return PromptPartKey(part.id);
-  const std::uint64_t first = StableHash(part.id);
+ContentKey KeyOf(const PromptPart& content) {
+  if (!content.id.empty() && content.id.size() <= kMaximumPlainKeyBytes &&
+      IsHexadecimal(content.id))
+    return ContentKey(content.id);
+  const std::uint64_t first = StableHash(content.id);
   char text[kMaximumKeyBytes + 1];
   std::snprintf(text, sizeof(text), "%c%016llx%016llx", kHashPrefix,
                 static_cast<unsigned long long>(first),
-                static_cast<unsigned long long>(StableHash(part.id, first)));
-  return PromptPartKey(text);
+                static_cast<unsigned long long>(StableHash(content.id, first)));
+  return ContentKey(text);
 }
 
-std::vector<PromptPartKey> SharedPartKeys(const Prompt& prompt) {
-  std::vector<PromptPartKey> keys;
+std::vector<ContentKey> SharedPartKeys(const Prompt& prompt) {
+  std::vector<ContentKey> keys;
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i)
     keys.push_back(KeyOf(prompt.parts[i]));
   return keys;
 }
 
-std::string FormatForLog(std::span<const PromptPartKey> parts) {
+std::string FormatForLog(std::span<const ContentKey> contents) {
   std::string text;
-  for (const PromptPartKey& part : parts) {
-    if (text.size() + part.value().size() >= kMaximumLoggedBytes)
+  for (const ContentKey& content : contents) {
+    if (text.size() + content.value().size() >= kMaximumLoggedBytes)
       return text + ",...";
     if (!text.empty()) text.push_back(',');
-    text.append(part.value());
+    text.append(content.value());
   }
   return text;
 }
 
-bool IsPromptPartKey(std::string_view text) {
+bool IsContentKey(std::string_view text) {
   if (text.starts_with(kHashPrefix))
     return text.size() == kMaximumKeyBytes && IsHexadecimal(text.substr(1));
   return !text.empty() && text.size() <= kMaximumPlainKeyBytes &&
          IsHexadecimal(text);
 }
 
-TimePoint BlockedPart::NextTrialAt() const {
+TimePoint BlockedContent::NextTrialAt() const {
   Duration delay = kFirstTrialDelay;
   for (int i = 0; i < std::min(trials, kMaximumTrialDelaySteps); ++i)
     delay *= kTrialDelayFactor;
@@ -135,14 +135,15 @@
       crashes.begin(), crashes.end(), crash,
       [](const ServerCrash& a, const ServerCrash& b) { return a.at < b.at; });
   crashes.insert(position, crash);
-  if (crashes.size() > kMaximumCrashesPerPart) crashes.erase(crashes.begin());
+  if (crashes.size() > kMaximumCrashesPerContent)
+    crashes.erase(crashes.begin());
 }
 
-std::vector<PromptPartKey> CrashSuspects::AddCrash(
-    std::span<const PromptPartKey> parts, const ServerCrash& crash) {
+std::vector<ContentKey> CrashSuspects::AddCrash(
+    std::span<const ContentKey> contents, const ServerCrash& crash) {
   bool is_explained = false;
-  for (const PromptPartKey& part : parts) {
-    const auto known = blocked_.find(part);
+  for (const ContentKey& content : contents) {
+    const auto known = blocked_.find(content);
     if (known == blocked_.end()) continue;
     known->second.crashed_at = std::max(known->second.crashed_at, crash.at);
     is_explained = true;
@@ -151,10 +152,10 @@
   if (std::find(explained_.begin(), explained_.end(), crash.incarnation) !=
       explained_.end())
     return {};
-  for (const PromptPartKey& part : parts)
-    if (!WasServedSince(part, crash.at)) AddTo(suspects_[part], crash);
-  std::vector<PromptPartKey> blocked;
-  if (const PromptPartKey* cause = FindCause(parts)) {
+  for (const ContentKey& content : contents)
+    if (!WasServedSince(content, crash.at)) AddTo(suspects_[content], crash);
+  std::vector<ContentKey> blocked;
+  if (const ContentKey* cause = FindCause(contents)) {
     const TimePoint last = suspects_.at(*cause).back().at;
     if (Block(*cause, {last, last + kBlockTime, 0})) blocked.push_back(*cause);
   }
@@ -162,29 +163,29 @@
   return blocked;
 }
 
-const PromptPartKey* CrashSuspects::FindCause(
-    std::span<const PromptPartKey> parts) const {
-  const PromptPartKey* cause = nullptr;
+const ContentKey* CrashSuspects::FindCause(
+    std::span<const ContentKey> contents) const {
+  const ContentKey* cause = nullptr;
   int highest = 0;
-  for (const PromptPartKey& part : parts) {
-    const auto suspect = suspects_.find(part);
+  for (const ContentKey& content : contents) {
+    const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
     const int score = ScoreOf(suspect->second);
-    if (score < ScoreToBlock(part) || score < highest) continue;
-    cause = &part;
+    if (score < ScoreToBlock(content) || score < highest) continue;
+    cause = &content;
     highest = score;
   }
   return cause;
 }
 
-// A sound part whose requests are rare may be at several crashed servers before
-// it is served again.
-int CrashSuspects::ScoreToBlock(const PromptPartKey& part) const {
-  return WasServed(part) ? kScoreToBlockServedPart : kScoreToBlock;
+// A sound content whose requests are rare may be at several crashed servers
+// before it is served again.
+int CrashSuspects::ScoreToBlock(const ContentKey& content) const {
+  return WasServed(content) ? kScoreToBlockServedContent : kScoreToBlock;
 }
 
-bool CrashSuspects::WasServed(const PromptPartKey& part) const {
-  return served_.contains(part) || served_before_.contains(part);
+bool CrashSuspects::WasServed(const ContentKey& content) const {
+  return served_.contains(content) || served_before_.contains(content);
 }
 
 void CrashSuspects::Explain(std::uint64_t incarnation) {
@@ -202,43 +203,44 @@
   }
 }
 
-void CrashSuspects::ExplainCrashesOf(const PromptPartKey& part) {
-  const auto suspect = suspects_.find(part);
+void CrashSuspects::ExplainCrashesOf(const ContentKey& content) {
+  const auto suspect = suspects_.find(content);
   if (suspect == suspects_.end()) return;
   const Crashes crashes = std::move(suspect->second);
   suspects_.erase(suspect);
   for (const ServerCrash& crash : crashes) Explain(crash.incarnation);
 }
 
-// Drops many parts at once, since sorting them takes time: those with the least
-// score, and of these the ones whose last crash is the oldest.
+// Drops many contents at once, since sorting them takes time: those with the
+// least score, and of these the ones whose last crash is the oldest.
 void CrashSuspects::LimitSuspects() {
   if (suspects_.size() <= kMaximumSuspects) return;
   struct Candidate {
     int score;
     TimePoint last_crash;
-    PromptPartKey part;
+    ContentKey content;
     bool operator<(const Candidate& other) const {
-      return std::tie(score, last_crash, part) <
-             std::tie(other.score, other.last_crash, other.part);
+      return std::tie(score, last_crash, content) <
+             std::tie(other.score, other.last_crash, other.content);
     }
   };
   std::vector<Candidate> candidates;
   candidates.reserve(suspects_.size());
-  for (const auto& [part, crashes] : suspects_)
-    candidates.push_back({ScoreOf(crashes), crashes.back().at, part});
+  for (const auto& [content, crashes] : suspects_)
+    candidates.push_back({ScoreOf(crashes), crashes.back().at, content});
   std::sort(candidates.begin(), candidates.end());
   candidates.resize(candidates.size() - kSuspectsAfterLimit);
-  for (const Candidate& candidate : candidates) suspects_.erase(candidate.part);
+  for (const Candidate& candidate : candidates)
+    suspects_.erase(candidate.content);
 }
 
-std::vector<PromptPartKey> CrashSuspects::AddServed(
-    std::span<const PromptPartKey> parts, TimePoint at) {
-  std::vector<PromptPartKey> cleared;
-  for (const PromptPartKey& part : parts) {
-    RememberServed(part, at);
+std::vector<ContentKey> CrashSuspects::AddServed(
+    std::span<const ContentKey> contents, TimePoint at) {
+  std::vector<ContentKey> cleared;
+  for (const ContentKey& content : contents) {
+    RememberServed(content, at);
     bool is_cleared = false;
-    const auto suspect = suspects_.find(part);
+    const auto suspect = suspects_.find(content);
     if (suspect != suspects_.end()) {
       is_cleared =
           std::erase_if(suspect->second, [at](const ServerCrash& crash) {
@@ -246,54 +248,55 @@
           }) > 0;
       if (suspect->second.empty()) suspects_.erase(suspect);
     }
-    const auto blocked = blocked_.find(part);
+    const auto blocked = blocked_.find(content);
     if (blocked != blocked_.end() && blocked->second.crashed_at <= at) {
       blocked_.erase(blocked);
       is_cleared = true;
     }
-    if (is_cleared) cleared.push_back(part);
+    if (is_cleared) cleared.push_back(content);
   }
   return cleared;
 }
 
-void CrashSuspects::RememberServed(const PromptPartKey& part, TimePoint at) {
-  if (served_.size() >= kMaximumServedParts && !served_.contains(part)) {
+void CrashSuspects::RememberServed(const ContentKey& content, TimePoint at) {
+  if (served_.size() >= kMaximumServedContents && !served_.contains(content)) {
     served_before_ = std::move(served_);
     served_.clear();
   }
-  TimePoint& known = served_[part];
+  TimePoint& known = served_[content];
   known = std::max(known, at);
 }
 
-bool CrashSuspects::WasServedSince(const PromptPartKey& part,
+bool CrashSuspects::WasServedSince(const ContentKey& content,
                                    TimePoint at) const {
   for (const auto* served : {&served_, &served_before_}) {
-    const auto known = served->find(part);
+    const auto known = served->find(content);
     if (known != served->end()) return known->second > at;
   }
   return false;
 }
 
-bool CrashSuspects::Block(const PromptPartKey& part, const BlockedPart& block) {
-  if (WasServedSince(part, block.crashed_at)) return false;
-  const auto known = blocked_.find(part);
-  if (known == blocked_.end() && blocked_.size() >= kMaximumBlockedParts)
+bool CrashSuspects::Block(const ContentKey& content,
+                          const BlockedContent& block) {
+  if (WasServedSince(content, block.crashed_at)) return false;
+  const auto known = blocked_.find(content);
+  if (known == blocked_.end() && blocked_.size() >= kMaximumBlockedContents)
     return false;
   if (known != blocked_.end() && known->second.crashed_at >= block.crashed_at)
     return false;
-  blocked_.insert_or_assign(part, block);
-  ExplainCrashesOf(part);
+  blocked_.insert_or_assign(content, block);
+  ExplainCrashesOf(content);
   return true;
 }
 
-const BlockedPart* CrashSuspects::Find(const PromptPartKey& part) const {
-  const auto found = blocked_.find(part);
+const BlockedContent* CrashSuspects::Find(const ContentKey& content) const {
+  const auto found = blocked_.find(content);
   return found == blocked_.end() ? nullptr : &found->second;
 }
 
 // If the trial brings no result, the next one follows as if it had failed.
-void CrashSuspects::StartTrial(const PromptPartKey& part, TimePoint now) {
-  const auto found = blocked_.find(part);
+void CrashSuspects::StartTrial(const ContentKey& content, TimePoint now) {
+  const auto found = blocked_.find(content);
   if (found == blocked_.end()) return;
   ++found->second.trials;
   found->second.crashed_at = now;
@@ -307,7 +310,7 @@
     }
     Crashes& crashes = suspects_[block->first];
     crashes.clear();
-    // Block the part together with one more crash. They stand for no server.
+    // Block the content together with one more crash. They stand for no server.
     const int remembered = ScoreToBlock(block->first) / kScoreOfJustStarted - 1;
     for (int i = remembered; i > 0; --i)
       crashes.push_back(
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -15,23 +15,23 @@
 
 namespace lovagecleat::routing {
 
-// Identifies a part of a prompt. Of bounded size and safe to print, whatever id
-// the caller has chosen: the id itself if it is hexadecimal and short, else a
-// hash of it.
-using PromptPartKey = StringId<struct PromptPartKeyTag>;
-PromptPartKey KeyOf(const PromptPart& part);
+// Identifies what servers may crash under: a part of a prompt. Of bounded size
+// and safe to print, whatever id the caller has chosen: the id itself if it is
+// hexadecimal and short, else a hash of it.
+using ContentKey = StringId<struct ContentKeyTag>;
+ContentKey KeyOf(const PromptPart& content);
 
 // Returns the keys of the parts that other requests may share: all but the
 // last.
-std::vector<PromptPartKey> SharedPartKeys(const Prompt& prompt);
+std::vector<ContentKey> SharedPartKeys(const Prompt& prompt);
 
 // Returns the keys as a list for a log line, cut if it is long.
-std::string FormatForLog(std::span<const PromptPartKey> parts);
+std::string FormatForLog(std::span<const ContentKey> contents);
 
 inline constexpr std::size_t kMaximumKeyBytes = 33;
 
 // Returns whether `text` could have been returned by KeyOf.
-bool IsPromptPartKey(std::string_view text);
+bool IsContentKey(std::string_view text);
 
 // What a server did for a request when it crashed.
 enum class CrashMoment {
@@ -46,79 +46,80 @@
   TimePoint at{};
 };
 
-// A part that is not sent to servers.
-struct BlockedPart {
+// A content that is not sent to servers.
+struct BlockedContent {
   TimePoint crashed_at{};  // the last known crash
   TimePoint until{};
   int trials = 0;  // requests sent since to find out
 
-  // Returns when a single request may show whether the part still crashes
+  // Returns when a single request may show whether the content still crashes
   // servers.
   TimePoint NextTrialAt() const;
 };
 
-// Finds the parts of prompts under which servers crash, whatever else a request
-// has. Every part of the requests that a crashed server had just begun, or was
-// about to begin, is suspect. Two things tell the cause from parts that sound
-// requests share with it: those were served since, and crashes that a blocked
-// part explains do not count against others.
+// Finds the contents under which servers crash, whatever else a request has.
+// Every content of the requests that a crashed server had just begun, or was
+// about to begin, is suspect. Two things tell the cause from contents that
+// sound requests share with it: those were served since, and crashes that a
+// blocked content explains do not count against others.
 class CrashSuspects {
  public:
-  // Records that a server crashed under a request with these parts. Returns the
-  // parts that are blocked from now on.
-  std::vector<PromptPartKey> AddCrash(std::span<const PromptPartKey> parts,
-                                      const ServerCrash& crash);
+  // Records that a server crashed under a request with these contents. Returns
+  // the contents that are blocked from now on.
+  std::vector<ContentKey> AddCrash(std::span<const ContentKey> contents,
+                                   const ServerCrash& crash);
 
-  // Records that a server has served these parts up to `at` and lives. Returns
-  // the parts that were suspect or blocked.
-  std::vector<PromptPartKey> AddServed(std::span<const PromptPartKey> parts,
-                                       TimePoint at);
+  // Records that a server has served these contents up to `at` and lives.
+  // Returns the contents that were suspect or blocked.
+  std::vector<ContentKey> AddServed(std::span<const ContentKey> contents,
+                                    TimePoint at);
 
-  // Blocks a part as another host does. Returns false, without effect, if this
-  // host knows that the part was served since the crash, or a later crash.
-  bool Block(const PromptPartKey& part, const BlockedPart& block);
+  // Blocks a content as another host does. Returns false, without effect, if
+  // this host knows that the content was served since the crash, or a later
+  // crash.
+  bool Block(const ContentKey& content, const BlockedContent& block);
 
-  // Returns whether this host knows that the part was served after `at`.
-  bool WasServedSince(const PromptPartKey& part, TimePoint at) const;
+  // Returns whether this host knows that the content was served after `at`.
+  bool WasServedSince(const ContentKey& content, TimePoint at) const;
 
-  // Returns the block of a part; null if it is not blocked.
-  const BlockedPart* Find(const PromptPartKey& part) const;
+  // Returns the block of a content; null if it is not blocked.
+  const BlockedContent* Find(const ContentKey& content) const;
 
-  // Counts a request with the blocked part as sent for a trial at `now`.
-  void StartTrial(const PromptPartKey& part, TimePoint now);
+  // Counts a request with the blocked content as sent for a trial at `now`.
+  void StartTrial(const ContentKey& content, TimePoint now);
 
-  const std::map<PromptPartKey, BlockedPart>& blocked() const {
+  const std::map<ContentKey, BlockedContent>& blocked() const {
     return blocked_;
   }
 
-  // Ends the blocks whose time is over. One more crash blocks such a part
+  // Ends the blocks whose time is over. One more crash blocks such a content
   // again.
   void RemoveExpired(TimePoint now);
 
  private:
-  // The crashes under one part since it was served last, the earliest first.
+  // The crashes under one content since it was served last, the earliest first.
   using Crashes = std::vector<ServerCrash>;
 
   static int ScoreOf(const Crashes& crashes);
-  // Returns the part with the highest score that is to be blocked; null if
+  // Returns the content with the highest score that is to be blocked; null if
   // there is none. Of equal ones the last, which the fewest requests share.
-  const PromptPartKey* FindCause(std::span<const PromptPartKey> parts) const;
-  int ScoreToBlock(const PromptPartKey& part) const;
-  bool WasServed(const PromptPartKey& part) const;
-  // Records that the crash is no evidence against further parts.
+  const ContentKey* FindCause(std::span<const ContentKey> contents) const;
+  int ScoreToBlock(const ContentKey& content) const;
+  bool WasServed(const ContentKey& content) const;
+  // Records that the crash is no evidence against further contents.
   void Explain(std::uint64_t incarnation);
-  // Does so for the crashes under a part that is blocked now.
-  void ExplainCrashesOf(const PromptPartKey& part);
+  // Does so for the crashes under a content that is blocked now.
+  void ExplainCrashesOf(const ContentKey& content);
   void AddTo(Crashes& crashes, const ServerCrash& crash) const;
   void LimitSuspects();
-  void RememberServed(const PromptPartKey& part, TimePoint at);
+  void RememberServed(const ContentKey& content, TimePoint at);
 
-  std::map<PromptPartKey, Crashes> suspects_;
-  std::map<PromptPartKey, BlockedPart> blocked_;
+  std::map<ContentKey, Crashes> suspects_;
+  std::map<ContentKey, BlockedContent> blocked_;
   std::deque<std::uint64_t> explained_;  // incarnations, the latest last
-  // When parts were served last. A full map replaces the older one.
-  std::map<PromptPartKey, TimePoint> served_;
-  std::map<PromptPartKey, TimePoint> served_before_;
+  // When contents were served last. A full map replaces the older one.
+  std::map<ContentKey, TimePoint> served_;
+  std::map<ContentKey, TimePoint> served_before_;
 };
 
 }  // namespace lovagecleat::routing
--- a/services/gateway/prompt_block_rows.cc
+++ b/services/gateway/content_block_rows.cc
@@ -1,4 +1,4 @@
-#include "services/gateway/prompt_block_rows.h"
+#include "services/gateway/content_block_rows.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -43,14 +43,14 @@
 
 }  // namespace
 
-PromptBlockRows::PromptBlockRows(Context& context, RowSource& rows,
-                                 routing::CrashSuspects& suspects)
+ContentBlockRows::ContentBlockRows(Context& context, RowSource& rows,
+                                   routing::CrashSuspects& suspects)
     : context_(context), rows_(rows), suspects_(suspects) {}
 
-std::optional<PromptBlockRows::StoredBlock> PromptBlockRows::Read(
+std::optional<ContentBlockRows::StoredBlock> ContentBlockRows::Read(
     const std::string& name, const routing::Row& row) const {
   const auto json = nlohmann::json::parse(row.value, nullptr, false);
-  if (!routing::IsPromptPartKey(name) || !json.is_object()) return std::nullopt;
+  if (!routing::IsContentKey(name) || !json.is_object()) return std::nullopt;
   StoredBlock stored;
   stored.version = row.version;
   const auto released = json.find(kReleasedField);
@@ -74,50 +74,51 @@
   return stored;
 }
 
-bool PromptBlockRows::Apply(const std::string& name, const routing::Row& row) {
-  const routing::PromptPartKey part(name);
+bool ContentBlockRows::Apply(const std::string& name, const routing::Row& row) {
+  const routing::ContentKey content(name);
   // A row that is lost or removed does not end the block, which is written
   // again. To end it, the row must say so.
   if (row.is_removed) {
-    stored_.erase(part);
+    stored_.erase(content);
     return false;
   }
   const std::optional<StoredBlock> stored = Read(name, row);
   if (!stored) {
-    context_.log.Write("prompt_block_unreadable", "",
-                       {{"part", name.substr(0, routing::kMaximumKeyBytes)},
+    context_.log.Write("content_block_unreadable", "",
+                       {{"content", name.substr(0, routing::kMaximumKeyBytes)},
                         {"row_version", row.version.number()},
                         {"store_era", row.version.era()}});
     return false;
   }
-  if (stored_.size() >= kMaximumStoredBlocks && !stored_.contains(part))
+  if (stored_.size() >= kMaximumStoredBlocks && !stored_.contains(content))
     return false;
-  stored_.insert_or_assign(part, *stored);
+  stored_.insert_or_assign(content, *stored);
   if (stored->is_released) {
-    released_.erase(part);
-    suspects_.AddServed(std::span(&part, 1), context_.Now());
+    released_.erase(content);
+    suspects_.AddServed(std::span(&content, 1), context_.Now());
     return false;
   }
   if (stored->block.until <= context_.Now()) return false;
-  if (suspects_.WasServedSince(part, stored->block.crashed_at)) {
-    OnReleased(part);
+  if (suspects_.WasServedSince(content, stored->block.crashed_at)) {
+    OnReleased(content);
     return false;
   }
-  const bool was_blocked = suspects_.Find(part) != nullptr;
-  return suspects_.Block(part, stored->block) && !was_blocked;
+  const bool was_blocked = suspects_.Find(content) != nullptr;
+  return suspects_.Block(content, stored->block) && !was_blocked;
 }
 
-void PromptBlockRows::OnBlocked(const routing::PromptPartKey& part) {
-  released_.erase(part);
-  writes_[part].next_at = context_.Now();
+void ContentBlockRows::OnBlocked(const routing::ContentKey& content) {
+  released_.erase(content);
+  writes_[content].next_at = context_.Now();
 }
 
-void PromptBlockRows::OnReleased(const routing::PromptPartKey& part) {
-  released_.insert(part);
-  writes_[part].next_at = context_.Now();
+void ContentBlockRows::OnReleased(const routing::ContentKey& content) {
+  released_.insert(content);
+  writes_[content].next_at = context_.Now();
 }
 
-std::string PromptBlockRows::ValueOf(const routing::BlockedPart& block) const {
+std::string ContentBlockRows::ValueOf(
+    const routing::BlockedContent& block) const {
   const Clock& clock = context_.loop.clock();
   const nlohmann::json value = {
       {kCrashedField, ToUnixMs(clock, block.crashed_at)},
@@ -126,18 +127,18 @@
   return value.dump();
 }
 
-bool PromptBlockRows::IsStored(const routing::PromptPartKey& part,
-                               const routing::BlockedPart& block,
-                               std::uint64_t era) const {
-  const auto stored = stored_.find(part);
+bool ContentBlockRows::IsStored(const routing::ContentKey& content,
+                                const routing::BlockedContent& block,
+                                std::uint64_t era) const {
+  const auto stored = stored_.find(content);
   return stored != stored_.end() && !stored->second.is_released &&
          stored->second.version.era() == era &&
          stored->second.block.trials >= block.trials;
 }
 
-bool PromptBlockRows::TakeWrite(const routing::PromptPartKey& part) {
+bool ContentBlockRows::TakeWrite(const routing::ContentKey& content) {
   const TimePoint now = context_.Now();
-  const auto [write, is_new] = writes_.try_emplace(part);
+  const auto [write, is_new] = writes_.try_emplace(content);
   if (is_new) {
     const auto spread = context_.random.Below(
         static_cast<std::uint64_t>(kForeignWriteSpread.count()));
@@ -150,24 +151,24 @@
   return true;
 }
 
-void PromptBlockRows::StartWrite(const routing::PromptPartKey& part,
-                                 std::string value) {
-  rows_.WritePromptBlock(part.value(), std::move(value),
-                         [this, part](bool is_written) {
-                           const auto write = writes_.find(part);
-                           if (write != writes_.end())
-                             write->second.is_in_progress = false;
-                           if (!is_written)
-                             context_.metrics.Count(
-                                 "lovagecleat_prompt_block_write_failures_"
-                                 "total");
-                         });
+void ContentBlockRows::StartWrite(const routing::ContentKey& content,
+                                  std::string value) {
+  rows_.WriteContentBlock(content.value(), std::move(value),
+                          [this, content](bool is_written) {
+                            const auto write = writes_.find(content);
+                            if (write != writes_.end())
+                              write->second.is_in_progress = false;
+                            if (!is_written)
+                              context_.metrics.Count(
+                                  "lovagecleat_content_block_write_failures_"
+                                  "total");
+                          });
 }
 
-void PromptBlockRows::Update(std::optional<std::uint64_t> era) {
+void ContentBlockRows::Update(std::optional<std::uint64_t> era) {
   if (!era) return;
-  std::erase_if(released_, [this](const routing::PromptPartKey& part) {
-    const auto stored = stored_.find(part);
+  std::erase_if(released_, [this](const routing::ContentKey& content) {
+    const auto stored = stored_.find(content);
     return stored == stored_.end() || stored->second.is_released ||
            stored->second.block.until <= context_.Now();
   });
@@ -175,25 +176,25 @@
     return !item.second.is_in_progress && !released_.contains(item.first) &&
            suspects_.Find(item.first) == nullptr;
   });
-  for (const auto& [part, block] : suspects_.blocked())
-    if (!IsStored(part, block, *era) && TakeWrite(part))
-      StartWrite(part, ValueOf(block));
-  for (const routing::PromptPartKey& part : released_)
-    if (suspects_.Find(part) == nullptr && TakeWrite(part))
-      StartWrite(part, nlohmann::json{{kReleasedField, true}}.dump());
+  for (const auto& [content, block] : suspects_.blocked())
+    if (!IsStored(content, block, *era) && TakeWrite(content))
+      StartWrite(content, ValueOf(block));
+  for (const routing::ContentKey& content : released_)
+    if (suspects_.Find(content) == nullptr && TakeWrite(content))
+      StartWrite(content, nlohmann::json{{kReleasedField, true}}.dump());
   RemoveOldRows();
 }
 
 // One host removes a row; the others find it gone at their next check.
-void PromptBlockRows::RemoveOldRows() {
+void ContentBlockRows::RemoveOldRows() {
   const TimePoint now = context_.Now();
   if (now - old_rows_checked_at_ < kOldRowsCheckPeriod) return;
   old_rows_checked_at_ = now;
-  for (const auto& [part, stored] : stored_) {
+  for (const auto& [content, stored] : stored_) {
     const bool is_old =
-        !suspects_.Find(part) && stored.block.until + kRowRetention <= now;
+        !suspects_.Find(content) && stored.block.until + kRowRetention <= now;
     if (!is_old || context_.random.Below(context_.host_count) != 0) continue;
-    rows_.RemovePromptBlock(part.value());
+    rows_.RemoveContentBlock(content.value());
     return;
   }
 }
--- /dev/null
+++ b/services/gateway/content_blocks.cc
@@ -0,0 +1,223 @@
+#include "services/gateway/content_blocks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagecleat::gateway {
+
+namespace {
+
+// A starting host asks this many others, once it has had time to read the rows
+// of all hosts.
+constexpr std::size_t kAskedHosts = 3;
+constexpr Duration kAskDelay = std::chrono::milliseconds(100);
+constexpr std::uint32_t kMaximumReportedTrials = 1000;
+// Limit on the time spans in messages, which another version may send.
+constexpr std::int64_t kMaximumAgeUs = std::int64_t{3600} * 1000 * 1000;
+
+TimePoint Before(TimePoint now, std::int64_t age_us) {
+  return now - Duration(std::clamp<std::int64_t>(age_us, 0, kMaximumAgeUs));
+}
+
+// Keys that another host could not have made are dropped.
+template <typename Texts>
+std::vector<routing::ContentKey> ReadKeys(const Texts& texts) {
+  std::vector<routing::ContentKey> keys;
+  for (const std::string& text : texts)
+    if (routing::IsContentKey(text)) keys.emplace_back(text);
+  return keys;
+}
+
+}  // namespace
+
+ContentBlocks::ContentBlocks(Context& context, RowSource& rows,
+                             ReachableCallback is_reachable,
+                             Outbox::SendCallback send,
+                             BlockedCallback on_blocked)
+    : context_(context),
+      is_reachable_(std::move(is_reachable)),
+      on_blocked_(std::move(on_blocked)),
+      outbox_(context.loop, std::move(send)),
+      rows_(context, rows, suspects_) {}
+
+ContentBlocks::~ContentBlocks() {
+  context_.loop.Cancel(ask_timer_);
+  context_.loop.Cancel(blocked_timer_);
+}
+
+void ContentBlocks::SetHosts(std::vector<std::string> others) {
+  hosts_ = std::move(others);
+  if (has_asked_ || hosts_.empty()) return;
+  has_asked_ = true;
+  ask_timer_ = context_.loop.After(kAskDelay, [this] { AskOtherHosts(); });
+}
+
+void ContentBlocks::AskOtherHosts() {
+  for (const std::string& peer :
+       ChooseReachable(hosts_, is_reachable_, kAskedHosts, context_.random))
+    outbox_.To(peer).set_requests_blocks(true);
+  outbox_.FlushNow();
+}
+
+template <typename Add>
+void ContentBlocks::Broadcast(const Add& add) {
+  for (const std::string& peer : hosts_)
+    if (is_reachable_(peer)) add(outbox_.To(peer));
+  outbox_.FlushSoon();
+}
+
+void ContentBlocks::OnCrash(const routing::ServerIncarnation& server,
+                            std::span<const routing::ContentKey> contents,
+                            routing::CrashMoment moment) {
+  if (contents.empty()) return;
+  const routing::ServerCrash crash{StableHash(server.Key()), moment,
+                                   context_.Now()};
+  const std::vector<routing::ContentKey> blocked =
+      suspects_.AddCrash(contents, crash);
+  const bool has_started = moment == routing::CrashMoment::kJustStarted;
+  context_.metrics.Count("lovagecleat_content_crashes_total");
+  context_.log.Write("content_crash", "",
+                     {{"server", server.id.value()},
+                      {"contents", routing::FormatForLog(contents)},
+                      {"had_started_response", has_started}});
+  Broadcast([&](messages::ContentReports& reports) {
+    messages::ContentCrash& copy = *reports.add_crashes();
+    copy.set_server_incarnation(crash.incarnation);
+    copy.set_had_started_response(has_started);
+    for (const routing::ContentKey& content : contents)
+      copy.add_contents(content.value());
+    for (const routing::ContentKey& content : blocked)
+      AddBlock(content, reports);
+  });
+  for (const routing::ContentKey& content : blocked) rows_.OnBlocked(content);
+  OnBlocked(blocked, "crash");
+}
+
+void ContentBlocks::OnServed(std::span<const routing::ContentKey> contents) {
+  const std::vector<routing::ContentKey> cleared =
+      suspects_.AddServed(contents, context_.Now());
+  if (cleared.empty()) return;
+  for (const routing::ContentKey& content : cleared) {
+    rows_.OnReleased(content);
+    context_.log.Write("content_cleared", "", {{"content", content.value()}});
+  }
+  Broadcast([&cleared](messages::ContentReports& reports) {
+    for (const routing::ContentKey& content : cleared)
+      reports.add_served_contents(content.value());
+  });
+}
+
+std::optional<TimePoint> ContentBlocks::BlockedUntil(
+    std::span<const routing::ContentKey> contents) const {
+  std::optional<TimePoint> until;
+  if (suspects_.blocked().empty()) return until;
+  for (const routing::ContentKey& content : contents)
+    if (const routing::BlockedContent* block = suspects_.Find(content))
+      until = std::max(until.value_or(block->until), block->until);
+  return until;
+}
+
+bool ContentBlocks::IsTrialHost(const routing::ContentKey& content) const {
+  const std::uint64_t seed = StableHash(content.value());
+  const std::uint64_t own_rank = StableHash(context_.settings.peers, seed);
+  return std::none_of(hosts_.begin(), hosts_.end(), [&](const auto& peer) {
+    return is_reachable_(peer) && StableHash(peer, seed) > own_rank;
+  });
+}
+
+bool ContentBlocks::TryStartTrial(
+    std::span<const routing::ContentKey> contents) {
+  std::vector<routing::ContentKey> blocked(contents.begin(), contents.end());
+  std::erase_if(blocked, [this](const routing::ContentKey& content) {
+    return suspects_.Find(content) == nullptr;
+  });
+  if (blocked.size() != 1) return false;
+  const routing::ContentKey& content = blocked.front();
+  const TimePoint now = context_.Now();
+  if (now < suspects_.Find(content)->NextTrialAt() || !IsTrialHost(content))
+    return false;
+  suspects_.StartTrial(content, now);
+  context_.log.Write("content_trial", "",
+                     {{"content", content.value()},
+                      {"trials", suspects_.Find(content)->trials}});
+  Broadcast(
+      [&](messages::ContentReports& reports) { AddBlock(content, reports); });
+  rows_.OnBlocked(content);
+  return true;
+}
+
+void ContentBlocks::AddBlock(const routing::ContentKey& content,
+                             messages::ContentReports& reports) const {
+  const routing::BlockedContent* block = suspects_.Find(content);
+  if (block == nullptr) return;
+  const TimePoint now = context_.Now();
+  messages::BlockedContent& copy = *reports.add_blocked();
+  copy.set_content(content.value());
+  copy.set_crash_age_us((now - block->crashed_at).count());
+  copy.set_remaining_us((block->until - now).count());
+  copy.set_trials(static_cast<std::uint32_t>(block->trials));
+}
+
+void ContentBlocks::OnMessage(const std::string& from,
+                              const messages::ContentReports& reports) {
+  const TimePoint now = context_.Now();
+  for (const messages::ContentCrash& crash : reports.crashes())
+    OnBlocked(suspects_.AddCrash(ReadKeys(crash.contents()),
+                                 {crash.server_incarnation(),
+                                  crash.had_started_response()
+                                      ? routing::CrashMoment::kJustStarted
+                                      : routing::CrashMoment::kUnclear,
+                                  now}),
+              "peer_crash");
+  for (const messages::BlockedContent& copy : reports.blocked()) {
+    if (!routing::IsContentKey(copy.content())) continue;
+    const routing::ContentKey content(copy.content());
+    const bool was_blocked = suspects_.Find(content) != nullptr;
+    const routing::BlockedContent block{
+        Before(now, copy.crash_age_us()),
+        now + Duration(std::clamp<std::int64_t>(copy.remaining_us(), 0,
+                                                kMaximumAgeUs)),
+        static_cast<int>(std::min(copy.trials(), kMaximumReportedTrials))};
+    if (suspects_.Block(content, block) && !was_blocked)
+      OnBlocked(std::span(&content, 1), "peer");
+  }
+  suspects_.AddServed(ReadKeys(reports.served_contents()), now);
+  if (!reports.requests_blocks() || suspects_.blocked().empty()) return;
+  messages::ContentReports& answer = outbox_.To(from);
+  answer.clear_blocked();
+  for (const auto& [content, block] : suspects_.blocked())
+    AddBlock(content, answer);
+  outbox_.FlushNow();
+}
+
+void ContentBlocks::ApplyRow(const std::string& name, const routing::Row& row) {
+  if (!rows_.Apply(name, row)) return;
+  const routing::ContentKey content(name);
+  OnBlocked(std::span(&content, 1), "store");
+}
+
+void ContentBlocks::Update(std::optional<std::uint64_t> era) {
+  suspects_.RemoveExpired(context_.Now());
+  rows_.Update(era);
+  context_.metrics.SetGauge("lovagecleat_blocked_contents", {},
+                            static_cast<double>(suspects_.blocked().size()));
+}
+
+void ContentBlocks::OnBlocked(std::span<const routing::ContentKey> contents,
+                              std::string_view source) {
+  if (contents.empty()) return;
+  for (const routing::ContentKey& content : contents) {
+    context_.metrics.Count("lovagecleat_content_blocks_total",
+                           {{"source", std::string(source)}});
+    context_.log.Write("content_blocked", "",
+                       {{"content", content.value()}, {"source", source}});
+  }
+  // Not at once: the request that has lost its server is still being handled.
+  if (blocked_timer_.value() != 0) return;
+  blocked_timer_ = context_.loop.After(Duration::zero(), [this] {
+    blocked_timer_ = TimerId{};
+    on_blocked_();
+  });
+}
+
+}  // namespace lovagecleat::gateway
--- a/services/gateway/prompt_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -7,58 +7,58 @@
 #include <vector>
 
 #include "messages/messages.h"
+#include "services/gateway/content_block_rows.h"
 #include "services/gateway/context.h"
 #include "services/gateway/peer_outbox.h"
-#include "services/gateway/prompt_block_rows.h"
 
 namespace lovagecleat::gateway {
 
-// Finds prompt parts under which servers crash, together with the hosts of all
+// Finds contents under which servers crash, together with the hosts of all
 // zones, and decides whether a request may be sent to servers. Each crash is
-// reported to all hosts, since the next request with the part may come to any
-// of them.
-class PromptBlocks {
+// reported to all hosts, since the next request with the content may come to
+// any of them.
+class ContentBlocks {
  public:
   using ReachableCallback = std::function<bool(const std::string& peer)>;
-  using Outbox = PeerOutbox<messages::PromptReports>;
+  using Outbox = PeerOutbox<messages::ContentReports>;
   using BlockedCallback = std::function<void()>;
 
-  // `on_blocked` is called from the loop after parts were blocked: requests
+  // `on_blocked` is called from the loop after contents were blocked: requests
   // that wait for a server may have them.
-  PromptBlocks(Context& context, RowSource& rows,
-               ReachableCallback is_reachable, Outbox::SendCallback send,
-               BlockedCallback on_blocked);
-  ~PromptBlocks();
-  PromptBlocks(const PromptBlocks&) = delete;
-  PromptBlocks& operator=(const PromptBlocks&) = delete;
+  ContentBlocks(Context& context, RowSource& rows,
+                ReachableCallback is_reachable, Outbox::SendCallback send,
+                BlockedCallback on_blocked);
+  ~ContentBlocks();
+  ContentBlocks(const ContentBlocks&) = delete;
+  ContentBlocks& operator=(const ContentBlocks&) = delete;
 
   // Sets the addresses of the hosts of all zones, without this one. When there
   // are some for the first time, asks a few of them for the blocks that they
   // know.
   void SetHosts(std::vector<std::string> others);
 
-  // Records that a server crashed under a request with these parts.
+  // Records that a server crashed under a request with these contents.
   void OnCrash(const routing::ServerIncarnation& server,
-               std::span<const routing::PromptPartKey> parts,
+               std::span<const routing::ContentKey> contents,
                routing::CrashMoment moment);
 
-  // Records that a server has served a request with these parts and lives.
-  void OnServed(std::span<const routing::PromptPartKey> parts);
+  // Records that a server has served a request with these contents and lives.
+  void OnServed(std::span<const routing::ContentKey> contents);
 
-  // Returns until when requests with these parts are refused; nothing if they
-  // are not.
+  // Returns until when requests with these contents are refused; nothing if
+  // they are not.
   std::optional<TimePoint> BlockedUntil(
-      std::span<const routing::PromptPartKey> parts) const;
+      std::span<const routing::ContentKey> contents) const;
 
   // Returns whether a request may be sent to one server to find out whether it
-  // still crashes, although one of its parts is blocked. One host in the
+  // still crashes, although one of its contents is blocked. One host in the
   // deployment allows one such request after a time that grows with each.
-  bool TryStartTrial(std::span<const routing::PromptPartKey> parts);
+  bool TryStartTrial(std::span<const routing::ContentKey> contents);
 
   void OnMessage(const std::string& from,
-                 const messages::PromptReports& reports);
+                 const messages::ContentReports& reports);
 
-  // Applies a row of the store that describes the block of a part.
+  // Applies a row of the store that describes the block of a content.
   void ApplyRow(const std::string& name, const routing::Row& row);
 
   // Drops what has expired and keeps the store's rows up to date. Call it
@@ -66,11 +66,11 @@
   void Update(std::optional<std::uint64_t> era);
 
  private:
-  bool IsTrialHost(const routing::PromptPartKey& part) const;
+  bool IsTrialHost(const routing::ContentKey& content) const;
   void AskOtherHosts();
-  void AddBlock(const routing::PromptPartKey& part,
-                messages::PromptReports& reports) const;
-  void OnBlocked(std::span<const routing::PromptPartKey> parts,
+  void AddBlock(const routing::ContentKey& content,
+                messages::ContentReports& reports) const;
+  void OnBlocked(std::span<const routing::ContentKey> contents,
                  std::string_view source);
   template <typename Add>
   void Broadcast(const Add& add);
@@ -80,7 +80,7 @@
   BlockedCallback on_blocked_;
   Outbox outbox_;
   routing::CrashSuspects suspects_;
-  PromptBlockRows rows_;
+  ContentBlockRows rows_;
   std::vector<std::string> hosts_;  // addresses, without this one
   bool has_asked_ = false;
   TimerId ask_timer_;
--- a/services/gateway/prompt_watch.cc
+++ b/services/gateway/content_watch.cc
@@ -1,4 +1,4 @@
-#include "services/gateway/prompt_watch.h"
+#include "services/gateway/content_watch.h"
 
 namespace lovagecleat::gateway {
 
@@ -10,40 +10,41 @@
 
 }  // namespace
 
-void PromptWatch::Start(const routing::Prompt& prompt) {
-  parts_ = routing::SharedPartKeys(prompt);
-  if (blocks_.BlockedUntil(parts_)) is_trial_ = blocks_.TryStartTrial(parts_);
+void ContentWatch::Start(const routing::Prompt& prompt) {
+  contents_ = routing::SharedPartKeys(prompt);
+  if (blocks_.BlockedUntil(contents_))
+    is_trial_ = blocks_.TryStartTrial(contents_);
 }
 
-std::optional<TimePoint> PromptWatch::BlockedUntil() const {
-  return is_trial_ ? std::nullopt : blocks_.BlockedUntil(parts_);
+std::optional<TimePoint> ContentWatch::BlockedUntil() const {
+  return is_trial_ ? std::nullopt : blocks_.BlockedUntil(contents_);
 }
 
-void PromptWatch::OnSend() {
+void ContentWatch::OnSend() {
   has_head_ = false;
   first_content_at_.reset();
   is_served_ = false;
 }
 
-void PromptWatch::OnContent() {
+void ContentWatch::OnContent() {
   const TimePoint now = context_.Now();
   if (!first_content_at_) first_content_at_ = now;
   if (is_served_ || now - *first_content_at_ < kServedTime) return;
   is_served_ = true;
-  blocks_.OnServed(parts_);
+  blocks_.OnServed(contents_);
 }
 
-void PromptWatch::OnConnectionLost(const routing::ServerIncarnation& server) {
+void ContentWatch::OnConnectionLost(const routing::ServerIncarnation& server) {
   // A request that the server has been responding to for a time is no suspect.
   if (is_served_) return;
-  blocks_.OnCrash(server, parts_,
+  blocks_.OnCrash(server, contents_,
                   has_head_ && !first_content_at_
                       ? routing::CrashMoment::kJustStarted
                       : routing::CrashMoment::kUnclear);
 }
 
-void PromptWatch::OnComplete(bool is_end_certain) {
-  if (is_end_certain) blocks_.OnServed(parts_);
+void ContentWatch::OnComplete(bool is_end_certain) {
+  if (is_end_certain) blocks_.OnServed(contents_);
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/prompt_watch.h
+++ b/services/gateway/content_watch.h
@@ -3,15 +3,15 @@
 #include <optional>
 #include <vector>
 
-#include "services/gateway/prompt_blocks.h"
+#include "services/gateway/content_blocks.h"
 
 namespace lovagecleat::gateway {
 
-// Follows one request on behalf of PromptBlocks: whether it may be sent, and
+// Follows one request on behalf of ContentBlocks: whether it may be sent, and
 // what becomes of the servers that it is sent to.
-class PromptWatch {
+class ContentWatch {
  public:
-  PromptWatch(Context& context, PromptBlocks& blocks)
+  ContentWatch(Context& context, ContentBlocks& blocks)
       : context_(context), blocks_(blocks) {}
 
   // Sets the prompt of the request when it arrives. A blocked request may be
@@ -36,8 +36,8 @@
 
  private:
   Context& context_;
-  PromptBlocks& blocks_;
-  std::vector<routing::PromptPartKey> parts_;
+  ContentBlocks& blocks_;
+  std::vector<routing::ContentKey> contents_;
   bool is_trial_ = false;
   // Of the last send.
   bool has_head_ = false;
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -127,17 +127,17 @@
             *message.mutable_server_notices() = notices;
             return SendPeerMessage(peer, std::move(message));
           }),
-      prompt_blocks_(
+      content_blocks_(
           context_, rows,
           [this](const std::string& peer) { return stages_.IsReachable(peer); },
           [this](const std::string& peer,
-                 const messages::PromptReports& reports) {
+                 const messages::ContentReports& reports) {
             messages::PeerMessage message;
-            *message.mutable_prompt_reports() = reports;
+            *message.mutable_content_reports() = reports;
             return SendPeerMessage(peer, std::move(message));
           },
           [this] {
-            for (RequestFlow* flow : OpenRequests()) flow->OnPromptsBlocked();
+            for (RequestFlow* flow : OpenRequests()) flow->OnContentBlocked();
           }),
       runner_(context_, notices_),
       stages_(context_, runner_,
@@ -233,7 +233,7 @@
     return exchange.Respond(503, {{"Retry-After", kStopRetryAfter}}, {});
   }
   auto flow = std::make_unique<RequestFlow>(
-      context_, RequestServices{stages_, origins_, notices_, prompt_blocks_},
+      context_, RequestServices{stages_, origins_, notices_, content_blocks_},
       exchange, [this](RequestFlow* ended) {
         const auto found = flows_.find(ended);
         if (found == flows_.end()) return;
@@ -265,8 +265,8 @@
       return ApplyServer(subject.name, row, origin);
     case RowSubject::Kind::kHost:
       return ApplyHost(subject.name, row);
-    case RowSubject::Kind::kPromptBlock:
-      return prompt_blocks_.ApplyRow(subject.name, row);
+    case RowSubject::Kind::kContentBlock:
+      return content_blocks_.ApplyRow(subject.name, row);
     case RowSubject::Kind::kOther:
       return;
   }
@@ -396,7 +396,7 @@
   stages_.SetHosts(others);
   origins_.SetHosts(others);
   notices_.SetHosts(std::move(others_in_zone), all_others);
-  prompt_blocks_.SetHosts(std::move(all_others));
+  content_blocks_.SetHosts(std::move(all_others));
   context_.host_count = hosts.size();
   context_.server_limits.SetHosts(hosts);
   context_.limiter.SetHosts(std::move(hosts));
@@ -518,9 +518,10 @@
     ConnectPeer(message.sender());
     return notices_.OnMessage(message.sender(), message.server_notices());
   }
-  if (message.has_prompt_reports()) {
+  if (message.has_content_reports()) {
     ConnectPeer(message.sender());
-    return prompt_blocks_.OnMessage(message.sender(), message.prompt_reports());
+    return content_blocks_.OnMessage(message.sender(),
+                                     message.content_reports());
   }
   if (message.has_rows_feed()) return OnRowsFeed(message.rows_feed());
   if (message.has_rows_push())
@@ -616,7 +617,7 @@
   context_.is_store_available = !follower_.is_store_unavailable();
   UpdateReaderRank();
   CheckOwnRow();
-  prompt_blocks_.Update(follower_.hosts_era());
+  content_blocks_.Update(follower_.hosts_era());
   FetchRowsFromPeers();
   context_.log.Flush();
   tick_timer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "services/gateway/content_blocks.h"
 #include "services/gateway/context.h"
-#include "services/gateway/prompt_blocks.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/row_follower.h"
 #include "services/gateway/server_notices.h"
@@ -84,7 +84,7 @@
   Context context_;
   RowSource& rows_;
   ServerNotices notices_;
-  PromptBlocks prompt_blocks_;
+  ContentBlocks content_blocks_;
   StageRunner runner_;
   StageRouter stages_;
   StreamOriginExchange origins_;
--- a/services/gateway/kept_rows.cc
+++ b/services/gateway/kept_rows.cc
@@ -18,7 +18,7 @@
       break;
     case RowSubject::Kind::kEvacuation:
     case RowSubject::Kind::kHost:
-    case RowSubject::Kind::kPromptBlock:
+    case RowSubject::Kind::kContentBlock:
     case RowSubject::Kind::kOther:
       break;
   }
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -132,7 +132,7 @@
     kEvacuation,
     kServer,
     kHost,
-    kPromptBlock,
+    kContentBlock,
     kOther
   };
   Kind kind = Kind::kOther;
@@ -173,9 +173,9 @@
 
   // Write and remove the row of a prompt part in the table of hosts. The
   // callback gets whether the store accepted the row.
-  virtual void WritePromptBlock(const std::string& part, std::string value,
-                                std::function<void(bool)> callback) = 0;
-  virtual void RemovePromptBlock(const std::string& part) = 0;
+  virtual void WriteContentBlock(const std::string& part, std::string value,
+                                 std::function<void(bool)> callback) = 0;
+  virtual void RemoveContentBlock(const std::string& part) = 0;
 };
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -55,7 +55,7 @@
       stages_(services.stages),
       origins_(services.origins),
       notices_(services.notices),
-      prompt_watch_(context, services.prompt_blocks),
+      content_watch_(context, services.content_blocks),
       exchange_(&exchange),
       on_end_(std::move(on_end)),
       arrived_at_(exchange.arrived_at()) {
@@ -101,8 +101,8 @@
   if (IsStream())
     event_deadline_ = std::min(deadline_, arrived_at_ + EventTimeLimit());
   StartDeadlineTimer();
-  prompt_watch_.Start(request_.prompt);
-  if (RefuseBlockedPrompt()) return;
+  content_watch_.Start(request_.prompt);
+  if (RefuseBlockedContent()) return;
   if (IsStream() && request_.resume_after) return FindOrigin();
   StartStages();
 }
@@ -238,22 +238,22 @@
   Fail({StatusWithoutResponse(), "servers_quiet", first_return - Now(), true});
 }
 
-bool RequestFlow::RefuseBlockedPrompt() {
-  const std::optional<TimePoint> until = prompt_watch_.BlockedUntil();
+bool RequestFlow::RefuseBlockedContent() {
+  const std::optional<TimePoint> until = content_watch_.BlockedUntil();
   if (!until) return false;
-  Fail({StatusWithoutResponse(), "prompt_blocked", *until - Now(), true});
+  Fail({StatusWithoutResponse(), "content_blocked", *until - Now(), true});
   return true;
 }
 
-void RequestFlow::OnPromptsBlocked() {
+void RequestFlow::OnContentBlocked() {
   const bool is_responding = has_begun_response_ && call_;
-  if (has_ended_ || !table_ || is_responding || !prompt_watch_.BlockedUntil())
+  if (has_ended_ || !table_ || is_responding || !content_watch_.BlockedUntil())
     return;
   if (call_) {
-    EndSend(routing::CallResult::kNoEvidence, "prompt_blocked");
+    EndSend(routing::CallResult::kNoEvidence, "content_blocked");
     send_state_ = SendState::kUnknown;
   }
-  RefuseBlockedPrompt();
+  RefuseBlockedContent();
 }
 
 void RequestFlow::Fail(Failure failure) {
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "services/gateway/content_watch.h"
 #include "services/gateway/context.h"
-#include "services/gateway/prompt_watch.h"
 #include "services/gateway/server_notices.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stream_origin_exchange.h"
@@ -31,7 +31,7 @@
   StageRouter& stages;
   StreamOriginExchange& origins;
   ServerNotices& notices;
-  PromptBlocks& prompt_blocks;
+  ContentBlocks& content_blocks;
 };
 
 // Handles one request from its arrival to the end of its response: finds the
@@ -55,7 +55,7 @@
 
   // Called when prompt parts were blocked. Ends the request if it has one,
   // unless a server responds to it already.
-  void OnPromptsBlocked();
+  void OnContentBlocked();
 
   // Called shortly before the process ends. Answers the request unless its
   // response has begun.
@@ -165,7 +165,7 @@
   void RefuseUntil(TimePoint first_return);
   // Refuses the request, or fails it if it was sent, if its prompt is blocked.
   // Returns whether it is.
-  bool RefuseBlockedPrompt();
+  bool RefuseBlockedContent();
   void Fail(Failure failure);
   Duration TimeUntilRetry(Duration least);
   Duration TimeUntilReturn(Duration first_return);
@@ -184,7 +184,7 @@
   StageRouter& stages_;
   StreamOriginExchange& origins_;
   ServerNotices& notices_;
-  PromptWatch prompt_watch_;
+  ContentWatch content_watch_;
   http::Exchange* exchange_;
   EndCallback on_end_;
 
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -46,7 +46,7 @@
 
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
   OnHeard();
-  prompt_watch_.OnResponseHead();
+  content_watch_.OnResponseHead();
   head_ = head;
   response_metadata_ = context_.codec.ReadResponseHead(head, Now());
   notices_.OnResponse(incarnation_, response_metadata_);
@@ -58,7 +58,7 @@
 void RequestFlow::OnResponseBody(std::string_view bytes) {
   OnHeard();
   has_content_ = true;
-  prompt_watch_.OnContent();
+  content_watch_.OnContent();
   const bool is_success = head_.status >= 200 && head_.status < 300 &&
                           response_metadata_.is_sealed &&
                           !response_metadata_.is_encoded;
@@ -170,12 +170,12 @@
   if (head_.status < 200 || head_.status >= 300) return OnFailureStatus();
   if (!IsResponseWhole()) {
     if (http::EndsWithConnection(head_))
-      prompt_watch_.OnConnectionLost(incarnation_);
+      content_watch_.OnConnectionLost(incarnation_);
     EndSend(routing::CallResult::kFailed, "not_whole");
     send_state_ = SendState::kUnknown;
     return Retry("not_whole");
   }
-  prompt_watch_.OnComplete(!http::EndsWithConnection(head_));
+  content_watch_.OnComplete(!http::EndsWithConnection(head_));
   EndSend(routing::CallResult::kSuccess, "done");
   if (has_begun_response_) {
     exchange_->FinishResponse();
@@ -214,7 +214,7 @@
     return Retry("unreachable");
   }
   if (end.failure == http::CallFailure::kConnectionLost)
-    prompt_watch_.OnConnectionLost(incarnation_);
+    content_watch_.OnConnectionLost(incarnation_);
   if (end.was_reused && route_->MayRepeat()) {
     EndSend(routing::CallResult::kNoEvidence, "stale_connection");
     send_state_ = SendState::kUnknown;
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -43,7 +43,7 @@
   if (HasReleasedInputs()) return RecomputeStages(plan_->stage_count());
   // OnStagesDone sends the request.
   if (!plan_->IsDone()) return;
-  if (RefuseBlockedPrompt()) return;
+  if (RefuseBlockedContent()) return;
   const routing::PromptServerChoice choice = ChooseServer();
   if (choice.server == nullptr) return WaitForServer();
   // The budget counts what servers receive, so a send that could not connect
@@ -204,7 +204,7 @@
   software_version_ = server.entry.software_version;
   sent_at_ = now;
   events_before_send_ = events_;
-  prompt_watch_.OnSend();
+  content_watch_.OnSend();
   heard_at_.reset();
   if (!server.silent_since) server.silent_since = now;
   if (!first_sent_at_) first_sent_at_ = now;
@@ -331,7 +331,7 @@
 bool RequestFlow::CanRetry(int additional_runs) const {
   const bool was_not_run =
       send_state_ == SendState::kNotSent || send_state_ == SendState::kNotRun;
-  if (!was_not_run && (!route_->MayRepeat() || prompt_watch_.is_trial()))
+  if (!was_not_run && (!route_->MayRepeat() || content_watch_.is_trial()))
     return false;
   // Only a stream continues where another server has stopped.
   if (has_begun_response_ && !IsStream()) return false;
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -64,7 +64,7 @@
     case RowSubject::Kind::kHost:
       return kHostSettleTime;
     case RowSubject::Kind::kEvacuation:
-    case RowSubject::Kind::kPromptBlock:
+    case RowSubject::Kind::kContentBlock:
     case RowSubject::Kind::kOther:
       return kOperatorSettleTime;
   }
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -19,7 +19,7 @@
 RowSubject FakeRowSource::SubjectOf(const routing::Row& row) const {
   if (row.table == "servers") return {RowSubject::Kind::kServer, row.key};
   if (row.table == "hosts" && row.key.starts_with("part/"))
-    return {RowSubject::Kind::kPromptBlock, row.key.substr(5)};
+    return {RowSubject::Kind::kContentBlock, row.key.substr(5)};
   if (row.table == "hosts") return {RowSubject::Kind::kHost, row.key};
   if (row.key == "config") return {RowSubject::Kind::kRouting, row.key};
   if (row.key.starts_with("evacuate/"))
@@ -66,14 +66,15 @@
   callback(true);
 }
 
-void FakeRowSource::WritePromptBlock(const std::string& part, std::string value,
-                                     std::function<void(bool)> callback) {
-  ++prompt_block_writes;
-  if (stores_prompt_blocks) Set("hosts", "part/" + part, value);
-  callback(stores_prompt_blocks);
+void FakeRowSource::WriteContentBlock(const std::string& part,
+                                      std::string value,
+                                      std::function<void(bool)> callback) {
+  ++content_block_writes;
+  if (stores_content_blocks) Set("hosts", "part/" + part, value);
+  callback(stores_content_blocks);
 }
 
-void FakeRowSource::RemovePromptBlock(const std::string& part) {
+void FakeRowSource::RemoveContentBlock(const std::string& part) {
   Remove("hosts", "part/" + part);
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -29,9 +29,9 @@
               Duration wait, Callback callback) override;
   void WriteHost(const HostId& host, std::string value,
                  std::function<void(bool)> callback) override;
-  void WritePromptBlock(const std::string& part, std::string value,
-                        std::function<void(bool)> callback) override;
-  void RemovePromptBlock(const std::string& part) override;
+  void WriteContentBlock(const std::string& part, std::string value,
+                         std::function<void(bool)> callback) override;
+  void RemoveContentBlock(const std::string& part) override;
 
   void Set(const std::string& table, const std::string& key,
            const std::string& value);
@@ -56,8 +56,8 @@
   int full_reads = 0;
   int follows = 0;
   int host_writes = 0;
-  int prompt_block_writes = 0;
-  bool stores_prompt_blocks = true;  // whether they are accepted
+  int content_block_writes = 0;
+  bool stores_content_blocks = true;  // whether they are accepted
   bool stores_hosts = false;  // whether WriteHost changes the hosts table
 
  private:
--- a/tests/gateway/store_era_fixture.h
+++ b/tests/gateway/store_era_fixture.h
@@ -51,13 +51,13 @@
     store_.WriteHost(host, std::move(value), std::move(callback));
   }
 
-  void WritePromptBlock(const std::string& part, std::string value,
-                        std::function<void(bool)> callback) override {
+  void WriteContentBlock(const std::string& part, std::string value,
+                         std::function<void(bool)> callback) override {
     if (is_cut) return callback(false);
-    store_.WritePromptBlock(part, std::move(value), std::move(callback));
+    store_.WriteContentBlock(part, std::move(value), std::move(callback));
   }
-  void RemovePromptBlock(const std::string& part) override {
-    if (!is_cut) store_.RemovePromptBlock(part);
+  void RemoveContentBlock(const std::string& part) override {
+    if (!is_cut) store_.RemoveContentBlock(part);
   }
 
   // Completes the calls whose responses were held back.
@@ -189,7 +189,7 @@
           hosts.insert(row.key);
         }
         return;
-      case RowSubject::Kind::kPromptBlock:
+      case RowSubject::Kind::kContentBlock:
       case RowSubject::Kind::kOther:
         return;
     }
--- a/tests/gateway_reports/crashing_prompt_test.cc
+++ b/tests/gateway_reports/crashing_prompt_test.cc
@@ -161,11 +161,11 @@
   StartHosts(kHosts);
   SECTION("From the store") {
     CrashServers(3, "/o/");
-    REQUIRE(rows.prompt_block_writes == 1);
+    REQUIRE(rows.content_block_writes == 1);
     for (std::size_t i = 0; i < kHosts; ++i) KillHost(i);
   }
   SECTION("From other hosts") {
-    rows.stores_prompt_blocks = false;
+    rows.stores_content_blocks = false;
     CrashServers(3, "/o/");
   }
   StartHosts(kHosts + 1);
@@ -272,7 +272,7 @@
     RunFor(kHostRowsDelay);
     SendCrashing("/o/", 0);
     REQUIRE(crashing_requests() == 1);
-    REQUIRE(LogText().find("prompt_block_unreadable") != std::string::npos);
+    REQUIRE(LogText().find("content_block_unreadable") != std::string::npos);
   }
 }
 
@@ -283,7 +283,7 @@
   StartHosts(1);
   REQUIRE(SendSound("/o/", 0).starts_with("HTTP/1.1 502"));
   REQUIRE(LogText().find("not_whole") != std::string::npos);
-  REQUIRE(LogText().find("prompt_crash") == std::string::npos);
+  REQUIRE(LogText().find("content_crash") == std::string::npos);
 }
 
 }  // namespace
--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -204,14 +204,14 @@
     return client.SubjectOf({"gateways", key, "", RowVersion(0, 1), false});
   };
   REQUIRE(subject_of("host-1").kind == Kind::kHost);
-  REQUIRE(subject_of("blocked-part/bad1").kind == Kind::kPromptBlock);
+  REQUIRE(subject_of("blocked-part/bad1").kind == Kind::kContentBlock);
   REQUIRE(subject_of("blocked-part/bad1").name == "bad1");
   const std::string ok =
       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\":8}";
   Respond(ok);
   std::optional<bool> is_written;
-  client.WritePromptBlock("bad1", "v",
-                          [&](bool result) { is_written = result; });
+  client.WriteContentBlock("bad1", "v",
+                           [&](bool result) { is_written = result; });
   RunUntil([&] { return is_written.has_value(); });
   REQUIRE(*is_written);
   const nlohmann::json write = LastBody().at("writes").at(0);
@@ -219,7 +219,7 @@
   REQUIRE(write.at("key") == "blocked-part/bad1");
   REQUIRE(write.at("value") == "dg==");
   Respond(ok);
-  client.RemovePromptBlock("bad1");
+  client.RemoveContentBlock("bad1");
   RunUntil([&] { return requests().size() == 2; });
   const nlohmann::json removal = LastBody();
   REQUIRE(removal.at("writes").empty());
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -12,8 +12,8 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-const PromptPartKey kCause("bad0");
-const PromptPartKey kCommon("aaaa");
+const ContentKey kCause("bad0");
+const ContentKey kCommon("aaaa");
 
 TimePoint At(Duration since_start) {
   return TimePoint(std::chrono::hours(1) + since_start);
@@ -35,13 +35,13 @@
 TEST_CASE("A part under which several servers crash is blocked") {
   CrashSuspects suspects;
   Crashes crashes;
-  const std::vector<PromptPartKey> parts{kCommon, kCause};
+  const std::vector<ContentKey> parts{kCommon, kCause};
   REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(1))).empty());
   suspects.AddServed(std::span(&kCommon, 1), At(milliseconds(1500)));
   REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(2))).empty());
   suspects.AddServed(std::span(&kCommon, 1), At(milliseconds(2500)));
   REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(3))) ==
-          std::vector<PromptPartKey>{kCause});
+          std::vector<ContentKey>{kCause});
   REQUIRE(suspects.Find(kCause) != nullptr);
   REQUIRE(suspects.Find(kCommon) == nullptr);
 }
@@ -65,12 +65,12 @@
 TEST_CASE("Crashes that a blocked part explains do not count for others") {
   CrashSuspects suspects;
   Crashes crashes;
-  const std::vector<PromptPartKey> parts{kCommon, kCause};
+  const std::vector<ContentKey> parts{kCommon, kCause};
   SECTION("Parts of the same requests") {
     for (int i = 1; i <= 2; ++i)
       REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(i))).empty());
     REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(3))) ==
-            std::vector<PromptPartKey>{kCause});
+            std::vector<ContentKey>{kCause});
     for (int i = 4; i <= 10; ++i)
       REQUIRE(suspects.AddCrash(parts, crashes.Next(seconds(i))).empty());
   }
@@ -152,7 +152,7 @@
   REQUIRE(suspects.Find(kCommon) != nullptr);
   SECTION("Served since the last crash") {
     REQUIRE(suspects.AddServed(std::span(&kCommon, 1), At(seconds(4))) ==
-            std::vector<PromptPartKey>{kCommon});
+            std::vector<ContentKey>{kCommon});
     REQUIRE(suspects.Find(kCommon) == nullptr);
     // Another host has not heard of it.
     REQUIRE_FALSE(
@@ -195,12 +195,12 @@
 TEST_CASE("Each part that was blocked is remembered by itself") {
   CrashSuspects suspects;
   Crashes crashes;
-  const PromptPartKey other("bad1");
+  const ContentKey other("bad1");
   suspects.AddServed(std::span(&other, 1), At(Duration::zero()));
-  for (const PromptPartKey& part : {kCause, other})
+  for (const ContentKey& part : {kCause, other})
     suspects.Block(part, {At(seconds(1)), At(minutes(15)), 0});
   suspects.RemoveExpired(At(minutes(15)));
-  for (const PromptPartKey& part : {kCause, other})
+  for (const ContentKey& part : {kCause, other})
     REQUIRE(suspects.AddCrash(std::span(&part, 1), crashes.Next(minutes(16)))
                 .size() == 1);
 }
@@ -213,7 +213,7 @@
   suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(1)));
   suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(2)));
   constexpr int part_count = 20000;
-  std::vector<PromptPartKey> many;
+  std::vector<ContentKey> many;
   many.reserve(part_count);
   for (int i = 0; i < part_count; ++i) many.emplace_back(std::to_string(i));
   suspects.AddCrash(many, crashes.Next(seconds(3)));
@@ -223,23 +223,23 @@
 }
 
 TEST_CASE("Keys of parts are short and safe to print") {
-  REQUIRE(KeyOf({"5c1e07a2", 10}) == PromptPartKey("5c1e07a2"));
-  const PromptPartKey long_key = KeyOf({std::string(5000, 'a'), 10});
+  REQUIRE(KeyOf({"5c1e07a2", 10}) == ContentKey("5c1e07a2"));
+  const ContentKey long_key = KeyOf({std::string(5000, 'a'), 10});
   REQUIRE(long_key.value().size() <= kMaximumKeyBytes);
-  REQUIRE(IsPromptPartKey(long_key.value()));
+  REQUIRE(IsContentKey(long_key.value()));
   REQUIRE(KeyOf({std::string(5001, 'a'), 10}) != long_key);
-  const PromptPartKey unprintable = KeyOf({"\xff\n\"", 10});
-  REQUIRE(IsPromptPartKey(unprintable.value()));
-  REQUIRE(IsPromptPartKey(KeyOf({"", 10}).value()));
-  REQUIRE_FALSE(IsPromptPartKey(""));
-  REQUIRE_FALSE(IsPromptPartKey("x12"));
-  REQUIRE_FALSE(IsPromptPartKey("blocked\xff"));
+  const ContentKey unprintable = KeyOf({"\xff\n\"", 10});
+  REQUIRE(IsContentKey(unprintable.value()));
+  REQUIRE(IsContentKey(KeyOf({"", 10}).value()));
+  REQUIRE_FALSE(IsContentKey(""));
+  REQUIRE_FALSE(IsContentKey("x12"));
+  REQUIRE_FALSE(IsContentKey("blocked\xff"));
 }
 
 TEST_CASE("A list of parts for the log is bounded") {
   REQUIRE(FormatForLog({}).empty());
   REQUIRE(FormatForLog(std::vector{kCommon, kCause}) == "aaaa,bad0");
-  const std::vector<PromptPartKey> many(1000, kCommon);
+  const std::vector<ContentKey> many(1000, kCommon);
   REQUIRE(FormatForLog(many).size() < 300);
   REQUIRE(FormatForLog(many).ends_with(",aaaa,..."));
 }
@@ -248,8 +248,7 @@
   Prompt prompt;
   REQUIRE(SharedPartKeys(prompt).empty());
   prompt.parts = {{"aaaa", 1}, {"bad0", 1}, {"1", 1}};
-  REQUIRE(SharedPartKeys(prompt) ==
-          std::vector<PromptPartKey>{kCommon, kCause});
+  REQUIRE(SharedPartKeys(prompt) == std::vector<ContentKey>{kCommon, kCause});
 }
 
 }  // namespace
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -748,7 +748,7 @@
     def read_logs(self):
         for host in self.hosts:
             for line in (self.folder / f"{host.name}.log").read_text(errors="replace").splitlines():
-                if '"event":"prompt_blocked"' in line:
+                if '"event":"content_blocked"' in line:
                     self.record.blocked_parts.append((host.name, json.loads(line)["part"]))
 
 
