--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -1,8 +1,11 @@
 #include "routing/crash_suspects.h"
 
+#include <glib.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <iterator>
+#include <memory>
 #include <tuple>
 #include <utility>
 
@@ -39,8 +42,10 @@
 
 constexpr std::size_t kMaximumLoggedBytes = 256;
 constexpr std::size_t kMaximumPlainKeyBytes = 32;
-// Precedes a hash, so that no id equals it.
+// Precede hashes, so that no id equals one.
 constexpr char kHashPrefix = 'x';
+constexpr char kRequestPrefix = 'r';
+constexpr std::size_t kRequestKeyDigits = 32;
 
 bool IsHexadecimal(std::string_view text) {
   return std::all_of(text.begin(), text.end(), [](char c) {
@@ -54,6 +59,30 @@
                                              : kScoreOfUnclear;
 }
 
+// A cryptographic hash, so that no caller finds a request of its own with the
+// key of another one.
+ContentKey KeyOfRequest(const RequestIdentity& request,
+                        std::string_view target) {
+  using ChecksumPointer =
+      std::unique_ptr<GChecksum, decltype(&g_checksum_free)>;
+  const ChecksumPointer checksum(g_checksum_new(G_CHECKSUM_SHA256),
+                                 &g_checksum_free);
+  const auto add = [&checksum](std::string_view text) {
+    g_checksum_update(checksum.get(),
+                      reinterpret_cast<const guchar*>(text.data()),
+                      static_cast<gssize>(text.size()));
+  };
+  for (const std::string_view field :
+       {request.caller, request.method, request.host, target, request.body}) {
+    // The length keeps one field from continuing in the next.
+    add(std::to_string(field.size()) + ":");
+    add(field);
+  }
+  const std::string_view digits = g_checksum_get_string(checksum.get());
+  return ContentKey(kRequestPrefix +
+                    std::string(digits.substr(0, kRequestKeyDigits)));
+}
+
 }  // namespace
 
 ContentKey KeyOf(const PromptPart& content) {
@@ -75,6 +104,15 @@
   return keys;
 }
 
+std::vector<ContentKey> RequestKeys(const RequestIdentity& request) {
+  const std::string_view path =
+      request.target.substr(0, request.target.find('?'));
+  std::vector<ContentKey> keys{KeyOfRequest(request, path)};
+  if (path.size() < request.target.size())
+    keys.push_back(KeyOfRequest(request, request.target));
+  return keys;
+}
+
 std::string FormatForLog(std::span<const ContentKey> contents) {
   std::string text;
   for (const ContentKey& content : contents) {
@@ -87,7 +125,7 @@
 }
 
 bool IsContentKey(std::string_view text) {
-  if (text.starts_with(kHashPrefix))
+  if (text.starts_with(kHashPrefix) || text.starts_with(kRequestPrefix))
     return text.size() == kMaximumKeyBytes && IsHexadecimal(text.substr(1));
   return !text.empty() && text.size() <= kMaximumPlainKeyBytes &&
          IsHexadecimal(text);
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -15,22 +15,39 @@
 
 namespace lovagecleat::routing {
 
-// Identifies what servers may crash under: a part of a prompt. Of bounded size
-// and safe to print, whatever id the caller has chosen: the id itself if it is
-// hexadecimal and short, else a hash of it.
+// Identifies what servers may crash under: a part of a prompt, or a whole
+// request. Of bounded size and safe to print, whatever the caller has chosen.
 using ContentKey = StringId<struct ContentKeyTag>;
+
+// Returns the key of a part: its id if that is hexadecimal and short, else a
+// hash of it.
 ContentKey KeyOf(const PromptPart& content);
 
 // Returns the keys of the parts that other requests may share: all but the
 // last.
 std::vector<ContentKey> SharedPartKeys(const Prompt& prompt);
 
+// What a request is, whichever attempt of its caller brings it: without ids,
+// deadlines and the point at which a stream is resumed.
+struct RequestIdentity {
+  std::string_view caller;  // the team; empty if it is not known
+  std::string_view method;
+  std::string_view host;
+  std::string_view target;  // path and query
+  std::string_view body;
+};
+
+// Returns the keys of the request, the one that most requests share first:
+// without its query and, if it has one, with it. Callers cannot make a request
+// with the key of another caller's.
+std::vector<ContentKey> RequestKeys(const RequestIdentity& request);
+
 // Returns the keys as a list for a log line, cut if it is long.
 std::string FormatForLog(std::span<const ContentKey> contents);
 
 inline constexpr std::size_t kMaximumKeyBytes = 33;
 
-// Returns whether `text` could have been returned by KeyOf.
+// Returns whether `text` could be a key.
 bool IsContentKey(std::string_view text);
 
 // What a server did for a request when it crashed.
--- a/services/gateway/content_watch.cc
+++ b/services/gateway/content_watch.cc
@@ -10,7 +10,9 @@
 
 }  // namespace
 
-void ContentWatch::Start(const routing::Prompt& prompt) {
+void ContentWatch::Start(const routing::Prompt& prompt,
+                         const routing::RequestIdentity& identity) {
+  identity_ = identity;
   contents_ = routing::SharedPartKeys(prompt);
   if (blocks_.BlockedUntil(contents_))
     is_trial_ = blocks_.TryStartTrial(contents_);
@@ -20,6 +22,17 @@
   return is_trial_ ? std::nullopt : blocks_.BlockedUntil(contents_);
 }
 
+// Most requests need no keys, and hashing large bodies takes time.
+void ContentWatch::AddRequestKeys() {
+  if (request_keys_.empty()) request_keys_ = routing::RequestKeys(identity_);
+}
+
+std::string ContentWatch::FormatForLog() const {
+  std::vector<routing::ContentKey> keys = contents_;
+  keys.insert(keys.end(), request_keys_.begin(), request_keys_.end());
+  return routing::FormatForLog(keys);
+}
+
 void ContentWatch::OnSend() {
   has_head_ = false;
   first_content_at_.reset();
@@ -37,6 +50,7 @@
 void ContentWatch::OnConnectionLost(const routing::ServerIncarnation& server) {
   // A request that the server has been responding to for a time is no suspect.
   if (is_served_) return;
+  AddRequestKeys();
   blocks_.OnCrash(server, contents_,
                   has_head_ && !first_content_at_
                       ? routing::CrashMoment::kJustStarted
--- a/services/gateway/content_watch.h
+++ b/services/gateway/content_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "services/gateway/content_blocks.h"
@@ -14,9 +15,10 @@
   ContentWatch(Context& context, ContentBlocks& blocks)
       : context_(context), blocks_(blocks) {}
 
-  // Sets the prompt of the request when it arrives. A blocked request may be
-  // admitted for a trial.
-  void Start(const routing::Prompt& prompt);
+  // Sets the request when it arrives; `identity` stays valid until it ends. A
+  // blocked request may be admitted for a trial.
+  void Start(const routing::Prompt& prompt,
+             const routing::RequestIdentity& identity);
 
   // Returns until when the request must not be sent; nothing if it may.
   std::optional<TimePoint> BlockedUntil() const;
@@ -24,6 +26,10 @@
   // Whether the request is a trial, which is sent to one server only.
   bool is_trial() const { return is_trial_; }
 
+  // Returns the contents of the request for a log line; the keys of the request
+  // itself only once a connection was lost under it.
+  std::string FormatForLog() const;
+
   void OnSend();
   void OnResponseHead() { has_head_ = true; }
   // Content of the response has come.
@@ -37,7 +43,12 @@
  private:
   Context& context_;
   ContentBlocks& blocks_;
+  // Adds the keys of the request to those of its prompt, once.
+  void AddRequestKeys();
+
   std::vector<routing::ContentKey> contents_;
+  std::vector<routing::ContentKey> request_keys_;
+  routing::RequestIdentity identity_;
   bool is_trial_ = false;
   // Of the last send.
   bool has_head_ = false;
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -101,7 +101,12 @@
   if (IsStream())
     event_deadline_ = std::min(deadline_, arrived_at_ + EventTimeLimit());
   StartDeadlineTimer();
-  content_watch_.Start(request_.prompt);
+  const http::RequestHead& head = exchange_->head();
+  content_watch_.Start(
+      request_.prompt,
+      {team_, head.method,
+       WithoutPort(http::FindField(head.fields, "Host").value_or("")),
+       head.target, exchange_->body()});
   if (RefuseBlockedContent()) return;
   if (IsStream() && request_.resume_after) return FindOrigin();
   StartStages();
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -315,17 +315,15 @@
   context_.metrics.Count("lovagecleat_sends_total",
                          {{"outcome", std::string(outcome)}});
   if (outcome == "done") return;
-  context_.log.Write(
-      "send", request_.id,
-      {{"service", service_.value()},
-       {"server", server_.value()},
-       {"send", sends_},
-       {"status", head_.status},
-       {"ms", Milliseconds(Now() - sent_at_)},
-       {"events", events_ - events_before_send_},
-       {"shared_parts",
-        routing::FormatForLog(routing::SharedPartKeys(request_.prompt))},
-       {"outcome", outcome}});
+  context_.log.Write("send", request_.id,
+                     {{"service", service_.value()},
+                      {"server", server_.value()},
+                      {"send", sends_},
+                      {"status", head_.status},
+                      {"ms", Milliseconds(Now() - sent_at_)},
+                      {"events", events_ - events_before_send_},
+                      {"contents", content_watch_.FormatForLog()},
+                      {"outcome", outcome}});
 }
 
 bool RequestFlow::CanRetry(int additional_runs) const {
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -251,5 +251,39 @@
   REQUIRE(SharedPartKeys(prompt) == std::vector<ContentKey>{kCommon, kCause});
 }
 
+TEST_CASE("A request is named by its caller, path and body") {
+  const RequestIdentity request{"team", "POST", "a.example", "/p/1", "body"};
+  const std::vector<ContentKey> keys = RequestKeys(request);
+  REQUIRE(keys.size() == 1);
+  REQUIRE(IsContentKey(keys.front().value()));
+  REQUIRE(RequestKeys(request) == keys);
+  const auto other = [&](auto change) {
+    RequestIdentity changed = request;
+    change(changed);
+    return RequestKeys(changed).front();
+  };
+  REQUIRE(other([](auto& r) { r.caller = "other"; }) != keys.front());
+  REQUIRE(other([](auto& r) { r.target = "/p/2"; }) != keys.front());
+  REQUIRE(other([](auto& r) { r.body = "other"; }) != keys.front());
+  REQUIRE(other([](auto& r) { r.host = "b.example"; }) != keys.front());
+  // No field continues in the next one.
+  REQUIRE(other([](auto& r) {
+            r.target = "/p/1b";
+            r.body = "ody";
+          }) != keys.front());
+}
+
+TEST_CASE("A request with a query has a key with and one without it") {
+  const RequestIdentity plain{"", "GET", "a.example", "/p/1", ""};
+  RequestIdentity first = plain;
+  first.target = "/p/1?page=1";
+  RequestIdentity second = plain;
+  second.target = "/p/1?page=2";
+  REQUIRE(RequestKeys(first).size() == 2);
+  REQUIRE(RequestKeys(first).front() == RequestKeys(plain).front());
+  REQUIRE(RequestKeys(first).front() == RequestKeys(second).front());
+  REQUIRE(RequestKeys(first).back() != RequestKeys(second).back());
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
