--- /dev/null
+++ b/tests/gateway_reports/crashing_request_test.cc
@@ -0,0 +1,135 @@
+#include <array>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/gateway/gateway_fixture.h"
+
+// Tests that a request which crashes the servers that run it is refused, and
+// no other one.
+namespace lovagecleat::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::RawConnection;
+
+constexpr const char* kRouting = R"({"version":3,"routes":[
+ {"name":"safe","host":"a.example","prefix":"/s/","kind":"safe",
+  "timeoutMs":3000,"goalMs":300,"attempts":2,"service":"orders"},
+ {"name":"once","host":"a.example","prefix":"/u/","kind":"unsafe",
+  "timeoutMs":3000,"goalMs":300,"attempts":2,"service":"orders"}],
+ "services":[{"name":"orders","healthPath":"/h","maxConns":90}],
+ "tenants":[{"name":"t1","apiKeys":["key1"]},{"name":"t2","apiKeys":["key2"]}],
+ "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
+
+constexpr const char* kCrashingBody = "crash";
+constexpr std::size_t kHosts = 3;
+constexpr int kServers = 3;
+// Time until the hosts have read the rows of servers that have restarted.
+constexpr Duration kRowsDelay = milliseconds(600);
+// Servers that the request may crash before it is known.
+constexpr int kMostCrashes = 3;
+// Further requests with it that may reach servers.
+constexpr int kMostFurtherRequests = 3;
+// Time that a server works on a request before it crashes.
+constexpr milliseconds kRunTime(40);
+
+// Requests with kCrashingBody of the team t1 crash the servers that run them.
+class CrashingRequestFixture : public GatewayFixture {
+ public:
+  CrashingRequestFixture() {
+    rows.Set("op", "config", kRouting);
+    for (int i = 0; i < kServers; ++i)
+      servers_.push_back(std::make_unique<ScriptedServer>(
+          [this, i](RawConnection& connection, const std::string& request) {
+            return Run(connection, request, static_cast<std::size_t>(i));
+          }));
+    RestartCrashedServers();
+  }
+
+  // Gives each server that has crashed since the last call a new incarnation.
+  void RestartCrashedServers() {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      const int incarnation = 1 + crashes_.at(i);
+      if (incarnations_.at(i) == incarnation) continue;
+      incarnations_.at(i) = incarnation;
+      const nlohmann::json row = {
+          {"service", "orders"}, {"address", servers_.at(i)->address()},
+          {"zone", "z"},         {"version", "v1"},
+          {"state", "ready"},    {"slots", 4},
+          {"born", incarnation}};
+      rows.Set("servers", "s" + std::to_string(i + 1), row.dump());
+    }
+  }
+
+  std::string SendBody(const std::string& target, const std::string& body,
+                       std::size_t host, const std::string& key = "key1") {
+    return Send("POST " + target +
+                    " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+                    "X-Lovagecleat-Request-Id: id1\r\nX-Api-Key: " +
+                    key + "\r\nX-Lovagecleat-Deadline-Ms: 2000\r\n" +
+                    "Content-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body,
+                host);
+  }
+
+  // Sends it to one host after the other, `count` times, beside sound ones.
+  void SendCrashing(int count, const std::string& target) {
+    for (int i = 0; i < count; ++i) {
+      const auto host = static_cast<std::size_t>(i) % kHosts;
+      SendBody(target, kCrashingBody, host);
+      RestartCrashedServers();
+      RunFor(kRowsDelay);
+      REQUIRE(IsServed(SendBody(target, "sound", host)));
+      REQUIRE(IsServed(SendBody(target, kCrashingBody, host, "key2")));
+    }
+  }
+
+  static bool IsServed(const std::string& response) {
+    return response.starts_with("HTTP/1.1 200");
+  }
+
+  int crashes() const {
+    int count = 0;
+    for (const auto& crashes : crashes_) count += crashes;
+    return count;
+  }
+
+ private:
+  bool Run(RawConnection& connection, const std::string& request,
+           std::size_t server) {
+    const bool is_crashing =
+        request.ends_with(kCrashingBody) &&
+        request.find("X-Lovagecleat-Tenant: t1") != std::string::npos;
+    if (is_crashing) {
+      std::this_thread::sleep_for(kRunTime);
+      ++crashes_.at(server);
+      return false;
+    }
+    connection.Write(
+        Join({"HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n", kSeal,
+              "Content-Length: 2\r\n\r\nok"}));
+    return true;
+  }
+
+  std::array<std::atomic<int>, kServers> crashes_{};
+  std::array<int, kServers> incarnations_{};
+  std::vector<std::unique_ptr<ScriptedServer>> servers_;
+};
+
+// Guards against one request that comes again at any host and crashes server
+// after server (BUDGET).
+TEST_CASE_METHOD(CrashingRequestFixture,
+                 "All hosts refuse a request under which servers crash") {
+  const std::string target = GENERATE("/s/1", "/s/1?page=2", "/u/1");
+  StartHosts(kHosts);
+  SendCrashing(12, target);
+  REQUIRE(crashes() <= kMostCrashes + kMostFurtherRequests);
+  REQUIRE(SendBody(target, kCrashingBody, 0).starts_with("HTTP/1.1 503"));
+}
+
+}  // namespace
+}  // namespace lovagecleat::gateway
