Gateway tests: Crash the servers of reused connections

Fails on the current code: one request with two attempts crashes servers four times, since a connection that is lost under it counts as closed before.

--- a/tests/gateway_reports/crashing_request_test.cc
+++ b/tests/gateway_reports/crashing_request_test.cc
@@ -131,5 +131,18 @@
   REQUIRE(SendBody(target, kCrashingBody, 0).starts_with("HTTP/1.1 503"));
 }
 
+// Guards against a crash that is taken for a connection which the server had
+// closed before, so that one request runs at more servers than its route allows
+// (BUDGET).
+TEST_CASE_METHOD(CrashingRequestFixture,
+                 "A request crashes no more servers than it has attempts") {
+  StartHosts(1);
+  // Opens a connection to each server, which is then reused.
+  for (int i = 0; i < 4 * kServers; ++i)
+    REQUIRE(IsServed(SendBody("/s/1", "sound", 0)));
+  SendBody("/s/1", kCrashingBody, 0);
+  REQUIRE(crashes() <= 2);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
