Requests: Count a send whose connection is lost after its round trip

Now that holds only within 20 ms of sending, once for each request, and is no sign of a crash. The test "A request crashes no more servers than it has attempts" failed before (4 crashes) and passes.

--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -151,6 +151,7 @@
   bool IsNextOrSeenEvent(const http::RawEvent& event);
   void BeginResponse(std::optional<std::uint64_t> length);
   bool IsResponseWhole() const;
+  bool IsStaleConnection() const;
   void OnFailureStatus();
   void OnBrokenResponse(std::string_view outcome);
   void Retry(std::string_view cause);
@@ -224,6 +225,7 @@
   int runs_ = 0;  // sends that ran or may have run
   int sends_ = 0;
   int connect_failures_ = 0;  // sends that could not connect
+  bool has_lost_stale_connection_ = false;
   SendState send_state_ = SendState::kNotSent;
   // Prompt tokens of this request that the server has yet to process.
   std::uint64_t pending_tokens_ = 0;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -16,6 +16,9 @@
 // The origin of a stream is kept for this long after its caller stops waiting,
 // since hosts may be slow.
 constexpr Duration kOriginMargin = milliseconds(5000);
+// A server that had closed a kept connection resets it within a round trip of
+// the request; hosts may be slow. Later, it may have run the request.
+constexpr Duration kStaleConnectionTime = milliseconds(20);
 // Responses up to this size are buffered until complete, so that the request
 // can be retried at another server if one is truncated.
 constexpr std::size_t kMaximumBufferedBytes = 65536;
@@ -213,20 +216,29 @@
     ++connect_failures_;
     return Retry("unreachable");
   }
-  if (end.failure == http::CallFailure::kConnectionLost)
-    content_watch_.OnConnectionLost(incarnation_);
-  if (end.was_reused && route_->MayRepeat()) {
+  if (end.was_reused && IsStaleConnection()) {
     EndSend(routing::CallResult::kNoEvidence, "stale_connection");
+    has_lost_stale_connection_ = true;
     send_state_ = SendState::kUnknown;
     tried_.pop_back();
     return Retry("stale_connection");
   }
+  if (end.failure == http::CallFailure::kConnectionLost)
+    content_watch_.OnConnectionLost(incarnation_);
   OnBrokenResponse(
       end.failure == http::CallFailure::kInvalidResponse    ? "garbled"
       : end.failure == http::CallFailure::kResponseTooLarge ? "too_large"
                                                             : "broken");
 }
 
+// Returns whether a reused connection that was lost had probably been closed
+// before the request came. A request is sent beyond its attempts for that only
+// once, since servers that crash at once look the same.
+bool RequestFlow::IsStaleConnection() const {
+  return route_->MayRepeat() && !has_lost_stale_connection_ &&
+         Now() - sent_at_ < kStaleConnectionTime;
+}
+
 // The server may have run the request, but its response is of no use.
 void RequestFlow::OnBrokenResponse(std::string_view outcome) {
   EndSend(routing::CallResult::kFailed, outcome);
