Gateway: Refuse requests under which servers crash

Crashes were recorded for prompt parts only, and these requests have none.

The key of a request (caller, method, host, path and body, and one with its query and prompt) is now a suspect beside the parts of its prompt, in the same table, reports and rows. Three servers block it at all hosts. A server that the request was sent to after another one had crashed under it counts by itself, also within 250 ms; servers that crash while they have it at the same time count as little more than one, as after a loss of power. Requests with the same path and body but other queries or prompts need five servers, since they may be sound.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -17,10 +17,14 @@
 // server that had just begun its response says most: it has begun one request
 // at that moment, and may have others that wait or go on.
 constexpr int kScoreToBlock = 6;
-// The same for a content that this host knows to have been served before.
-constexpr int kScoreToBlockServedContent = 10;
+// The same for a content that sound requests may share, as this host knows.
+constexpr int kScoreToBlockSharedContent = 10;
 constexpr int kScoreOfJustStarted = 2;
 constexpr int kScoreOfUnclear = 1;
+// Scores of crashes of one server, and of several at one time, under the key of
+// a request.
+constexpr int kScoreOfRequest = 2;
+constexpr int kScoreOfRequestAtSeveral = 3;
 // Crashes within this time count as one: many servers may crash for one reason
 // that is not in the requests, such as a loss of power.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
@@ -45,8 +49,14 @@
 // Precede hashes, so that no id equals one.
 constexpr char kHashPrefix = 'x';
 constexpr char kRequestPrefix = 'r';
+constexpr char kWholeRequestPrefix = 'q';
 constexpr std::size_t kRequestKeyDigits = 32;
 
+bool IsRequestKey(const ContentKey& content) {
+  return content.value().starts_with(kRequestPrefix) ||
+         content.value().starts_with(kWholeRequestPrefix);
+}
+
 bool IsHexadecimal(std::string_view text) {
   return std::all_of(text.begin(), text.end(), [](char c) {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') ||
@@ -61,8 +71,9 @@
 
 // A cryptographic hash, so that no caller finds a request of its own with the
 // key of another one.
-ContentKey KeyOfRequest(const RequestIdentity& request,
-                        std::string_view target) {
+std::string HashOfRequest(const RequestIdentity& request,
+                          std::string_view target,
+                          std::span<const PromptPart> prompt_parts) {
   using ChecksumPointer =
       std::unique_ptr<GChecksum, decltype(&g_checksum_free)>;
   const ChecksumPointer checksum(g_checksum_new(G_CHECKSUM_SHA256),
@@ -78,9 +89,10 @@
     add(std::to_string(field.size()) + ":");
     add(field);
   }
+  for (const PromptPart& part : prompt_parts)
+    add(std::to_string(part.id.size()) + ":" + part.id);
   const std::string_view digits = g_checksum_get_string(checksum.get());
-  return ContentKey(kRequestPrefix +
-                    std::string(digits.substr(0, kRequestKeyDigits)));
+  return std::string(digits.substr(0, kRequestKeyDigits));
 }
 
 }  // namespace
@@ -107,9 +119,12 @@
 std::vector<ContentKey> RequestKeys(const RequestIdentity& request) {
   const std::string_view path =
       request.target.substr(0, request.target.find('?'));
-  std::vector<ContentKey> keys{KeyOfRequest(request, path)};
-  if (path.size() < request.target.size())
-    keys.push_back(KeyOfRequest(request, request.target));
+  std::vector<ContentKey> keys{
+      ContentKey(kRequestPrefix + HashOfRequest(request, path, {}))};
+  if (path.size() < request.target.size() || !request.prompt_parts.empty())
+    keys.emplace_back(
+        kWholeRequestPrefix +
+        HashOfRequest(request, request.target, request.prompt_parts));
   return keys;
 }
 
@@ -125,7 +140,8 @@
 }
 
 bool IsContentKey(std::string_view text) {
-  if (text.starts_with(kHashPrefix) || text.starts_with(kRequestPrefix))
+  if (text.starts_with(kHashPrefix) || text.starts_with(kRequestPrefix) ||
+      text.starts_with(kWholeRequestPrefix))
     return text.size() == kMaximumKeyBytes && IsHexadecimal(text.substr(1));
   return !text.empty() && text.size() <= kMaximumPlainKeyBytes &&
          IsHexadecimal(text);
@@ -138,19 +154,30 @@
   return crashed_at + delay;
 }
 
-int CrashSuspects::ScoreOf(const Crashes& crashes) {
+// A request that was sent to a server after another one had crashed under it
+// has crashed both by itself: they had no common cause. Several servers at one
+// time may have one, or may have had the request at the same time.
+int CrashSuspects::ScoreOf(const ContentKey& content, const Crashes& crashes) {
+  const bool is_request = IsRequestKey(content);
   int score = 0;
   int score_of_group = 0;
   TimePoint group_start{};
+  TimePoint last_crash{};
   for (const ServerCrash& crash : crashes) {
-    const bool is_same_group =
-        score_of_group > 0 && crash.at - group_start < kCommonCauseTime;
+    const bool is_repeat = is_request && crash.sent_at > last_crash;
+    const bool is_same_group = score_of_group > 0 && !is_repeat &&
+                               crash.at - group_start < kCommonCauseTime;
+    last_crash = crash.at;
     if (!is_same_group) {
       score += score_of_group;
-      score_of_group = 0;
       group_start = crash.at;
+      score_of_group =
+          is_request ? kScoreOfRequest : ScoreOfMoment(crash.moment);
+      continue;
     }
-    score_of_group = std::max(score_of_group, ScoreOfMoment(crash.moment));
+    score_of_group =
+        is_request ? kScoreOfRequestAtSeveral
+                   : std::max(score_of_group, ScoreOfMoment(crash.moment));
   }
   return score + score_of_group;
 }
@@ -184,14 +211,14 @@
     const auto known = blocked_.find(content);
     if (known == blocked_.end()) continue;
     known->second.crashed_at = std::max(known->second.crashed_at, crash.at);
+    Explain(crash.incarnation, content);
     is_explained = true;
   }
-  if (is_explained) Explain(crash.incarnation);
-  if (std::find(explained_.begin(), explained_.end(), crash.incarnation) !=
-      explained_.end())
-    return {};
+  if (is_explained) return {};
   for (const ContentKey& content : contents)
-    if (!WasServedSince(content, crash.at)) AddTo(suspects_[content], crash);
+    if (!WasServedSince(content, crash.at) &&
+        !IsExplained(crash.incarnation, content))
+      AddTo(suspects_[content], crash);
   std::vector<ContentKey> blocked;
   if (const ContentKey* cause = FindCause(contents)) {
     const TimePoint last = suspects_.at(*cause).back().at;
@@ -203,15 +230,26 @@
 
 const ContentKey* CrashSuspects::FindCause(
     std::span<const ContentKey> contents) const {
+  const bool has_whole_request =
+      std::any_of(contents.begin(), contents.end(), [](const auto& content) {
+        return KindOf(content) == ContentKind::kWholeRequest;
+      });
   const ContentKey* cause = nullptr;
-  int highest = 0;
+  std::pair<ContentKind, int> best{};
   for (const ContentKey& content : contents) {
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
-    const int score = ScoreOf(suspect->second);
-    if (score < ScoreToBlock(content) || score < highest) continue;
+    const ContentKind kind = KindOf(content);
+    const int score = ScoreOf(content, suspect->second);
+    // Requests with other queries or prompts may be sound.
+    const int least =
+        kind == ContentKind::kRequestWithoutQuery && has_whole_request
+            ? kScoreToBlockSharedContent
+            : ScoreToBlock(content);
+    if (score < least) continue;
+    if (cause != nullptr && std::pair(kind, score) < best) continue;
     cause = &content;
-    highest = score;
+    best = {kind, score};
   }
   return cause;
 }
@@ -219,22 +257,49 @@
 // A sound content whose requests are rare may be at several crashed servers
 // before it is served again.
 int CrashSuspects::ScoreToBlock(const ContentKey& content) const {
-  return WasServed(content) ? kScoreToBlockServedContent : kScoreToBlock;
+  return WasServed(content) && !IsRequestKey(content)
+             ? kScoreToBlockSharedContent
+             : kScoreToBlock;
 }
 
 bool CrashSuspects::WasServed(const ContentKey& content) const {
   return served_.contains(content) || served_before_.contains(content);
 }
 
-void CrashSuspects::Explain(std::uint64_t incarnation) {
-  if (std::find(explained_.begin(), explained_.end(), incarnation) !=
-      explained_.end())
-    return;
-  explained_.push_back(incarnation);
+CrashSuspects::ContentKind CrashSuspects::KindOf(const ContentKey& content) {
+  if (content.value().starts_with(kRequestPrefix))
+    return ContentKind::kRequestWithoutQuery;
+  return content.value().starts_with(kWholeRequestPrefix)
+             ? ContentKind::kWholeRequest
+             : ContentKind::kPromptPart;
+}
+
+// Of two requests that a server had when it crashed, the one that was blocked
+// first may be the sound one. So a blocked request does not excuse others.
+bool CrashSuspects::IsExplained(std::uint64_t incarnation,
+                                const ContentKey& content) const {
+  const ContentKind kind = KindOf(content);
+  return std::any_of(
+      explained_.begin(), explained_.end(), [&](const ExplainedCrash& crash) {
+        return crash.incarnation == incarnation &&
+               (crash.cause == ContentKind::kPromptPart || crash.cause != kind);
+      });
+}
+
+void CrashSuspects::Explain(std::uint64_t incarnation,
+                            const ContentKey& cause) {
+  const ContentKind kind = KindOf(cause);
+  const bool is_known = std::any_of(
+      explained_.begin(), explained_.end(), [&](const ExplainedCrash& crash) {
+        return crash.incarnation == incarnation && crash.cause == kind;
+      });
+  if (is_known) return;
+  explained_.push_back({incarnation, kind});
   if (explained_.size() > kMaximumExplainedCrashes) explained_.pop_front();
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
-    std::erase_if(suspect->second, [incarnation](const ServerCrash& crash) {
-      return crash.incarnation == incarnation;
+    std::erase_if(suspect->second, [&](const ServerCrash& crash) {
+      return crash.incarnation == incarnation &&
+             IsExplained(incarnation, suspect->first);
     });
     suspect =
         suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
@@ -246,7 +311,7 @@
   if (suspect == suspects_.end()) return;
   const Crashes crashes = std::move(suspect->second);
   suspects_.erase(suspect);
-  for (const ServerCrash& crash : crashes) Explain(crash.incarnation);
+  for (const ServerCrash& crash : crashes) Explain(crash.incarnation, content);
 }
 
 // Drops many contents at once, since sorting them takes time: those with the
@@ -265,7 +330,8 @@
   std::vector<Candidate> candidates;
   candidates.reserve(suspects_.size());
   for (const auto& [content, crashes] : suspects_)
-    candidates.push_back({ScoreOf(crashes), crashes.back().at, content});
+    candidates.push_back(
+        {ScoreOf(content, crashes), crashes.back().at, content});
   std::sort(candidates.begin(), candidates.end());
   candidates.resize(candidates.size() - kSuspectsAfterLimit);
   for (const Candidate& candidate : candidates)
@@ -276,7 +342,10 @@
     std::span<const ContentKey> contents, TimePoint at) {
   std::vector<ContentKey> cleared;
   for (const ContentKey& content : contents) {
-    RememberServed(content, at);
+    // Keys of requests are many, and few come again.
+    if (!IsRequestKey(content) || suspects_.contains(content) ||
+        blocked_.contains(content))
+      RememberServed(content, at);
     bool is_cleared = false;
     const auto suspect = suspects_.find(content);
     if (suspect != suspects_.end()) {
@@ -327,6 +396,15 @@
   return true;
 }
 
+bool CrashSuspects::TracksRequests() const {
+  const ContentKey first(std::string(1, kWholeRequestPrefix));
+  const auto is_request = [](const auto& contents, auto found) {
+    return found != contents.end() && IsRequestKey(found->first);
+  };
+  return is_request(suspects_, suspects_.lower_bound(first)) ||
+         is_request(blocked_, blocked_.lower_bound(first));
+}
+
 const BlockedContent* CrashSuspects::Find(const ContentKey& content) const {
   const auto found = blocked_.find(content);
   return found == blocked_.end() ? nullptr : &found->second;
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -35,11 +35,12 @@
   std::string_view host;
   std::string_view target;  // path and query
   std::string_view body;
+  std::span<const PromptPart> prompt_parts;
 };
 
-// Returns the keys of the request, the one that most requests share first:
-// without its query and, if it has one, with it. Callers cannot make a request
-// with the key of another caller's.
+// Returns the keys of the request, the one that more requests share first:
+// without its query and prompt and, if it has one of them, with both. Callers
+// cannot make a request with the key of another caller's.
 std::vector<ContentKey> RequestKeys(const RequestIdentity& request);
 
 // Returns the keys as a list for a log line, cut if it is long.
@@ -61,6 +62,7 @@
   std::uint64_t incarnation = 0;  // hash of the server's incarnation
   CrashMoment moment = CrashMoment::kUnclear;
   TimePoint at{};
+  TimePoint sent_at{};  // when the request was sent to the server
 };
 
 // A content that is not sent to servers.
@@ -78,7 +80,9 @@
 // Every content of the requests that a crashed server had just begun, or was
 // about to begin, is suspect. Two things tell the cause from contents that
 // sound requests share with it: those were served since, and crashes that a
-// blocked content explains do not count against others.
+// blocked content explains do not count against others. Few others come with
+// the key of a request, so three servers are enough to block one, whatever they
+// had done for it.
 class CrashSuspects {
  public:
   // Records that a server crashed under a request with these contents. Returns
@@ -109,6 +113,10 @@
     return blocked_;
   }
 
+  // Returns whether the key of a request is suspect or blocked. While there is
+  // none, the keys of requests need not be known.
+  bool TracksRequests() const;
+
   // Ends the blocks whose time is over. One more crash blocks such a content
   // again.
   void RemoveExpired(TimePoint now);
@@ -117,23 +125,33 @@
   // The crashes under one content since it was served last, the earliest first.
   using Crashes = std::vector<ServerCrash>;
 
-  static int ScoreOf(const Crashes& crashes);
-  // Returns the content with the highest score that is to be blocked; null if
-  // there is none. Of equal ones the last, which the fewest requests share.
+  static int ScoreOf(const ContentKey& content, const Crashes& crashes);
+  // Returns the content that is to be blocked; null if there is none. Of
+  // several the one that the fewest requests share, then the one with the
+  // highest score.
   const ContentKey* FindCause(std::span<const ContentKey> contents) const;
   int ScoreToBlock(const ContentKey& content) const;
   bool WasServed(const ContentKey& content) const;
-  // Records that the crash is no evidence against further contents.
-  void Explain(std::uint64_t incarnation);
+  // Records that the crash is no evidence against further contents, since
+  // `cause` is blocked.
+  void Explain(std::uint64_t incarnation, const ContentKey& cause);
   // Does so for the crashes under a content that is blocked now.
   void ExplainCrashesOf(const ContentKey& content);
+  bool IsExplained(std::uint64_t incarnation, const ContentKey& content) const;
   void AddTo(Crashes& crashes, const ServerCrash& crash) const;
   void LimitSuspects();
   void RememberServed(const ContentKey& content, TimePoint at);
 
   std::map<ContentKey, Crashes> suspects_;
   std::map<ContentKey, BlockedContent> blocked_;
-  std::deque<std::uint64_t> explained_;  // incarnations, the latest last
+  // Those that fewer requests share come later.
+  enum class ContentKind { kRequestWithoutQuery, kPromptPart, kWholeRequest };
+  struct ExplainedCrash {
+    std::uint64_t incarnation = 0;
+    ContentKind cause = ContentKind::kPromptPart;
+  };
+  static ContentKind KindOf(const ContentKey& content);
+  std::deque<ExplainedCrash> explained_;  // the latest last
   // When contents were served last. A full map replaces the older one.
   std::map<ContentKey, TimePoint> served_;
   std::map<ContentKey, TimePoint> served_before_;
--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -19,6 +19,14 @@
   return now - Duration(std::clamp<std::int64_t>(age_us, 0, kMaximumAgeUs));
 }
 
+routing::ServerCrash ReadCrash(const messages::ContentCrash& crash,
+                               TimePoint now) {
+  return {crash.server_incarnation(),
+          crash.had_started_response() ? routing::CrashMoment::kJustStarted
+                                       : routing::CrashMoment::kUnclear,
+          now, Before(now, crash.sent_age_us())};
+}
+
 // Keys that another host could not have made are dropped.
 template <typename Texts>
 std::vector<routing::ContentKey> ReadKeys(const Texts& texts) {
@@ -68,10 +76,10 @@
 
 void ContentBlocks::OnCrash(const routing::ServerIncarnation& server,
                             std::span<const routing::ContentKey> contents,
-                            routing::CrashMoment moment) {
+                            routing::CrashMoment moment, TimePoint sent_at) {
   if (contents.empty()) return;
   const routing::ServerCrash crash{StableHash(server.Key()), moment,
-                                   context_.Now()};
+                                   context_.Now(), sent_at};
   const std::vector<routing::ContentKey> blocked =
       suspects_.AddCrash(contents, crash);
   const bool has_started = moment == routing::CrashMoment::kJustStarted;
@@ -84,6 +92,7 @@
     messages::ContentCrash& copy = *reports.add_crashes();
     copy.set_server_incarnation(crash.incarnation);
     copy.set_had_started_response(has_started);
+    copy.set_sent_age_us((crash.at - sent_at).count());
     for (const routing::ContentKey& content : contents)
       copy.add_contents(content.value());
     for (const routing::ContentKey& content : blocked)
@@ -162,13 +171,9 @@
                               const messages::ContentReports& reports) {
   const TimePoint now = context_.Now();
   for (const messages::ContentCrash& crash : reports.crashes())
-    OnBlocked(suspects_.AddCrash(ReadKeys(crash.contents()),
-                                 {crash.server_incarnation(),
-                                  crash.had_started_response()
-                                      ? routing::CrashMoment::kJustStarted
-                                      : routing::CrashMoment::kUnclear,
-                                  now}),
-              "peer_crash");
+    OnBlocked(
+        suspects_.AddCrash(ReadKeys(crash.contents()), ReadCrash(crash, now)),
+        "peer_crash");
   for (const messages::BlockedContent& copy : reports.blocked()) {
     if (!routing::IsContentKey(copy.content())) continue;
     const routing::ContentKey content(copy.content());
--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -37,14 +37,18 @@
   // know.
   void SetHosts(std::vector<std::string> others);
 
-  // Records that a server crashed under a request with these contents.
+  // Records that a server crashed under a request with these contents, which
+  // was sent to it at `sent_at`.
   void OnCrash(const routing::ServerIncarnation& server,
                std::span<const routing::ContentKey> contents,
-               routing::CrashMoment moment);
+               routing::CrashMoment moment, TimePoint sent_at);
 
   // Records that a server has served a request with these contents and lives.
   void OnServed(std::span<const routing::ContentKey> contents);
 
+  // Returns whether the keys of requests are needed, beside those of prompts.
+  bool TracksRequests() const { return suspects_.TracksRequests(); }
+
   // Returns until when requests with these contents are refused; nothing if
   // they are not.
   std::optional<TimePoint> BlockedUntil(
--- a/services/gateway/content_watch.cc
+++ b/services/gateway/content_watch.cc
@@ -14,26 +14,38 @@
                          const routing::RequestIdentity& identity) {
   identity_ = identity;
   contents_ = routing::SharedPartKeys(prompt);
+  AddRequestKeysIfTracked();
   if (blocks_.BlockedUntil(contents_))
     is_trial_ = blocks_.TryStartTrial(contents_);
 }
 
-std::optional<TimePoint> ContentWatch::BlockedUntil() const {
-  return is_trial_ ? std::nullopt : blocks_.BlockedUntil(contents_);
+std::optional<TimePoint> ContentWatch::BlockedUntil() {
+  if (is_trial_) return std::nullopt;
+  AddRequestKeysIfTracked();
+  return blocks_.BlockedUntil(contents_);
+}
+
+// Hashing large bodies takes time.
+void ContentWatch::AddRequestKeysIfTracked() {
+  if (blocks_.TracksRequests()) AddRequestKeys();
 }
 
-// Most requests need no keys, and hashing large bodies takes time.
 void ContentWatch::AddRequestKeys() {
-  if (request_keys_.empty()) request_keys_ = routing::RequestKeys(identity_);
+  if (has_request_keys_) return;
+  has_request_keys_ = true;
+  const std::vector<routing::ContentKey> keys = routing::RequestKeys(identity_);
+  // Requests share the part of a prompt less often than a path and a body, but
+  // more often than both and the prompt.
+  contents_.insert(contents_.begin(), keys.front());
+  contents_.insert(contents_.end(), keys.begin() + 1, keys.end());
 }
 
 std::string ContentWatch::FormatForLog() const {
-  std::vector<routing::ContentKey> keys = contents_;
-  keys.insert(keys.end(), request_keys_.begin(), request_keys_.end());
-  return routing::FormatForLog(keys);
+  return routing::FormatForLog(contents_);
 }
 
 void ContentWatch::OnSend() {
+  sent_at_ = context_.Now();
   has_head_ = false;
   first_content_at_.reset();
   is_served_ = false;
@@ -44,6 +56,7 @@
   if (!first_content_at_) first_content_at_ = now;
   if (is_served_ || now - *first_content_at_ < kServedTime) return;
   is_served_ = true;
+  AddRequestKeysIfTracked();
   blocks_.OnServed(contents_);
 }
 
@@ -54,11 +67,14 @@
   blocks_.OnCrash(server, contents_,
                   has_head_ && !first_content_at_
                       ? routing::CrashMoment::kJustStarted
-                      : routing::CrashMoment::kUnclear);
+                      : routing::CrashMoment::kUnclear,
+                  sent_at_);
 }
 
 void ContentWatch::OnComplete(bool is_end_certain) {
-  if (is_end_certain) blocks_.OnServed(contents_);
+  if (!is_end_certain) return;
+  AddRequestKeysIfTracked();
+  blocks_.OnServed(contents_);
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/content_watch.h
+++ b/services/gateway/content_watch.h
@@ -21,7 +21,7 @@
              const routing::RequestIdentity& identity);
 
   // Returns until when the request must not be sent; nothing if it may.
-  std::optional<TimePoint> BlockedUntil() const;
+  std::optional<TimePoint> BlockedUntil();
 
   // Whether the request is a trial, which is sent to one server only.
   bool is_trial() const { return is_trial_; }
@@ -43,14 +43,17 @@
  private:
   Context& context_;
   ContentBlocks& blocks_;
-  // Adds the keys of the request to those of its prompt, once.
+  // Adds the keys of the request, unless no host needs them.
+  void AddRequestKeysIfTracked();
   void AddRequestKeys();
 
+  // The contents, those that more requests share first.
   std::vector<routing::ContentKey> contents_;
-  std::vector<routing::ContentKey> request_keys_;
   routing::RequestIdentity identity_;
+  bool has_request_keys_ = false;
   bool is_trial_ = false;
   // Of the last send.
+  TimePoint sent_at_{};
   bool has_head_ = false;
   std::optional<TimePoint> first_content_at_;
   bool is_served_ = false;  // reported
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -106,7 +106,7 @@
       request_.prompt,
       {team_, head.method,
        WithoutPort(http::FindField(head.fields, "Host").value_or("")),
-       head.target, exchange_->body()});
+       head.target, exchange_->body(), request_.prompt.parts});
   if (RefuseBlockedContent()) return;
   if (IsStream() && request_.resume_after) return FindOrigin();
   StartStages();
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -252,7 +252,8 @@
 }
 
 TEST_CASE("A request is named by its caller, path and body") {
-  const RequestIdentity request{"team", "POST", "a.example", "/p/1", "body"};
+  const RequestIdentity request{"team", "POST", "a.example",
+                                "/p/1", "body", {}};
   const std::vector<ContentKey> keys = RequestKeys(request);
   REQUIRE(keys.size() == 1);
   REQUIRE(IsContentKey(keys.front().value()));
@@ -274,7 +275,7 @@
 }
 
 TEST_CASE("A request with a query has a key with and one without it") {
-  const RequestIdentity plain{"", "GET", "a.example", "/p/1", ""};
+  const RequestIdentity plain{"", "GET", "a.example", "/p/1", "", {}};
   RequestIdentity first = plain;
   first.target = "/p/1?page=1";
   RequestIdentity second = plain;
@@ -285,5 +286,94 @@
   REQUIRE(RequestKeys(first).back() != RequestKeys(second).back());
 }
 
+// Guards against one request that comes again and crashes server after server
+// (BUDGET).
+TEST_CASE("A request under which three servers crash is blocked") {
+  CrashSuspects suspects;
+  const ContentKey request("r" + std::string(32, '1'));
+  REQUIRE_FALSE(suspects.TracksRequests());
+  const auto add = [&](std::uint64_t server, Duration at, Duration sent) {
+    return suspects.AddCrash(std::span(&request, 1),
+                             {server, CrashMoment::kUnclear, At(at), At(sent)});
+  };
+  SECTION("Sent to the next server once the one before has crashed") {
+    REQUIRE(add(1, milliseconds(40), milliseconds(0)).empty());
+    REQUIRE(suspects.TracksRequests());
+    REQUIRE(add(2, milliseconds(80), milliseconds(41)).empty());
+    REQUIRE(add(3, milliseconds(180), milliseconds(81)).size() == 1);
+  }
+  SECTION("Sent to several servers at once, again and again") {
+    for (std::uint64_t server = 1; server <= 3; ++server)
+      REQUIRE(add(server, milliseconds(40 + server), milliseconds(0)).empty());
+    REQUIRE(add(4, seconds(4), milliseconds(3990)).empty());
+    REQUIRE(add(5, milliseconds(4010), milliseconds(3990)).size() == 1);
+  }
+  SECTION("Served before") {
+    suspects.AddServed(std::span(&request, 1), At(seconds(0)));
+    for (int i = 1; i <= 2; ++i)
+      REQUIRE(add(static_cast<std::uint64_t>(i), seconds(i), seconds(i - 1))
+                  .empty());
+    REQUIRE(add(3, seconds(3), seconds(2)).size() == 1);
+  }
+  REQUIRE(suspects.Find(request) != nullptr);
+  REQUIRE(suspects.TracksRequests());
+}
+
+// Guards against blocking a request that many callers send while a zone loses
+// power.
+TEST_CASE("Servers that crash at the same time do not block a request") {
+  CrashSuspects suspects;
+  const ContentKey request("r" + std::string(32, '1'));
+  for (std::uint64_t server = 1; server <= 20; ++server)
+    REQUIRE(suspects
+                .AddCrash(
+                    std::span(&request, 1),
+                    {server, CrashMoment::kUnclear,
+                     At(milliseconds(100 + server)), At(milliseconds(server))})
+                .empty());
+}
+
+// Guards against blocking sound requests that lose their server with the
+// crashing one and follow it to the next.
+TEST_CASE("Other contents at the crashed servers stay free") {
+  CrashSuspects suspects;
+  const ContentKey cause("r" + std::string(32, '1'));
+  const ContentKey sound("r" + std::string(32, '2'));
+  for (int i = 1; i <= 3; ++i) {
+    const ServerCrash crash{static_cast<std::uint64_t>(i),
+                            CrashMoment::kJustStarted, At(seconds(i)),
+                            At(milliseconds(1000 * i - 50))};
+    if (i < 3) suspects.AddCrash(std::span(&sound, 1), crash);
+    suspects.AddCrash(std::span(&kCommon, 1), crash);
+    suspects.AddCrash(std::span(&cause, 1), crash);
+    if (i < 3)
+      suspects.AddServed(std::span(&kCommon, 1), crash.at + seconds(0));
+  }
+  REQUIRE(suspects.Find(cause) != nullptr);
+  REQUIRE(suspects.Find(sound) == nullptr);
+  REQUIRE(suspects.Find(kCommon) == nullptr);
+  REQUIRE_FALSE(
+      suspects.AddServed(std::span(&sound, 1), At(seconds(4))).empty());
+}
+
+// Guards against a path that is blocked because one of its queries crashes
+// servers.
+TEST_CASE("The narrowest content under which servers crash is blocked") {
+  CrashSuspects suspects;
+  const ContentKey path("r" + std::string(32, '1'));
+  const ContentKey whole("q" + std::string(32, '2'));
+  const std::vector<ContentKey> contents{path, kCommon, whole};
+  const auto add = [&](int i) {
+    return suspects.AddCrash(
+        contents, {static_cast<std::uint64_t>(i), CrashMoment::kUnclear,
+                   At(seconds(i)), At(milliseconds(1000 * i - 50))});
+  };
+  for (int i = 1; i <= 2; ++i) REQUIRE(add(i).empty());
+  REQUIRE(add(3) == std::vector<ContentKey>{whole});
+  for (int i = 4; i <= 10; ++i) REQUIRE(add(i).empty());
+  REQUIRE(suspects.Find(path) == nullptr);
+  REQUIRE(suspects.Find(kCommon) == nullptr);
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
