Crash suspects: Do not take lost connections to servers that live for crashes

A connection that the kernel ended for want of answers is no crash any more, and a server that responds later than half a second after its crash was reported refutes it at all hosts.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -129,7 +129,7 @@
 
   bool DeliverProgress();
   void Complete();
-  void Fail(CallFailure failure);
+  void Fail(CallFailure failure, bool is_server_lost = false);
 
   ConnectionPool& pool_;
   std::string server_;
@@ -261,16 +261,18 @@
     if (!DeliverProgress() || !*alive) return;
     return Complete();
   }
-  Fail(CallFailure::kConnectionLost);
+  Fail(CallFailure::kConnectionLost, end == StreamEnd::kPeerLost);
 }
 
-void ConnectionPool::Connection::Fail(CallFailure failure) {
+void ConnectionPool::Connection::Fail(CallFailure failure,
+                                      bool is_server_lost) {
   if (observer_ == nullptr) return;
   CallObserver* observer = observer_;
   std::unique_ptr<Connection> self = call_->Release();
   Detach();
   CloseNow();
-  const CallEnd end{failure, was_reused_ && !has_response_bytes_};
+  const CallEnd end{failure, was_reused_ && !has_response_bytes_,
+                    is_server_lost};
   loop().DestroyLater(std::move(self));
   observer->OnCallFailed(end);
 }
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -28,6 +28,8 @@
   // Whether the connection was reused and ended before any byte of a response.
   // The server may have closed it while the request was on its way.
   bool was_reused = false;
+  // Whether it ended without a sign of the server, which may go on.
+  bool is_server_lost = false;
 };
 
 // Receives the response to one call. A callback may destroy the call.
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -276,7 +276,7 @@
   if (peer_progress_ && peer_progress_->IsLost(peer, since_answer,
                                                poller_.loop().clock().Now())) {
     ResetOnClose();
-    return End(StreamEnd::kReset);
+    return End(StreamEnd::kPeerLost);
   }
   CheckPeerLater();
 }
@@ -298,7 +298,8 @@
     const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (count < 0) {
       if (errno == EAGAIN || errno == EINTR) return;
-      return End(StreamEnd::kReset);
+      const bool is_reset = errno == ECONNRESET || errno == EPIPE;
+      return End(is_reset ? StreamEnd::kReset : StreamEnd::kPeerLost);
     }
     if (count == 0) return End(StreamEnd::kEndOfFile);
     const auto size = static_cast<std::size_t>(count);
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -16,7 +16,8 @@
 enum class StreamEnd {
   kConnectFailed,  // no connection; nothing was sent
   kEndOfFile,      // the peer closed its sending half
-  kReset,          // the connection was reset or timed out
+  kReset,          // the peer reset the connection
+  kPeerLost,       // the peer did not answer in time, or has no path to it
 };
 
 // Receives the events of one TcpStream. A callback may destroy the stream.
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -40,6 +40,9 @@
 constexpr std::size_t kMaximumSuspects = 4096;
 constexpr std::size_t kSuspectsAfterLimit = 3072;
 constexpr std::size_t kMaximumCrashesPerContent = 16;
+constexpr std::size_t kMaximumCrashedServers = 1024;
+// A server that was taken for crashed responds within this time if it lives.
+constexpr Duration kRefutableTime = std::chrono::minutes(1);
 constexpr std::size_t kMaximumExplainedCrashes = 64;
 constexpr std::size_t kMaximumServedContents = 8192;
 constexpr std::size_t kMaximumBlockedContents = 1024;
@@ -215,6 +218,7 @@
     is_explained = true;
   }
   if (is_explained) return {};
+  RememberCrash(crash);
   for (const ContentKey& content : contents)
     if (!WasServedSince(content, crash.at) &&
         !IsExplained(crash.incarnation, content))
@@ -383,6 +387,31 @@
   return false;
 }
 
+void CrashSuspects::RememberCrash(const ServerCrash& crash) {
+  if (crashed_at_.size() >= kMaximumCrashedServers)
+    std::erase_if(crashed_at_, [&](const auto& item) {
+      return crash.at - item.second > kRefutableTime;
+    });
+  if (crashed_at_.size() >= kMaximumCrashedServers) return;
+  TimePoint& known = crashed_at_[crash.incarnation];
+  known = std::max(known, crash.at);
+}
+
+bool CrashSuspects::RefuteCrash(std::uint64_t incarnation,
+                                TimePoint responded_at) {
+  const auto known = crashed_at_.find(incarnation);
+  if (known == crashed_at_.end() || known->second > responded_at) return false;
+  crashed_at_.erase(known);
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
+    std::erase_if(suspect->second, [&](const ServerCrash& crash) {
+      return crash.incarnation == incarnation;
+    });
+    suspect =
+        suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
+  }
+  return true;
+}
+
 bool CrashSuspects::Block(const ContentKey& content,
                           const BlockedContent& block) {
   if (WasServedSince(content, block.crashed_at)) return false;
@@ -434,6 +463,9 @@
            CrashMoment::kJustStarted, now - kCommonCauseTime * i});
     block = blocked_.erase(block);
   }
+  std::erase_if(crashed_at_, [now](const auto& item) {
+    return now - item.second > kRefutableTime;
+  });
   LimitSuspects();
 }
 
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -95,6 +95,11 @@
   std::vector<ContentKey> AddServed(std::span<const ContentKey> contents,
                                     TimePoint at);
 
+  // Removes the crashes of a server up to `responded_at`, since it has
+  // responded after that. Returns whether there was one.
+  bool RefuteCrash(std::uint64_t incarnation, TimePoint responded_at);
+  bool has_crashes() const { return !crashed_at_.empty(); }
+
   // Blocks a content as another host does. Returns false, without effect, if
   // this host knows that the content was served since the crash, or a later
   // crash.
@@ -138,11 +143,14 @@
   // Does so for the crashes under a content that is blocked now.
   void ExplainCrashesOf(const ContentKey& content);
   bool IsExplained(std::uint64_t incarnation, const ContentKey& content) const;
+  void RememberCrash(const ServerCrash& crash);
   void AddTo(Crashes& crashes, const ServerCrash& crash) const;
   void LimitSuspects();
   void RememberServed(const ContentKey& content, TimePoint at);
 
   std::map<ContentKey, Crashes> suspects_;
+  // Servers whose crashes are known, with the time of the last.
+  std::map<std::uint64_t, TimePoint> crashed_at_;
   std::map<ContentKey, BlockedContent> blocked_;
   // Those that fewer requests share come later.
   enum class ContentKind { kRequestWithoutQuery, kPromptPart, kWholeRequest };
--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -11,6 +11,8 @@
 // of all hosts.
 constexpr std::size_t kAskedHosts = 3;
 constexpr Duration kAskDelay = std::chrono::milliseconds(100);
+// Responses that a server sent before its crash may be read this much later.
+constexpr Duration kLateResponseTime = std::chrono::milliseconds(500);
 constexpr std::uint32_t kMaximumReportedTrials = 1000;
 // Limit on the time spans in messages, which another version may send.
 constexpr std::int64_t kMaximumAgeUs = std::int64_t{3600} * 1000 * 1000;
@@ -102,6 +104,17 @@
   OnBlocked(blocked, "crash");
 }
 
+void ContentBlocks::OnResponse(const routing::ServerIncarnation& server) {
+  if (!suspects_.has_crashes()) return;
+  const std::uint64_t incarnation = StableHash(server.Key());
+  if (!suspects_.RefuteCrash(incarnation, context_.Now() - kLateResponseTime))
+    return;
+  context_.log.Write("crash_refuted", "", {{"server", server.id.value()}});
+  Broadcast([incarnation](messages::ContentReports& reports) {
+    reports.add_living_servers(incarnation);
+  });
+}
+
 void ContentBlocks::OnServed(std::span<const routing::ContentKey> contents) {
   const std::vector<routing::ContentKey> cleared =
       suspects_.AddServed(contents, context_.Now());
@@ -187,6 +200,8 @@
       OnBlocked(std::span(&content, 1), "peer");
   }
   suspects_.AddServed(ReadKeys(reports.served_contents()), now);
+  for (const std::uint64_t incarnation : reports.living_servers())
+    suspects_.RefuteCrash(incarnation, now);
   if (!reports.requests_blocks() || suspects_.blocked().empty()) return;
   messages::ContentReports& answer = outbox_.To(from);
   answer.clear_blocked();
--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -43,6 +43,10 @@
                std::span<const routing::ContentKey> contents,
                routing::CrashMoment moment, TimePoint sent_at);
 
+  // Records that a server responds, so that connections lost before were no
+  // crash of it.
+  void OnResponse(const routing::ServerIncarnation& server);
+
   // Records that a server has served a request with these contents and lives.
   void OnServed(std::span<const routing::ContentKey> contents);
 
--- a/services/gateway/content_watch.cc
+++ b/services/gateway/content_watch.cc
@@ -51,6 +51,11 @@
   is_served_ = false;
 }
 
+void ContentWatch::OnResponseHead(const routing::ServerIncarnation& server) {
+  has_head_ = true;
+  blocks_.OnResponse(server);
+}
+
 void ContentWatch::OnContent() {
   const TimePoint now = context_.Now();
   if (!first_content_at_) first_content_at_ = now;
--- a/services/gateway/content_watch.h
+++ b/services/gateway/content_watch.h
@@ -31,7 +31,7 @@
   std::string FormatForLog() const;
 
   void OnSend();
-  void OnResponseHead() { has_head_ = true; }
+  void OnResponseHead(const routing::ServerIncarnation& server);
   // Content of the response has come.
   void OnContent();
   // The connection to the server ended before the response was complete.
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -49,7 +49,7 @@
 
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
   OnHeard();
-  content_watch_.OnResponseHead();
+  content_watch_.OnResponseHead(incarnation_);
   head_ = head;
   response_metadata_ = context_.codec.ReadResponseHead(head, Now());
   notices_.OnResponse(incarnation_, response_metadata_);
@@ -223,7 +223,7 @@
     tried_.pop_back();
     return Retry("stale_connection");
   }
-  if (end.failure == http::CallFailure::kConnectionLost)
+  if (end.failure == http::CallFailure::kConnectionLost && !end.is_server_lost)
     content_watch_.OnConnectionLost(incarnation_);
   OnBrokenResponse(
       end.failure == http::CallFailure::kInvalidResponse    ? "garbled"
--- a/tests/gateway_reports/crashing_request_test.cc
+++ b/tests/gateway_reports/crashing_request_test.cc
@@ -20,12 +20,14 @@
  {"name":"safe","host":"a.example","prefix":"/s/","kind":"safe",
   "timeoutMs":3000,"goalMs":300,"attempts":2,"service":"orders"},
  {"name":"once","host":"a.example","prefix":"/u/","kind":"unsafe",
-  "timeoutMs":3000,"goalMs":300,"attempts":2,"service":"orders"}],
+  "timeoutMs":5000,"goalMs":300,"attempts":2,"service":"orders"}],
  "services":[{"name":"orders","healthPath":"/h","maxConns":90}],
  "tenants":[{"name":"t1","apiKeys":["key1"]},{"name":"t2","apiKeys":["key2"]}],
  "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
 
 constexpr const char* kCrashingBody = "crash";
+constexpr const char* kResetBody = "reset";
+constexpr const char* kSilentBody = "silent";
 constexpr std::size_t kHosts = 3;
 constexpr int kServers = 3;
 // Time until the hosts have read the rows of servers that have restarted.
@@ -38,6 +40,7 @@
 constexpr milliseconds kRunTime(40);
 
 // Requests with kCrashingBody of the team t1 crash the servers that run them.
+// Those with the other two lose their connection to a server that lives.
 class CrashingRequestFixture : public GatewayFixture {
  public:
   CrashingRequestFixture() {
@@ -70,7 +73,7 @@
     return Send("POST " + target +
                     " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
                     "X-Lovagecleat-Request-Id: id1\r\nX-Api-Key: " +
-                    key + "\r\nX-Lovagecleat-Deadline-Ms: 2000\r\n" +
+                    key + "\r\nX-Lovagecleat-Deadline-Ms: 5000\r\n" +
                     "Content-Length: " + std::to_string(body.size()) +
                     "\r\n\r\n" + body,
                 host);
@@ -98,6 +101,8 @@
     return count;
   }
 
+  std::atomic<bool> resets_connections_ = true;
+
  private:
   bool Run(RawConnection& connection, const std::string& request,
            std::size_t server) {
@@ -109,6 +114,12 @@
       ++crashes_.at(server);
       return false;
     }
+    if (request.ends_with(kResetBody) && resets_connections_) return false;
+    if (request.ends_with(kSilentBody)) {
+      connection.DropIncoming();
+      connection.WaitForClose();
+      return false;
+    }
     connection.Write(
         Join({"HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n", kSeal,
               "Content-Length: 2\r\n\r\nok"}));
@@ -144,5 +155,30 @@
   REQUIRE(crashes() <= 2);
 }
 
+// Guards against hosts whose connections are lost while the servers live: they
+// must not make other hosts refuse sound requests.
+TEST_CASE_METHOD(CrashingRequestFixture,
+                 "Connections lost at servers that live block nothing") {
+  StartHosts(kHosts);
+  for (int i = 0; i < 4; ++i) {
+    SendBody("/s/1", kResetBody, 0);
+    RunFor(kRowsDelay);
+    // Responses of all servers.
+    for (int j = 0; j < 3 * kServers; ++j)
+      REQUIRE(IsServed(SendBody("/s/2", "sound", 1)));
+  }
+  resets_connections_ = false;
+  for (std::size_t host = 0; host < kHosts; ++host)
+    REQUIRE(IsServed(SendBody("/s/1", kResetBody, host)));
+}
+
+TEST_CASE_METHOD(CrashingRequestFixture,
+                 "A connection that ends by a timeout is no crash") {
+  StartHosts(1);
+  REQUIRE(SendBody("/u/1", kSilentBody, 0).starts_with("HTTP/1.1 502"));
+  REQUIRE(LogText().find(R"("outcome":"broken")") != std::string::npos);
+  REQUIRE(LogText().find("content_crash") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
--- a/tests/http/lost_peer_test.cc
+++ b/tests/http/lost_peer_test.cc
@@ -1,5 +1,4 @@
 #include <arpa/inet.h>
-#include <linux/filter.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -10,23 +9,17 @@
 
 #include "http/http.h"
 #include "tests/transport/loop_fixture.h"
+#include "tests/transport/raw_server.h"
 
 // Tests connections whose peer reads nothing or is lost.
 namespace lovagecleat::http {
 namespace {
 
 using std::chrono::milliseconds;
+using transport::DropIncoming;
 
 constexpr std::size_t kMoreThanFits = std::size_t{8} * 1024 * 1024;
 
-// Drops all packets that arrive for the socket, as if its machine were gone.
-void DropIncoming(int descriptor) {
-  sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
-  const sock_fprog program{1, &drop_all};
-  REQUIRE(setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
-                     sizeof(program)) == 0);
-}
-
 struct EndRecorder final : StreamObserver {
   void OnBytes(std::string_view /*bytes*/) override {}
   void OnConnected() override { is_connected = true; }
@@ -88,7 +81,7 @@
   DropIncoming(peer_);
   stream_->Write(std::string(bytes, 'x'));
   const Duration time = TimeToEnd();
-  REQUIRE(recorder_.end == StreamEnd::kReset);
+  REQUIRE(recorder_.end == StreamEnd::kPeerLost);
   REQUIRE(time > milliseconds(1000));
   REQUIRE(time < milliseconds(3000));
 }
@@ -103,7 +96,7 @@
   DropIncoming(peer_);
   // The kernel sends its probes in growing intervals.
   REQUIRE(TimeToEnd() < milliseconds(6000));
-  REQUIRE(recorder_.end == StreamEnd::kReset);
+  REQUIRE(recorder_.end == StreamEnd::kPeerLost);
 }
 
 // Guards against ended connections: bytes that the kernel holds for a peer that
@@ -128,7 +121,7 @@
   DropIncoming(peer_);
   stream_->Write("x");
   REQUIRE(TimeToEnd() < milliseconds(3000));
-  REQUIRE(recorder_.end == StreamEnd::kReset);
+  REQUIRE(recorder_.end == StreamEnd::kPeerLost);
 }
 
 tcp_info MakeInfo(std::uint32_t unacknowledged, std::uint32_t unsent,
--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -1,6 +1,7 @@
 #include "tests/transport/raw_server.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -95,6 +96,15 @@
   while (ReadSome()) buffer_.clear();
 }
 
+void RawConnection::DropIncoming() { transport::DropIncoming(descriptor_); }
+
+void DropIncoming(int descriptor) {
+  sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+  const sock_fprog program{1, &drop_all};
+  setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+             sizeof(program));
+}
+
 RawServer::RawServer(Serve serve)
     : serve_(std::move(serve)), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
   port_ = BindToAnyPort(listener_);
--- a/tests/transport/raw_server.h
+++ b/tests/transport/raw_server.h
@@ -25,6 +25,8 @@
   bool WriteUntilClosed(std::string_view bytes, std::size_t maximum);
   // Blocks until the client closes the connection.
   void WaitForClose();
+  // As the function below, for this connection.
+  void DropIncoming();
 
  private:
   bool ReadSome();
@@ -75,6 +77,10 @@
   int descriptor_;
 };
 
+// Drops all packets that arrive for the socket from now on, as if its machine
+// were gone.
+void DropIncoming(int descriptor);
+
 // Returns a port on which nothing listens.
 std::uint16_t UnusedPort();
 
