--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -101,9 +101,31 @@
   rows_[{table, key}] = {table, key, "", {era_, ++version_}, true};
 }
 
-GatewayFixture::Host::Host(GatewayFixture& fixture, const std::string& name)
+HostRowSource::Callback HostRowSource::Edited(const std::string& table,
+                                              Callback callback) const {
+  if (table != "servers" || !edit_) return callback;
+  return [this, callback = std::move(callback)](RowsResponse response) {
+    for (routing::Row& row : response.rows)
+      if (!row.is_removed) row.value = edit_(host_, std::move(row.value));
+    callback(std::move(response));
+  };
+}
+
+void HostRowSource::ReadAll(const std::string& table, Callback callback) {
+  rows_.ReadAll(table, Edited(table, std::move(callback)));
+}
+
+void HostRowSource::Follow(const std::string& table,
+                           routing::RowVersion version, Duration wait,
+                           Callback callback) {
+  rows_.Follow(table, version, wait, Edited(table, std::move(callback)));
+}
+
+GatewayFixture::Host::Host(GatewayFixture& fixture, const std::string& name,
+                           std::size_t number)
     : log_file(memfd_create("log", MFD_CLOEXEC)),
       log(fixture.clock_, name, log_file),
+      rows(fixture.rows, fixture.edit_server_row, number),
       pool(fixture.poller_) {
   settings.host = HostId(name);
   settings.zone = ZoneId("z");
@@ -115,9 +137,8 @@
   settings.peers = address();
   settings.store = address();
   settings.limits.shutdown_timeout = std::chrono::seconds(4);
-  gateway =
-      std::make_unique<Gateway>(fixture.loop(), fixture.codec_, fixture.rows,
-                                settings, fixture.poller_, pool, log);
+  gateway = std::make_unique<Gateway>(fixture.loop(), fixture.codec_, rows,
+                                      settings, fixture.poller_, pool, log);
 }
 
 GatewayFixture::Host::~Host() { close(log_file); }
@@ -135,7 +156,7 @@
 }
 
 GatewayFixture::GatewayFixture() : poller_(loop()) {
-  hosts_.push_back(std::make_unique<Host>(*this, "host"));
+  hosts_.push_back(std::make_unique<Host>(*this, "host", 0));
   gateway = hosts_.front()->gateway.get();
 }
 
@@ -148,7 +169,7 @@
 void GatewayFixture::StartHosts(std::size_t count) {
   while (hosts_.size() < count)
     hosts_.push_back(std::make_unique<Host>(
-        *this, "host-" + std::to_string(hosts_.size() + 1)));
+        *this, "host-" + std::to_string(hosts_.size() + 1), hosts_.size()));
   for (const auto& host : hosts_)
     if (host != nullptr) AddHostRow(*host);
   for (; started_hosts_ < hosts_.size(); ++started_hosts_)
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -69,6 +69,42 @@
   std::uint64_t version_ = 0;
 };
 
+// The rows as one host reads them.
+class HostRowSource final : public RowSource {
+ public:
+  // Returns the value of a server's row for that host.
+  using Edit = std::function<std::string(std::size_t host, std::string value)>;
+
+  HostRowSource(FakeRowSource& rows, const Edit& edit, std::size_t host)
+      : rows_(rows), edit_(edit), host_(host) {}
+
+  std::vector<std::string> tables() const override { return rows_.tables(); }
+  RowSubject SubjectOf(const routing::Row& row) const override {
+    return rows_.SubjectOf(row);
+  }
+  void ReadAll(const std::string& table, Callback callback) override;
+  void Follow(const std::string& table, routing::RowVersion version,
+              Duration wait, Callback callback) override;
+  void WriteHost(const HostId& host, std::string value,
+                 std::function<void(bool)> callback) override {
+    rows_.WriteHost(host, std::move(value), std::move(callback));
+  }
+  void WriteContentBlock(const std::string& content, std::string value,
+                         std::function<void(bool)> callback) override {
+    rows_.WriteContentBlock(content, std::move(value), std::move(callback));
+  }
+  void RemoveContentBlock(const std::string& content) override {
+    rows_.RemoveContentBlock(content);
+  }
+
+ private:
+  Callback Edited(const std::string& table, Callback callback) const;
+
+  FakeRowSource& rows_;
+  const Edit& edit_;
+  std::size_t host_;
+};
+
 // Runs one or several gateways on one loop, with servers scripted by the test.
 // The gateways share `rows` as their store; the first one is number 0.
 class GatewayFixture : public transport::LoopFixture {
@@ -117,12 +153,14 @@
   std::string LogText(std::size_t host = 0);
 
   FakeRowSource rows;
+  // Set it before hosts start if they reach servers at addresses of their own.
+  HostRowSource::Edit edit_server_row;
   Gateway* gateway = nullptr;  // the first one; null once killed
 
  private:
   // What one gateway process has for itself.
   struct Host {
-    Host(GatewayFixture& fixture, const std::string& name);
+    Host(GatewayFixture& fixture, const std::string& name, std::size_t number);
     ~Host();
     Host(const Host&) = delete;
     Host& operator=(const Host&) = delete;
@@ -130,6 +168,7 @@
     int log_file;
     configuration::GatewaySettings settings;
     logging::EventLog log;
+    HostRowSource rows;
     http::ConnectionPool pool;
     std::unique_ptr<Gateway> gateway;
   };
@@ -165,6 +204,7 @@
 
   explicit ScriptedServer(Script script);
   std::string address() const { return server_.address(); }
+  transport::RawServer& server() { return server_; }
   int requests() const { return requests_; }
   int connections() const { return connections_; }
   std::string last_request();
--- /dev/null
+++ b/tests/gateway_reports/lost_path_test.cc
@@ -0,0 +1,148 @@
+#include <array>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/gateway/gateway_fixture.h"
+
+// Tests that the callers of a host that has lost its path to all servers are
+// served by way of the other hosts.
+namespace lovagecleat::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using transport::RawConnection;
+using Cut = transport::RawServer::Cut;
+
+constexpr const char* kRouting = R"({"version":3,"routes":[
+ {"name":"safe","host":"a.example","prefix":"/s/","kind":"safe",
+  "timeoutMs":3000,"goalMs":300,"attempts":2,"service":"orders"},
+ {"name":"once","host":"a.example","prefix":"/u/","kind":"unsafe",
+  "timeoutMs":3000,"goalMs":300,"attempts":1,"service":"orders"},
+ {"name":"stream","host":"a.example","prefix":"/r/","kind":"stream",
+  "timeoutMs":6000,"goalMs":1000,"gapAimMs":100,"attempts":2,
+  "service":"model","sticky":true,"resumable":true}],
+ "services":[{"name":"orders","healthPath":"/h","maxConns":90},
+  {"name":"model","healthPath":"/h","maxConns":90}],
+ "tenants":[{"name":"t1","apiKeys":["key1"]}],
+ "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
+
+constexpr std::size_t kHosts = 3;
+constexpr std::size_t kServersPerService = 3;
+// Time after which a host must know that it has no path.
+constexpr Duration kNoticeTime = milliseconds(2500);
+// Time after which a host must use its path again.
+constexpr Duration kReturnTime = milliseconds(3500);
+constexpr int kRequests = 8;
+
+// Each host reaches the servers by a path of its own, which can be cut.
+class LostPathFixture : public GatewayFixture {
+ public:
+  LostPathFixture() {
+    rows.Set("op", "config", kRouting);
+    for (std::size_t host = 0; host < kHosts; ++host)
+      for (std::size_t i = 0; i < 2 * kServersPerService; ++i)
+        paths_.at(host).push_back(std::make_unique<ScriptedServer>(
+            [this, host](RawConnection& connection,
+                         const std::string& request) {
+              return Run(connection, request, host);
+            }));
+    // Rows name a server by its number in place of an address.
+    edit_server_row = [this](std::size_t host, const std::string& value) {
+      nlohmann::json row = nlohmann::json::parse(value);
+      const auto number = std::stoul(row.at("address").get<std::string>());
+      row["address"] = paths_.at(host).at(number)->address();
+      return row.dump();
+    };
+    for (std::size_t i = 0; i < 2 * kServersPerService; ++i)
+      AddServer("s" + std::to_string(i),
+                i < kServersPerService ? "orders" : "model", std::to_string(i));
+  }
+
+  void CutPaths(std::size_t host, Cut cut) {
+    for (const auto& server : paths_.at(host)) server->server().CutPath(cut);
+  }
+
+  void RestorePaths(std::size_t host) {
+    for (const auto& server : paths_.at(host)) server->server().RestorePath();
+  }
+
+  std::string SendTo(std::size_t host, const std::string& path) {
+    return Send("POST " + path +
+                    " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+                    "X-Lovagecleat-Request-Id: id1\r\nX-Api-Key: key1\r\n"
+                    "X-Lovagecleat-Deadline-Ms: 2500\r\n"
+                    "X-Lovagecleat-Token-Usage: 10,10\r\n"
+                    "X-Lovagecleat-Prompt-Prefix: aaaa:5,bbbb:5\r\n"
+                    "Content-Length: 2\r\n\r\nhi",
+                host);
+  }
+
+  // Returns how many of the requests on all routes were served.
+  int ServedOf(int count, std::size_t host) {
+    int served = 0;
+    for (int i = 0; i < count; ++i) {
+      const std::array routes{"/s/1", "/u/1", "/r/1"};
+      const std::string response =
+          SendTo(host, routes.at(static_cast<std::size_t>(i) % routes.size()));
+      if (response.starts_with("HTTP/1.1 200") &&
+          response.find("whole") != std::string::npos)
+        ++served;
+    }
+    return served;
+  }
+
+  std::atomic<bool> closes_connections_ = false;  // after each response
+
+  int requests_of(std::size_t host) const { return requests_.at(host); }
+
+ private:
+  bool Run(RawConnection& connection, const std::string& request,
+           std::size_t host) {
+    ++requests_.at(host);
+    const bool has_key = request.find("X-Api-Key") != std::string::npos;
+    const bool has_team =
+        request.find("X-Lovagecleat-Tenant: t1") != std::string::npos;
+    if (has_key || !has_team) return false;
+    if (request.starts_with("POST /r/")) {
+      connection.Write(Join({kStreamHead, Chunk("id: 1\ndata: a\n\n"),
+                             Chunk("id: 2\ndata: whole\n\n"), kStreamEnd}));
+      return true;
+    }
+    connection.Write(
+        Join({"HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n", kSeal,
+              closes_connections_ ? "Connection: close\r\n" : "",
+              "Content-Length: 5\r\n\r\nwhole"}));
+    return !closes_connections_;
+  }
+
+  std::array<std::vector<std::unique_ptr<ScriptedServer>>, kHosts> paths_;
+  std::array<std::atomic<int>, kHosts> requests_{};
+};
+
+// Guards against callers that are not served because their host has lost its
+// path to the servers, while others have theirs (RECOVER).
+TEST_CASE_METHOD(LostPathFixture,
+                 "A host without a path to servers serves its callers") {
+  const Cut cut = GENERATE(Cut::kSilent, Cut::kReset, Cut::kOnlyNewRefused);
+  StartHosts(kHosts);
+  REQUIRE(ServedOf(kRequests, 0) == kRequests);
+  closes_connections_ = cut == Cut::kOnlyNewRefused;
+  CutPaths(0, cut);
+  for (const char* route : {"/s/1", "/u/1", "/r/1"}) SendTo(0, route);
+  RunFor(kNoticeTime);
+  REQUIRE(ServedOf(3 * kRequests, 0) == 3 * kRequests);
+  REQUIRE(LogText(0).find("content_crash") == std::string::npos);
+  if (cut == Cut::kOnlyNewRefused) return;
+  RestorePaths(0);
+  RunFor(kReturnTime);
+  const int before = requests_of(0);
+  REQUIRE(ServedOf(kRequests, 0) == kRequests);
+  REQUIRE(requests_of(0) - before == kRequests);
+}
+
+}  // namespace
+}  // namespace lovagecleat::gateway
--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -124,6 +124,27 @@
   for (const int descriptor : descriptors_) close(descriptor);
 }
 
+void RawServer::CutPath(Cut cut) {
+  if (cut == Cut::kOnlyNewRefused) {
+    shutdown(listener_, SHUT_RDWR);
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  if (cut == Cut::kReset)
+    for (const int descriptor : descriptors_) shutdown(descriptor, SHUT_RDWR);
+  for (const int descriptor : descriptors_) DropIncoming(descriptor);
+  DropIncoming(listener_);
+}
+
+void RawServer::RestorePath() {
+  const std::lock_guard lock(mutex_);
+  const int unused = 0;
+  for (const int descriptor : descriptors_)
+    setsockopt(descriptor, SOL_SOCKET, SO_DETACH_FILTER, &unused,
+               sizeof(unused));
+  setsockopt(listener_, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+}
+
 void RawServer::Accept() {
   while (true) {
     const int descriptor = accept(listener_, nullptr, nullptr);
--- a/tests/transport/raw_server.h
+++ b/tests/transport/raw_server.h
@@ -47,6 +47,13 @@
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
+  // Cuts the path to the server: its open connections are reset, go silent or
+  // live on, and new ones are refused or get no answer.
+  enum class Cut { kSilent, kReset, kOnlyNewRefused };
+  void CutPath(Cut cut);
+  // Ends a cut other than kOnlyNewRefused.
+  void RestorePath();
+
  private:
   void Accept();
 
