Gateway: Serve callers of hosts that have no path to servers by way of others

ServerPath finds out that the path is lost: if several connections fail, or no server sends anything for 1.5 s while calls wait, it connects to up to 16 servers of all services, and the path is lost if none can be connected to. RequestRelays then passes requests on to a host that has a path, as they came, and the response back as it arrives. That host decides everything, and passes nothing on again. A request that fails to connect twice while no connection succeeds is passed on, too. Without any such host, requests are refused at once. Other hosts take over the stage calls. What failed meanwhile says nothing of servers, here or at other hosts, and requests return over one second once a connection succeeds.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -76,6 +76,7 @@
   void Start(std::string_view bytes, CallObserver& observer, PooledCall& call) {
     observer_ = &observer;
     call_ = &call;
+    ++pool_.active_calls_;
     has_response_bytes_ = false;
     skipped_responses_ = 0;
     BeginResponse();
@@ -83,6 +84,7 @@
   }
 
   void Detach() {
+    if (observer_ != nullptr) --pool_.active_calls_;
     observer_ = nullptr;
     call_ = nullptr;
   }
@@ -101,6 +103,7 @@
   void OnConnected() override {
     was_connected_ = true;
     loop().Cancel(connect_timer_);
+    if (pool_.observer_ != nullptr) pool_.observer_->OnServerConnected();
   }
 
   void OnBytes(std::string_view bytes) override;
@@ -184,6 +187,7 @@
     return;
   }
   has_response_bytes_ = true;
+  if (pool_.observer_ != nullptr) pool_.observer_->OnServerBytes();
   unparsed_.append(bytes);
   const std::shared_ptr<bool> alive = alive_;
   while (!unparsed_.empty()) {
@@ -274,6 +278,8 @@
   const CallEnd end{failure, was_reused_ && !has_response_bytes_,
                     is_server_lost};
   loop().DestroyLater(std::move(self));
+  if (failure == CallFailure::kNotConnected && pool_.observer_ != nullptr)
+    pool_.observer_->OnServerNotConnected(server_);
   observer->OnCallFailed(end);
 }
 
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -66,6 +66,15 @@
   std::string address;  // "IP:PORT"
 };
 
+// Learns what the connections of a pool show of the path to its servers.
+class PoolObserver {
+ public:
+  virtual ~PoolObserver() = default;
+  virtual void OnServerConnected() = 0;
+  virtual void OnServerNotConnected(const std::string& server) = 0;
+  virtual void OnServerBytes() = 0;
+};
+
 // Makes calls to servers over persistent connections, one request at a time on
 // each.
 class ConnectionPool {
@@ -82,6 +91,12 @@
   // Closes the idle connections to a server.
   void CloseIdleConnections(const std::string& server);
 
+  // Null for none; otherwise the observer outlives the pool or is reset.
+  void SetObserver(PoolObserver* observer) { observer_ = observer; }
+
+  // Number of calls in progress.
+  std::size_t active_calls() const { return active_calls_; }
+
   std::uint64_t opened_connections() const { return opened_connections_; }
   std::size_t idle_connections() const;
 
@@ -99,6 +114,8 @@
   std::unique_ptr<Connection> TakeIdle(const std::string& server, Reuse reuse);
 
   Poller& poller_;
+  PoolObserver* observer_ = nullptr;
+  std::size_t active_calls_ = 0;
   std::uint64_t opened_connections_ = 0;
   std::map<std::string, std::vector<IdleConnection>> idle_by_server_;
 };
--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -72,12 +72,13 @@
     record.is_leaving = HasNotice(entry.incarnation());
     record.in_flight = in_flight;
     record.pending_tokens = pending_prompt_tokens;
-    record.cold_until = now + kDefaultWarmUpTime;
+    record.known_cold_until = now + kDefaultWarmUpTime;
     record.quiet_until = QuietUntil(entry);
   }
   if (entry.warm_up_time > Duration::zero())
-    record.cold_until =
-        std::max(record.cold_until, now + entry.warm_up_time + kWarmUpMargin);
+    record.known_cold_until = std::max(
+        record.known_cold_until, now + entry.warm_up_time + kWarmUpMargin);
+  record.cold_until = std::max(record.cold_until, record.known_cold_until);
   versions_.AddServer(entry.service, entry.software_version, now);
   record.entry = entry;
   record.expires_at.reset();
@@ -137,7 +138,8 @@
   }
   if (evacuated_.erase(zone) == 0) return;
   for (auto& [id, record] : servers_)
-    if (record.entry.zone == zone) record.cold_until = now + kDefaultWarmUpTime;
+    if (record.entry.zone == zone)
+      record.cold_until = record.known_cold_until = now + kDefaultWarmUpTime;
 }
 
 bool ServerDirectory::IsEvacuated(const ZoneId& zone) const {
@@ -228,6 +230,16 @@
   return found == servers_.end() ? nullptr : &found->second;
 }
 
+void ServerDirectory::ForgetFailures() {
+  for (auto& [id, record] : servers_) {
+    record.consecutive_failures = 0;
+    record.consecutive_slow_calls = 0;
+    record.suspended_until = TimePoint{};
+    record.cold_until = record.known_cold_until;
+    if (record.in_flight == 0) record.silent_since.reset();
+  }
+}
+
 void ServerDirectory::Report(const ServerId& id, CallResult result,
                              TimePoint now) {
   ServerRecord* record = Find(id);
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -38,6 +38,8 @@
   int consecutive_slow_calls = 0;
   // The server may be cold until this time.
   TimePoint cold_until{};
+  // The same without regard to failed calls, after which it may have restarted.
+  TimePoint known_cold_until{};
   // No call is sent before this time, then one at a time until one succeeds.
   TimePoint suspended_until{};
   // The server has announced that it is about to exit (see SetLeaving).
@@ -123,6 +125,9 @@
   // Records the result of a call to the server.
   void Report(const ServerId& id, CallResult result, TimePoint now);
 
+  // Takes back what failed calls have shown of all servers.
+  void ForgetFailures();
+
   const VersionHistory& versions() const { return versions_; }
 
   std::size_t size() const { return servers_.size(); }
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -154,6 +154,11 @@
             *message.mutable_stream_origins() = traffic;
             return SendPeerMessage(peer, std::move(message));
           }),
+      path_(context_, [this] { OnPathChange(); }),
+      relays_(context_,
+              [this](const std::string& peer) {
+                return stages_.IsReachable(peer) && stages_.HasPath(peer);
+              }),
       follower_(context_, rows,
                 [this](const routing::Row& row, RowOrigin origin) {
                   ApplyRow(row, origin);
@@ -194,6 +199,7 @@
   started_at_ = context_.Now();
   context_.limiter.SetCountedByPeers(false);
   follower_.Start();
+  path_.Start();
   Join();
   Tick();
   context_.log.Write("start", "",
@@ -233,7 +239,9 @@
     return exchange.Respond(503, {{"Retry-After", kStopRetryAfter}}, {});
   }
   auto flow = std::make_unique<RequestFlow>(
-      context_, RequestServices{stages_, origins_, notices_, content_blocks_},
+      context_,
+      RequestServices{stages_, origins_, notices_, content_blocks_, path_,
+                      relays_},
       exchange, [this](RequestFlow* ended) {
         const auto found = flows_.find(ended);
         if (found == flows_.end()) return;
@@ -374,7 +382,8 @@
   } else {
     const auto value = nlohmann::json::parse(row.value, nullptr, false);
     if (!value.is_object() || !value.contains("peers")) return;
-    hosts_[HostId(name)] = {value.value("peers", ""), value.value("zone", ""),
+    hosts_[HostId(name)] = {value.value("peers", ""),
+                            value.value("callers", ""), value.value("zone", ""),
                             value.value("processor", 1.0)};
   }
   UpdateHosts();
@@ -383,18 +392,22 @@
 void Gateway::UpdateHosts() {
   std::vector<HostId> hosts{context_.settings.host};
   std::vector<PeerHost> others;
+  std::vector<RelayHost> relay_hosts;
   std::vector<std::string> others_in_zone;
   std::vector<std::string> all_others;
   for (const auto& [host, entry] : hosts_) {
     if (host == context_.settings.host) continue;
     hosts.push_back(host);
     others.push_back({entry.peers, ZoneId(entry.zone), entry.processor_cores});
+    relay_hosts.push_back({entry.peers, entry.callers, ZoneId(entry.zone),
+                           entry.processor_cores});
     all_others.push_back(entry.peers);
     if (ZoneId(entry.zone) == context_.settings.zone)
       others_in_zone.push_back(entry.peers);
   }
   stages_.SetHosts(others);
   origins_.SetHosts(others);
+  relays_.SetHosts(std::move(relay_hosts));
   notices_.SetHosts(std::move(others_in_zone), all_others);
   content_blocks_.SetHosts(std::move(all_others));
   context_.host_count = hosts.size();
@@ -432,6 +445,7 @@
 std::string Gateway::OwnRowValue() const {
   const nlohmann::json value = {
       {"peers", context_.settings.peers},
+      {"callers", context_.settings.callers},
       {"zone", context_.settings.zone.value()},
       {"processor", context_.settings.processor_cores}};
   return value.dump();
@@ -609,6 +623,13 @@
   peers_.Send(HostId(peer), message);
 }
 
+// The requests of this host go to others, which also take over its stage calls.
+void Gateway::OnPathChange() {
+  stages_.SetHasPath(!path_.is_lost());
+  if (!path_.is_lost()) return;
+  for (RequestFlow* flow : OpenRequests()) flow->OnPathLost();
+}
+
 // --- Timers -----------------------------------------------------------------
 
 void Gateway::Tick() {
@@ -642,8 +663,9 @@
     callers_.CloseIdleConnections();
   }
   if (until_end <= Duration::zero() ||
-      (elapsed >= kStopGracePeriod && flows_.empty())) {
-    context_.log.Write("stopped", "", {{"requests_left", flows_.size()}});
+      (elapsed >= kStopGracePeriod && flows_.empty() && relays_.size() == 0)) {
+    context_.log.Write("stopped", "",
+                       {{"requests_left", flows_.size() + relays_.size()}});
     context_.log.Flush();
     return context_.loop.Quit();
   }
@@ -655,6 +677,7 @@
 
 void Gateway::AnswerOpenRequests() {
   for (RequestFlow* flow : OpenRequests()) flow->OnProcessEnding();
+  relays_.OnProcessEnding();
 }
 
 // Copied, since requests that end are removed from flows_.
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -9,8 +9,10 @@
 #include "services/gateway/content_blocks.h"
 #include "services/gateway/context.h"
 #include "services/gateway/request_flow.h"
+#include "services/gateway/request_relays.h"
 #include "services/gateway/row_follower.h"
 #include "services/gateway/server_notices.h"
+#include "services/gateway/server_path.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stage_runner.h"
 #include "services/gateway/stream_origin_exchange.h"
@@ -75,6 +77,7 @@
   void SendRows(const std::string& peer, routing::RowVersion newer_than);
   void ConnectPeer(const std::string& address);
 
+  void OnPathChange();
   void Tick();
   void ContinueStop();
   void AnswerOpenRequests();
@@ -88,6 +91,8 @@
   StageRunner runner_;
   StageRouter stages_;
   StreamOriginExchange origins_;
+  ServerPath path_;
+  RequestRelays relays_;
   RowFollower follower_;
   transport::PeerLink peers_;
   std::uint64_t incarnation_;
@@ -99,6 +104,7 @@
   std::map<RequestFlow*, std::unique_ptr<RequestFlow>> flows_;
   struct HostEntry {
     std::string peers;
+    std::string callers;  // empty for a host of an earlier version
     std::string zone;
     double processor_cores = 1.0;
   };
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -25,6 +25,7 @@
   routing::Prompt prompt;
   std::vector<std::size_t> stage_items;  // number of items of each stage
   std::string stage_key;                 // sent with items without inputs
+  bool is_relayed = false;  // another host has passed the request on
 };
 
 // What the gateway adds to a request that it sends to a server.
@@ -98,6 +99,12 @@
                                        const ForwardedCall& call,
                                        std::size_t body_bytes) const = 0;
 
+  // Returns the request head for another host that handles the request, with
+  // all of the caller's fields.
+  virtual std::string WriteRelayedRequest(const http::RequestHead& head,
+                                          Duration remaining_time,
+                                          std::size_t body_bytes) const = 0;
+
   virtual ResponseMetadata ReadResponseHead(const http::ResponseHead& head,
                                             TimePoint now) const = 0;
 
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -55,6 +55,8 @@
       stages_(services.stages),
       origins_(services.origins),
       notices_(services.notices),
+      path_(services.path),
+      relays_(services.relays),
       content_watch_(context, services.content_blocks),
       exchange_(&exchange),
       on_end_(std::move(on_end)),
@@ -108,6 +110,8 @@
        WithoutPort(http::FindField(head.fields, "Host").value_or("")),
        head.target, exchange_->body(), request_.prompt.parts});
   if (RefuseBlockedContent()) return;
+  if (path_.ShouldAvoid() && PassOn()) return;
+  if (path_.is_lost()) return Refuse("no_path");
   if (IsStream() && request_.resume_after) return FindOrigin();
   StartStages();
 }
@@ -250,6 +254,36 @@
   return true;
 }
 
+// A request that a server may have run is only passed on if it may be repeated.
+bool RequestFlow::MayPassOn() const {
+  if (has_ended_ || !table_ || request_.is_relayed || has_begun_response_ ||
+      Now() + kDeadlineMargin >= deadline_ || !relays_.HasHost())
+    return false;
+  const bool may_be_at_server = call_ && call_->may_have_been_sent();
+  const bool was_not_run =
+      send_state_ == SendState::kNotSent || send_state_ == SendState::kNotRun;
+  if (was_not_run && !may_be_at_server) return true;
+  return route_->MayRepeat() && !content_watch_.is_trial() &&
+         context_.retry_budget.HasRetry(service_);
+}
+
+bool RequestFlow::PassOn() {
+  if (!MayPassOn()) return false;
+  const bool is_repeat = (call_ && call_->may_have_been_sent()) ||
+                         send_state_ == SendState::kUnknown ||
+                         send_state_ == SendState::kRun;
+  if (is_repeat && !context_.retry_budget.TakeRetry(service_)) return false;
+  if (call_) EndSend(routing::CallResult::kNoEvidence, "passed_on");
+  http::Exchange& exchange = *std::exchange(exchange_, nullptr);
+  const RelayedRequest relayed{request_, route_->name, service_,
+                               route_->MayRepeat(), deadline_};
+  End(0, "passed_on");
+  relays_.Start(exchange, relayed);
+  return true;
+}
+
+void RequestFlow::OnPathLost() { PassOn(); }
+
 void RequestFlow::OnContentBlocked() {
   const bool is_responding = has_begun_response_ && call_;
   if (has_ended_ || !table_ || is_responding || !content_watch_.BlockedUntil())
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -11,7 +11,9 @@
 
 #include "services/gateway/content_watch.h"
 #include "services/gateway/context.h"
+#include "services/gateway/request_relays.h"
 #include "services/gateway/server_notices.h"
+#include "services/gateway/server_path.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stream_origin_exchange.h"
 
@@ -32,6 +34,8 @@
   StreamOriginExchange& origins;
   ServerNotices& notices;
   ContentBlocks& content_blocks;
+  ServerPath& path;
+  RequestRelays& relays;
 };
 
 // Handles one request from its arrival to the end of its response: finds the
@@ -57,6 +61,10 @@
   // unless a server responds to it already.
   void OnContentBlocked();
 
+  // Called when this host has lost its path to servers. Passes the request on
+  // to another host if that may be done.
+  void OnPathLost();
+
   // Called shortly before the process ends. Answers the request unless its
   // response has begun.
   void OnProcessEnding();
@@ -104,6 +112,11 @@
   // Returns the expected queueing time of all stages in the chosen zone.
   Duration ChooseZone();
 
+  // Passes the request on to another host, if there is one, this host has not
+  // got it from one, and it may still be sent there. Returns whether it was.
+  bool PassOn();
+  bool MayPassOn() const;
+
   // Stages.
   StageLocation LocationOf(const routing::Stage& stage);
   void SubmitReadyItems();
@@ -185,6 +198,8 @@
   StageRouter& stages_;
   StreamOriginExchange& origins_;
   ServerNotices& notices_;
+  ServerPath& path_;
+  RequestRelays& relays_;
   ContentWatch content_watch_;
   http::Exchange* exchange_;
   EndCallback on_end_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -19,6 +19,9 @@
 // A server that had closed a kept connection resets it within a round trip of
 // the request; hosts may be slow. Later, it may have run the request.
 constexpr Duration kStaleConnectionTime = milliseconds(20);
+// Sends of a request that may fail to connect before another host is asked to
+// handle it, if no server can be connected to.
+constexpr int kConnectFailuresToPassOn = 2;
 // Responses up to this size are buffered until complete, so that the request
 // can be retried at another server if one is truncated.
 constexpr std::size_t kMaximumBufferedBytes = 65536;
@@ -214,6 +217,9 @@
   if (end.failure == http::CallFailure::kNotConnected) {
     EndSend(routing::CallResult::kUnreachable, "unreachable");
     ++connect_failures_;
+    if (path_.is_doubtful() && connect_failures_ >= kConnectFailuresToPassOn &&
+        PassOn())
+      return;
     return Retry("unreachable");
   }
   if (end.was_reused && IsStaleConnection()) {
@@ -223,7 +229,8 @@
     tried_.pop_back();
     return Retry("stale_connection");
   }
-  if (end.failure == http::CallFailure::kConnectionLost && !end.is_server_lost)
+  if (end.failure == http::CallFailure::kConnectionLost &&
+      !end.is_server_lost && !path_.is_lost())
     content_watch_.OnConnectionLost(incarnation_);
   OnBrokenResponse(
       end.failure == http::CallFailure::kInvalidResponse    ? "garbled"
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -311,7 +311,10 @@
           std::min(server->pending_tokens, pending_tokens_);
   }
   counts_pending_tokens_ = false;
-  context_.directory.Report(server_, result, Now());
+  // Without a path, failures say nothing of the server.
+  context_.directory.Report(
+      server_, path_.is_lost() ? routing::CallResult::kNoEvidence : result,
+      Now());
   context_.metrics.Count("lovagecleat_sends_total",
                          {{"outcome", std::string(outcome)}});
   if (outcome == "done") return;
--- a/services/gateway/stage_router.cc
+++ b/services/gateway/stage_router.cc
@@ -102,7 +102,20 @@
 
 bool StageRouter::IsReachable(const std::string& address) const {
   const auto peer = peers_.find(address);
-  return peer != peers_.end() && peer->second.CanBatch();
+  return peer != peers_.end() && peer->second.IsReachable();
+}
+
+bool StageRouter::HasPath(const std::string& address) const {
+  const auto peer = peers_.find(address);
+  return peer != peers_.end() && peer->second.has_path;
+}
+
+void StageRouter::SetHasPath(bool has_path) {
+  has_path_ = has_path;
+  batching_hosts_.clear();
+  for (const auto& [address, peer] : peers_)
+    outgoing_[address].set_has_path(has_path);
+  SendOutgoing();
 }
 
 void StageRouter::StartLeaving() {
@@ -125,8 +138,9 @@
     const StageLocation& location) const {
   const configuration::GatewaySettings& settings = context_.settings;
   std::vector<routing::BatchingHost> hosts;
-  // A stopping host does the batching only if there is no other host.
-  if (!is_leaving_)
+  // A stopping host, or one without a path, does the batching only if there is
+  // no other host.
+  if (!is_leaving_ && has_path_)
     hosts.push_back({settings.peers, settings.zone == location.zone,
                      settings.processor_cores});
   for (const auto& [address, peer] : peers_)
@@ -345,8 +359,13 @@
   if (peer.is_suspect)
     context_.log.Write("host_regained", "", {{"peer", from}});
   peer.is_suspect = false;
-  if (peer.incarnation != incarnation) peer.is_leaving = false;
+  if (peer.incarnation != incarnation) {
+    peer.is_leaving = false;
+    peer.has_path = true;
+  }
   if (traffic.is_leaving()) peer.is_leaving = true;
+  const bool had_path = peer.has_path;
+  if (traffic.has_has_path()) peer.has_path = traffic.has_path();
   if (peer.CanBatch() != could_batch) batching_hosts_.clear();
   if (peer.incarnation != 0 && peer.incarnation != incarnation) {
     // The host has restarted and lost the items that were sent to it.
@@ -354,6 +373,7 @@
     ReassignItems(from);
   }
   peer.incarnation = incarnation;
+  if (had_path && !peer.has_path) WithdrawItems(from);
   for (const messages::ItemSubmission& submission : traffic.submissions())
     HandleSubmission(from, submission);
   for (const std::uint64_t item : traffic.withdrawn()) {
@@ -386,6 +406,7 @@
     messages::StageTraffic& response = outgoing_[from];
     response.set_answered_probe(traffic.probe());
     response.set_is_leaving(is_leaving_);
+    response.set_has_path(has_path_);
     AddLoads(response);
   }
   Flush();
@@ -482,6 +503,15 @@
   }
 }
 
+void StageRouter::WithdrawItems(const std::string& host) {
+  std::vector<std::uint64_t> items;
+  for (const auto& [id, item] : remote_)
+    if (item.host == host) items.push_back(id.value());
+  ReassignItems(host);
+  for (const std::uint64_t item : items) outgoing_[host].add_withdrawn(item);
+  ScheduleFlush();
+}
+
 void StageRouter::DropItemsFrom(const std::string& host) {
   std::vector<ItemId> items;
   std::erase_if(hosted_, [&](const auto& hosted) {
--- a/services/gateway/stage_router.h
+++ b/services/gateway/stage_router.h
@@ -47,6 +47,13 @@
   // Returns whether that host responds and is not stopping.
   bool IsReachable(const std::string& address) const;
 
+  // Returns whether that host has a path to servers, as far as it has said.
+  bool HasPath(const std::string& address) const;
+
+  // Announces whether this host has a path to servers. Without one, other hosts
+  // do the batching.
+  void SetHasPath(bool has_path);
+
   // Announces that this host is stopping, so that other hosts do the batching.
   void StartLeaving();
 
@@ -87,9 +94,11 @@
     std::optional<TimePoint> unanswered_since;
     bool is_suspect = false;
     bool is_leaving = false;
+    bool has_path = true;
     std::uint64_t incarnation = 0;
 
-    bool CanBatch() const { return !is_suspect && !is_leaving; }
+    bool IsReachable() const { return !is_suspect && !is_leaving; }
+    bool CanBatch() const { return IsReachable() && has_path; }
   };
   struct RemoteItem {
     StageLocation location;
@@ -122,6 +131,8 @@
   void SubmitLocally(ItemId id, const StageLocation& location,
                      routing::QueuedItem item, Callback callback);
   void ReassignItems(const std::string& host);
+  // Withdraws the items at a host that cannot run them, and reassigns them.
+  void WithdrawItems(const std::string& host);
   void DropItemsFrom(const std::string& host);
   void HandleSubmission(const std::string& from,
                         const messages::ItemSubmission& submission);
@@ -140,6 +151,7 @@
   SendCallback send_;
   std::uint64_t last_item_;
   bool is_leaving_ = false;
+  bool has_path_ = true;
   std::uint64_t last_probe_id_ = 0;
   std::map<std::string, PeerState> peers_;
   std::map<ItemId, RemoteItem> remote_;
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -190,7 +190,8 @@
 
 void GatewayFixture::AddHostRow(const Host& host) {
   rows.Set("hosts", host.settings.host.value(),
-           R"({"peers":")" + host.settings.peers + R"(","zone":"z"})");
+           R"({"peers":")" + host.settings.peers + R"(","callers":")" +
+               host.settings.callers + R"(","zone":"z"})");
 }
 
 void GatewayFixture::AddOwnHostRow() { AddHostRow(*hosts_.front()); }
