--- a/tests/gateway_reports/lost_path_test.cc
+++ b/tests/gateway_reports/lost_path_test.cc
@@ -70,15 +70,26 @@
     for (const auto& server : paths_.at(host)) server->server().RestorePath();
   }
 
-  std::string SendTo(std::size_t host, const std::string& path) {
-    return Send("POST " + path +
-                    " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
-                    "X-Lovagecleat-Request-Id: id1\r\nX-Api-Key: key1\r\n"
-                    "X-Lovagecleat-Deadline-Ms: 2500\r\n"
-                    "X-Lovagecleat-Token-Usage: 10,10\r\n"
-                    "X-Lovagecleat-Prompt-Prefix: aaaa:5,bbbb:5\r\n"
-                    "Content-Length: 2\r\n\r\nhi",
-                host);
+  static std::string MakeRequest(const std::string& path,
+                                 const std::string& extra = "") {
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+           "X-Lovagecleat-Request-Id: id1\r\nX-Api-Key: key1\r\n"
+           "X-Lovagecleat-Deadline-Ms: 2500\r\n"
+           "X-Lovagecleat-Token-Usage: 10,10\r\n"
+           "X-Lovagecleat-Prompt-Prefix: aaaa:5,bbbb:5\r\n" +
+           extra + "Content-Length: 2\r\n\r\nhi";
+  }
+
+  std::string SendTo(std::size_t host, const std::string& path,
+                     const std::string& extra = "") {
+    return Send(MakeRequest(path, extra), host);
+  }
+
+  // Lets the hosts find out that their paths are cut.
+  void NoticeCut(std::size_t host) {
+    for (const char* route : {"/s/1", "/u/1", "/r/1"}) SendTo(host, route);
+    RunFor(kNoticeTime);
   }
 
   // Returns how many of the requests on all routes were served.
@@ -97,6 +108,9 @@
 
   std::atomic<bool> closes_connections_ = false;  // after each response
 
+  std::atomic<bool> waits_for_close_ = false;  // in place of a response
+  std::atomic<int> closed_by_client_ = 0;
+
   int requests_of(std::size_t host) const { return requests_.at(host); }
 
  private:
@@ -107,6 +121,11 @@
     const bool has_team =
         request.find("X-Lovagecleat-Tenant: t1") != std::string::npos;
     if (has_key || !has_team) return false;
+    if (waits_for_close_) {
+      connection.WaitForClose();
+      ++closed_by_client_;
+      return false;
+    }
     if (request.starts_with("POST /r/")) {
       connection.Write(Join({kStreamHead, Chunk("id: 1\ndata: a\n\n"),
                              Chunk("id: 2\ndata: whole\n\n"), kStreamEnd}));
@@ -132,8 +151,7 @@
   REQUIRE(ServedOf(kRequests, 0) == kRequests);
   closes_connections_ = cut == Cut::kOnlyNewRefused;
   CutPaths(0, cut);
-  for (const char* route : {"/s/1", "/u/1", "/r/1"}) SendTo(0, route);
-  RunFor(kNoticeTime);
+  NoticeCut(0);
   REQUIRE(ServedOf(3 * kRequests, 0) == 3 * kRequests);
   REQUIRE(LogText(0).find("content_crash") == std::string::npos);
   if (cut == Cut::kOnlyNewRefused) return;
@@ -144,5 +162,48 @@
   REQUIRE(requests_of(0) - before == kRequests);
 }
 
+// Guards against callers that wait although no host can serve them, and against
+// requests that go round between hosts.
+TEST_CASE_METHOD(LostPathFixture,
+                 "Requests are refused at once if no host has a path") {
+  StartHosts(kHosts);
+  REQUIRE(ServedOf(kRequests, 0) == kRequests);
+  for (std::size_t host = 0; host < kHosts; ++host) CutPaths(host, Cut::kReset);
+  for (std::size_t host = 0; host < kHosts; ++host) NoticeCut(host);
+  const TimePoint start = loop().clock().Now();
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    const std::string response = SendTo(host, "/s/1");
+    REQUIRE(response.starts_with("HTTP/1.1 503"));
+    REQUIRE(response.find("Retry-After: ") != std::string::npos);
+  }
+  REQUIRE(loop().clock().Now() - start < milliseconds(300));
+}
+
+TEST_CASE_METHOD(LostPathFixture, "A request is passed on once") {
+  StartHosts(kHosts);
+  CutPaths(0, Cut::kReset);
+  NoticeCut(0);
+  REQUIRE(SendTo(0, "/s/1").starts_with("HTTP/1.1 200"));
+  REQUIRE(SendTo(0, "/s/1", "X-Lovagecleat-Relayed: 1\r\n")
+              .starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE_METHOD(LostPathFixture,
+                 "A caller that leaves ends the work at the other host") {
+  StartHosts(kHosts);
+  CutPaths(0, Cut::kReset);
+  NoticeCut(0);
+  waits_for_close_ = true;
+  RunWithClient(
+      [](transport::RawClient& raw) {
+        raw.Write(MakeRequest("/u/1"));
+        std::this_thread::sleep_for(milliseconds(300));
+        raw.Close();
+        return std::string();
+      },
+      0);
+  RunUntil([&] { return closed_by_client_ == 1; });
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
