Request relays: Do not promise that a request was not run after a host was lost

If the host that handled a request was lost and the next one refused it, its 503 was passed on to the caller. It is 502 now. The test "A request that may have run is not reported as not run" failed before.

--- a/services/gateway/request_relays.cc
+++ b/services/gateway/request_relays.cc
@@ -73,16 +73,18 @@
   void Start() {
     deadline_timer_ =
         context_.loop.At(request_.deadline + kDeadlineGrace, [this] {
+          if (call_) request_.may_have_run = true;
           EndCall();
-          Answer(may_have_run_ ? 504 : 503, "time_up");
+          Answer(request_.may_have_run ? 504 : 503, "time_up");
         });
     Send();
   }
 
   void OnProcessEnding() {
     if (exchange_ == nullptr || has_begun_) return;
+    if (call_) request_.may_have_run = true;
     EndCall();
-    Answer(may_have_run_ ? 502 : 503, "stopping");
+    Answer(StatusWithoutResponse(), "stopping");
   }
 
   void OnClientDisconnected() override {
@@ -113,10 +115,9 @@
 
   void OnResponseComplete() override {
     EndCall();
-    if (was_not_run_ && CanSend()) {
-      may_have_run_ = false;
-      return Send();
-    }
+    if (was_not_run_ && CanSend()) return Send();
+    // The promise of this host does not cover the ones before.
+    if (was_not_run_ && request_.may_have_run) return Answer(502, "not_run");
     if (has_begun_) {
       exchange_->FinishResponse();
     } else {
@@ -128,7 +129,7 @@
   void OnCallFailed(http::CallEnd end) override {
     const bool is_unsent = end.failure == http::CallFailure::kNotConnected;
     EndCall();
-    if (is_unsent) may_have_run_ = false;
+    if (!is_unsent) request_.may_have_run = true;
     if (has_begun_) {
       exchange_->Abort();
       return End(head_.status, "broken");
@@ -137,10 +138,15 @@
     if (!is_unsent && request_.may_repeat && CanSend() &&
         context_.retry_budget.TakeRetry(request_.service))
       return Send();
-    Answer(may_have_run_ ? 502 : 503, is_unsent ? "unreachable" : "broken");
+    Answer(StatusWithoutResponse(), is_unsent ? "unreachable" : "broken");
   }
 
  private:
+  // 503 promises that the request was not run.
+  int StatusWithoutResponse() const {
+    return request_.may_have_run ? 502 : 503;
+  }
+
   bool CanSend() const {
     return tried_.size() < kMaximumHosts &&
            context_.Now() + kMinimumTime < request_.deadline;
@@ -148,14 +154,13 @@
 
   void Send() {
     const RelayHost* host = relays_.ChooseHost(tried_);
-    if (host == nullptr) return Answer(may_have_run_ ? 502 : 503, "no_path");
+    if (host == nullptr) return Answer(StatusWithoutResponse(), "no_path");
     host_ = host->callers;
     tried_.push_back(host_);
     ++relays_.in_flight_[host_];
     head_ = {};
     body_.clear();
     was_not_run_ = false;
-    may_have_run_ = true;
     std::string bytes = context_.codec.WriteRelayedRequest(
         exchange_->head(), request_.deadline - context_.Now(),
         exchange_->body().size());
@@ -208,9 +213,8 @@
   std::unique_ptr<http::Call> call_;
   http::ResponseHead head_;
   std::string body_;
-  bool was_not_run_ = false;   // the other host says so
-  bool may_have_run_ = false;  // the request reached a host
-  bool has_begun_ = false;     // the response head was sent to the caller
+  bool was_not_run_ = false;  // the other host says so
+  bool has_begun_ = false;    // the response head was sent to the caller
   TimerId deadline_timer_;
 };
 
--- a/services/gateway/request_relays.h
+++ b/services/gateway/request_relays.h
@@ -24,6 +24,7 @@
   std::string route;
   ServiceId service;
   bool may_repeat = false;
+  bool may_have_run = false;  // it was sent to a server before
   TimePoint deadline{};
 };
 
--- a/tests/gateway_reports/lost_path_test.cc
+++ b/tests/gateway_reports/lost_path_test.cc
@@ -111,6 +111,9 @@
   std::atomic<bool> waits_for_close_ = false;  // in place of a response
   std::atomic<int> closed_by_client_ = 0;
 
+  void ResetRequests() {
+    for (auto& requests : requests_) requests = 0;
+  }
   int requests_of(std::size_t host) const { return requests_.at(host); }
 
  private:
@@ -205,5 +208,22 @@
   RunUntil([&] { return closed_by_client_ == 1; });
 }
 
+// Guards against a 503, which promises that a request was not run, after a host
+// that may have run it was lost.
+TEST_CASE_METHOD(LostPathFixture,
+                 "A request that may have run is not reported as not run") {
+  StartHosts(kHosts);
+  CutPaths(0, Cut::kReset);
+  NoticeCut(0);
+  waits_for_close_ = true;
+  loop().After(milliseconds(300), [this] {
+    const std::size_t handling_host = requests_of(1) > 0 ? 1 : 2;
+    CutPaths(3 - handling_host, Cut::kReset);
+    KillHost(handling_host);
+  });
+  ResetRequests();
+  REQUIRE(SendTo(0, "/s/1").starts_with("HTTP/1.1 502"));
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
