--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -26,6 +26,8 @@
 # Requests with a crashing part that may reach servers after this many crashes and the time in touch.
 KNOWN_CRASHES = 5
 FURTHER_CRASHING_REQUESTS = 3
+# The same for one request that crashes servers.
+KNOWN_REQUEST_CRASHES = 3
 # From this many streams before and after on, the share of sound ones that begin is checked.
 MINIMUM_SOUND_STREAMS = 20
 SOUND_SHARE = 0.5
@@ -58,7 +60,7 @@
     resumes: str = ""  # the request that brought the first event of the stream
     resumed_after: int = 0  # number of the last event that the caller has
     begun_at_version: str = ""  # software version of the server that began the stream
-    is_crashing: bool = False  # its prompt has the part under which servers crash
+    is_crashing: bool = False  # servers crash under its prompt or, if it is no stream, under the whole request
 
 
 @dataclasses.dataclass
@@ -209,8 +211,10 @@
         self.notices = {}  # (server, host, incarnation) to notice
         self.quiet_answers = []
         self.part_crashes = []  # times at which a server crashed under the crashing part
-        self.blocked_parts = []  # (host, part) of each block that a host logged
+        self.request_crashes = []  # the same under the crashing request
+        self.blocked_parts = []  # (host, part or key of a request) of each block that a host logged
         self.crashing_part = ""
+        self.crashing_request = ""  # its key
         self.limits = []
         self.limit_notices = {}  # (server, host, incarnation) to the times of the responses that name a limit
         self.control_calls = []  # arrivals of calls for reports and releases
@@ -549,23 +553,45 @@
     ]
 
 
+def crashing_arrivals(record, kind, known_at):
+    """Returns the crashing requests of a kind that hosts in touch sent to servers although they must know them."""
+    return [
+        arrival
+        for arrival in record.arrivals
+        if record.sent[arrival.id].is_crashing
+        and record.sent[arrival.id].kind == kind
+        and arrival.at > known_at + CONTACT_SECONDS
+        and not record.is_disturbed(arrival.host, arrival.sent_at, arrival.at)
+        and record.is_left_alone(arrival.host, arrival.sent_at, arrival.at)
+    ]
+
+
+def check_crashing_request(record):
+    """Once a request has crashed three servers, it reaches few more of them."""
+    if len(record.request_crashes) < KNOWN_REQUEST_CRASHES:
+        return []
+    known_at = sorted(record.request_crashes)[KNOWN_REQUEST_CRASHES - 1]
+    further = crashing_arrivals(record, "safe", known_at)
+    if len(further) <= FURTHER_CRASHING_REQUESTS:
+        return []
+    return [
+        f"the crashing request reached servers {len(further)} times later than {CONTACT_SECONDS:.0f} s after "
+        f"{KNOWN_REQUEST_CRASHES} crashes, expected {FURTHER_CRASHING_REQUESTS} at most; "
+        f"{len(record.request_crashes)} in all"
+    ]
+
+
 def check_crashing_part(record):
     """Once a part has crashed some servers, requests with it reach no more of them, and sound ones are served."""
     failures = []
-    blocked = sorted({part for _, part in record.blocked_parts if part != record.crashing_part})
+    expected = {record.crashing_part, record.crashing_request}
+    blocked = sorted({part for _, part in record.blocked_parts if part not in expected})
     if blocked:
         failures.append(f"parts {', '.join(blocked)} were blocked, expected {record.crashing_part or 'none'} at most")
     if len(record.part_crashes) < KNOWN_CRASHES:
         return failures
     known_at = sorted(record.part_crashes)[KNOWN_CRASHES - 1]
-    further = [
-        arrival
-        for arrival in record.arrivals
-        if record.sent[arrival.id].is_crashing
-        and arrival.at > known_at + CONTACT_SECONDS
-        and not record.is_disturbed(arrival.host, arrival.sent_at, arrival.at)
-        and record.is_left_alone(arrival.host, arrival.sent_at, arrival.at)
-    ]
+    further = crashing_arrivals(record, "stream", known_at)
     if len(further) > FURTHER_CRASHING_REQUESTS:
         failures.append(
             f"{len(further)} requests with the crashing part reached servers later than {CONTACT_SECONDS:.0f} s after "
@@ -723,6 +749,7 @@
     "retries": check_retries,
     "quiet": check_quiet,
     "crashing part": check_crashing_part,
+    "crashing request": check_crashing_request,
     "limits": check_limits,
     "era": check_era,
     "silence": check_silence,
--- a/tests/soak/record_test.py
+++ b/tests/soak/record_test.py
@@ -391,6 +391,23 @@
         record.disturbances.append(Span(20.0, 24.0, "host"))
         self.assertEqual(violations(record), [])
 
+    def test_crashing_request_that_goes_on_reaching_servers(self):
+        def make(count, kind="safe"):
+            record = conforming_record()
+            record.request_crashes = [1.0 + i for i in range(3)]
+            for i in range(count):
+                id = f"c{i}"
+                record.sent[id] = SentRequest(id, kind, "host", 1, 20.0 + i, is_crashing=True)
+                record.arrivals.append(Arrival(id, "s", "plain", "host", 20.1 + i, 20.0 + i))
+            return record
+
+        self.assertEqual(violations(make(3)), [])
+        self.assert_violation(make(4), "crashing request")
+        self.assertEqual(violations(make(4, "stream")), [])
+        record = make(4)
+        record.disturbances.append(Span(20.0, 24.0, "host"))
+        self.assertEqual(violations(record), [])
+
     def test_sound_part_that_is_blocked(self):
         record = conforming_record()
         record.crashing_part = "bad1"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,7 +8,7 @@
 --quiet lets servers turn requests away and ask for quiet.
 --restores replaces the store by an older copy of itself now and then.
 --silence lets sound servers send nothing for about a second within their answers.
---crashing sends requests with a prompt part under which model servers crash.
+--crashing sends requests with a prompt part under which model servers crash, and one that crashes plain servers.
 --limits lets servers name limits on the requests that they take.
 --keep keeps the logs of failed seeds.
 """
@@ -16,6 +16,7 @@
 import argparse
 import asyncio
 import collections
+import hashlib
 import json
 import os
 import pathlib
@@ -27,7 +28,7 @@
 
 import record as records
 from record import LostRow, Notice, Response, Record, SentRequest, Span
-from stand_ins import (ADDRESS, CRASHING_PART, HEARTBEAT_SECONDS, MISSED_HEARTBEATS, STAGE_ITEMS, STREAM_EVENTS, Backend, Proxy, Store,
+from stand_ins import (ADDRESS, CRASHING_BODY, CRASHING_PART, HEARTBEAT_SECONDS, MISSED_HEARTBEATS, STAGE_ITEMS, STREAM_EVENTS, Backend, Proxy, Store,
                        find_owner, now, read_message)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -40,7 +41,7 @@
     "quiet": "let servers turn requests away and ask for quiet",
     "restores": "replace the store by an older copy of itself now and then",
     "silence": "let sound servers send nothing for about a second within their answers",
-    "crashing": "send requests with a prompt part under which model servers crash",
+    "crashing": "send requests with a prompt part under which model servers crash, and one that crashes plain servers",
     "limits": "let servers name limits on the requests that they take",
 }
 # A graceful stop has time for a request that arrives 2 s after it and takes until its deadline.
@@ -85,6 +86,14 @@
         return probe.getsockname()[1]
 
 
+def request_key(caller, method, host, path, body):
+    """Returns the key under which the gateway knows a request without query and prompt."""
+    digest = hashlib.sha256()
+    for field in (caller.encode(), method.encode(), host.encode(), path.encode(), body):
+        digest.update(f"{len(field)}:".encode() + field)
+    return "r" + digest.hexdigest()[:32]
+
+
 def configuration(version, random):
     timeout_ms = int(MINIMUM_TIMEOUT_SECONDS * 1000) + random.choice([0, 500, 1500])
     stream_timeout_ms = int(STREAM_DEADLINE_SECONDS * 1000) + random.choice([0, 500, 1500])
@@ -189,6 +198,7 @@
         self.tasks = []  # crashes of servers under the crashing part
         if "crashing" in troubles:
             self.record.crashing_part = CRASHING_PART
+            self.record.crashing_request = request_key("team", "POST", "a.example", "/s/x", CRASHING_BODY)
 
     # --- Setup ---------------------------------------------------------------
 
@@ -291,7 +301,7 @@
             writer.transport.abort()
 
     async def run_crashing_caller(self):
-        """Sends requests with the crashing part, no two alike, to any host."""
+        """Sends requests with the crashing part, no two alike, and the crashing request to any host."""
         await asyncio.sleep(FAULT_FREE_SECONDS)
         while now() < self.begin + self.seconds - FAULT_FREE_SECONDS:
             await asyncio.sleep(self.random.uniform(0.1, 0.8))
@@ -299,7 +309,8 @@
             reader, writer, incarnation = await self.connect(host)
             if writer is None:
                 continue
-            await self.send_request(reader, writer, host, incarnation, "stream", is_crashing=True)
+            kind = self.random.choice(["stream", "safe"])
+            await self.send_request(reader, writer, host, incarnation, kind, is_crashing=True)
             writer.transport.abort()
 
     async def connect(self, host):
@@ -340,7 +351,7 @@
         attempts = self.random.choice([1, 2]) if kind == "stream" else 2
         path = {"unsafe": "/u/x", "safe": "/s/x", "stream": "/r/x" if attempts == 2 else "/r1/x",
                 "probe": f"/p/{requested_version}/x"}[kind]
-        body = f"body of {stream_id}".encode()
+        body = CRASHING_BODY if is_crashing and kind == "safe" else f"body of {stream_id}".encode()
         deadline = STREAM_DEADLINE_SECONDS if kind == "stream" else DEADLINE_SECONDS
         time_limit = deadline if kind == "stream" else min(deadline, MINIMUM_TIMEOUT_SECONDS)
         fields = {"Host": "a.example", "X-Lovagecleat-Request-Id": id, "X-Api-Key": API_KEY,
@@ -749,7 +760,7 @@
         for host in self.hosts:
             for line in (self.folder / f"{host.name}.log").read_text(errors="replace").splitlines():
                 if '"event":"content_blocked"' in line:
-                    self.record.blocked_parts.append((host.name, json.loads(line)["part"]))
+                    self.record.blocked_parts.append((host.name, json.loads(line)["content"]))
 
 
 def run_seed(seed, options, folder):
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -28,6 +28,8 @@
 # Fields of a response with which a server asks for quiet, and the time that they mean; 0 if they mean no exact time.
 # Part of a prompt under which model servers crash.
 CRASHING_PART = "bad1"
+# Body of the request under which plain servers crash.
+CRASHING_BODY = b"crashing body"
 QUIET_FIELDS = [("1", 1.0), ("2", 2.0), ("3", 3.0), ("1.5", 1.5), ("soon", 0.0)]
 
 
@@ -284,7 +286,7 @@
         self.is_leaving = False  # says so in all responses
         self.quiet_until = 0.0  # turns new work away and asks for quiet
         self.limit = 0.0  # requests a second that it takes; 0 if it names none
-        self.crash_under_part = None  # called when it begins to respond to a request with the crashing part
+        self.crash_under_part = None  # called when it begins to respond to a crashing request
         self.has_silences = False
         self.is_draining = False
         self.slowness = 1.0
@@ -497,6 +499,11 @@
                 return False
             return await self.stream(id, host[0], resumed_after, reader, writer)
         await asyncio.sleep(self.random.uniform(0.005, 0.04) * self.slowness)
+        if body == CRASHING_BODY and self.crash_under_part:
+            self.record_server_fault(id)
+            self.record.request_crashes.append(now())
+            self.crash_under_part(self)
+            return False
         if self.random.random() < self.no_response_share:
             await asyncio.sleep(3600)
         version = path.split("/")[2] if path.startswith("/p/") else ""
