--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -275,9 +275,8 @@
   if (is_repeat && !context_.retry_budget.TakeRetry(service_)) return false;
   if (call_) EndSend(routing::CallResult::kNoEvidence, "passed_on");
   http::Exchange& exchange = *std::exchange(exchange_, nullptr);
-  const RelayedRequest relayed{request_,  route_->name,
-                               service_,  route_->MayRepeat(),
-                               is_repeat, deadline_};
+  const RelayedRequest relayed{request_.id,         route_->name, service_,
+                               route_->MayRepeat(), is_repeat,    deadline_};
   End(0, "passed_on");
   relays_.Start(exchange, relayed);
   return true;
--- a/services/gateway/request_relays.cc
+++ b/services/gateway/request_relays.cc
@@ -193,7 +193,7 @@
     context_.loop.Cancel(deadline_timer_);
     context_.metrics.Count("lovagecleat_relays_total",
                            {{"outcome", std::string(cause)}});
-    context_.log.Write("relay", request_.request.id,
+    context_.log.Write("relay", request_.id,
                        {{"route", request_.route},
                         {"host", host_},
                         {"hosts", tried_.size()},
--- a/services/gateway/request_relays.h
+++ b/services/gateway/request_relays.h
@@ -20,7 +20,7 @@
 
 // A request that this host does not handle itself.
 struct RelayedRequest {
-  CallerRequest request;
+  std::string id;  // set by the caller
   std::string route;
   ServiceId service;
   bool may_repeat = false;
