--- a/tests/http/lost_peer_test.cc
+++ b/tests/http/lost_peer_test.cc
@@ -78,7 +78,7 @@
 // bytes are on their way to it.
 TEST_CASE_METHOD(LostPeerFixture, "A lost peer ends the connection") {
   const std::size_t bytes = GENERATE(std::size_t{10}, std::size_t{100'000});
-  DropIncoming(peer_);
+  REQUIRE(DropIncoming(peer_));
   stream_->Write(std::string(bytes, 'x'));
   const Duration time = TimeToEnd();
   REQUIRE(recorder_.end == StreamEnd::kPeerLost);
@@ -93,7 +93,7 @@
   stream_->Write(std::string(kMoreThanFits, 'x'));
   RunFor(milliseconds(1700));
   REQUIRE_FALSE(recorder_.end);
-  DropIncoming(peer_);
+  REQUIRE(DropIncoming(peer_));
   // The kernel sends its probes in growing intervals.
   REQUIRE(TimeToEnd() < milliseconds(6000));
   REQUIRE(recorder_.end == StreamEnd::kPeerLost);
@@ -118,7 +118,7 @@
   std::string buffer(1'000'000, '\0');
   REQUIRE(recv(peer_, buffer.data(), buffer.size(), MSG_WAITALL) == 1'000'000);
   RunFor(milliseconds(1000));
-  DropIncoming(peer_);
+  REQUIRE(DropIncoming(peer_));
   stream_->Write("x");
   REQUIRE(TimeToEnd() < milliseconds(3000));
   REQUIRE(recorder_.end == StreamEnd::kPeerLost);
--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -98,11 +98,11 @@
 
 void RawConnection::DropIncoming() { transport::DropIncoming(descriptor_); }
 
-void DropIncoming(int descriptor) {
+bool DropIncoming(int descriptor) {
   sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
   const sock_fprog program{1, &drop_all};
-  setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
-             sizeof(program));
+  return setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                    sizeof(program)) == 0;
 }
 
 RawServer::RawServer(Serve serve)
--- a/tests/transport/raw_server.h
+++ b/tests/transport/raw_server.h
@@ -85,8 +85,8 @@
 };
 
 // Drops all packets that arrive for the socket from now on, as if its machine
-// were gone.
-void DropIncoming(int descriptor);
+// were gone. Returns whether that could be set.
+bool DropIncoming(int descriptor);
 
 // Returns a port on which nothing listens.
 std::uint16_t UnusedPort();
