--- a/meta/lint.sh
+++ b/meta/lint.sh
@@ -7,5 +7,5 @@
 # clang-tidy cannot read GCC's precompiled header, so it uses a build tree without one.
 cmake -S . -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON > /dev/null
 mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cc$')
-printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 3 clang-tidy -p build-lint --quiet 2> /dev/null
+meta/tidy.py build-lint "${units[@]}"
 echo "lint: ok"
