Process tests: Choose free ports

process_full_load failed once since its ports were taken: they were fixed, at 21000 and above, and the unit tests take theirs from 12000 to 31999. Tests of whole deployments now take a block of ports that can be bound, below the range that the kernel gives to connections. process_bad_input, process_full_load, demo_rwanda and operators_page_test pass beside other tests.

--- a/meta/demo.py
+++ b/meta/demo.py
@@ -71,7 +71,7 @@
     with tempfile.TemporaryDirectory(prefix="lovagecleat-demo-") as folder:
         target = pathlib.Path(folder)
         source = deployment.ROOT / "deployments" / name
-        base_port = int(sys.argv[2]) if len(sys.argv) > 2 else 17000
+        base_port = int(sys.argv[2]) if len(sys.argv) > 2 else None
         deployment.copy_deployment(source, target, base_port)
         cluster = Deployment(target)
         try:
--- a/meta/demo.sh
+++ b/meta/demo.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # demo.sh [qureshi|rwanda] [BASE PORT]: builds all, starts the deployment on this machine and runs example requests.
+# Without a port it takes free ones.
 source "$(dirname "$0")/common.sh"
 name="${1:-qureshi}"
 [ -d "deployments/$name" ] || { echo "unknown deployment $name: expected a folder of deployments/"; exit 2; }
--- a/meta/deployment.py
+++ b/meta/deployment.py
@@ -3,7 +3,9 @@
 import json
 import os
 import pathlib
+import random
 import re
+import socket
 import subprocess
 import time
 import urllib.error
@@ -16,6 +18,8 @@
 STOP_TIMEOUT_S = 20
 ADDRESS = "127.0.0.1"
 OPERATOR = "demo"
+FIRST_FREE_PORT = 12000
+MAXIMUM_PORT_TRIES = 50
 
 
 class DeploymentError(Exception):
@@ -51,10 +55,35 @@
         time.sleep(POLL_INTERVAL_S)
 
 
-def copy_deployment(source, target, base_port, entry_settings=None, stand_in_settings=None):
-    """Copies a deployment's files and shifts all ports so that they start at base_port."""
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((ADDRESS, port))
+        except OSError:
+            return False
+    return True
+
+
+def find_free_offset(ports):
+    """Returns an offset at which all of the ports are free, below the range that the kernel gives to connections."""
+    end = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    for _ in range(MAXIMUM_PORT_TRIES):
+        offset = random.randrange(FIRST_FREE_PORT, end - (max(ports) - min(ports))) - min(ports)
+        if all(is_free(port + offset) for port in ports):
+            return offset
+    raise DeploymentError(f"{len(ports)} neighbouring ports: none free after {MAXIMUM_PORT_TRIES} tries")
+
+
+def copy_deployment(source, target, base_port=None, entry_settings=None, stand_in_settings=None):
+    """Copies a deployment's files and shifts all ports so that they start at base_port; without it, to free ones."""
     original_base_port = int(json.loads((source / "stand_ins.json").read_text())["platform"]["address"].split(":")[1])
-    port_offset = base_port - original_base_port
+    if base_port is None:
+        texts = [file.read_text() for file in source.rglob("*.json")]
+        ports = {int(port) for text in texts
+                 for port in re.findall(rf'(?:{re.escape(ADDRESS)}:|"port": )(\d+)', text)}
+        port_offset = find_free_offset(ports)
+    else:
+        port_offset = base_port - original_base_port
 
     def shift_port(match):
         return f"{match.group(1)}{int(match.group(2)) + port_offset}"
--- a/meta/process_test.py
+++ b/meta/process_test.py
@@ -352,10 +352,10 @@
             print(f"-- {log.name}\n{text[-1500:]}", file=sys.stderr)
 
 
-def main(name, base_port):
+def main(name):
     with tempfile.TemporaryDirectory(prefix="lovagecleat-process-") as folder:
         target = pathlib.Path(folder)
-        deployment.copy_deployment(deployment.ROOT / "deployments" / "qureshi", target, base_port)
+        deployment.copy_deployment(deployment.ROOT / "deployments" / "qureshi", target)
         cluster = Deployment(target)
         try:
             cluster.start()
@@ -370,4 +370,4 @@
 
 
 if __name__ == "__main__":
-    main(sys.argv[1], int(sys.argv[2]))
+    main(sys.argv[1])
--- a/tests/operators/operators_page.py
+++ b/tests/operators/operators_page.py
@@ -13,7 +13,6 @@
 
 import deployment  # noqa: E402
 
-BASE_PORT = 23000
 MINIMUM_COMMANDS = 14
 
 
@@ -54,7 +53,7 @@
         raise deployment.DeploymentError(f"the page shows {len(commands)} commands, expected at least {MINIMUM_COMMANDS}")
     with tempfile.TemporaryDirectory(prefix="lovagecleat-operators-") as folder:
         target = pathlib.Path(folder)
-        deployment.copy_deployment(ROOT / "deployments" / "qureshi", target, BASE_PORT)
+        deployment.copy_deployment(ROOT / "deployments" / "qureshi", target)
         cluster = deployment.Deployment(target)
         try:
             cluster.start_stand_ins()
