Stream origins: Keep them in the store, so that streams go on after all hosts were lost

Seen (LOST): after all hosts were killed at once, every stream that a caller resumed was refused until its service had had one version for a route's timeout.

Cause: origins of streams, and since when a service has had which versions, were kept in the memory of hosts only.

Now one host of each zone writes a row with the history of the versions and, while several versions may have begun streams, their origins. A host that finds a stream at no other host reads the rows.

--- a/libraries/routing/batching_host.cc
+++ b/libraries/routing/batching_host.cc
@@ -13,6 +13,11 @@
 // chosen.
 constexpr double kMinimumProcessorFraction = 0.5;
 
+// Hosts with a greater key read the store first.
+std::pair<double, std::uint64_t> ReaderKey(const BatchingHost& host) {
+  return {host.processor_cores, StableHash(host.address)};
+}
+
 }  // namespace
 
 std::string_view ChooseBatchingHost(std::uint64_t seed,
@@ -40,13 +45,19 @@
 
 std::size_t StoreReaderRank(const BatchingHost& self,
                             std::span<const BatchingHost> others) {
-  const auto key = [](const BatchingHost& host) {
-    return std::pair(host.processor_cores, StableHash(host.address));
-  };
   return static_cast<std::size_t>(std::count_if(
       others.begin(), others.end(), [&](const BatchingHost& host) {
-        return host.is_in_zone && key(host) > key(self);
+        return host.is_in_zone && ReaderKey(host) > ReaderKey(self);
       }));
 }
 
+std::string_view StoreReader(std::span<const BatchingHost> hosts) {
+  const BatchingHost* first = nullptr;
+  for (const BatchingHost& host : hosts)
+    if (host.is_in_zone &&
+        (first == nullptr || ReaderKey(host) > ReaderKey(*first)))
+      first = &host;
+  return first == nullptr ? std::string_view() : first->address;
+}
+
 }  // namespace lovagecleat::routing
--- a/libraries/routing/batching_host.h
+++ b/libraries/routing/batching_host.h
@@ -28,4 +28,8 @@
 std::size_t StoreReaderRank(const BatchingHost& self,
                             std::span<const BatchingHost> others);
 
+// Returns the address of the host with rank 0 among those of the zone; empty if
+// there is none.
+std::string_view StoreReader(std::span<const BatchingHost> hosts);
+
 }  // namespace lovagecleat::routing
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -130,6 +130,12 @@
 
   const VersionHistory& versions() const { return versions_; }
 
+  // Adds what an earlier process knew of the versions of a service.
+  void RestoreVersions(const ServiceId& service, const VersionRecord& record,
+                       TimePoint now) {
+    versions_.Restore(service, record, now);
+  }
+
   std::size_t size() const { return servers_.size(); }
 
  private:
--- a/libraries/routing/stream_origins.h
+++ b/libraries/routing/stream_origins.h
@@ -38,6 +38,9 @@
 
   std::size_t size() const { return entries_.size(); }
 
+  // Returns the origins by stream, with those that expired lately.
+  const std::map<std::string, KnownOrigin>& entries() const { return entries_; }
+
  private:
   std::map<std::string, KnownOrigin> entries_;
 };
--- a/libraries/routing/version_history.h
+++ b/libraries/routing/version_history.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -9,6 +10,14 @@
 
 namespace lovagecleat::routing {
 
+// What is known of the software versions of a service's servers.
+struct VersionRecord {
+  TimePoint known_since;
+  // When the last server of each version was seen to go; nothing while there is
+  // one.
+  std::map<std::string, std::optional<TimePoint>> versions;
+};
+
 // Tracks the software versions that the servers of each service have had.
 class VersionHistory {
  public:
@@ -17,6 +26,19 @@
   void RemoveServer(const ServiceId& service, const std::string& version,
                     TimePoint now);
 
+  // Adds what an earlier process knew of a service. Versions that had servers
+  // according to it count as seen until `now`.
+  void Restore(const ServiceId& service, const VersionRecord& record,
+               TimePoint now);
+
+  // Returns what is known of each service, without the versions that were gone
+  // before `oldest`.
+  std::map<ServiceId, VersionRecord> Records(TimePoint oldest) const;
+
+  // Rises whenever a service gets its first or loses its last server of a
+  // version.
+  std::uint64_t revision() const { return revision_; }
+
   // Returns the version that every server of the service has had from `since`
   // until now. Returns nothing if there were several versions, or if the
   // service was not known by then.
@@ -34,6 +56,7 @@
   };
 
   std::map<ServiceId, ServiceState> services_;
+  std::uint64_t revision_ = 0;
 };
 
 }  // namespace lovagecleat::routing
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -146,7 +146,7 @@
                 return SendStageTraffic(peer, traffic);
               }),
       origins_(
-          context_,
+          context_, rows,
           [this](const std::string& peer) { return stages_.IsReachable(peer); },
           [this](const std::string& peer,
                  const messages::StreamOriginTraffic& traffic) {
@@ -360,6 +360,7 @@
     return;
   }
   const bool is_new_instance = context_.directory.Put(*entry, now);
+  origins_.OnServersChanged();
   if (is_new_instance) {
     context_.pool.CloseIdleConnections(before.incarnation().Key());
     if (!before.id.empty()) context_.server_limits.Remove(id);
@@ -636,6 +637,7 @@
   context_.directory.RemoveExpired(context_.Now());
   origins_.RemoveExpired();
   context_.is_store_available = !follower_.is_store_unavailable();
+  origins_.UpdateWriter(follower_.hosts_era());
   UpdateReaderRank();
   CheckOwnRow();
   content_blocks_.Update(follower_.hosts_era());
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -183,6 +183,17 @@
   virtual void WriteContentBlock(const std::string& part, std::string value,
                                  std::function<void(bool)> callback) = 0;
   virtual void RemoveContentBlock(const std::string& part) = 0;
+
+  // Read all rows of the table of stream origins, which hosts do not follow,
+  // and write this host's row in it. The callback gets whether the store
+  // accepted the row.
+  virtual void ReadStreamOrigins(Callback callback) = 0;
+  virtual void WriteStreamOrigins(const HostId& host, std::string value,
+                                  std::function<void(bool)> callback) = 0;
+
+  // Returns the time on the store's steady clock, by its newest response;
+  // nothing before the first one.
+  virtual std::optional<Duration> StoreTime() const = 0;
 };
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kAskedHostsPerZone = 2;
 // Hosts answer within a few milliseconds unless they are overloaded or lost.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(300);
+// The store answers within a few milliseconds unless it is slow or away.
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(300);
 constexpr Duration kSendRetryDelay = std::chrono::milliseconds(20);
 // A host that cannot be connected to within the first time, or does not
 // acknowledge within the second, is not used for the third.
@@ -32,12 +34,14 @@
 
 }  // namespace
 
-StreamOriginExchange::StreamOriginExchange(Context& context,
+StreamOriginExchange::StreamOriginExchange(Context& context, RowSource& rows,
                                            ReachableCallback is_reachable,
                                            SendCallback send)
     : context_(context),
       is_reachable_(std::move(is_reachable)),
-      send_(std::move(send)) {}
+      send_(std::move(send)),
+      rows_(context, rows, origins_),
+      writer_(context.settings.peers) {}
 
 StreamOriginExchange::~StreamOriginExchange() {
   context_.loop.Cancel(flush_timer_);
@@ -76,6 +80,7 @@
     for (const std::string& host :
          HoldersOf(stream, kAskedHostsPerZone, avoided))
       hosts.insert(host);
+  if (writer_ != context_.settings.peers) hosts.insert(writer_);
   return hosts;
 }
 
@@ -83,11 +88,15 @@
                                const routing::StreamOrigin& origin,
                                Duration lifetime) {
   origins_.Add(stream, origin, context_.Now() + lifetime);
-  for (const std::string& holder :
-       HoldersOf(stream, kHoldersPerZone, Avoided::kExclude)) {
+  const std::vector<std::string> holders =
+      HoldersOf(stream, kHoldersPerZone, Avoided::kExclude);
+  std::set<std::string> receivers(holders.begin(), holders.end());
+  if (writer_ != context_.settings.peers && rows_.NeedsOrigins(origin.service))
+    receivers.insert(writer_);
+  for (const std::string& receiver : receivers)
     WriteOrigin(stream, origin, lifetime,
-                *outgoing_[holder].traffic.add_origins());
-  }
+                *outgoing_[receiver].traffic.add_origins());
+  rows_.OnOriginAdded(origin.service);
   ScheduleFlush();
 }
 
@@ -115,7 +124,7 @@
   }
   query.timeout_timer = context_.loop.After(
       query.unanswered.empty() ? Duration::zero() : kQueryTimeout,
-      [this, id = stream.id] { FinishUnknown(id); });
+      [this, id = stream.id] { OnUnknownToHosts(id); });
   ScheduleFlush();
 }
 
@@ -144,16 +153,42 @@
 
 // A host that has started lately does not know which versions there were
 // before, so it goes by what the others have seen.
-void StreamOriginExchange::FinishUnknown(const std::string& stream) {
-  const auto query = queries_.find(stream);
-  if (query == queries_.end()) return;
-  std::set<std::string>& versions = query->second.sole_versions;
-  const ResumedStream& resumed = query->second.stream;
+std::optional<routing::StreamOrigin> StreamOriginExchange::OnlyPossibleOrigin(
+    const Query& query) const {
+  std::set<std::string> versions = query.sole_versions;
+  const ResumedStream& resumed = query.stream;
   const auto seen_here = SoleVersion(resumed.service, resumed.maximum_age);
   if (seen_here) versions.insert(*seen_here);
-  if (versions.size() != 1) return FinishQuery(stream, std::nullopt);
-  FinishQuery(stream,
-              routing::StreamOrigin{resumed.service, *versions.begin()});
+  if (versions.size() != 1) return std::nullopt;
+  return routing::StreamOrigin{resumed.service, *versions.begin()};
+}
+
+void StreamOriginExchange::OnUnknownToHosts(const std::string& stream) {
+  const auto found = queries_.find(stream);
+  if (found == queries_.end() || found->second.has_read_store) return;
+  Query& query = found->second;
+  context_.loop.Cancel(query.timeout_timer);
+  if (const auto origin = OnlyPossibleOrigin(query))
+    return FinishQuery(stream, origin);
+  ReadFromStore(stream, query);
+}
+
+// The rows are read for each stream that no host knows, once for all that come
+// meanwhile: those of hosts that were lost later would be missing otherwise.
+void StreamOriginExchange::ReadFromStore(const std::string& stream,
+                                         Query& query) {
+  query.has_read_store = true;
+  query.timeout_timer =
+      context_.loop.After(kStoreTimeout, [this, stream] { Finish(stream); });
+  rows_.Read([this, stream](bool /*is_read*/) { Finish(stream); });
+}
+
+void StreamOriginExchange::Finish(const std::string& stream) {
+  const auto query = queries_.find(stream);
+  if (query == queries_.end()) return;
+  const auto* known = origins_.Find(stream, context_.Now());
+  FinishQuery(stream, known != nullptr ? std::optional(known->origin)
+                                       : OnlyPossibleOrigin(query->second));
 }
 
 void StreamOriginExchange::OnTraffic(
@@ -173,6 +208,7 @@
     const Duration lifetime =
         std::min(Duration(added.remaining_us()), kMaximumLifetime);
     origins_.Add(added.stream(), origin, now + lifetime);
+    rows_.OnOriginAdded(origin.service);
     FinishQuery(added.stream(), origin);
   }
   for (const messages::StreamOriginQuery& asked : traffic.queries()) {
@@ -194,7 +230,7 @@
     if (unknown.has_sole_version())
       query->second.sole_versions.insert(unknown.sole_version());
     query->second.unanswered.erase(from);
-    if (query->second.unanswered.empty()) FinishUnknown(unknown.stream());
+    if (query->second.unanswered.empty()) OnUnknownToHosts(unknown.stream());
   }
   ScheduleFlush();
 }
@@ -203,6 +239,36 @@
   origins_.RemoveExpired(context_.Now());
 }
 
+void StreamOriginExchange::UpdateWriter(std::optional<std::uint64_t> era) {
+  std::vector<routing::BatchingHost> candidates = {
+      {context_.settings.peers, true, context_.settings.processor_cores}};
+  for (const PeerHost& host : hosts_)
+    if (host.zone == context_.settings.zone && is_reachable_(host.address))
+      candidates.push_back({host.address, true, host.processor_cores});
+  std::string writer(routing::StoreReader(candidates));
+  const std::uint64_t revision = context_.directory.versions().revision();
+  const bool may_lack_origins =
+      writer != writer_ || revision != writer_revision_;
+  writer_ = std::move(writer);
+  writer_revision_ = revision;
+  rows_.SetWriter(writer_ == context_.settings.peers, era);
+  if (may_lack_origins) SendAllToWriter();
+}
+
+void StreamOriginExchange::SendAllToWriter() {
+  const TimePoint now = context_.Now();
+  for (const auto& [stream, known] : origins_.entries()) {
+    if (known.expires_at <= now || !rows_.NeedsOrigins(known.origin.service))
+      continue;
+    if (writer_ == context_.settings.peers)
+      rows_.OnOriginAdded(known.origin.service);
+    else
+      WriteOrigin(stream, known.origin, known.expires_at - now,
+                  *outgoing_[writer_].traffic.add_origins());
+  }
+  ScheduleFlush();
+}
+
 void StreamOriginExchange::ScheduleFlush(Duration delay) {
   if (outgoing_.empty() || flush_timer_.value() != 0) return;
   flush_timer_ = context_.loop.After(delay, [this] {
--- a/services/gateway/stream_origin_exchange.h
+++ b/services/gateway/stream_origin_exchange.h
@@ -11,13 +11,15 @@
 #include "messages/messages.h"
 #include "services/gateway/context.h"
 #include "services/gateway/stage_router.h"
+#include "services/gateway/stream_origin_rows.h"
 
 namespace lovagecleat::gateway {
 
 // Remembers where streams began and shares it with other hosts, so that a
 // caller may resume a stream at any host, even if the host that began it is
-// lost. Origins that a host does not acknowledge are sent to another one.
-// Nothing is stored; origins are lost if all hosts that keep them are.
+// lost. Origins that a host does not acknowledge are sent to another one. While
+// a service may have several versions, one host of each zone also gets them to
+// store them, for the case that all hosts are lost.
 class StreamOriginExchange {
  public:
   using ReachableCallback = std::function<bool(const std::string& peer)>;
@@ -26,8 +28,8 @@
   // Gets nothing if the origin is not known.
   using Callback = std::function<void(std::optional<routing::StreamOrigin>)>;
 
-  StreamOriginExchange(Context& context, ReachableCallback is_reachable,
-                       SendCallback send);
+  StreamOriginExchange(Context& context, RowSource& rows,
+                       ReachableCallback is_reachable, SendCallback send);
   ~StreamOriginExchange();
   StreamOriginExchange(const StreamOriginExchange&) = delete;
   StreamOriginExchange& operator=(const StreamOriginExchange&) = delete;
@@ -45,10 +47,10 @@
     Duration maximum_age{};  // the longest time since it began
   };
 
-  // Finds the origin here or at other hosts. A stream that no host knows began
-  // at the only version that its service has had since before it can have
-  // begun. The callback is called once, from the loop, unless `owner` cancels
-  // it.
+  // Finds the origin here, at other hosts or in the store. A stream that none
+  // of them knows began at the only version that its service has had since
+  // before it can have begun. The callback is called once, from the loop,
+  // unless `owner` cancels it.
   void Find(const ResumedStream& stream, const void* owner, Callback callback);
   void Cancel(const void* owner);
 
@@ -56,12 +58,20 @@
                  const messages::StreamOriginTraffic& traffic);
   void RemoveExpired();
 
+  // Chooses the host that stores origins for the zone, and brings it up to
+  // date. `era` is that of the store; nothing before it was read.
+  void UpdateWriter(std::optional<std::uint64_t> era);
+
+  // The versions of a service may have changed.
+  void OnServersChanged() { rows_.OnServersChanged(); }
+
  private:
   struct Query {
     ResumedStream stream;
     std::set<std::string> unanswered;     // hosts that were asked
     std::set<std::string> sole_versions;  // according to these hosts
     std::map<const void*, Callback> callbacks;
+    bool has_read_store = false;
     TimerId timeout_timer;
   };
 
@@ -76,8 +86,16 @@
                                          Duration age) const;
   void FinishQuery(const std::string& stream,
                    const std::optional<routing::StreamOrigin>& origin);
-  // Finishes a query for a stream whose origin no host has.
-  void FinishUnknown(const std::string& stream);
+  // Ends the wait for other hosts: none of those that answered has the origin.
+  void OnUnknownToHosts(const std::string& stream);
+  void ReadFromStore(const std::string& stream, Query& query);
+  // Finishes a query with what is known by now.
+  void Finish(const std::string& stream);
+  // Returns the only version that the stream can have begun at.
+  std::optional<routing::StreamOrigin> OnlyPossibleOrigin(
+      const Query& query) const;
+  // Sends the host that stores origins all that it may not know.
+  void SendAllToWriter();
   void ScheduleFlush(Duration delay = Duration::zero());
   void Flush();
   // Waits for the acknowledgement of the origins in `traffic`.
@@ -93,6 +111,10 @@
   SendCallback send_;
   std::vector<PeerHost> hosts_;  // without this one
   routing::StreamOrigins origins_;
+  StreamOriginRows rows_;
+  std::string writer_;  // address of the host that stores for the zone
+  // Of the versions when the writer got all origins.
+  std::uint64_t writer_revision_ = 0;
   std::map<std::string, Query> queries_;  // by stream
   struct Outgoing {
     messages::StreamOriginTraffic traffic;
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -78,6 +78,23 @@
   Remove("hosts", "part/" + part);
 }
 
+void FakeRowSource::ReadStreamOrigins(Callback callback) {
+  ++stream_origin_reads;
+  callback(MakeResponse("origins", 0));
+}
+
+void FakeRowSource::WriteStreamOrigins(const HostId& host, std::string value,
+                                       std::function<void(bool)> callback) {
+  ++stream_origin_writes;
+  const bool is_written = status == RowsResponse::Status::kRead;
+  if (is_written) Set("origins", host.value(), value);
+  callback(is_written);
+}
+
+std::optional<Duration> FakeRowSource::StoreTime() const {
+  return SystemClock().Now().time_since_epoch();
+}
+
 void FakeRowSource::Restore(const Copy& copy) {
   rows_ = copy.rows;
   version_ = copy.version;
@@ -188,6 +205,17 @@
   hosts_.at(number).reset();
 }
 
+void GatewayFixture::RestartHosts(Duration downtime) {
+  const std::size_t count = hosts_.size();
+  gateway = nullptr;
+  hosts_.clear();
+  RunFor(downtime);
+  hosts_.push_back(std::make_unique<Host>(*this, "host", 0));
+  gateway = hosts_.front()->gateway.get();
+  started_hosts_ = 0;
+  StartHosts(count);
+}
+
 void GatewayFixture::AddHostRow(const Host& host) {
   rows.Set("hosts", host.settings.host.value(),
            R"({"peers":")" + host.settings.peers + R"(","callers":")" +
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -32,6 +32,10 @@
   void WriteContentBlock(const std::string& part, std::string value,
                          std::function<void(bool)> callback) override;
   void RemoveContentBlock(const std::string& part) override;
+  void ReadStreamOrigins(Callback callback) override;
+  void WriteStreamOrigins(const HostId& host, std::string value,
+                          std::function<void(bool)> callback) override;
+  std::optional<Duration> StoreTime() const override;
 
   void Set(const std::string& table, const std::string& key,
            const std::string& value);
@@ -57,6 +61,8 @@
   int follows = 0;
   int host_writes = 0;
   int content_block_writes = 0;
+  int stream_origin_reads = 0;
+  int stream_origin_writes = 0;
   bool stores_content_blocks = true;  // whether they are accepted
   bool stores_hosts = false;  // whether WriteHost changes the hosts table
 
@@ -96,6 +102,16 @@
   void RemoveContentBlock(const std::string& content) override {
     rows_.RemoveContentBlock(content);
   }
+  void ReadStreamOrigins(Callback callback) override {
+    rows_.ReadStreamOrigins(std::move(callback));
+  }
+  void WriteStreamOrigins(const HostId& host, std::string value,
+                          std::function<void(bool)> callback) override {
+    rows_.WriteStreamOrigins(host, std::move(value), std::move(callback));
+  }
+  std::optional<Duration> StoreTime() const override {
+    return rows_.StoreTime();
+  }
 
  private:
   Callback Edited(const std::string& table, Callback callback) const;
@@ -124,6 +140,10 @@
   // row in the hosts table stays.
   void KillHost(std::size_t number);
 
+  // Ends all hosts as KillHost does and starts as many with the same names,
+  // after `downtime`.
+  void RestartHosts(Duration downtime);
+
   // Adds the first host's row to the hosts table, as after an earlier start.
   void AddOwnHostRow();
 
--- a/tests/gateway/store_era_fixture.h
+++ b/tests/gateway/store_era_fixture.h
@@ -60,6 +60,19 @@
     if (!is_cut) store_.RemoveContentBlock(part);
   }
 
+  void ReadStreamOrigins(Callback callback) override {
+    if (is_cut) return callback({});
+    store_.ReadStreamOrigins(std::move(callback));
+  }
+  void WriteStreamOrigins(const HostId& host, std::string value,
+                          std::function<void(bool)> callback) override {
+    if (is_cut) return callback(false);
+    store_.WriteStreamOrigins(host, std::move(value), std::move(callback));
+  }
+  std::optional<Duration> StoreTime() const override {
+    return store_.StoreTime();
+  }
+
   // Completes the calls whose responses were held back.
   void Release() {
     is_holding = false;
--- a/tests/gateway/stream_versions_test.cc
+++ b/tests/gateway/stream_versions_test.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <deque>
@@ -7,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "tests/gateway/gateway_fixture.h"
+#include "tests/gateway/version_servers.h"
 
 // Tests streams of a service whose servers run several software versions. What
 // two versions write does not fit together.
@@ -39,184 +38,13 @@
 constexpr auto kLongerThanStreams = milliseconds(4000);
 // Changes of the store's tables have taken effect after this time.
 constexpr auto kChangeDelay = milliseconds(1000);
-// A request that cannot be served is refused within this time.
-constexpr auto kRefusalTime = milliseconds(300);
 // Repetitions of a choice between versions, so that no chance passes a test:
 // new fixtures, and streams at one fixture.
 constexpr int kRounds = 10;
 constexpr int kStreams = 12;
 
-constexpr std::string_view kLastEventName = "Last-Event-Id: ";
-constexpr std::string_view kRequestIdName = "X-Lovagecleat-Request-Id: ";
-
-// Returns the value of a header field, empty if it is missing.
-std::string FieldOf(const std::string& request, std::string_view name) {
-  const auto at = request.find(name);
-  if (at == std::string::npos) return {};
-  const auto start = at + name.size();
-  return request.substr(start, request.find("\r\n", start) - start);
-}
-
-std::string MakeRequest(const std::string& path, const std::string& id,
-                        const std::string& extra = "") {
-  return "POST " + path +
-         " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" +
-         Join({kRequestIdName, id}) +
-         "\r\nX-Lovagecleat-Deadline-Ms: 5000\r\nContent-Length: 2\r\n" +
-         extra + "\r\nhi";
-}
-
-// Returns the request of a client that takes a stream up after event `last`.
-// `begun_by` is the id of the attempt that brought the first event.
-std::string TakeUp(const std::string& id, const std::string& begun_by,
-                   int last = 1) {
-  return MakeRequest("/r/", id,
-                     "Last-Event-Id: " + std::to_string(last) +
-                         "\r\nResumes: " + begun_by + "\r\n");
-}
-
-// Returns kStreamHead with the id of the request.
-std::string StreamHeadFor(const std::string& request) {
-  std::string head = kStreamHead;
-  head.replace(head.find("id1"), 3, FieldOf(request, kRequestIdName));
-  return head;
-}
-
-// A server whose events name its version. A stream has three events.
-class VersionServer {
- public:
-  // What the server does after the first event that it sends in a response.
-  enum class After { kContinue, kBreak, kWaitForClose };
-
-  VersionServer(std::string version, After after_begin,
-                After after_take_up = After::kContinue)
-      : version_(std::move(version)),
-        after_begin_(after_begin),
-        after_take_up_(after_take_up),
-        server_([this](RawConnection& connection, const std::string& request) {
-          return Serve(connection, request);
-        }) {}
-
-  const std::string& version() const { return version_; }
-  std::string address() const { return server_.address(); }
-  int begun() const { return begun_; }
-  int taken_up() const { return taken_up_; }
-  int requests() const { return server_.requests(); }
-
- private:
-  bool Serve(RawConnection& connection, const std::string& request) {
-    if (request.starts_with("POST /s/")) {
-      connection.Write(Join({"HTTP/1.1 200 X\r\n", kSeal, kRequestIdName,
-                             FieldOf(request, kRequestIdName),
-                             "\r\nContent-Length: 2\r\n\r\n", version_}));
-      return true;
-    }
-    const std::string last = FieldOf(request, kLastEventName);
-    ++(last.empty() ? begun_ : taken_up_);
-    int event = last.empty() ? 0 : std::stoi(last);
-    connection.Write(Join({StreamHeadFor(request), MakeEvent(++event)}));
-    switch (last.empty() ? after_begin_ : after_take_up_) {
-      case After::kBreak:
-        return false;
-      case After::kWaitForClose:
-        connection.WaitForClose();
-        return false;
-      case After::kContinue:
-        break;
-    }
-    while (event < 3) connection.Write(MakeEvent(++event));
-    connection.Write(kStreamEnd);
-    return true;
-  }
-
-  std::string MakeEvent(int number) const {
-    return Chunk("id: " + std::to_string(number) + "\ndata: " + version_ +
-                 "\n\n");
-  }
-
-  std::string version_;
-  After after_begin_;
-  After after_take_up_;
-  std::atomic<int> begun_ = 0;
-  std::atomic<int> taken_up_ = 0;
-  ScriptedServer server_;
-};
-
 using After = VersionServer::After;
 
-// Checks that the response is a whole stream with events of that version only.
-void CheckWholeStream(const std::string& response, const std::string& version) {
-  INFO(response);
-  const std::string other = version == "v1" ? "v2" : "v1";
-  CHECK(response.starts_with("HTTP/1.1 200"));
-  CHECK(response.find("data: " + version) != std::string::npos);
-  CHECK(response.find("data: " + other) == std::string::npos);
-  CHECK(response.find("id: 3\n") != std::string::npos);
-  CHECK(response.ends_with(kStreamEnd));
-}
-
-class StreamVersionsFixture : public GatewayFixture {
- public:
-  // Adds a server, with the id "sN" in order.
-  VersionServer& Add(const std::string& version, After after_begin,
-                     After after_take_up = After::kContinue) {
-    VersionServer& server =
-        servers.emplace_back(version, after_begin, after_take_up);
-    AddServer("s" + std::to_string(servers.size()), "plain", server.address(),
-              version);
-    return server;
-  }
-
-  void StartWith(std::size_t hosts, const char* routing = kRouting) {
-    rows.Set("op", "config", routing);
-    StartHosts(hosts);
-  }
-
-  // Sends the request and runs the loop until event `number` has reached the
-  // client; the connection stays open. Returns the event's version.
-  std::string ReadUntilEvent(const RawClient& client,
-                             const std::string& request, int number = 1) {
-    client.Write(request);
-    const std::string event = "id: " + std::to_string(number) + "\ndata: ";
-    std::string text;
-    bool is_open = true;
-    RunUntil([&] {
-      is_open = is_open && client.ReadAvailable(text);
-      return !is_open || text.find(event) != std::string::npos;
-    });
-    INFO(text);
-    const auto at = text.find(event);
-    REQUIRE(at != std::string::npos);
-    return text.substr(at + event.size(), 2);
-  }
-
-  // Begins a stream at a host and closes the client's connection after the
-  // first event. Returns the version that began the stream.
-  std::string BeginAndClose(const std::string& id, std::size_t host = 0) {
-    RawClient client(callers_port(host));
-    return ReadUntilEvent(client, MakeRequest("/r/", id));
-  }
-
-  int taken_up() const {
-    int sum = 0;
-    for (const VersionServer& server : servers) sum += server.taken_up();
-    return sum;
-  }
-
-  // Checks that the request is refused at once and reaches no server.
-  void RequireRefused(const std::string& request, std::size_t host = 0) {
-    const int before = taken_up();
-    const TimePoint sent_at = loop().clock().Now();
-    const std::string response = Send(request, host);
-    INFO(response);
-    CHECK(loop().clock().Now() - sent_at < kRefusalTime);
-    CHECK(response.starts_with("HTTP/1.1 503"));
-    CHECK(taken_up() == before);
-  }
-
-  std::deque<VersionServer> servers;
-};
-
 // Guards against responses with events of two versions: a stream whose server
 // broke off went on at a server of another version.
 TEST_CASE_METHOD(StreamVersionsFixture,
@@ -225,7 +53,7 @@
   CAPTURE(round);
   for (const char* version : {"v1", "v2", "v1", "v2"})
     Add(version, After::kBreak);
-  StartWith(1);
+  StartWith(1, kRouting);
   const std::string response = Send(MakeRequest("/r/", "a1"));
   INFO(response);
   const bool is_first_version = response.find("data: v1") < response.find("v2");
@@ -241,7 +69,7 @@
   CAPTURE(round);
   for (const char* version : {"v1", "v2"})
     Add(version, After::kBreak, After::kBreak);
-  StartWith(1);
+  StartWith(1, kRouting);
   const std::string response = Send(MakeRequest("/r/", "a1"));
   INFO(response);
   REQUIRE(response.find("id: 1\n") != std::string::npos);
@@ -258,7 +86,7 @@
                  "A stream is taken up at the version that began it") {
   for (const char* version : {"v1", "v2", "v1", "v2"})
     Add(version, After::kWaitForClose);
-  StartWith(1);
+  StartWith(1, kRouting);
   for (int i = 0; i < kStreams; ++i) {
     const std::string id = "a" + std::to_string(i);
     const std::string version = BeginAndClose(id);
@@ -273,7 +101,7 @@
                  "A stream is taken up twice at the version that began it") {
   for (const char* version : {"v1", "v1", "v2", "v2"})
     Add(version, After::kWaitForClose, After::kWaitForClose);
-  StartWith(1);
+  StartWith(1, kRouting);
   for (int i = 0; i < kStreams; ++i) {
     const std::string id = "a" + std::to_string(i);
     const std::string version = BeginAndClose(id);
@@ -292,7 +120,7 @@
                  "A stream is taken up at another host at its version") {
   for (const char* version : {"v1", "v2", "v1", "v2"})
     Add(version, After::kWaitForClose);
-  StartWith(2);
+  StartWith(2, kRouting);
   for (int i = 0; i < kStreams; ++i) {
     const std::string id = "a" + std::to_string(i);
     const std::string version = BeginAndClose(id, 0);
@@ -309,7 +137,7 @@
   CAPTURE(next);
   for (const char* version : {"v1", "v2", "v1", "v2"})
     Add(version, After::kWaitForClose);
-  StartWith(3);
+  StartWith(3, kRouting);
   std::deque<RawClient> clients;
   std::vector<std::pair<std::string, std::string>> streams;  // id and version
   for (int i = 0; i < kStreams; ++i) {
@@ -331,7 +159,7 @@
                  "A stream is taken up although another host is gone too") {
   for (const char* version : {"v1", "v2", "v1", "v2"})
     Add(version, After::kWaitForClose);
-  StartWith(3);
+  StartWith(3, kRouting);
   KillHost(2);
   std::deque<RawClient> clients;
   std::vector<std::pair<std::string, std::string>> streams;  // id and version
@@ -360,7 +188,7 @@
   rows.Set(
       "hosts", "frozen",
       R"({"peers":"127.0.0.1:)" + std::to_string(port) + R"(","zone":"z"})");
-  StartWith(2);
+  StartWith(2, kRouting);
   std::deque<RawClient> clients;
   std::vector<std::pair<std::string, std::string>> streams;  // id and version
   for (int i = 0; i < kStreams; ++i) {
@@ -382,7 +210,7 @@
   const std::size_t hosts = GENERATE(1U, 3U);
   CAPTURE(hosts);
   for (const char* version : {"v1", "v2"}) Add(version, After::kContinue);
-  StartWith(hosts);
+  StartWith(hosts, kRouting);
   RequireRefused(TakeUp("a2", "unknown"));
 }
 
@@ -420,7 +248,7 @@
   const std::size_t host = GENERATE(0U, 1U);
   CAPTURE(host);
   for (const char* version : {"v1", "v2"}) Add(version, After::kWaitForClose);
-  StartWith(2);
+  StartWith(2, kRouting);
   const std::string version = BeginAndClose("a1");
   rows.Remove("servers", version == "v1" ? "s1" : "s2");
   RunFor(kChangeDelay);
@@ -432,7 +260,7 @@
 TEST_CASE_METHOD(StreamVersionsFixture,
                  "A stream is refused at its server's next version") {
   Add("v1", After::kWaitForClose);
-  StartWith(1);
+  StartWith(1, kRouting);
   REQUIRE(BeginAndClose("a1") == "v1");
   VersionServer next("v2", After::kWaitForClose);
   AddServer("s1", "plain", next.address(), "v2");
@@ -444,7 +272,7 @@
 // Guards against new streams kept to one version: they may begin at any.
 TEST_CASE_METHOD(StreamVersionsFixture, "A new stream begins at any version") {
   for (const char* version : {"v1", "v2"}) Add(version, After::kContinue);
-  StartWith(1);
+  StartWith(1, kRouting);
   std::set<std::string> versions;
   for (int i = 0; i < 20; ++i) {
     const std::string response =
@@ -466,7 +294,7 @@
       [](RawConnection&, const std::string&) { return false; });
   AddServer("broken", "plain", broken.address(), "v1");
   Add("v2", After::kContinue);
-  StartWith(1);
+  StartWith(1, kRouting);
   CheckWholeStream(Send(MakeRequest("/r/", "a1")), "v2");
 }
 
@@ -474,7 +302,7 @@
 TEST_CASE_METHOD(StreamVersionsFixture,
                  "A request that is no stream goes to any version") {
   for (const char* version : {"v1", "v2"}) Add(version, After::kContinue);
-  StartWith(1);
+  StartWith(1, kRouting);
   std::set<std::string> versions;
   for (int i = 0; i < 20; ++i) {
     const std::string response = Send(
@@ -495,7 +323,7 @@
       [](RawConnection&, const std::string&) { return false; });
   AddServer("broken", "plain", broken.address(), "v1");
   Add("v2", After::kContinue);
-  StartWith(1);
+  StartWith(1, kRouting);
   REQUIRE(Send(MakeRequest("/s/", "a1")).ends_with("v2"));
 }
 
--- a/tests/routing/batching_host_test.cc
+++ b/tests/routing/batching_host_test.cc
@@ -56,5 +56,19 @@
   REQUIRE(ranks == std::set<std::size_t>{0, 1, 2});
 }
 
+TEST_CASE("The store reader of a zone is its host with rank 0") {
+  REQUIRE(StoreReader({}).empty());
+  std::vector<BatchingHost> hosts = {
+      {"a", true, 0.25}, {"b", true, 0.5}, {"c", false, 1.0}, {"d", true, 0.5}};
+  const std::string_view reader = StoreReader(hosts);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    std::vector<BatchingHost> others = hosts;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
+    if (!hosts[i].is_in_zone) continue;
+    REQUIRE((StoreReaderRank(hosts[i], others) == 0) ==
+            (hosts[i].address == reader));
+  }
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
