Requests: Let resumed streams go first

Their callers have part of the response, which is lost with them.

Failed before: "A stream that is resumed is as urgent as any request".

--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -37,6 +37,7 @@
 // Added to the timeout of a route for the longest time since the first event of
 // a stream that callers resume: they resume it at once.
 constexpr Duration kStreamAgeMargin = milliseconds(1000);
+constexpr int kMostUrgentPriority = 0;
 
 double Milliseconds(Duration time) {
   return static_cast<double>(time.count()) / 1000.0;
@@ -145,6 +146,9 @@
                      return IsCandidate(*server);
                    }))
     return Refuse("no_server_of_version");
+  // Its caller has waited longest and has part of the response, which is lost
+  // unless the stream goes on.
+  priority_ = std::min(priority_, kMostUrgentPriority);
   StartStages();
 }
 
--- a/tests/gateway/stream_versions_test.cc
+++ b/tests/gateway/stream_versions_test.cc
@@ -269,6 +269,32 @@
   REQUIRE(next.requests() == 0);
 }
 
+// Guards against cut streams: one that its caller had resumed waited behind new
+// requests of more urgent routes, until it was refused.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream that is resumed is as urgent as any request") {
+  std::string routing = kRouting;
+  const std::string route = R"("name":"stream",)";
+  routing.insert(routing.find(route) + route.size(), R"("priority":2,)");
+  VersionServer& server = Add("v1", After::kWaitForClose);
+  StartWith(1, routing.c_str());
+  // Only requests with a prompt have an urgency.
+  const std::string prompt = "X-Lovagecleat-Prompt-Prefix: ab:10,cd:5\r\n";
+  {
+    const RawClient client(callers_port());
+    REQUIRE(ReadUntilEvent(client, MakeRequest("/r/", "a1", prompt)) == "v1");
+  }
+  const auto urgency = [&server] {
+    return FieldOf(server.last_request(), "X-Lovagecleat-Request-Urgency: ");
+  };
+  REQUIRE(urgency() == "6");
+  CheckWholeStream(
+      Send(MakeRequest("/r/", "a2",
+                       "Last-Event-Id: 1\r\nResumes: a1\r\n" + prompt)),
+      "v1");
+  REQUIRE(urgency() == "2");
+}
+
 // Guards against new streams kept to one version: they may begin at any.
 TEST_CASE_METHOD(StreamVersionsFixture, "A new stream begins at any version") {
   for (const char* version : {"v1", "v2"}) Add(version, After::kContinue);
--- a/tests/gateway/version_servers.h
+++ b/tests/gateway/version_servers.h
@@ -40,6 +40,7 @@
   int begun() const { return begun_; }
   int taken_up() const { return taken_up_; }
   int requests() const { return server_.requests(); }
+  std::string last_request() { return server_.last_request(); }
 
  private:
   bool Serve(transport::RawConnection& connection, const std::string& request);
