--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -377,15 +377,33 @@
                       {"store_era", row.version.era()}});
 }
 
+// A row may have another writer, so it can have any shape.
+std::optional<Gateway::HostEntry> Gateway::ReadHost(const std::string& value) {
+  try {
+    const auto json = nlohmann::json::parse(value);
+    HostEntry entry{json.at("peers").get<std::string>(),
+                    json.value("callers", ""), json.value("zone", ""),
+                    json.value("processor", 1.0)};
+    if (!configuration::ParseEndpoint(entry.peers) ||
+        entry.processor_cores <= 0)
+      return std::nullopt;
+    return entry;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
 void Gateway::ApplyHost(const std::string& name, const routing::Row& row) {
   if (row.is_removed) {
     hosts_.erase(HostId(name));
   } else {
-    const auto value = nlohmann::json::parse(row.value, nullptr, false);
-    if (!value.is_object() || !value.contains("peers")) return;
-    hosts_[HostId(name)] = {value.value("peers", ""),
-                            value.value("callers", ""), value.value("zone", ""),
-                            value.value("processor", 1.0)};
+    const std::optional<HostEntry> entry = ReadHost(row.value);
+    if (!entry)
+      return context_.log.Write("host_unreadable", "",
+                                {{"host", name},
+                                 {"row_version", row.version.number()},
+                                 {"store_era", row.version.era()}});
+    hosts_[HostId(name)] = *entry;
   }
   UpdateHosts();
 }
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,6 +50,12 @@
 
  private:
   class StatusHandler;
+  struct HostEntry {
+    std::string peers;
+    std::string callers;  // empty for a host of an earlier version
+    std::string zone;
+    double processor_cores = 1.0;
+  };
 
   bool Listen();
 
@@ -57,6 +64,8 @@
   void ResumeWaitingRequests();
   void ApplyServer(const std::string& name, const routing::Row& row,
                    RowOrigin origin);
+  // Returns nothing if the row cannot be read.
+  static std::optional<HostEntry> ReadHost(const std::string& value);
   void ApplyHost(const std::string& name, const routing::Row& row);
   void UpdateHosts();
 
@@ -102,12 +111,6 @@
   http::Server readiness_;
   http::Server metrics_server_;
   std::map<RequestFlow*, std::unique_ptr<RequestFlow>> flows_;
-  struct HostEntry {
-    std::string peers;
-    std::string callers;  // empty for a host of an earlier version
-    std::string zone;
-    double processor_cores = 1.0;
-  };
   std::map<HostId, HostEntry> hosts_;
   std::set<std::string> connected_peers_;
   std::optional<TimePoint> stop_at_;
