Stage calls: Wait out the silence of a sound server

Known red (soak_silences): a stage call was sent to another server after three times its usual time, and closed 30 ms after its server reported itself idle, although a sound server may send nothing for 1.2 s. Items now go to another server after the usual time and that silence, and a response counts as lost once the silence has passed since the server reported itself idle.

--- a/services/gateway/silence.h
+++ b/services/gateway/silence.h
@@ -9,10 +9,9 @@
 // A sound server may send nothing for this long and then go on, at any point of
 // a connection or response: "a second or so" by the platform's rules, with a
 // margin. Within it, no call is ended, no request is sent again because of the
-// silence, and the server is not blamed. Two exceptions cost the server
-// nothing: a request that could not be answered in time otherwise, and the
-// items of a stage call that takes several times its usual duration, are also
-// sent to another server.
+// silence, and the server is not blamed. One exception costs the server
+// nothing: a request that could not be answered in time otherwise is also sent
+// to another server.
 inline constexpr Duration kSoundSilence = std::chrono::milliseconds(1200);
 
 // A server that sends nothing for this long is left for another one that can
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -21,9 +21,6 @@
 // Period of the search for items that cannot meet their deadline, while all
 // servers are busy. Sorting a long queue at each event takes too long.
 constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(50);
-// A response that was sent before the report that its server is idle may arrive
-// this much later, since it comes on another connection.
-constexpr Duration kLostResponseDelay = std::chrono::milliseconds(30);
 // A result of a batch is described by less than 1 KiB.
 constexpr std::uint64_t kMaximumBatchBytes = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t kMaximumControlBytes = std::uint64_t{64} * 1024;
@@ -58,6 +55,7 @@
   ~ActiveCall() override {
     loop().Cancel(timeout_timer_);
     loop().Cancel(slow_timer_);
+    loop().Cancel(hedge_timer_);
   }
 
   void Start(const routing::ServerRecord& server) {
@@ -71,8 +69,12 @@
           http_.reset();
           Finish("timeout", routing::CallResult::kFailed, std::nullopt, {});
         });
-    slow_timer_ = loop().After(queue_.scheduler.HedgeDelay(call_.items.size()),
-                               [this] { HedgeItems(); });
+    const Duration slow = queue_.scheduler.HedgeDelay(call_.items.size());
+    slow_timer_ = loop().After(slow, [this] { CheckForLostResponse(); });
+    hedge_timer_ = loop().After(
+        std::max(slow,
+                 queue_.scheduler.CallTime(call_.items.size()) + kSoundSilence),
+        [this] { HedgeItems(); });
     http_ = context.pool.Start(
         CallTargetOf(incarnation_),
         context.codec.WriteBatch(target, call_.items, context.Now()),
@@ -158,7 +160,6 @@
                                 {"server", call_.server.value()},
                                 {"items", call_.items.size()}});
     runner_.AddCopies(queue_, call_.items);
-    CheckForLostResponse();
     runner_.DispatchCalls();
   }
 
@@ -177,8 +178,8 @@
   // server does not answer.
   void OnReport(const std::optional<StageServerReport>& report) {
     if (report && report->is_idle) {
-      slow_timer_ =
-          loop().After(kLostResponseDelay, [this] { OnResponseLost(); });
+      // A sound server may be silent before it sends the response.
+      slow_timer_ = loop().After(kSoundSilence, [this] { OnResponseLost(); });
       return;
     }
     slow_timer_ = loop().After(queue_.scheduler.CallTime(call_.items.size()),
@@ -197,6 +198,7 @@
     const TimePoint now = context.Now();
     loop().Cancel(timeout_timer_);
     loop().Cancel(slow_timer_);
+    loop().Cancel(hedge_timer_);
     self_handle_.reset();
     queue_.scheduler.EndCall(call_.server, call_.items.size(), call_duration,
                              now);
@@ -273,6 +275,7 @@
   std::unique_ptr<http::Call> http_;
   TimerId timeout_timer_;
   TimerId slow_timer_;
+  TimerId hedge_timer_;
   bool is_hedged_ = false;
   // Expires with the call, since reports may arrive after it has ended.
   std::shared_ptr<ActiveCall*> self_handle_ =
