--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -314,6 +314,40 @@
   REQUIRE(requests == 2);
 }
 
+// Guards against calls without end: a server that is stalled sends a byte now
+// and then, in the head of its response or within an event of a stream.
+TEST_CASE_METHOD(SilentServerFixture,
+                 "A server that sends a byte now and then is left in time") {
+  const std::string filler(200, 'a');
+  const std::string response =
+      Join({kStreamHead, Chunk(Join({"id: 1\ndata: ", filler, "\n\n"})),
+            kStreamEnd});
+  const std::size_t split =
+      GENERATE_COPY(std::size_t{30}, response.size() - filler.size());
+  std::atomic<int> requests = 0;
+  const auto script = [&](RawConnection& connection, const std::string&) {
+    if (++requests > 1) {
+      connection.Write(response);
+      return true;
+    }
+    connection.Write(response.substr(0, split));
+    // For longer than the time to leave it; writing to a closed connection has
+    // no effect.
+    for (std::size_t i = split; i < split + 15; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      connection.Write(response.substr(i, 1));
+    }
+    return false;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  StartWith({&first, &second});
+  const TimePoint start = loop().clock().Now();
+  REQUIRE(Send(MakeRequest("/r2/")).ends_with(kStreamEnd));
+  REQUIRE(loop().clock().Now() - start < kTimeToLeave);
+  REQUIRE(requests == 2);
+}
+
 // Guards against requests without an answer: the time that is left is shorter
 // than the time after which a silent server is left.
 TEST_CASE_METHOD(SilentServerFixture,
