--- a/libraries/routing/received_results.cc
+++ b/libraries/routing/received_results.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-// Longer than any connection stays in use for calls of a fleet under load.
+// A copy comes with one of the next responses on its connection.
 constexpr Duration kMemory = std::chrono::seconds(60);
 // Bounds the memory to a few megabytes.
 constexpr std::size_t kMaximumResults = 50'000;
