--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -89,7 +89,7 @@
     call_ = nullptr;
   }
 
-  bool is_connected() const { return was_connected_; }
+  std::optional<TimePoint> connected_at() const { return connected_at_; }
 
   // The loop destroys this object later; until then it must not send the
   // bytes that are still buffered.
@@ -101,7 +101,7 @@
   }
 
   void OnConnected() override {
-    was_connected_ = true;
+    connected_at_ = loop().clock().Now();
     loop().Cancel(connect_timer_);
     if (pool_.observer_ != nullptr) pool_.observer_->OnServerConnected();
   }
@@ -146,7 +146,7 @@
   std::string body_;
   bool is_head_delivered_ = false;
   bool is_skipping_ = false;
-  bool was_connected_ = false;
+  std::optional<TimePoint> connected_at_;
   bool was_reused_ = false;
   bool has_response_bytes_ = false;
   int skipped_responses_ = 0;
@@ -171,7 +171,11 @@
   }
 
   bool may_have_been_sent() const override {
-    return !connection_ || connection_->is_connected();
+    return !connection_ || connection_->connected_at();
+  }
+
+  std::optional<TimePoint> connected_at() const override {
+    return connection_ ? connection_->connected_at() : std::nullopt;
   }
 
   std::unique_ptr<Connection> Release() { return std::move(connection_); }
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,9 @@
   // Returns whether the connection was established, so that the server may have
   // received the request.
   virtual bool may_have_been_sent() const = 0;
+  // Returns when the connection was established; nothing before, and once the
+  // response is complete. It may have carried earlier calls.
+  virtual std::optional<TimePoint> connected_at() const = 0;
 };
 
 enum class Reuse {
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -409,6 +409,18 @@
   known = std::max(known, crash.at);
 }
 
+std::optional<TimePoint> CrashSuspects::CrashedAt(
+    std::uint64_t incarnation) const {
+  const auto known = crashed_at_.find(incarnation);
+  if (known == crashed_at_.end()) return std::nullopt;
+  return known->second;
+}
+
+std::size_t CrashSuspects::CrashesOf(const ContentKey& content) const {
+  const auto evidence = evidence_.find(content);
+  return evidence == evidence_.end() ? 0 : evidence->second.size();
+}
+
 std::optional<std::vector<ContentKey>> CrashSuspects::RefuteCrash(
     std::uint64_t incarnation, TimePoint responded_at) {
   const auto known = crashed_at_.find(incarnation);
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -106,6 +106,13 @@
                                                      TimePoint responded_at);
   bool has_crashes() const { return !crashed_at_.empty(); }
 
+  // Returns when the incarnation crashed last; nothing if that is not known.
+  std::optional<TimePoint> CrashedAt(std::uint64_t incarnation) const;
+
+  // Returns the number of crashes for which this host has blocked the content;
+  // zero if another host has.
+  std::size_t CrashesOf(const ContentKey& content) const;
+
   // Blocks a content as another host does. Returns false, without effect, if
   // this host knows that the content was served since the crash, or a later
   // crash.
--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -29,6 +29,10 @@
           now, Before(now, crash.sent_age_us())};
 }
 
+double Milliseconds(Duration time) {
+  return static_cast<double>(time.count()) / 1000.0;
+}
+
 // Keys that another host could not have made are dropped.
 template <typename Texts>
 std::vector<routing::ContentKey> ReadKeys(const Texts& texts) {
@@ -88,8 +92,10 @@
   context_.metrics.Count("lovagecleat_content_crashes_total");
   context_.log.Write("content_crash", "",
                      {{"server", server.id.value()},
+                      {"incarnation", crash.incarnation},
                       {"contents", routing::FormatForLog(contents)},
-                      {"had_started_response", has_started}});
+                      {"had_started_response", has_started},
+                      {"sent_ms_ago", Milliseconds(crash.at - sent_at)}});
   Broadcast([&](messages::ContentReports& reports) {
     messages::ContentCrash& copy = *reports.add_crashes();
     copy.set_server_incarnation(crash.incarnation);
@@ -104,25 +110,45 @@
   OnBlocked(blocked, "crash");
 }
 
-void ContentBlocks::OnResponse(const routing::ServerIncarnation& server) {
+void ContentBlocks::OnResponse(const ServerResponse& response) {
   if (!suspects_.has_crashes()) return;
-  const std::uint64_t incarnation = StableHash(server.Key());
+  const std::uint64_t incarnation = StableHash(response.server.Key());
+  const TimePoint now = context_.Now();
+  const TimePoint crashed_at = suspects_.CrashedAt(incarnation).value_or(now);
   const auto released =
-      suspects_.RefuteCrash(incarnation, context_.Now() - kLateResponseTime);
+      suspects_.RefuteCrash(incarnation, now - kLateResponseTime);
   if (!released) return;
-  context_.log.Write("crash_refuted", "", {{"server", server.id.value()}});
+  context_.log.Write(
+      "crash_refuted", "",
+      {{"server", response.server.id.value()},
+       {"incarnation", incarnation},
+       {"source", "response"},
+       {"status", response.status},
+       {"crash_ms_ago", Milliseconds(now - crashed_at)},
+       {"sent_ms_ago", Milliseconds(now - response.sent_at)},
+       {"connected_ms_ago", Milliseconds(now - response.connected_at)}});
   Broadcast([incarnation](messages::ContentReports& reports) {
     reports.add_living_servers(incarnation);
   });
-  Release(*released);
+  Release(*released, "refuted");
 }
 
-void ContentBlocks::Release(std::span<const routing::ContentKey> contents) {
+void ContentBlocks::LogCleared(std::span<const routing::ContentKey> contents,
+                               std::string_view reason,
+                               std::string_view source) {
+  for (const routing::ContentKey& content : contents)
+    context_.log.Write("content_cleared", "",
+                       {{"content", content.value()},
+                        {"reason", reason},
+                        {"source", source}});
+}
+
+void ContentBlocks::Release(std::span<const routing::ContentKey> contents,
+                            std::string_view reason) {
   if (contents.empty()) return;
-  for (const routing::ContentKey& content : contents) {
+  LogCleared(contents, reason, "own");
+  for (const routing::ContentKey& content : contents)
     rows_.OnReleased(content);
-    context_.log.Write("content_cleared", "", {{"content", content.value()}});
-  }
   Broadcast([&contents](messages::ContentReports& reports) {
     for (const routing::ContentKey& content : contents)
       reports.add_served_contents(content.value());
@@ -132,7 +158,7 @@
 void ContentBlocks::OnServed(std::span<const routing::ContentKey> contents) {
   const std::vector<routing::ContentKey> cleared =
       suspects_.AddServed(contents, context_.Now());
-  Release(cleared);
+  Release(cleared, "served");
 }
 
 std::optional<TimePoint> ContentBlocks::BlockedUntil(
@@ -206,10 +232,14 @@
     if (suspects_.Block(content, block) && !was_blocked)
       OnBlocked(std::span(&content, 1), "peer");
   }
-  suspects_.AddServed(ReadKeys(reports.served_contents()), now);
+  LogCleared(suspects_.AddServed(ReadKeys(reports.served_contents()), now),
+             "served", "peer");
   for (const std::uint64_t incarnation : reports.living_servers()) {
     const auto released = suspects_.RefuteCrash(incarnation, now);
-    if (released) Release(*released);
+    if (!released) continue;
+    context_.log.Write("crash_refuted", "",
+                       {{"incarnation", incarnation}, {"source", "peer"}});
+    Release(*released, "refuted");
   }
   if (!reports.requests_blocks() || suspects_.blocked().empty()) return;
   messages::ContentReports& answer = outbox_.To(from);
@@ -239,7 +269,9 @@
     context_.metrics.Count("lovagecleat_content_blocks_total",
                            {{"source", std::string(source)}});
     context_.log.Write("content_blocked", "",
-                       {{"content", content.value()}, {"source", source}});
+                       {{"content", content.value()},
+                        {"source", source},
+                        {"crashes", suspects_.CrashesOf(content)}});
   }
   // Not at once: the request that has lost its server is still being handled.
   if (blocked_timer_.value() != 0) return;
--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -13,6 +13,14 @@
 
 namespace lovagecleat::gateway {
 
+// A response to a request that was sent to `server`.
+struct ServerResponse {
+  routing::ServerIncarnation server;
+  int status = 0;
+  TimePoint connected_at{};  // when its connection was established
+  TimePoint sent_at{};       // the request
+};
+
 // Finds contents under which servers crash, together with the hosts of all
 // zones, and decides whether a request may be sent to servers. Each crash is
 // reported to all hosts, since the next request with the content may come to
@@ -45,7 +53,7 @@
 
   // Records that a server responds, so that connections lost before were no
   // crash of it.
-  void OnResponse(const routing::ServerIncarnation& server);
+  void OnResponse(const ServerResponse& response);
 
   // Records that a server has served a request with these contents and lives.
   void OnServed(std::span<const routing::ContentKey> contents);
@@ -78,8 +86,12 @@
   void AskOtherHosts();
   void AddBlock(const routing::ContentKey& content,
                 messages::ContentReports& reports) const;
-  // Tells all hosts and the store that the contents are not blocked.
-  void Release(std::span<const routing::ContentKey> contents);
+  // Tells all hosts and the store that the contents are not blocked, for that
+  // reason.
+  void Release(std::span<const routing::ContentKey> contents,
+               std::string_view reason);
+  void LogCleared(std::span<const routing::ContentKey> contents,
+                  std::string_view reason, std::string_view source);
   void OnBlocked(std::span<const routing::ContentKey> contents,
                  std::string_view source);
   template <typename Add>
--- a/services/gateway/content_watch.cc
+++ b/services/gateway/content_watch.cc
@@ -51,15 +51,15 @@
   is_served_ = false;
 }
 
-void ContentWatch::OnResponseHead(const routing::ServerIncarnation& server) {
+void ContentWatch::OnResponseHead(const ServerResponse& response) {
   has_head_ = true;
-  server_ = server;
-  blocks_.OnResponse(server);
+  response_ = response;
+  blocks_.OnResponse(response);
 }
 
 void ContentWatch::OnContent() {
   const TimePoint now = context_.Now();
-  blocks_.OnResponse(server_);
+  blocks_.OnResponse(response_);
   if (!first_content_at_) first_content_at_ = now;
   if (is_served_ || now - *first_content_at_ < kServedTime) return;
   is_served_ = true;
--- a/services/gateway/content_watch.h
+++ b/services/gateway/content_watch.h
@@ -31,7 +31,7 @@
   std::string FormatForLog() const;
 
   void OnSend();
-  void OnResponseHead(const routing::ServerIncarnation& server);
+  void OnResponseHead(const ServerResponse& response);
   // Content of the response has come.
   void OnContent();
   // The connection to the server ended before the response was complete.
@@ -53,7 +53,7 @@
   bool has_request_keys_ = false;
   bool is_trial_ = false;
   // Of the last send.
-  routing::ServerIncarnation server_;  // that responds
+  ServerResponse response_;
   TimePoint sent_at_{};
   bool has_head_ = false;
   std::optional<TimePoint> first_content_at_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -52,7 +52,9 @@
 
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
   OnHeard();
-  content_watch_.OnResponseHead(incarnation_);
+  content_watch_.OnResponseHead(
+      {incarnation_, head.status, call_->connected_at().value_or(Now()),
+       sent_at_});
   head_ = head;
   response_metadata_ = context_.codec.ReadResponseHead(head, Now());
   notices_.OnResponse(incarnation_, response_metadata_);
