Gateway reports tests: Answer for a crashed server from its address

Servers that crash under a request start again with another id at the same address, and hosts that have not read this yet get 421 there.

--- a/tests/gateway_reports/crashing_prompt_test.cc
+++ b/tests/gateway_reports/crashing_prompt_test.cc
@@ -57,6 +57,15 @@
     for (int i = 0; i < kServers; ++i)
       servers_.push_back(std::make_unique<ScriptedServer>(
           [this, i](RawConnection& connection, const std::string& request) {
+            const std::string id = CurrentId(static_cast<std::size_t>(i));
+            if (request.find("X-Lovagecleat-Expect-Instance: " + id + "\r\n") ==
+                std::string::npos) {
+              connection.Write(
+                  Join({"HTTP/1.1 421 Misdirected Request\r\n"
+                        "X-Lovagecleat-Instance-Id: ",
+                        id, "\r\nContent-Length: 0\r\n\r\n"}));
+              return true;
+            }
             if (request.find(kCrashingPart) != std::string::npos) {
               ++crashing_requests_;
               ++crashes_.at(static_cast<std::size_t>(i));
@@ -81,16 +90,24 @@
     for (std::size_t i = 0; i < servers_.size(); ++i) {
       const int incarnation = 1 + crashes_.at(i);
       if (incarnations_.at(i) == incarnation) continue;
+      if (renames_servers_) outdated_ids_.push_back(IdOf(i, incarnation - 1));
       incarnations_.at(i) = incarnation;
       const nlohmann::json row = {
           {"service", "model"}, {"address", servers_.at(i)->address()},
           {"zone", "z"},        {"version", "v1"},
           {"state", "ready"},   {"slots", 4},
           {"born", incarnation}};
-      rows.Set("servers", "s" + std::to_string(i + 1), row.dump());
+      rows.Set("servers", IdOf(i, incarnation), row.dump());
     }
   }
 
+  // Removes the rows of crashed servers whose address others have.
+  void RemoveOutdatedRows() {
+    for (const std::string& id : outdated_ids_) rows.Remove("servers", id);
+    outdated_ids_.clear();
+    RunFor(kRowsDelay);
+  }
+
   // Requests with the part are never alike in their last part.
   std::string SendCrashing(const std::string& path, std::size_t host) {
     return Send(MakeRequest(path, "aaaa:20," + std::string(kCrashingPart) +
@@ -104,6 +121,12 @@
         host);
   }
 
+  // Requests without a common part go to any server.
+  std::string SendUnrelated(const std::string& path, std::size_t host) {
+    const std::string number = std::to_string(++sent_);
+    return Send(MakeRequest(path, number + ":20," + number + "0:60"), host);
+  }
+
   int crashing_requests() const { return crashing_requests_; }
 
   // Sends requests with the part to one host after the other, beside sound
@@ -120,11 +143,24 @@
 
   std::atomic<bool> begins_response_ = true;
   std::atomic<bool> unsealed_ = false;  // sound responses lack the seal
+  // Whether a server that starts again has a new id.
+  std::atomic<bool> renames_servers_ = false;
 
  private:
+  std::string IdOf(std::size_t server, int incarnation) const {
+    const std::string id = "s" + std::to_string(server + 1);
+    return renames_servers_ && incarnation > 1
+               ? id + "-" + std::to_string(incarnation)
+               : id;
+  }
+  std::string CurrentId(std::size_t server) const {
+    return IdOf(server, 1 + crashes_.at(server));
+  }
+
   std::atomic<int> crashing_requests_ = 0;
   std::array<std::atomic<int>, kServers> crashes_{};
   std::array<int, kServers> incarnations_{};
+  std::vector<std::string> outdated_ids_;
   std::vector<std::unique_ptr<ScriptedServer>> servers_;
   int sent_ = 0;
 };
@@ -144,6 +180,26 @@
   REQUIRE(crashing_requests() <= kMostCrashes + kMostFurtherRequests);
 }
 
+// Guards against a response of the server that has the address of a crashed one
+// by now, which is taken for a sign that the crashed one lives and ends the
+// block of the part (BUDGET, deadly).
+TEST_CASE_METHOD(
+    CrashingPromptFixture,
+    "A successor at the address of a crashed server frees no part") {
+  renames_servers_ = true;
+  StartHosts(kHosts);
+  for (std::size_t i = 0; i < 12; ++i) {
+    SendCrashing("/r/", i % kHosts);
+    RestartCrashedServers();
+    RunFor(kRowsDelay);
+    for (int j = 0; j < 2 * kServers; ++j)
+      SendUnrelated("/r/", (i + 1) % kHosts);
+    RemoveOutdatedRows();
+  }
+  REQUIRE(LogText(kHosts - 1).find("other_server") != std::string::npos);
+  REQUIRE(crashing_requests() <= kMostCrashes + kMostFurtherRequests);
+}
+
 // Guards against a server whose first bytes are lost with it.
 TEST_CASE_METHOD(CrashingPromptFixture,
                  "Servers that crash before they respond count too") {
--- a/tests/gateway_reports/crashing_request_test.cc
+++ b/tests/gateway_reports/crashing_request_test.cc
@@ -58,16 +58,24 @@
     for (std::size_t i = 0; i < servers_.size(); ++i) {
       const int incarnation = 1 + crashes_.at(i);
       if (incarnations_.at(i) == incarnation) continue;
+      if (renames_servers_) outdated_ids_.push_back(IdOf(i, incarnation - 1));
       incarnations_.at(i) = incarnation;
       const nlohmann::json row = {
           {"service", "orders"}, {"address", servers_.at(i)->address()},
           {"zone", "z"},         {"version", "v1"},
           {"state", "ready"},    {"slots", 4},
           {"born", incarnation}};
-      rows.Set("servers", "s" + std::to_string(i + 1), row.dump());
+      rows.Set("servers", IdOf(i, incarnation), row.dump());
     }
   }
 
+  // Removes the rows of crashed servers whose address others have.
+  void RemoveOutdatedRows() {
+    for (const std::string& id : outdated_ids_) rows.Remove("servers", id);
+    outdated_ids_.clear();
+    RunFor(kRowsDelay);
+  }
+
   std::string SendBody(const std::string& target, const std::string& body,
                        std::size_t host, const std::string& key = "key1") {
     return Send("POST " + target +
@@ -102,10 +110,28 @@
   }
 
   std::atomic<bool> resets_connections_ = true;
+  // Whether a server that starts again has a new id.
+  std::atomic<bool> renames_servers_ = false;
 
  private:
+  std::string IdOf(std::size_t server, int incarnation) const {
+    const std::string id = "s" + std::to_string(server + 1);
+    return renames_servers_ && incarnation > 1
+               ? id + "-" + std::to_string(incarnation)
+               : id;
+  }
+
   bool Run(RawConnection& connection, const std::string& request,
            std::size_t server) {
+    const std::string id = IdOf(server, 1 + crashes_.at(server));
+    if (request.find("X-Lovagecleat-Expect-Instance: " + id + "\r\n") ==
+        std::string::npos) {
+      connection.Write(
+          Join({"HTTP/1.1 421 Misdirected Request\r\n"
+                "X-Lovagecleat-Instance-Id: ",
+                id, "\r\nContent-Length: 0\r\n\r\n"}));
+      return true;
+    }
     const bool is_crashing =
         request.ends_with(kCrashingBody) &&
         request.find("X-Lovagecleat-Tenant: t1") != std::string::npos;
@@ -128,6 +154,7 @@
 
   std::array<std::atomic<int>, kServers> crashes_{};
   std::array<int, kServers> incarnations_{};
+  std::vector<std::string> outdated_ids_;
   std::vector<std::unique_ptr<ScriptedServer>> servers_;
 };
 
@@ -142,6 +169,27 @@
   REQUIRE(SendBody(target, kCrashingBody, 0).starts_with("HTTP/1.1 503"));
 }
 
+// Guards against a response of the server that has the address of a crashed one
+// by now, which is taken for a sign that the crashed one lives and ends the
+// block of the request (BUDGET, deadly).
+TEST_CASE_METHOD(
+    CrashingRequestFixture,
+    "A successor at the address of a crashed server ends no block") {
+  renames_servers_ = true;
+  StartHosts(kHosts);
+  for (std::size_t i = 0; i < 12; ++i) {
+    SendBody("/s/1", kCrashingBody, i % kHosts);
+    RestartCrashedServers();
+    RunFor(kRowsDelay);
+    for (int j = 0; j < 2 * kServers; ++j)
+      SendBody("/s/2", "sound", (i + 1) % kHosts);
+    RemoveOutdatedRows();
+    REQUIRE(IsServed(SendBody("/s/2", "sound", i % kHosts)));
+  }
+  REQUIRE(LogText(kHosts - 1).find("other_server") != std::string::npos);
+  REQUIRE(crashes() <= kMostCrashes + kMostFurtherRequests);
+}
+
 // Guards against a crash that is taken for a connection which the server had
 // closed before, so that one request runs at more servers than its route allows
 // (BUDGET).
