Requests: Do not credit a server with the response of its successor

Cause: a response was credited to the server that the host meant to reach, not to the one that responded. A host that has not read yet that a crashed server is gone sends a request to its address. The server that has the address by now answers 421, and this counted as a sign that the crashed one lives: its crash was refuted and the content under which it had crashed released at all hosts.

The same attribution counted such a response as a server that is heard, its load as that of the other server (requests and stage calls) and a slow body as content served; a connection lost within it was another crash.

--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -13,7 +13,7 @@
 
 namespace lovagecleat::gateway {
 
-// A response to a request that was sent to `server`.
+// A response of `server`, and of no other one, to a request of this host.
 struct ServerResponse {
   routing::ServerIncarnation server;
   int status = 0;
--- a/services/gateway/content_watch.h
+++ b/services/gateway/content_watch.h
@@ -32,7 +32,7 @@
 
   void OnSend();
   void OnResponseHead(const ServerResponse& response);
-  // Content of the response has come.
+  // Content of a successful response has come.
   void OnContent();
   // The connection to the server ended before the response was complete.
   void OnConnectionLost(const routing::ServerIncarnation& server);
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -165,6 +165,7 @@
   void BeginResponse(std::optional<std::uint64_t> length);
   bool IsResponseWhole() const;
   bool IsStaleConnection() const;
+  void OnWrongServer();
   void OnFailureStatus();
   void OnBrokenResponse(std::string_view outcome);
   void Retry(std::string_view cause);
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -51,25 +51,28 @@
 }
 
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
+  head_ = head;
+  response_metadata_ = context_.codec.ReadResponseHead(head, Now());
+  notices_.OnResponse(incarnation_, response_metadata_);
+  // The server that now has the address says nothing of the one before.
+  if (response_metadata_.is_wrong_server) return;
   OnHeard();
   content_watch_.OnResponseHead(
       {incarnation_, head.status, call_->connected_at().value_or(Now()),
        sent_at_});
-  head_ = head;
-  response_metadata_ = context_.codec.ReadResponseHead(head, Now());
-  notices_.OnResponse(incarnation_, response_metadata_);
   routing::ServerRecord* server = context_.directory.Find(server_);
   if (server != nullptr && response_metadata_.load)
     server->load = response_metadata_.load;
 }
 
 void RequestFlow::OnResponseBody(std::string_view bytes) {
+  if (response_metadata_.is_wrong_server) return;
   OnHeard();
   has_content_ = true;
-  content_watch_.OnContent();
   const bool is_success = head_.status >= 200 && head_.status < 300 &&
                           response_metadata_.is_sealed &&
                           !response_metadata_.is_encoded;
+  if (is_success) content_watch_.OnContent();
   if (is_success && IsStream()) return ForwardStreamBytes(bytes);
   if (has_begun_response_) return exchange_->SendBody(bytes);
   body_.append(bytes);
@@ -156,12 +159,7 @@
 }
 
 void RequestFlow::OnResponseComplete() {
-  if (response_metadata_.is_wrong_server) {
-    context_.pool.CloseIdleConnections(incarnation_.Key());
-    EndSend(routing::CallResult::kUnreachable, "other_server");
-    if (send_state_ == SendState::kNotSent) send_state_ = SendState::kNotRun;
-    return Retry("other_server");
-  }
+  if (response_metadata_.is_wrong_server) return OnWrongServer();
   if (response_metadata_.is_not_run) {
     const bool are_inputs_lost =
         head_.status == 409 && !plan_->FinalResults().empty();
@@ -196,6 +194,14 @@
   End(head_.status, "served");
 }
 
+// The request was not run, and the server it was meant for is gone.
+void RequestFlow::OnWrongServer() {
+  context_.pool.CloseIdleConnections(incarnation_.Key());
+  EndSend(routing::CallResult::kUnreachable, "other_server");
+  if (send_state_ == SendState::kNotSent) send_state_ = SendState::kNotRun;
+  Retry("other_server");
+}
+
 // The server ran the request and responded with a failure status.
 void RequestFlow::OnFailureStatus() {
   const int status = head_.status;
@@ -215,6 +221,7 @@
 }
 
 void RequestFlow::OnCallFailed(http::CallEnd end) {
+  if (response_metadata_.is_wrong_server) return OnWrongServer();
   OnHeard();
   if (end.failure == http::CallFailure::kNotConnected) {
     EndSend(routing::CallResult::kUnreachable, "unreachable");
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -92,8 +92,10 @@
     runner_.notices_.OnResponse(incarnation_, response_metadata_);
     routing::ServerRecord* server =
         runner_.context_.directory.Find(call_.server);
-    if (server != nullptr && response_metadata_.load)
-      server->load = response_metadata_.load;
+    // The server that now has the address says nothing of the one before.
+    const bool has_load =
+        response_metadata_.load && !response_metadata_.is_wrong_server;
+    if (server != nullptr && has_load) server->load = response_metadata_.load;
   }
 
   void OnResponseBody(std::string_view bytes) override { body_.append(bytes); }
