Content blocks: Refute crashes only by what the crashed process has done

Cause: evidence counted for the server that was meant and at the time at which it was read. A response refuted a crash whichever process sent it and whenever its request was sent, and messages between hosts counted from when they were read. A block that was taken back was told to other hosts as a content that was served, and a host that had released a content blocked it again when it read its own older row. Reports in one message came at one time, so their receivers had too few crashes for a block of their own.

Now a crash is refuted by a process that was connected to before the crash and handled a request that was sent after the report, or by a heartbeat that is read more than 10 s after it. Contents count as served when the request was sent. Messages have these times as ages; what hosts of an older version tell of living servers is ignored.

Two tests took responses on connections that are newer than the crashes for proof that a server lives.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -400,20 +400,21 @@
 }
 
 void CrashSuspects::RememberCrash(const ServerCrash& crash) {
-  if (crashed_at_.size() >= kMaximumCrashedServers)
-    std::erase_if(crashed_at_, [&](const auto& item) {
-      return crash.at - item.second > kRefutableTime;
+  if (known_crashes_.size() >= kMaximumCrashedServers)
+    std::erase_if(known_crashes_, [&](const auto& item) {
+      return crash.at - item.second.at > kRefutableTime;
     });
-  if (crashed_at_.size() >= kMaximumCrashedServers) return;
-  TimePoint& known = crashed_at_[crash.incarnation];
-  known = std::max(known, crash.at);
+  if (known_crashes_.size() >= kMaximumCrashedServers) return;
+  KnownCrash& known = known_crashes_[crash.incarnation];
+  known.sent_at = std::max(known.sent_at, crash.sent_at);
+  known.at = std::max(known.at, crash.at);
 }
 
 std::optional<TimePoint> CrashSuspects::CrashedAt(
     std::uint64_t incarnation) const {
-  const auto known = crashed_at_.find(incarnation);
-  if (known == crashed_at_.end()) return std::nullopt;
-  return known->second;
+  const auto known = known_crashes_.find(incarnation);
+  if (known == known_crashes_.end()) return std::nullopt;
+  return known->second.at;
 }
 
 std::size_t CrashSuspects::CrashesOf(const ContentKey& content) const {
@@ -422,11 +423,14 @@
 }
 
 std::optional<std::vector<ContentKey>> CrashSuspects::RefuteCrash(
-    std::uint64_t incarnation, TimePoint responded_at) {
-  const auto known = crashed_at_.find(incarnation);
-  if (known == crashed_at_.end() || known->second > responded_at)
+    std::uint64_t incarnation, const LifeSpan& life) {
+  const auto known = known_crashes_.find(incarnation);
+  if (known == known_crashes_.end()) return std::nullopt;
+  // A process that was connected to later may be a successor: a server may
+  // start again under its id and address.
+  if (life.from > known->second.sent_at || life.to < known->second.at)
     return std::nullopt;
-  crashed_at_.erase(known);
+  known_crashes_.erase(known);
   const auto remove_from = [incarnation](Crashes& crashes) {
     return std::erase_if(crashes, [incarnation](const ServerCrash& crash) {
              return crash.incarnation == incarnation;
@@ -465,6 +469,11 @@
   return true;
 }
 
+void CrashSuspects::Release(const ContentKey& content) {
+  blocked_.erase(content);
+  evidence_.erase(content);
+}
+
 bool CrashSuspects::TracksRequests() const {
   const ContentKey first(std::string(1, kWholeRequestPrefix));
   const auto is_request = [](const auto& contents, auto found) {
@@ -504,8 +513,8 @@
     evidence_.erase(block->first);
     block = blocked_.erase(block);
   }
-  std::erase_if(crashed_at_, [now](const auto& item) {
-    return now - item.second > kRefutableTime;
+  std::erase_if(known_crashes_, [now](const auto& item) {
+    return now - item.second.at > kRefutableTime;
   });
   LimitSuspects();
 }
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -65,6 +65,13 @@
   TimePoint sent_at{};  // when the request was sent to the server
 };
 
+// A time through which one process of a server is known to have run: it held a
+// connection from the start on and handled a request that was sent at the end.
+struct LifeSpan {
+  TimePoint from{};
+  TimePoint to{};
+};
+
 // A content that is not sent to servers.
 struct BlockedContent {
   TimePoint crashed_at{};  // the last known crash
@@ -94,17 +101,17 @@
   std::vector<ContentKey> AddCrash(std::span<const ContentKey> contents,
                                    const ServerCrash& crash);
 
-  // Records that a server has served these contents up to `at` and lives.
-  // Returns the contents that were suspect or blocked.
+  // Records that a server has served a request with these contents that was
+  // sent at `at`. Returns the contents that were suspect or blocked.
   std::vector<ContentKey> AddServed(std::span<const ContentKey> contents,
                                     TimePoint at);
 
-  // Removes the crashes of a server up to `responded_at`, since it has
-  // responded after that. Returns nothing if there was none, else the contents
-  // that are not blocked any more: too few of their crashes are left.
+  // Removes the crashes of a server that one of its processes has outlived.
+  // Returns nothing if there was none, else the contents that are not blocked
+  // any more: too few of their crashes are left.
   std::optional<std::vector<ContentKey>> RefuteCrash(std::uint64_t incarnation,
-                                                     TimePoint responded_at);
-  bool has_crashes() const { return !crashed_at_.empty(); }
+                                                     const LifeSpan& life);
+  bool has_crashes() const { return !known_crashes_.empty(); }
 
   // Returns when the incarnation crashed last; nothing if that is not known.
   std::optional<TimePoint> CrashedAt(std::uint64_t incarnation) const;
@@ -118,6 +125,9 @@
   // crash.
   bool Block(const ContentKey& content, const BlockedContent& block);
 
+  // Ends the block of a content without taking it for served.
+  void Release(const ContentKey& content);
+
   // Returns whether this host knows that the content was served after `at`.
   bool WasServedSince(const ContentKey& content, TimePoint at) const;
 
@@ -162,8 +172,11 @@
   void RememberServed(const ContentKey& content, TimePoint at);
 
   std::map<ContentKey, Crashes> suspects_;
-  // Servers whose crashes are known, with the time of the last.
-  std::map<std::uint64_t, TimePoint> crashed_at_;
+  struct KnownCrash {
+    TimePoint sent_at{};  // the last request under which it was noticed
+    TimePoint at{};       // the last report
+  };
+  std::map<std::uint64_t, KnownCrash> known_crashes_;  // by incarnation
   std::map<ContentKey, BlockedContent> blocked_;
   // The crashes for which this host has blocked contents.
   std::map<ContentKey, Crashes> evidence_;
--- a/services/gateway/content_block_rows.cc
+++ b/services/gateway/content_block_rows.cc
@@ -16,6 +16,8 @@
 constexpr Duration kForeignWriteSpread = milliseconds(500);
 // Time until a row that was written is read back, and between two attempts.
 constexpr Duration kWriteInterval = milliseconds(3000);
+// A row that this host wrote has been read after this time.
+constexpr Duration kUnreadRowTime = milliseconds(6000);
 // Rows of blocks that are over are removed after this time.
 constexpr Duration kRowRetention = std::chrono::minutes(1);
 constexpr Duration kOldRowsCheckPeriod = std::chrono::seconds(10);
@@ -95,10 +97,11 @@
   stored_.insert_or_assign(content, *stored);
   if (stored->is_released) {
     released_.erase(content);
-    suspects_.AddServed(std::span(&content, 1), context_.Now());
+    if (MayRelease(content)) suspects_.Release(content);
     return false;
   }
   if (stored->block.until <= context_.Now()) return false;
+  if (WasReleasedSince(content, stored->block)) return false;
   if (suspects_.WasServedSince(content, stored->block.crashed_at)) {
     OnReleased(content);
     return false;
@@ -107,13 +110,40 @@
   return suspects_.Block(content, stored->block) && !was_blocked;
 }
 
+// A row that this host wrote before may be read afterwards.
+bool ContentBlockRows::WasReleasedSince(
+    const routing::ContentKey& content,
+    const routing::BlockedContent& block) const {
+  const auto released = released_.find(content);
+  return released != released_.end() && suspects_.Find(content) == nullptr &&
+         block.crashed_at <= released->second;
+}
+
+bool ContentBlockRows::MustWriteRelease(
+    const routing::ContentKey& content) const {
+  const auto stored = stored_.find(content);
+  return stored != stored_.end() && !stored->second.is_released &&
+         stored->second.block.until > context_.Now() &&
+         suspects_.Find(content) == nullptr;
+}
+
+// Before a trial nothing shows that a content has become sound, and only its
+// crashes may have been refuted. A host that has counted them decides by
+// itself: hosts of an older version refute crashes by responses of successors.
+bool ContentBlockRows::MayRelease(const routing::ContentKey& content) const {
+  const routing::BlockedContent* block = suspects_.Find(content);
+  if (block == nullptr) return false;
+  return suspects_.CrashesOf(content) == 0 || block->trials > 0 ||
+         block->NextTrialAt() <= context_.Now();
+}
+
 void ContentBlockRows::OnBlocked(const routing::ContentKey& content) {
   released_.erase(content);
   writes_[content].next_at = context_.Now();
 }
 
 void ContentBlockRows::OnReleased(const routing::ContentKey& content) {
-  released_.insert(content);
+  released_.insert_or_assign(content, context_.Now());
   writes_[content].next_at = context_.Now();
 }
 
@@ -167,10 +197,9 @@
 
 void ContentBlockRows::Update(std::optional<std::uint64_t> era) {
   if (!era) return;
-  std::erase_if(released_, [this](const routing::ContentKey& content) {
-    const auto stored = stored_.find(content);
-    return stored == stored_.end() || stored->second.is_released ||
-           stored->second.block.until <= context_.Now();
+  std::erase_if(released_, [this](const auto& item) {
+    return !MustWriteRelease(item.first) &&
+           context_.Now() - item.second >= kUnreadRowTime;
   });
   std::erase_if(writes_, [this](const auto& item) {
     return !item.second.is_in_progress && !released_.contains(item.first) &&
@@ -179,8 +208,8 @@
   for (const auto& [content, block] : suspects_.blocked())
     if (!IsStored(content, block, *era) && TakeWrite(content))
       StartWrite(content, ValueOf(block));
-  for (const routing::ContentKey& content : released_)
-    if (suspects_.Find(content) == nullptr && TakeWrite(content))
+  for (const auto& [content, released_at] : released_)
+    if (MustWriteRelease(content) && TakeWrite(content))
       StartWrite(content, nlohmann::json{{kReleasedField, true}}.dump());
   RemoveOldRows();
 }
--- a/services/gateway/content_block_rows.h
+++ b/services/gateway/content_block_rows.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "services/gateway/context.h"
@@ -27,7 +26,8 @@
   // Writes the row of a block that this host has decided at the next Update.
   void OnBlocked(const routing::ContentKey& content);
 
-  // Marks the row of a content as released: this host knows that it was served.
+  // Marks the row of a content as released: this host knows that it was served,
+  // or that too few servers have crashed under it.
   void OnReleased(const routing::ContentKey& content);
 
   // Writes and removes rows that do not match the known blocks. `era` is that
@@ -46,6 +46,14 @@
     bool is_in_progress = false;
   };
 
+  // Returns whether this host has released the content after the crashes that
+  // the block in its row counts.
+  bool WasReleasedSince(const routing::ContentKey& content,
+                        const routing::BlockedContent& block) const;
+  // Returns whether the content's row must say that it is released.
+  bool MustWriteRelease(const routing::ContentKey& content) const;
+  // Returns whether a row that releases the content ends its block here.
+  bool MayRelease(const routing::ContentKey& content) const;
   std::optional<StoredBlock> Read(const std::string& name,
                                   const routing::Row& row) const;
   std::string ValueOf(const routing::BlockedContent& block) const;
@@ -61,7 +69,8 @@
   routing::CrashSuspects& suspects_;
   std::map<routing::ContentKey, StoredBlock> stored_;
   std::map<routing::ContentKey, Write> writes_;
-  std::set<routing::ContentKey> released_;
+  // Contents that this host has released, until their rows say so, since when.
+  std::map<routing::ContentKey, TimePoint> released_;
   TimePoint old_rows_checked_at_{};
 };
 
--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -11,8 +11,9 @@
 // of all hosts.
 constexpr std::size_t kAskedHosts = 3;
 constexpr Duration kAskDelay = std::chrono::milliseconds(100);
-// Responses that a server sent before its crash may be read this much later.
-constexpr Duration kLateResponseTime = std::chrono::milliseconds(500);
+// A heartbeat may be read this long after the server has sent it: the store may
+// perform writes, and answer reads, seconds late.
+constexpr Duration kMaximumHeartbeatDelay = std::chrono::seconds(10);
 constexpr std::uint32_t kMaximumReportedTrials = 1000;
 // Limit on the time spans in messages, which another version may send.
 constexpr std::int64_t kMaximumAgeUs = std::int64_t{3600} * 1000 * 1000;
@@ -21,12 +22,22 @@
   return now - Duration(std::clamp<std::int64_t>(age_us, 0, kMaximumAgeUs));
 }
 
+std::int64_t AgeUs(TimePoint now, TimePoint at) {
+  return at < now - Duration(kMaximumAgeUs) ? kMaximumAgeUs
+                                            : (now - at).count();
+}
+
+// Crashes in one message have the distances at which they were noticed: a
+// request that was sent again after a crash has caused the next one by itself.
 routing::ServerCrash ReadCrash(const messages::ContentCrash& crash,
-                               TimePoint now) {
+                               std::int64_t clock_us, TimePoint now) {
+  const TimePoint at = crash.noticed_us() == 0
+                           ? now
+                           : Before(now, clock_us - crash.noticed_us());
   return {crash.server_incarnation(),
           crash.had_started_response() ? routing::CrashMoment::kJustStarted
                                        : routing::CrashMoment::kUnclear,
-          now, Before(now, crash.sent_age_us())};
+          at, Before(at, crash.sent_age_us())};
 }
 
 double Milliseconds(Duration time) {
@@ -75,8 +86,13 @@
 
 template <typename Add>
 void ContentBlocks::Broadcast(const Add& add) {
-  for (const std::string& peer : hosts_)
-    if (is_reachable_(peer)) add(outbox_.To(peer));
+  const std::int64_t clock_us = context_.Now().time_since_epoch().count();
+  for (const std::string& peer : hosts_) {
+    if (!is_reachable_(peer)) continue;
+    messages::ContentReports& reports = outbox_.To(peer);
+    reports.set_clock_us(clock_us);
+    add(reports);
+  }
   outbox_.FlushSoon();
 }
 
@@ -101,6 +117,7 @@
     copy.set_server_incarnation(crash.incarnation);
     copy.set_had_started_response(has_started);
     copy.set_sent_age_us((crash.at - sent_at).count());
+    copy.set_noticed_us(crash.at.time_since_epoch().count());
     for (const routing::ContentKey& content : contents)
       copy.add_contents(content.value());
     for (const routing::ContentKey& content : blocked)
@@ -115,9 +132,8 @@
   const std::uint64_t incarnation = StableHash(response.server.Key());
   const TimePoint now = context_.Now();
   const TimePoint crashed_at = suspects_.CrashedAt(incarnation).value_or(now);
-  const auto released =
-      suspects_.RefuteCrash(incarnation, now - kLateResponseTime);
-  if (!released) return;
+  if (!RefuteCrash(incarnation, {response.connected_at, response.sent_at}))
+    return;
   context_.log.Write(
       "crash_refuted", "",
       {{"server", response.server.id.value()},
@@ -127,38 +143,71 @@
        {"crash_ms_ago", Milliseconds(now - crashed_at)},
        {"sent_ms_ago", Milliseconds(now - response.sent_at)},
        {"connected_ms_ago", Milliseconds(now - response.connected_at)}});
-  Broadcast([incarnation](messages::ContentReports& reports) {
-    reports.add_living_servers(incarnation);
+}
+
+void ContentBlocks::OnHeartbeat(const routing::ServerIncarnation& server) {
+  if (!suspects_.has_crashes()) return;
+  const std::uint64_t incarnation = StableHash(server.Key());
+  // The row names the incarnation, so the process is the one that crashed.
+  if (!RefuteCrash(incarnation,
+                   {TimePoint::min(), context_.Now() - kMaximumHeartbeatDelay}))
+    return;
+  context_.log.Write("crash_refuted", "",
+                     {{"server", server.id.value()},
+                      {"incarnation", incarnation},
+                      {"source", "heartbeat"}});
+}
+
+bool ContentBlocks::RefuteCrash(std::uint64_t incarnation,
+                                const routing::LifeSpan& life) {
+  const auto released = suspects_.RefuteCrash(incarnation, life);
+  if (!released) return false;
+  const TimePoint now = context_.Now();
+  Broadcast([&](messages::ContentReports& reports) {
+    messages::LivingServer& copy = *reports.add_living();
+    copy.set_incarnation(incarnation);
+    copy.set_connected_age_us(AgeUs(now, life.from));
+    copy.set_alive_age_us(AgeUs(now, life.to));
   });
-  Release(*released, "refuted");
+  Withdraw(*released);
+  return true;
 }
 
 void ContentBlocks::LogCleared(std::span<const routing::ContentKey> contents,
                                std::string_view reason,
                                std::string_view source) {
   for (const routing::ContentKey& content : contents)
-    context_.log.Write("content_cleared", "",
-                       {{"content", content.value()},
-                        {"reason", reason},
-                        {"source", source}});
+    context_.log.Write(
+        "content_cleared", "",
+        {{"content", content.value()}, {"reason", reason}, {"source", source}});
 }
 
-void ContentBlocks::Release(std::span<const routing::ContentKey> contents,
-                            std::string_view reason) {
+void ContentBlocks::Withdraw(std::span<const routing::ContentKey> contents) {
   if (contents.empty()) return;
-  LogCleared(contents, reason, "own");
-  for (const routing::ContentKey& content : contents)
-    rows_.OnReleased(content);
+  LogCleared(contents, "refuted", "own");
+  for (const routing::ContentKey& content : contents) rows_.OnReleased(content);
   Broadcast([&contents](messages::ContentReports& reports) {
     for (const routing::ContentKey& content : contents)
-      reports.add_served_contents(content.value());
+      reports.add_withdrawn(content.value());
   });
 }
 
-void ContentBlocks::OnServed(std::span<const routing::ContentKey> contents) {
+void ContentBlocks::OnServed(std::span<const routing::ContentKey> contents,
+                             TimePoint sent_at) {
   const std::vector<routing::ContentKey> cleared =
-      suspects_.AddServed(contents, context_.Now());
-  Release(cleared, "served");
+      suspects_.AddServed(contents, sent_at);
+  if (cleared.empty()) return;
+  LogCleared(cleared, "served", "own");
+  for (const routing::ContentKey& content : cleared) rows_.OnReleased(content);
+  const TimePoint now = context_.Now();
+  Broadcast([&](messages::ContentReports& reports) {
+    for (const routing::ContentKey& content : cleared) {
+      reports.add_served_contents(content.value());
+      messages::ServedContent& copy = *reports.add_served();
+      copy.set_content(content.value());
+      copy.set_sent_age_us(AgeUs(now, sent_at));
+    }
+  });
 }
 
 std::optional<TimePoint> ContentBlocks::BlockedUntil(
@@ -217,9 +266,9 @@
                               const messages::ContentReports& reports) {
   const TimePoint now = context_.Now();
   for (const messages::ContentCrash& crash : reports.crashes())
-    OnBlocked(
-        suspects_.AddCrash(ReadKeys(crash.contents()), ReadCrash(crash, now)),
-        "peer_crash");
+    OnBlocked(suspects_.AddCrash(ReadKeys(crash.contents()),
+                                 ReadCrash(crash, reports.clock_us(), now)),
+              "peer_crash");
   for (const messages::BlockedContent& copy : reports.blocked()) {
     if (!routing::IsContentKey(copy.content())) continue;
     const routing::ContentKey content(copy.content());
@@ -232,15 +281,8 @@
     if (suspects_.Block(content, block) && !was_blocked)
       OnBlocked(std::span(&content, 1), "peer");
   }
-  LogCleared(suspects_.AddServed(ReadKeys(reports.served_contents()), now),
-             "served", "peer");
-  for (const std::uint64_t incarnation : reports.living_servers()) {
-    const auto released = suspects_.RefuteCrash(incarnation, now);
-    if (!released) continue;
-    context_.log.Write("crash_refuted", "",
-                       {{"incarnation", incarnation}, {"source", "peer"}});
-    Release(*released, "refuted");
-  }
+  ReadServed(reports);
+  ReadRefutations(reports);
   if (!reports.requests_blocks() || suspects_.blocked().empty()) return;
   messages::ContentReports& answer = outbox_.To(from);
   answer.clear_blocked();
@@ -249,6 +291,43 @@
   outbox_.FlushNow();
 }
 
+void ContentBlocks::ReadServed(const messages::ContentReports& reports) {
+  const TimePoint now = context_.Now();
+  for (const messages::ServedContent& copy : reports.served()) {
+    if (!routing::IsContentKey(copy.content())) continue;
+    const routing::ContentKey content(copy.content());
+    LogCleared(suspects_.AddServed(std::span(&content, 1),
+                                   Before(now, copy.sent_age_us())),
+               "served", "peer");
+  }
+  // An older version may have cleared contents that no server has served.
+  const bool may_be_unserved = !reports.living_servers().empty();
+  if (!reports.served().empty() || may_be_unserved) return;
+  LogCleared(suspects_.AddServed(ReadKeys(reports.served_contents()), now),
+             "served", "peer");
+}
+
+void ContentBlocks::ReadRefutations(const messages::ContentReports& reports) {
+  const TimePoint now = context_.Now();
+  for (const messages::LivingServer& copy : reports.living()) {
+    const routing::LifeSpan life{Before(now, copy.connected_age_us()),
+                                 Before(now, copy.alive_age_us())};
+    const auto released = suspects_.RefuteCrash(copy.incarnation(), life);
+    if (!released) continue;
+    context_.log.Write(
+        "crash_refuted", "",
+        {{"incarnation", copy.incarnation()}, {"source", "peer"}});
+    Withdraw(*released);
+  }
+  for (const routing::ContentKey& content : ReadKeys(reports.withdrawn())) {
+    // The crashes that this host has counted may be others.
+    if (suspects_.Find(content) == nullptr || suspects_.CrashesOf(content) > 0)
+      continue;
+    suspects_.Release(content);
+    LogCleared(std::span(&content, 1), "refuted", "peer");
+  }
+}
+
 void ContentBlocks::ApplyRow(const std::string& name, const routing::Row& row) {
   if (!rows_.Apply(name, row)) return;
   const routing::ContentKey content(name);
--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -51,12 +51,17 @@
                std::span<const routing::ContentKey> contents,
                routing::CrashMoment moment, TimePoint sent_at);
 
-  // Records that a server responds, so that connections lost before were no
-  // crash of it.
+  // Records that a server responds, so that connections lost before the request
+  // was sent were no crash of it.
   void OnResponse(const ServerResponse& response);
 
-  // Records that a server has served a request with these contents and lives.
-  void OnServed(std::span<const routing::ContentKey> contents);
+  // Records that the row of a server has a heartbeat that is new to this host.
+  void OnHeartbeat(const routing::ServerIncarnation& server);
+
+  // Records that a server has served a request with these contents that was
+  // sent at `sent_at`.
+  void OnServed(std::span<const routing::ContentKey> contents,
+                TimePoint sent_at);
 
   // Returns whether the keys of requests are needed, beside those of prompts.
   bool TracksRequests() const { return suspects_.TracksRequests(); }
@@ -86,10 +91,14 @@
   void AskOtherHosts();
   void AddBlock(const routing::ContentKey& content,
                 messages::ContentReports& reports) const;
-  // Tells all hosts and the store that the contents are not blocked, for that
-  // reason.
-  void Release(std::span<const routing::ContentKey> contents,
-               std::string_view reason);
+  // Removes the crashes of a server that lived through `life`, and tells the
+  // other hosts. Returns whether there were any.
+  bool RefuteCrash(std::uint64_t incarnation, const routing::LifeSpan& life);
+  // Tells all hosts and the store that the contents are not blocked, since
+  // their crashes were refuted.
+  void Withdraw(std::span<const routing::ContentKey> contents);
+  void ReadServed(const messages::ContentReports& reports);
+  void ReadRefutations(const messages::ContentReports& reports);
   void LogCleared(std::span<const routing::ContentKey> contents,
                   std::string_view reason, std::string_view source);
   void OnBlocked(std::span<const routing::ContentKey> contents,
--- a/services/gateway/content_watch.cc
+++ b/services/gateway/content_watch.cc
@@ -51,20 +51,20 @@
   is_served_ = false;
 }
 
-void ContentWatch::OnResponseHead(const ServerResponse& response) {
-  has_head_ = true;
-  response_ = response;
-  blocks_.OnResponse(response);
-}
-
 void ContentWatch::OnContent() {
   const TimePoint now = context_.Now();
-  blocks_.OnResponse(response_);
   if (!first_content_at_) first_content_at_ = now;
   if (is_served_ || now - *first_content_at_ < kServedTime) return;
   is_served_ = true;
+  ReportServed();
+}
+
+// When the server was still sound is only known for the time at which the
+// request was sent: bytes may be read long after a crash. No other request is
+// sent during a trial, so no crash can have followed its response.
+void ContentWatch::ReportServed() {
   AddRequestKeysIfTracked();
-  blocks_.OnServed(contents_);
+  blocks_.OnServed(contents_, is_trial_ ? context_.Now() : sent_at_);
 }
 
 void ContentWatch::OnConnectionLost(const routing::ServerIncarnation& server) {
@@ -79,9 +79,7 @@
 }
 
 void ContentWatch::OnComplete(bool is_end_certain) {
-  if (!is_end_certain) return;
-  AddRequestKeysIfTracked();
-  blocks_.OnServed(contents_);
+  if (is_end_certain) ReportServed();
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/content_watch.h
+++ b/services/gateway/content_watch.h
@@ -31,7 +31,7 @@
   std::string FormatForLog() const;
 
   void OnSend();
-  void OnResponseHead(const ServerResponse& response);
+  void OnResponseHead() { has_head_ = true; }
   // Content of a successful response has come.
   void OnContent();
   // The connection to the server ended before the response was complete.
@@ -46,6 +46,7 @@
   // Adds the keys of the request, unless no host needs them.
   void AddRequestKeysIfTracked();
   void AddRequestKeys();
+  void ReportServed();
 
   // The contents, those that more requests share first.
   std::vector<routing::ContentKey> contents_;
@@ -53,7 +54,6 @@
   bool has_request_keys_ = false;
   bool is_trial_ = false;
   // Of the last send.
-  ServerResponse response_;
   TimePoint sent_at_{};
   bool has_head_ = false;
   std::optional<TimePoint> first_content_at_;
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -360,6 +360,9 @@
     return;
   }
   const bool is_new_instance = context_.directory.Put(*entry, now);
+  if (!is_new_instance && before.sequence && entry->sequence &&
+      *entry->sequence > *before.sequence)
+    content_blocks_.OnHeartbeat(entry->incarnation());
   origins_.OnServersChanged();
   if (is_new_instance) {
     context_.pool.CloseIdleConnections(before.incarnation().Key());
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -201,6 +201,7 @@
   ServerNotices& notices_;
   ServerPath& path_;
   RequestRelays& relays_;
+  ContentBlocks& content_blocks_;
   ContentWatch content_watch_;
   http::Exchange* exchange_;
   EndCallback on_end_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -57,9 +57,12 @@
   // The server that now has the address says nothing of the one before.
   if (response_metadata_.is_wrong_server) return;
   OnHeard();
-  content_watch_.OnResponseHead(
-      {incarnation_, head.status, call_->connected_at().value_or(Now()),
-       sent_at_});
+  content_watch_.OnResponseHead();
+  // Without an id, it may be a late copy of an earlier response.
+  if (!response_metadata_.request_id.empty())
+    content_blocks_.OnResponse({incarnation_, head.status,
+                                call_->connected_at().value_or(Now()),
+                                sent_at_});
   routing::ServerRecord* server = context_.directory.Find(server_);
   if (server != nullptr && response_metadata_.load)
     server->load = response_metadata_.load;
--- a/tests/gateway_reports/crashing_request_test.cc
+++ b/tests/gateway_reports/crashing_request_test.cc
@@ -3,10 +3,12 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <regex>
 #include <string>
 #include <vector>
 
 #include "tests/gateway/gateway_fixture.h"
+#include "tests/gateway_reports/report_sender.h"
 
 // Tests that a request which crashes the servers that run it is refused, and
 // no other one.
@@ -32,10 +34,14 @@
 constexpr int kServers = 3;
 // Time until the hosts have read the rows of servers that have restarted.
 constexpr Duration kRowsDelay = milliseconds(600);
+// Time until they have read a row in the hosts table.
+constexpr Duration kHostRowsDelay = milliseconds(2500);
 // Servers that the request may crash before it is known.
 constexpr int kMostCrashes = 3;
 // Further requests with it that may reach servers.
 constexpr int kMostFurtherRequests = 3;
+// Time after which heartbeats that a server has sent before have been read.
+constexpr int kHeartbeatSeconds = 13;
 // Time that a server works on a request before it crashes.
 constexpr milliseconds kRunTime(40);
 
@@ -60,15 +66,15 @@
       if (incarnations_.at(i) == incarnation) continue;
       if (renames_servers_) outdated_ids_.push_back(IdOf(i, incarnation - 1));
       incarnations_.at(i) = incarnation;
-      const nlohmann::json row = {
-          {"service", "orders"}, {"address", servers_.at(i)->address()},
-          {"zone", "z"},         {"version", "v1"},
-          {"state", "ready"},    {"slots", 4},
-          {"born", incarnation}};
-      rows.Set("servers", IdOf(i, incarnation), row.dump());
+      WriteRow(i, 0);
     }
   }
 
+  // Writes the rows of all servers with that sequence number.
+  void WriteHeartbeats(int sequence) {
+    for (std::size_t i = 0; i < servers_.size(); ++i) WriteRow(i, sequence);
+  }
+
   // Removes the rows of crashed servers whose address others have.
   void RemoveOutdatedRows() {
     for (const std::string& id : outdated_ids_) rows.Remove("servers", id);
@@ -99,6 +105,33 @@
     }
   }
 
+  // Returns what each server was before it crashed.
+  std::vector<routing::ServerIncarnation> FirstIncarnations() const {
+    std::vector<routing::ServerIncarnation> servers;
+    for (std::size_t i = 0; i < servers_.size(); ++i)
+      servers.push_back(
+          {ServerId(IdOf(i, 1)), servers_.at(i)->address(), "v1", 1});
+    return servers;
+  }
+
+  // Returns the key of the content that the hosts have blocked.
+  std::string BlockedContent() {
+    // The last log has the lines of all hosts.
+    const std::string log = LogText(kHosts - 1);
+    std::smatch match;
+    const std::regex line(
+        R"re("event":"content_blocked","content":"([0-9a-z]+)")re");
+    REQUIRE(std::regex_search(log, match, line));
+    return match[1];
+  }
+
+  // Lets a host connect to all servers. Only on connections from before a crash
+  // is it clear that no successor responds.
+  void OpenConnections(std::size_t host) {
+    for (int i = 0; i < 3 * kServers; ++i)
+      REQUIRE(IsServed(SendBody("/s/2", "sound", host)));
+  }
+
   static bool IsServed(const std::string& response) {
     return response.starts_with("HTTP/1.1 200");
   }
@@ -114,6 +147,16 @@
   std::atomic<bool> renames_servers_ = false;
 
  private:
+  void WriteRow(std::size_t server, int sequence) {
+    const int incarnation = incarnations_.at(server);
+    const nlohmann::json row = {
+        {"service", "orders"}, {"address", servers_.at(server)->address()},
+        {"zone", "z"},         {"version", "v1"},
+        {"state", "ready"},    {"slots", 4},
+        {"born", incarnation}, {"seq", sequence}};
+    rows.Set("servers", IdOf(server, incarnation), row.dump());
+  }
+
   std::string IdOf(std::size_t server, int incarnation) const {
     const std::string id = "s" + std::to_string(server + 1);
     return renames_servers_ && incarnation > 1
@@ -190,6 +233,47 @@
   REQUIRE(crashes() <= kMostCrashes + kMostFurtherRequests);
 }
 
+// Guards against a response of a server that has started again under its id and
+// address, before a host has read this, which is taken for a sign that it did
+// not crash and ends the block of the request (BUDGET).
+TEST_CASE_METHOD(CrashingRequestFixture,
+                 "A server that starts again under its id ends no block") {
+  StartHosts(kHosts);
+  for (std::size_t i = 0; i < 12; ++i) {
+    SendBody("/s/1", kCrashingBody, i % kHosts);
+    RunFor(kRowsDelay);
+    for (int j = 0; j < 2 * kServers; ++j)
+      REQUIRE(IsServed(SendBody("/s/2", "sound", (i + 1) % kHosts)));
+    RestartCrashedServers();
+    RunFor(kRowsDelay);
+  }
+  REQUIRE(crashes() <= kMostCrashes + kMostFurtherRequests);
+}
+
+// Guards against hosts of an older version, which take the response of a
+// successor for one of the crashed server and tell the others so (BUDGET).
+TEST_CASE_METHOD(CrashingRequestFixture,
+                 "Hosts of an older version end no block of a request") {
+  StartHosts(kHosts);
+  ReportSender older(*this, kHosts);
+  for (int i = 0; crashes() < kMostCrashes; ++i) {
+    SendBody("/u/1", kCrashingBody, static_cast<std::size_t>(i) % kHosts);
+    RestartCrashedServers();
+    RunFor(kRowsDelay);
+  }
+  messages::ContentReports reports;
+  for (const routing::ServerIncarnation& server : FirstIncarnations())
+    reports.add_living_servers(StableHash(server.Key()));
+  const std::string key = BlockedContent();
+  reports.add_served_contents(key);
+  older.Send(*this, reports);
+  rows.Set("hosts", "part/" + key, R"({"released":true})");
+  RunFor(kHostRowsDelay);
+  for (std::size_t host = 0; host < kHosts; ++host)
+    REQUIRE(SendBody("/u/1", kCrashingBody, host).starts_with("HTTP/1.1 503"));
+  REQUIRE(crashes() == kMostCrashes);
+}
+
 // Guards against a crash that is taken for a connection which the server had
 // closed before, so that one request runs at more servers than its route allows
 // (BUDGET).
@@ -208,6 +292,7 @@
 TEST_CASE_METHOD(CrashingRequestFixture,
                  "Connections lost at servers that live block nothing") {
   StartHosts(kHosts);
+  OpenConnections(1);
   for (int i = 0; i < 4; ++i) {
     SendBody("/s/1", kResetBody, 0);
     RunFor(kRowsDelay);
@@ -225,6 +310,7 @@
 TEST_CASE_METHOD(CrashingRequestFixture,
                  "A block is taken back once the servers respond") {
   StartHosts(kHosts);
+  OpenConnections(1);
   for (int i = 0; i < 12; ++i) SendBody("/s/1", kResetBody, 0);
   // The last log has the lines of all hosts.
   REQUIRE(LogText(kHosts - 1).find("content_blocked") != std::string::npos);
@@ -237,6 +323,22 @@
     REQUIRE(IsServed(SendBody("/s/1", kResetBody, host)));
 }
 
+// Guards against a sound request that stays refused although no host had other
+// connections to the servers.
+TEST_CASE_METHOD(CrashingRequestFixture,
+                 "A block is taken back once the servers write to the store") {
+  StartHosts(kHosts);
+  for (int i = 0; i < 12; ++i) SendBody("/s/1", kResetBody, 0);
+  REQUIRE(LogText(kHosts - 1).find("content_blocked") != std::string::npos);
+  resets_connections_ = false;
+  for (int second = 1; second <= kHeartbeatSeconds; ++second) {
+    WriteHeartbeats(second);
+    RunFor(std::chrono::seconds(1));
+  }
+  for (std::size_t host = 0; host < kHosts; ++host)
+    REQUIRE(IsServed(SendBody("/s/1", kResetBody, host)));
+}
+
 TEST_CASE_METHOD(CrashingRequestFixture,
                  "A connection that ends by a timeout is no crash") {
   StartHosts(1);
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -319,6 +319,62 @@
   REQUIRE(suspects.TracksRequests());
 }
 
+class RefutedCrashes {
+ public:
+  // Lets servers 1 to 3 crash under the request, one a second; each is noticed
+  // 50 ms after the request was sent.
+  RefutedCrashes() {
+    for (std::uint64_t server = 1; server <= 3; ++server)
+      suspects.AddCrash(
+          std::span(&request, 1),
+          {server, CrashMoment::kUnclear,
+           At(seconds(server) + milliseconds(50)), At(seconds(server))});
+    REQUIRE(IsBlocked());
+  }
+
+  bool IsBlocked() const { return suspects.Find(request) != nullptr; }
+
+  const ContentKey request{"r" + std::string(32, '1')};
+  CrashSuspects suspects;
+};
+
+TEST_CASE_METHOD(RefutedCrashes, "A server that has run on did not crash") {
+  const auto released =
+      suspects.RefuteCrash(2, {At(seconds(1)), At(seconds(3))});
+  REQUIRE(released == std::vector<ContentKey>{request});
+  REQUIRE_FALSE(IsBlocked());
+  // Known only once.
+  REQUIRE_FALSE(suspects.RefuteCrash(2, {At(seconds(1)), At(seconds(3))}));
+}
+
+// Guards against a server that starts again under its id and address: responses
+// of the new process say nothing of the one that crashed (BUDGET).
+TEST_CASE_METHOD(RefutedCrashes,
+                 "A process that was connected to later refutes no crash") {
+  const TimePoint long_after = At(seconds(60));
+  REQUIRE_FALSE(suspects.RefuteCrash(2, {At(milliseconds(2060)), long_after}));
+  REQUIRE(IsBlocked());
+}
+
+// Guards against bytes that a frozen, slow or cut-off host reads long after the
+// server that sent them has crashed (BUDGET).
+TEST_CASE_METHOD(RefutedCrashes,
+                 "A response to an earlier request refutes no crash") {
+  REQUIRE_FALSE(
+      suspects.RefuteCrash(2, {At(seconds(0)), At(milliseconds(2049))}));
+  REQUIRE(IsBlocked());
+}
+
+TEST_CASE_METHOD(RefutedCrashes, "Each report of a crash must be refuted") {
+  const ServerCrash later{2, CrashMoment::kUnclear, At(seconds(9)),
+                          At(seconds(8))};
+  suspects.AddCrash(std::span(&request, 1), later);
+  REQUIRE_FALSE(suspects.RefuteCrash(2, {At(seconds(1)), At(seconds(7))}));
+  REQUIRE(IsBlocked());
+  REQUIRE(suspects.RefuteCrash(2, {At(seconds(1)), At(seconds(10))}));
+  REQUIRE_FALSE(IsBlocked());
+}
+
 // Guards against blocking a request that many callers send while a zone loses
 // power.
 TEST_CASE("Servers that crash at the same time do not block a request") {
