Crash suspects: Block any content after six crashes

A part of a prompt that was served before it began to crash servers, and crashes them before they respond, was blocked after ten of them only: such crashes count half, and what sound requests may share needs more of them.

'Six crashes block a part, whatever the servers had done for it' failed before and passes.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -19,6 +19,9 @@
 constexpr int kScoreToBlock = 6;
 // The same for a content that sound requests may share, as this host knows.
 constexpr int kScoreToBlockSharedContent = 10;
+// Enough distinct times of crashes to block a content whatever the servers had
+// done for it. A sound one is served in between.
+constexpr int kTimesToBlock = 6;
 constexpr int kScoreOfJustStarted = 2;
 constexpr int kScoreOfUnclear = 1;
 // Scores of crashes of one server, and of several at one time, under the key of
@@ -167,9 +170,10 @@
 // A request that was sent to a server after another one had crashed under it
 // has crashed both by itself: they had no common cause. Several servers at one
 // time may have one, or may have had the request at the same time.
-int CrashSuspects::ScoreOf(const ContentKey& content, const Crashes& crashes) {
+CrashSuspects::Weight CrashSuspects::WeightOf(const ContentKey& content,
+                                              const Crashes& crashes) {
   const bool is_request = IsRequestKey(content);
-  int score = 0;
+  Weight weight;
   int score_of_group = 0;
   TimePoint group_start{};
   TimePoint last_crash{};
@@ -179,7 +183,8 @@
                                crash.at - group_start < kCommonCauseTime;
     last_crash = crash.at;
     if (!is_same_group) {
-      score += score_of_group;
+      weight.score += score_of_group;
+      ++weight.times;
       group_start = crash.at;
       score_of_group =
           is_request ? kScoreOfRequest : ScoreOfMoment(crash.moment);
@@ -189,7 +194,8 @@
         is_request ? kScoreOfRequestAtSeveral
                    : std::max(score_of_group, ScoreOfMoment(crash.moment));
   }
-  return score + score_of_group;
+  weight.score += score_of_group;
+  return weight;
 }
 
 // Several hosts, and several requests of one, report the same crash.
@@ -255,16 +261,16 @@
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
     const ContentKind kind = KindOf(content);
-    const int score = ScoreOf(content, suspect->second);
+    const Weight weight = WeightOf(content, suspect->second);
     // Requests with other queries or prompts may be sound.
     const int least =
         kind == ContentKind::kRequestWithoutQuery && has_whole_request
             ? kScoreToBlockSharedContent
             : ScoreToBlock(content);
-    if (score < least) continue;
-    if (cause != nullptr && std::pair(kind, score) < best) continue;
+    if (weight.score < least && weight.times < kTimesToBlock) continue;
+    if (cause != nullptr && std::pair(kind, weight.score) < best) continue;
     cause = &content;
-    best = {kind, score};
+    best = {kind, weight.score};
   }
   return cause;
 }
@@ -346,7 +352,7 @@
   candidates.reserve(suspects_.size());
   for (const auto& [content, crashes] : suspects_)
     candidates.push_back(
-        {ScoreOf(content, crashes), crashes.back().at, content});
+        {WeightOf(content, crashes).score, crashes.back().at, content});
   std::sort(candidates.begin(), candidates.end());
   candidates.resize(candidates.size() - kSuspectsAfterLimit);
   for (const Candidate& candidate : candidates)
@@ -444,7 +450,8 @@
   std::vector<ContentKey> released;
   for (auto evidence = evidence_.begin(); evidence != evidence_.end();) {
     auto& [content, crashes] = *evidence;
-    if (!remove_from(crashes) || ScoreOf(content, crashes) >= kScoreToBlock) {
+    if (!remove_from(crashes) ||
+        WeightOf(content, crashes).score >= kScoreToBlock) {
       ++evidence;
       continue;
     }
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -153,7 +153,12 @@
   // The crashes under one content since it was served last, the earliest first.
   using Crashes = std::vector<ServerCrash>;
 
-  static int ScoreOf(const ContentKey& content, const Crashes& crashes);
+  // How much the crashes under a content speak against it.
+  struct Weight {
+    int score = 0;
+    int times = 0;  // distinct times of crashes
+  };
+  static Weight WeightOf(const ContentKey& content, const Crashes& crashes);
   // Returns the content that is to be blocked; null if there is none. Of
   // several the one that the fewest requests share, then the one with the
   // highest score.
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -108,6 +108,23 @@
               .size() == 1);
 }
 
+// Guards against a part that was served before it began to crash servers, and
+// crashes them before they respond (BUDGET).
+TEST_CASE("Six crashes block a part, whatever the servers had done for it") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  suspects.AddServed(std::span(&kCause, 1), At(seconds(0)));
+  for (int i = 1; i <= 5; ++i)
+    REQUIRE(suspects
+                .AddCrash(std::span(&kCause, 1),
+                          crashes.Next(seconds(i), CrashMoment::kUnclear))
+                .empty());
+  REQUIRE(suspects
+              .AddCrash(std::span(&kCause, 1),
+                        crashes.Next(seconds(6), CrashMoment::kUnclear))
+              .size() == 1);
+}
+
 TEST_CASE("Reports of several hosts on one crash count once") {
   CrashSuspects suspects;
   for (int i = 0; i < 20; ++i)
