Crash suspects: Forget what explained a crash that was refuted

A server whose crash was refuted may crash afterwards. Its crash then counted as explained by the block that had been taken back, so it did not count against the cause.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -437,6 +437,9 @@
   if (life.from > known->second.sent_at || life.to < known->second.at)
     return std::nullopt;
   known_crashes_.erase(known);
+  std::erase_if(explained_, [incarnation](const ExplainedCrash& crash) {
+    return crash.incarnation == incarnation;
+  });
   const auto remove_from = [incarnation](Crashes& crashes) {
     return std::erase_if(crashes, [incarnation](const ServerCrash& crash) {
              return crash.incarnation == incarnation;
--- a/tests/gateway_reports/crashing_prompt_test.cc
+++ b/tests/gateway_reports/crashing_prompt_test.cc
@@ -32,6 +32,8 @@
 constexpr int kServers = 6;
 // Time until the hosts have read the rows of servers that have restarted.
 constexpr Duration kRowsDelay = milliseconds(600);
+// Crashes at this distance have no common cause.
+constexpr Duration kDistinctTime = milliseconds(260);
 // Time until they have read a row in the hosts table.
 constexpr Duration kHostRowsDelay = milliseconds(2500);
 // Time since a crash after which the part is tried again.
@@ -66,7 +68,13 @@
                         id, "\r\nContent-Length: 0\r\n\r\n"}));
               return true;
             }
-            if (request.find(kCrashingPart) != std::string::npos) {
+            const bool has_part =
+                request.find(kCrashingPart) != std::string::npos;
+            if (has_part && resets_connections_) {
+              connection.Write(kStreamHead);
+              return false;
+            }
+            if (has_part && crashes_servers_) {
               ++crashing_requests_;
               ++crashes_.at(static_cast<std::size_t>(i));
               if (begins_response_) connection.Write(kStreamHead);
@@ -141,6 +149,9 @@
     }
   }
 
+  // Whether servers only close the connections of requests with the part.
+  std::atomic<bool> resets_connections_ = false;
+  std::atomic<bool> crashes_servers_ = true;
   std::atomic<bool> begins_response_ = true;
   std::atomic<bool> unsealed_ = false;  // sound responses lack the seal
   // Whether a server that starts again has a new id.
@@ -200,6 +211,30 @@
   REQUIRE(crashing_requests() <= kMostCrashes + kMostFurtherRequests);
 }
 
+// Guards against hosts that take a part whose block was taken back for one that
+// was served, so that it crashes more servers before they know it (BUDGET).
+TEST_CASE_METHOD(CrashingPromptFixture,
+                 "A block that is taken back does not make its part sound") {
+  StartHosts(kHosts);
+  // Opens connections to all servers.
+  for (int i = 0; i < 4 * kServers; ++i) SendUnrelated("/r/", 1);
+  resets_connections_ = true;
+  while (LogText(kHosts - 1).find("content_blocked") == std::string::npos) {
+    SendCrashing("/o/", 0);
+    RunFor(kDistinctTime);
+  }
+  resets_connections_ = false;
+  for (int i = 0; i < 4 * kServers; ++i) SendUnrelated("/r/", 1);
+  RunUntil([&] {
+    return LogText(kHosts - 1).find(R"("reason":"refuted")") !=
+           std::string::npos;
+  });
+  CrashServers(3, "/o/");
+  for (std::size_t host = 0; host < kHosts; ++host)
+    REQUIRE(SendCrashing("/o/", host).starts_with("HTTP/1.1 503"));
+  REQUIRE(crashing_requests() == 3);
+}
+
 // Guards against a server whose first bytes are lost with it.
 TEST_CASE_METHOD(CrashingPromptFixture,
                  "Servers that crash before they respond count too") {
@@ -210,6 +245,22 @@
   REQUIRE(crashing_requests() <= kMostCrashes + kMostFurtherRequests);
 }
 
+// Guards against a part that is sound at first and then crashes servers before
+// they respond (BUDGET).
+TEST_CASE_METHOD(
+    CrashingPromptFixture,
+    "A part that was served before is known after as many crashes") {
+  begins_response_ = false;
+  crashes_servers_ = false;
+  StartHosts(kHosts);
+  for (std::size_t i = 0; i < kHosts; ++i)
+    REQUIRE(SendCrashing("/o/", i).starts_with("HTTP/1.1 200"));
+  crashes_servers_ = true;
+  CrashServers(kMostCrashes + 1, "/o/");
+  for (std::size_t i = 0; i < 2 * kHosts; ++i) SendCrashing("/o/", i % kHosts);
+  REQUIRE(crashing_requests() <= kMostCrashes + kMostFurtherRequests);
+}
+
 // Guards against a block that only the hosts know that ran when it was decided
 // (herds of processes are killed at once).
 TEST_CASE_METHOD(CrashingPromptFixture,
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -382,6 +382,26 @@
   REQUIRE(IsBlocked());
 }
 
+// Guards against a server that crashes after its connections were lost, which
+// is taken for explained by the block that was taken back (BUDGET).
+TEST_CASE("A crash that was refuted may come true afterwards") {
+  CrashSuspects suspects;
+  const auto crash = [&](std::uint64_t server, Duration at) {
+    suspects.AddCrash(
+        std::span(&kCause, 1),
+        {server, CrashMoment::kJustStarted, At(at), At(at - milliseconds(50))});
+  };
+  for (std::uint64_t server = 1; server <= 3; ++server)
+    crash(server, seconds(server));
+  REQUIRE(suspects.Find(kCause) != nullptr);
+  for (std::uint64_t server = 1; server <= 3; ++server)
+    REQUIRE(suspects.RefuteCrash(server, {At(seconds(0)), At(seconds(5))}));
+  REQUIRE(suspects.Find(kCause) == nullptr);
+  for (std::uint64_t server = 1; server <= 3; ++server)
+    crash(server, seconds(10 + server));
+  REQUIRE(suspects.Find(kCause) != nullptr);
+}
+
 TEST_CASE_METHOD(RefutedCrashes, "Each report of a crash must be refuted") {
   const ServerCrash later{2, CrashMoment::kUnclear, At(seconds(9)),
                           At(seconds(8))};
