Soak: Give successors the address of a crashed server

Half of the servers that crash under a request have a successor at their address before their row is removed. Until now the row went first, and the successor came at another port.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -238,10 +238,10 @@
         owner = hosts.get(find_owner(port, server_port, hosts))
         return (owner.name, owner.incarnation) if owner else ("", 0)
 
-    async def replace_backend(self, backend):
-        await self.add_backend(backend.service, backend.zone, self.random.choice(self.server_versions))
+    async def replace_backend(self, backend, port=0):
+        await self.add_backend(backend.service, backend.zone, self.random.choice(self.server_versions), port)
 
-    async def add_backend(self, service, zone, version):
+    async def add_backend(self, service, zone, version, port=0):
         self.next_backend += 1
         backend = Backend(f"{service}-{self.next_backend}", service, zone, version, self.store, self.record,
                           self.random.getrandbits(32), self.find_host if self.troubles else None)
@@ -249,7 +249,7 @@
         if "crashing" in self.troubles:
             backend.crash_under_part = lambda crashed: self.tasks.append(asyncio.create_task(self.crash(crashed)))
         backend.cold_until = now() + WARM_UP_SECONDS
-        await backend.start_serving(1_700_000_000_000 + self.next_backend)
+        await backend.start_serving(1_700_000_000_000 + self.next_backend, port)
         if service != "encoder":
             self.record.cold_starts.append((backend.id, now(), now() + WARM_UP_SECONDS, COLD_REQUESTS_PER_SECOND))
         self.backends.append(backend)
@@ -563,13 +563,18 @@
             backend.quiet_until = now() + seconds
 
     async def crash(self, backend):
-        """Ends a server, which is back after some seconds, as a new one."""
+        """Ends a server. A new one comes after some seconds, half of the time at its address and before its row goes."""
         if backend not in self.backends:
             return
         self.timeline.append(f"{now() - self.begin:6.2f} {backend.id} crashes under the part")
         self.backends.remove(backend)
         await backend.crash()
         await asyncio.sleep(self.random.uniform(0.5, 2))
+        if self.random.random() < 0.5:
+            await self.replace_backend(backend, backend.proxy.port)
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            self.store.remove("servers", backend.id)
+            return
         self.store.remove("servers", backend.id)
         await self.replace_backend(backend)
 
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -300,10 +300,14 @@
         self.cold_until = 0.0
         self.heartbeat_task = None
 
-    async def start_serving(self, started_unix_ms):
+    async def start_serving(self, started_unix_ms, port=0):
+        """Serves at that port, or at any port if it is 0 or another one has it by now."""
         self.started_unix_ms = started_unix_ms
         await self.start()
-        await self.proxy.start()
+        try:
+            await self.proxy.start(port)
+        except OSError:
+            await self.proxy.start()
         if self.service == "model":
             self.run = ServerRun(self.id, self.version, now())
             self.record.server_runs.append(self.run)
