Content blocks: Log what speaks most against a content when a server crashes

Tells apart a part whose crashes are excused by a block (the number of servers falls), one whose servers crash together (many servers, low score) and one whose evidence is gone (the number falls without a block). No change of what is blocked.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -428,6 +428,22 @@
   return evidence == evidence_.end() ? 0 : evidence->second.size();
 }
 
+std::optional<Suspicion> CrashSuspects::StrongestSuspicion(
+    std::span<const ContentKey> contents) const {
+  std::optional<Suspicion> strongest;
+  for (const ContentKey& content : contents) {
+    const auto suspect = suspects_.find(content);
+    if (suspect == suspects_.end()) continue;
+    const Suspicion suspicion{content, suspect->second.size(),
+                              WeightOf(content, suspect->second).score,
+                              ScoreToBlock(content)};
+    if (!strongest || std::pair(suspicion.score, suspicion.servers) >=
+                          std::pair(strongest->score, strongest->servers))
+      strongest = suspicion;
+  }
+  return strongest;
+}
+
 std::optional<std::vector<ContentKey>> CrashSuspects::RefuteCrash(
     std::uint64_t incarnation, const LifeSpan& life) {
   const auto known = known_crashes_.find(incarnation);
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -87,6 +87,14 @@
   TimePoint NextTrialAt() const;
 };
 
+// How much speaks against a content that is not blocked.
+struct Suspicion {
+  ContentKey content;
+  std::size_t servers = 0;  // whose crashes are counted
+  int score = 0;
+  int score_to_block = 0;
+};
+
 // Finds the contents under which servers crash, whatever else a request has.
 // Every content of the requests that a crashed server had just begun, or was
 // about to begin, is suspect. Two things tell the cause from contents that
@@ -120,6 +128,10 @@
   // zero if another host has.
   std::size_t CrashesOf(const ContentKey& content) const;
 
+  // Returns the content against which most speaks; nothing if none is suspect.
+  std::optional<Suspicion> StrongestSuspicion(
+      std::span<const ContentKey> contents) const;
+
   // Blocks a content as another host does. Returns false, without effect, if
   // this host knows that the content was served since the crash, or a later
   // crash.
--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -107,12 +107,18 @@
       suspects_.AddCrash(contents, crash);
   const bool has_started = moment == routing::CrashMoment::kJustStarted;
   context_.metrics.Count("lovagecleat_content_crashes_total");
+  const routing::Suspicion suspicion =
+      suspects_.StrongestSuspicion(contents).value_or(routing::Suspicion{});
   context_.log.Write("content_crash", "",
                      {{"server", server.id.value()},
                       {"incarnation", crash.incarnation},
                       {"contents", routing::FormatForLog(contents)},
                       {"had_started_response", has_started},
-                      {"sent_ms_ago", Milliseconds(crash.at - sent_at)}});
+                      {"sent_ms_ago", Milliseconds(crash.at - sent_at)},
+                      {"suspect", suspicion.content.value()},
+                      {"servers", suspicion.servers},
+                      {"score", suspicion.score},
+                      {"score_to_block", suspicion.score_to_block}});
   Broadcast([&](messages::ContentReports& reports) {
     messages::ContentCrash& copy = *reports.add_crashes();
     copy.set_server_incarnation(crash.incarnation);
