--- a/tests/gateway_reports/crashing_prompt_test.cc
+++ b/tests/gateway_reports/crashing_prompt_test.cc
@@ -118,8 +118,14 @@
 
   // Requests with the part are never alike in their last part.
   std::string SendCrashing(const std::string& path, std::size_t host) {
+    ++sent_;
+    return RetryCrashing(path, host);
+  }
+
+  // Sends the last request once more, as its caller does.
+  std::string RetryCrashing(const std::string& path, std::size_t host) {
     return Send(MakeRequest(path, "aaaa:20," + std::string(kCrashingPart) +
-                                      ":20," + std::to_string(++sent_) + ":60"),
+                                      ":20," + std::to_string(sent_) + ":60"),
                 host);
   }
 
@@ -191,6 +197,24 @@
   REQUIRE(crashing_requests() <= kMostCrashes + kMostFurtherRequests);
 }
 
+// Guards against a part that is never known, since each request with it is
+// blocked first and explains the crashes under it (BUDGET).
+TEST_CASE_METHOD(CrashingPromptFixture,
+                 "A part is known although its requests are blocked first") {
+  begins_response_ = GENERATE(true, false);
+  StartHosts(kHosts);
+  for (std::size_t i = 0; i < 8; ++i) {
+    SendCrashing("/r/", i % kHosts);
+    RestartCrashedServers();
+    RunFor(kRowsDelay);
+    RetryCrashing("/r/", (i + 1) % kHosts);
+    REQUIRE(SendSound("/r/", (i + 1) % kHosts).starts_with("HTTP/1.1 200"));
+    RestartCrashedServers();
+    RunFor(kRowsDelay);
+  }
+  REQUIRE(crashing_requests() <= kMostCrashes + kMostFurtherRequests);
+}
+
 // Guards against a response of the server that has the address of a crashed one
 // by now, which is taken for a sign that the crashed one lives and ends the
 // block of the part (BUDGET, deadly).
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -97,6 +97,23 @@
               .empty());
 }
 
+TEST_CASE("The strongest suspicion is known before a block") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  const std::vector<ContentKey> parts{kCommon, kCause};
+  REQUIRE_FALSE(suspects.StrongestSuspicion(parts));
+  suspects.AddCrash(std::span(&kCommon, 1),
+                    crashes.Next(seconds(1), CrashMoment::kUnclear));
+  for (int i = 2; i <= 3; ++i)
+    suspects.AddCrash(std::span(&kCause, 1), crashes.Next(seconds(i)));
+  const auto strongest = suspects.StrongestSuspicion(parts);
+  REQUIRE(strongest);
+  REQUIRE(strongest->content == kCause);
+  REQUIRE(strongest->servers == 2);
+  REQUIRE(strongest->score == 4);
+  REQUIRE(strongest->score_to_block == 6);
+}
+
 TEST_CASE("A part that was served before needs more crashes") {
   CrashSuspects suspects;
   Crashes crashes;
@@ -468,5 +485,77 @@
   REQUIRE(suspects.Find(kCommon) == nullptr);
 }
 
+// Counts the requests with a part that reach servers after it should be known.
+class PartRequests {
+ public:
+  PartRequests(CrashSuspects& suspects, CrashMoment moment)
+      : suspects_(suspects), moment_(moment) {}
+
+  // Sends one request with kCommon, kCause and a part of its own up to `sends`
+  // times, each time to a server that crashes under it after `delay`.
+  void Send(int sends, Duration delay) {
+    const std::string digits = std::to_string(100 + ++requests_);
+    std::string hash;
+    while (hash.size() < 32) hash += digits;
+    hash.resize(32);
+    const std::vector<ContentKey> contents{ContentKey("r" + hash), kCommon,
+                                           kCause, ContentKey("q" + hash)};
+    for (int i = 0; i < sends && !IsBlocked(contents); ++i) {
+      const TimePoint sent_at = now_;
+      now_ += delay;
+      Count(sent_at);
+      suspects_.AddCrash(contents, {++servers_, moment_, now_, sent_at});
+      now_ += milliseconds(1);
+    }
+    suspects_.AddServed(std::span(&kCommon, 1), now_);
+  }
+
+  void Wait(Duration time) { now_ += time; }
+
+  // Those that were sent later than the hosts need to hear of five crashes.
+  int late_sends() const { return late_sends_; }
+
+ private:
+  bool IsBlocked(const std::vector<ContentKey>& contents) const {
+    return std::any_of(contents.begin(), contents.end(),
+                       [this](const ContentKey& content) {
+                         return suspects_.Find(content) != nullptr;
+                       });
+  }
+
+  void Count(TimePoint sent_at) {
+    if (servers_ == 4) fifth_at_ = now_;
+    if (servers_ >= 5 && sent_at - fifth_at_ > seconds(3)) ++late_sends_;
+  }
+
+  CrashSuspects& suspects_;
+  CrashMoment moment_;
+  TimePoint now_ = At(Duration::zero());
+  std::uint64_t servers_ = 0;  // that crashed
+  int requests_ = 0;
+  int late_sends_ = 0;
+  TimePoint fifth_at_{};  // the fifth crash
+};
+
+// Guards against a part that is never known, since each request with it is
+// blocked first and explains the crashes under it (BUDGET).
+TEST_CASE("Blocked requests do not excuse the part that they share") {
+  CrashSuspects suspects;
+  const bool was_served = GENERATE(false, true);
+  const int sends = GENERATE(1, 2, 3, 4);
+  const auto moment =
+      GENERATE(CrashMoment::kJustStarted, CrashMoment::kUnclear);
+  if (was_served) suspects.AddServed(std::span(&kCause, 1), At(-seconds(1)));
+  PartRequests requests(suspects, moment);
+  for (int i = 0; i < 20; ++i) {
+    requests.Send(sends, milliseconds(400));
+    requests.Wait(seconds(4));
+  }
+  CAPTURE(was_served, sends, moment);
+  REQUIRE(requests.late_sends() <= 3);
+  REQUIRE(suspects.Find(kCause) != nullptr);
+  REQUIRE(suspects.Find(kCommon) == nullptr);
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
