--- /dev/null
+++ b/libraries/routing/content_crashes.cc
@@ -0,0 +1,102 @@
+#include "routing/content_crashes.h"
+
+#include <algorithm>
+
+namespace lovagecleat::routing {
+
+namespace {
+
+// A server that had just begun its response says most: it has begun one request
+// at that moment, and may have others that wait or go on.
+constexpr int kScoreOfJustStarted = 2;
+constexpr int kScoreOfUnclear = 1;
+// Scores of crashes of one server, and of several at one time, under the key of
+// a request.
+constexpr int kScoreOfRequest = 2;
+constexpr int kScoreOfRequestAtSeveral = 3;
+// Crashes within this time count as one: many servers may crash for one reason
+// that is not in the requests, such as a loss of power.
+constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
+// Crashes count for this long unless the content is served.
+constexpr Duration kCrashMemory = std::chrono::minutes(30);
+// Callers choose the contents, so what is kept of them is bounded.
+constexpr std::size_t kMaximumCrashes = 16;
+
+int ScoreOfMoment(CrashMoment moment) {
+  return moment == CrashMoment::kJustStarted ? kScoreOfJustStarted
+                                             : kScoreOfUnclear;
+}
+
+}  // namespace
+
+void ContentCrashes::Add(const ServerCrash& crash) {
+  const auto known = std::find_if(
+      crashes_.begin(), crashes_.end(), [&crash](const ServerCrash& other) {
+        return other.incarnation == crash.incarnation;
+      });
+  if (known != crashes_.end()) {
+    if (ScoreOfMoment(crash.moment) > ScoreOfMoment(known->moment))
+      known->moment = crash.moment;
+    return;
+  }
+  std::erase_if(crashes_, [&crash](const ServerCrash& other) {
+    return crash.at - other.at > kCrashMemory;
+  });
+  const auto position = std::upper_bound(
+      crashes_.begin(), crashes_.end(), crash,
+      [](const ServerCrash& a, const ServerCrash& b) { return a.at < b.at; });
+  crashes_.insert(position, crash);
+  if (crashes_.size() > kMaximumCrashes) crashes_.erase(crashes_.begin());
+}
+
+bool ContentCrashes::Remove(std::uint64_t incarnation) {
+  return std::erase_if(crashes_, [incarnation](const ServerCrash& crash) {
+           return crash.incarnation == incarnation;
+         }) > 0;
+}
+
+bool ContentCrashes::RemoveUntil(TimePoint at) {
+  return std::erase_if(crashes_, [at](const ServerCrash& crash) {
+           return crash.at <= at;
+         }) > 0;
+}
+
+std::vector<std::uint64_t> ContentCrashes::Incarnations() const {
+  std::vector<std::uint64_t> incarnations;
+  incarnations.reserve(crashes_.size());
+  for (const ServerCrash& crash : crashes_)
+    incarnations.push_back(crash.incarnation);
+  return incarnations;
+}
+
+// A request that was sent to a server after another one had crashed under it
+// has crashed both by itself: they had no common cause. Several servers at one
+// time may have one, or may have had the request at the same time.
+ContentCrashes::Weight ContentCrashes::GetWeight() const {
+  Weight weight;
+  int score_of_group = 0;
+  TimePoint group_start{};
+  TimePoint last_crash{};
+  for (const ServerCrash& crash : crashes_) {
+    ++weight.servers;
+    const bool is_repeat = is_request_ && crash.sent_at > last_crash;
+    const bool is_same_group = score_of_group > 0 && !is_repeat &&
+                               crash.at - group_start < kCommonCauseTime;
+    last_crash = crash.at;
+    if (!is_same_group) {
+      weight.score += score_of_group;
+      ++weight.times;
+      group_start = crash.at;
+      score_of_group =
+          is_request_ ? kScoreOfRequest : ScoreOfMoment(crash.moment);
+      continue;
+    }
+    score_of_group =
+        is_request_ ? kScoreOfRequestAtSeveral
+                    : std::max(score_of_group, ScoreOfMoment(crash.moment));
+  }
+  weight.score += score_of_group;
+  return weight;
+}
+
+}  // namespace lovagecleat::routing
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -13,26 +13,18 @@
 
 namespace {
 
-// Score of a content from which on it is blocked, and that of one crash. A
-// server that had just begun its response says most: it has begun one request
-// at that moment, and may have others that wait or go on.
+// Score of a content from which on it is blocked: that of three crashes of
+// servers that had just begun their response.
 constexpr int kScoreToBlock = 6;
 // The same for a content that sound requests may share, as this host knows.
 constexpr int kScoreToBlockSharedContent = 10;
 // Enough distinct times of crashes to block a content whatever the servers had
 // done for it. A sound one is served in between.
 constexpr int kTimesToBlock = 6;
-constexpr int kScoreOfJustStarted = 2;
-constexpr int kScoreOfUnclear = 1;
-// Scores of crashes of one server, and of several at one time, under the key of
-// a request.
-constexpr int kScoreOfRequest = 2;
-constexpr int kScoreOfRequestAtSeveral = 3;
-// Crashes within this time count as one: many servers may crash for one reason
-// that is not in the requests, such as a loss of power.
-constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
-// Crashes count for this long unless the content is served.
-constexpr Duration kCrashMemory = std::chrono::minutes(30);
+// Score of one crash, and a time between two at which they have no common
+// cause.
+constexpr int kScoreOfCrash = 2;
+constexpr Duration kRememberedInterval = std::chrono::seconds(1);
 constexpr Duration kBlockTime = std::chrono::minutes(15);
 // Time after which it is known whether the servers live that have crashed.
 constexpr Duration kConfirmationTime = std::chrono::milliseconds(1500);
@@ -44,7 +36,6 @@
 // Callers choose the contents, so what is kept of them is bounded.
 constexpr std::size_t kMaximumSuspects = 4096;
 constexpr std::size_t kSuspectsAfterLimit = 3072;
-constexpr std::size_t kMaximumCrashesPerContent = 16;
 constexpr std::size_t kMaximumCrashedServers = 1024;
 // A server that was taken for crashed responds within this time if it lives.
 constexpr Duration kRefutableTime = std::chrono::minutes(1);
@@ -72,11 +63,6 @@
   });
 }
 
-int ScoreOfMoment(CrashMoment moment) {
-  return moment == CrashMoment::kJustStarted ? kScoreOfJustStarted
-                                             : kScoreOfUnclear;
-}
-
 // A cryptographic hash, so that no caller finds a request of its own with the
 // key of another one.
 std::string HashOfRequest(const RequestIdentity& request,
@@ -167,57 +153,9 @@
   return crashed_at + delay;
 }
 
-// A request that was sent to a server after another one had crashed under it
-// has crashed both by itself: they had no common cause. Several servers at one
-// time may have one, or may have had the request at the same time.
-CrashSuspects::Weight CrashSuspects::WeightOf(const ContentKey& content,
-                                              const Crashes& crashes) {
-  const bool is_request = IsRequestKey(content);
-  Weight weight;
-  int score_of_group = 0;
-  TimePoint group_start{};
-  TimePoint last_crash{};
-  for (const ServerCrash& crash : crashes) {
-    const bool is_repeat = is_request && crash.sent_at > last_crash;
-    const bool is_same_group = score_of_group > 0 && !is_repeat &&
-                               crash.at - group_start < kCommonCauseTime;
-    last_crash = crash.at;
-    if (!is_same_group) {
-      weight.score += score_of_group;
-      ++weight.times;
-      group_start = crash.at;
-      score_of_group =
-          is_request ? kScoreOfRequest : ScoreOfMoment(crash.moment);
-      continue;
-    }
-    score_of_group =
-        is_request ? kScoreOfRequestAtSeveral
-                   : std::max(score_of_group, ScoreOfMoment(crash.moment));
-  }
-  weight.score += score_of_group;
-  return weight;
-}
-
-// Several hosts, and several requests of one, report the same crash.
-void CrashSuspects::AddTo(Crashes& crashes, const ServerCrash& crash) const {
-  const auto known = std::find_if(
-      crashes.begin(), crashes.end(), [&crash](const ServerCrash& other) {
-        return other.incarnation == crash.incarnation;
-      });
-  if (known != crashes.end()) {
-    if (ScoreOfMoment(crash.moment) > ScoreOfMoment(known->moment))
-      known->moment = crash.moment;
-    return;
-  }
-  std::erase_if(crashes, [&crash](const ServerCrash& other) {
-    return crash.at - other.at > kCrashMemory;
-  });
-  const auto position = std::upper_bound(
-      crashes.begin(), crashes.end(), crash,
-      [](const ServerCrash& a, const ServerCrash& b) { return a.at < b.at; });
-  crashes.insert(position, crash);
-  if (crashes.size() > kMaximumCrashesPerContent)
-    crashes.erase(crashes.begin());
+void CrashSuspects::AddTo(const ContentKey& content, const ServerCrash& crash) {
+  suspects_.try_emplace(content, IsRequestKey(content))
+      .first->second.Add(crash);
 }
 
 std::vector<ContentKey> CrashSuspects::AddCrash(
@@ -235,11 +173,11 @@
   for (const ContentKey& content : contents)
     if (!WasServedSince(content, crash.at) &&
         !IsExplained(crash.incarnation, content))
-      AddTo(suspects_[content], crash);
+      AddTo(content, crash);
   std::vector<ContentKey> blocked;
   if (const ContentKey* cause = FindCause(contents)) {
-    const Crashes crashes = suspects_.at(*cause);
-    const TimePoint last = crashes.back().at;
+    const ContentCrashes crashes = suspects_.at(*cause);
+    const TimePoint last = crashes.last_at();
     if (Block(*cause, {last, last + kBlockTime, 0})) {
       blocked.push_back(*cause);
       evidence_.insert_or_assign(*cause, crashes);
@@ -261,7 +199,7 @@
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
     const ContentKind kind = KindOf(content);
-    const Weight weight = WeightOf(content, suspect->second);
+    const ContentCrashes::Weight weight = suspect->second.GetWeight();
     // Requests with other queries or prompts may be sound.
     const int least =
         kind == ContentKind::kRequestWithoutQuery && has_whole_request
@@ -318,10 +256,8 @@
   explained_.push_back({incarnation, kind});
   if (explained_.size() > kMaximumExplainedCrashes) explained_.pop_front();
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
-    std::erase_if(suspect->second, [&](const ServerCrash& crash) {
-      return crash.incarnation == incarnation &&
-             IsExplained(incarnation, suspect->first);
-    });
+    if (IsExplained(incarnation, suspect->first))
+      suspect->second.Remove(incarnation);
     suspect =
         suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
   }
@@ -330,9 +266,10 @@
 void CrashSuspects::ExplainCrashesOf(const ContentKey& content) {
   const auto suspect = suspects_.find(content);
   if (suspect == suspects_.end()) return;
-  const Crashes crashes = std::move(suspect->second);
+  const ContentCrashes crashes = std::move(suspect->second);
   suspects_.erase(suspect);
-  for (const ServerCrash& crash : crashes) Explain(crash.incarnation, content);
+  for (const std::uint64_t incarnation : crashes.Incarnations())
+    Explain(incarnation, content);
 }
 
 // Drops many contents at once, since sorting them takes time: those with the
@@ -352,7 +289,7 @@
   candidates.reserve(suspects_.size());
   for (const auto& [content, crashes] : suspects_)
     candidates.push_back(
-        {WeightOf(content, crashes).score, crashes.back().at, content});
+        {crashes.GetWeight().score, crashes.last_at(), content});
   std::sort(candidates.begin(), candidates.end());
   candidates.resize(candidates.size() - kSuspectsAfterLimit);
   for (const Candidate& candidate : candidates)
@@ -370,10 +307,7 @@
     bool is_cleared = false;
     const auto suspect = suspects_.find(content);
     if (suspect != suspects_.end()) {
-      is_cleared =
-          std::erase_if(suspect->second, [at](const ServerCrash& crash) {
-            return crash.at <= at;
-          }) > 0;
+      is_cleared = suspect->second.RemoveUntil(at);
       if (suspect->second.empty()) suspects_.erase(suspect);
     }
     const auto blocked = blocked_.find(content);
@@ -434,8 +368,8 @@
   for (const ContentKey& content : contents) {
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
-    const Suspicion suspicion{content, suspect->second.size(),
-                              WeightOf(content, suspect->second).score,
+    const ContentCrashes::Weight weight = suspect->second.GetWeight();
+    const Suspicion suspicion{content, weight.servers, weight.score,
                               ScoreToBlock(content)};
     if (!strongest || std::pair(suspicion.score, suspicion.servers) >=
                           std::pair(strongest->score, strongest->servers))
@@ -456,21 +390,16 @@
   std::erase_if(explained_, [incarnation](const ExplainedCrash& crash) {
     return crash.incarnation == incarnation;
   });
-  const auto remove_from = [incarnation](Crashes& crashes) {
-    return std::erase_if(crashes, [incarnation](const ServerCrash& crash) {
-             return crash.incarnation == incarnation;
-           }) > 0;
-  };
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
-    remove_from(suspect->second);
+    suspect->second.Remove(incarnation);
     suspect =
         suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
   }
   std::vector<ContentKey> released;
   for (auto evidence = evidence_.begin(); evidence != evidence_.end();) {
     auto& [content, crashes] = *evidence;
-    if (!remove_from(crashes) ||
-        WeightOf(content, crashes).score >= kScoreToBlock) {
+    if (!crashes.Remove(incarnation) ||
+        crashes.GetWeight().score >= kScoreToBlock) {
       ++evidence;
       continue;
     }
@@ -528,14 +457,13 @@
       ++block;
       continue;
     }
-    Crashes& crashes = suspects_[block->first];
-    crashes.clear();
+    suspects_.erase(block->first);
     // Block the content together with one more crash. They stand for no server.
-    const int remembered = ScoreToBlock(block->first) / kScoreOfJustStarted - 1;
+    const int remembered = ScoreToBlock(block->first) / kScoreOfCrash - 1;
     for (int i = remembered; i > 0; --i)
-      crashes.push_back(
-          {StableHash(block->first.value(), static_cast<std::uint64_t>(i)),
-           CrashMoment::kJustStarted, now - kCommonCauseTime * i});
+      AddTo(block->first,
+            {StableHash(block->first.value(), static_cast<std::uint64_t>(i)),
+             CrashMoment::kJustStarted, now - kRememberedInterval * i});
     evidence_.erase(block->first);
     block = blocked_.erase(block);
   }
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "routing/content_crashes.h"
 #include "routing/prompt_placement.h"
 
 namespace lovagecleat::routing {
@@ -51,20 +52,6 @@
 // Returns whether `text` could be a key.
 bool IsContentKey(std::string_view text);
 
-// What a server did for a request when it crashed.
-enum class CrashMoment {
-  kJustStarted,  // it had begun its response, but sent no content
-  kUnclear,      // it had sent nothing yet, or some content
-};
-
-// One server's crash, as far as it concerns one request.
-struct ServerCrash {
-  std::uint64_t incarnation = 0;  // hash of the server's incarnation
-  CrashMoment moment = CrashMoment::kUnclear;
-  TimePoint at{};
-  TimePoint sent_at{};  // when the request was sent to the server
-};
-
 // A time through which one process of a server is known to have run: it held a
 // connection from the start on and handled a request that was sent at the end.
 struct LifeSpan {
@@ -162,15 +149,6 @@
   void RemoveExpired(TimePoint now);
 
  private:
-  // The crashes under one content since it was served last, the earliest first.
-  using Crashes = std::vector<ServerCrash>;
-
-  // How much the crashes under a content speak against it.
-  struct Weight {
-    int score = 0;
-    int times = 0;  // distinct times of crashes
-  };
-  static Weight WeightOf(const ContentKey& content, const Crashes& crashes);
   // Returns the content that is to be blocked; null if there is none. Of
   // several the one that the fewest requests share, then the one with the
   // highest score.
@@ -184,11 +162,11 @@
   void ExplainCrashesOf(const ContentKey& content);
   bool IsExplained(std::uint64_t incarnation, const ContentKey& content) const;
   void RememberCrash(const ServerCrash& crash);
-  void AddTo(Crashes& crashes, const ServerCrash& crash) const;
+  void AddTo(const ContentKey& content, const ServerCrash& crash);
   void LimitSuspects();
   void RememberServed(const ContentKey& content, TimePoint at);
 
-  std::map<ContentKey, Crashes> suspects_;
+  std::map<ContentKey, ContentCrashes> suspects_;
   struct KnownCrash {
     TimePoint sent_at{};  // the last request under which it was noticed
     TimePoint at{};       // the last report
@@ -196,7 +174,7 @@
   std::map<std::uint64_t, KnownCrash> known_crashes_;  // by incarnation
   std::map<ContentKey, BlockedContent> blocked_;
   // The crashes for which this host has blocked contents.
-  std::map<ContentKey, Crashes> evidence_;
+  std::map<ContentKey, ContentCrashes> evidence_;
   // Those that fewer requests share come later.
   enum class ContentKind { kRequestWithoutQuery, kPromptPart, kWholeRequest };
   struct ExplainedCrash {
--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -5,6 +5,7 @@
 // library does no I/O.
 #include "routing/batch_scheduler.h"   // IWYU pragma: export
 #include "routing/batching_host.h"     // IWYU pragma: export
+#include "routing/content_crashes.h"   // IWYU pragma: export
 #include "routing/crash_suspects.h"    // IWYU pragma: export
 #include "routing/model.h"             // IWYU pragma: export
 #include "routing/prompt_placement.h"  // IWYU pragma: export
