Crash suspects: Count crashes against a part although their requests are blocked

Cause: three crashes block the request under which they came, and its block explained them from then on, so they were taken off the parts of its prompt. If each request with the part is sent three times or more, by the attempts of its route and its caller's retries, each is blocked before the part, and the part is never known.

Crashes that a narrower content explains now stay with wider ones and count again once three more servers have crashed under these that nothing explains. Of several causes the one under which the most servers crashed is blocked, and the narrowest only among equals.

"Blocked requests do not excuse the part that they share" failed before (54 late requests, 3 allowed) and passes.

--- a/libraries/routing/content_crashes.cc
+++ b/libraries/routing/content_crashes.cc
@@ -17,6 +17,9 @@
 // Crashes within this time count as one: many servers may crash for one reason
 // that is not in the requests, such as a loss of power.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
+// Crashes that no blocked content explains, beside which the others count: as
+// many as block a content by themselves.
+constexpr std::size_t kServersBesideExplained = 3;
 // Crashes count for this long unless the content is served.
 constexpr Duration kCrashMemory = std::chrono::minutes(30);
 // Callers choose the contents, so what is kept of them is bounded.
@@ -29,55 +32,71 @@
 
 }  // namespace
 
-void ContentCrashes::Add(const ServerCrash& crash) {
+void ContentCrashes::Add(const ServerCrash& crash, bool is_explained) {
   const auto known = std::find_if(
-      crashes_.begin(), crashes_.end(), [&crash](const ServerCrash& other) {
-        return other.incarnation == crash.incarnation;
+      crashes_.begin(), crashes_.end(), [&crash](const Entry& other) {
+        return other.crash.incarnation == crash.incarnation;
       });
   if (known != crashes_.end()) {
-    if (ScoreOfMoment(crash.moment) > ScoreOfMoment(known->moment))
-      known->moment = crash.moment;
+    if (ScoreOfMoment(crash.moment) > ScoreOfMoment(known->crash.moment))
+      known->crash.moment = crash.moment;
+    known->is_explained = known->is_explained || is_explained;
     return;
   }
-  std::erase_if(crashes_, [&crash](const ServerCrash& other) {
-    return crash.at - other.at > kCrashMemory;
+  std::erase_if(crashes_, [&crash](const Entry& other) {
+    return crash.at - other.crash.at > kCrashMemory;
   });
   const auto position = std::upper_bound(
-      crashes_.begin(), crashes_.end(), crash,
-      [](const ServerCrash& a, const ServerCrash& b) { return a.at < b.at; });
-  crashes_.insert(position, crash);
+      crashes_.begin(), crashes_.end(), crash.at,
+      [](TimePoint at, const Entry& other) { return at < other.crash.at; });
+  crashes_.insert(position, {crash, is_explained});
   if (crashes_.size() > kMaximumCrashes) crashes_.erase(crashes_.begin());
 }
 
+void ContentCrashes::Explain(std::uint64_t incarnation) {
+  for (Entry& entry : crashes_)
+    if (entry.crash.incarnation == incarnation) entry.is_explained = true;
+}
+
 bool ContentCrashes::Remove(std::uint64_t incarnation) {
-  return std::erase_if(crashes_, [incarnation](const ServerCrash& crash) {
-           return crash.incarnation == incarnation;
+  return std::erase_if(crashes_, [incarnation](const Entry& entry) {
+           return entry.crash.incarnation == incarnation;
          }) > 0;
 }
 
 bool ContentCrashes::RemoveUntil(TimePoint at) {
-  return std::erase_if(crashes_, [at](const ServerCrash& crash) {
-           return crash.at <= at;
+  return std::erase_if(crashes_, [at](const Entry& entry) {
+           return entry.crash.at <= at;
          }) > 0;
 }
 
 std::vector<std::uint64_t> ContentCrashes::Incarnations() const {
   std::vector<std::uint64_t> incarnations;
   incarnations.reserve(crashes_.size());
-  for (const ServerCrash& crash : crashes_)
-    incarnations.push_back(crash.incarnation);
+  for (const Entry& entry : crashes_)
+    incarnations.push_back(entry.crash.incarnation);
   return incarnations;
 }
 
+// A blocked request explains crashes as long as they come under it alone. A
+// part that it shares with other requests may be what crashes the servers of
+// all of them.
+ContentCrashes::Weight ContentCrashes::GetWeight() const {
+  const Weight unexplained = WeightOf(false);
+  return unexplained.servers >= kServersBesideExplained ? WeightOf(true)
+                                                        : unexplained;
+}
+
 // A request that was sent to a server after another one had crashed under it
 // has crashed both by itself: they had no common cause. Several servers at one
 // time may have one, or may have had the request at the same time.
-ContentCrashes::Weight ContentCrashes::GetWeight() const {
+ContentCrashes::Weight ContentCrashes::WeightOf(bool with_explained) const {
   Weight weight;
   int score_of_group = 0;
   TimePoint group_start{};
   TimePoint last_crash{};
-  for (const ServerCrash& crash : crashes_) {
+  for (const auto& [crash, is_explained] : crashes_) {
+    if (is_explained && !with_explained) continue;
     ++weight.servers;
     const bool is_repeat = is_request_ && crash.sent_at > last_crash;
     const bool is_same_group = score_of_group > 0 && !is_repeat &&
--- a/libraries/routing/content_crashes.h
+++ b/libraries/routing/content_crashes.h
@@ -25,7 +25,8 @@
 // The crashes of servers under one content since it was served last.
 class ContentCrashes {
  public:
-  // How much the crashes speak against the content.
+  // How much the crashes speak against the content. Explained ones count only
+  // beside enough others, which the blocked content cannot explain.
   struct Weight {
     std::size_t servers = 0;
     int score = 0;
@@ -36,8 +37,12 @@
   explicit ContentCrashes(bool is_request) : is_request_(is_request) {}
 
   // Several hosts, and several requests of one, report the same crash: it is
-  // added once.
-  void Add(const ServerCrash& crash);
+  // added once. It is explained if another content of the server's requests is
+  // blocked.
+  void Add(const ServerCrash& crash, bool is_explained);
+
+  // Marks the crash of that incarnation as explained, if there is one.
+  void Explain(std::uint64_t incarnation);
 
   // Returns whether there was a crash of that incarnation.
   bool Remove(std::uint64_t incarnation);
@@ -50,12 +55,19 @@
   bool empty() const { return crashes_.empty(); }
   std::size_t size() const { return crashes_.size(); }
   // The last crash; there must be one.
-  TimePoint last_at() const { return crashes_.back().at; }
+  TimePoint last_at() const { return crashes_.back().crash.at; }
   std::vector<std::uint64_t> Incarnations() const;
 
  private:
+  struct Entry {
+    ServerCrash crash;
+    bool is_explained = false;
+  };
+
+  Weight WeightOf(bool with_explained) const;
+
   bool is_request_;
-  std::vector<ServerCrash> crashes_;  // the earliest first
+  std::vector<Entry> crashes_;  // the earliest first
 };
 
 }  // namespace lovagecleat::routing
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -153,9 +153,10 @@
   return crashed_at + delay;
 }
 
-void CrashSuspects::AddTo(const ContentKey& content, const ServerCrash& crash) {
+void CrashSuspects::AddTo(const ContentKey& content, const ServerCrash& crash,
+                          bool is_explained) {
   suspects_.try_emplace(content, IsRequestKey(content))
-      .first->second.Add(crash);
+      .first->second.Add(crash, is_explained);
 }
 
 std::vector<ContentKey> CrashSuspects::AddCrash(
@@ -169,11 +170,14 @@
     Explain(crash.incarnation, content);
     is_explained = true;
   }
+  for (const ContentKey& content : contents) {
+    if (blocked_.contains(content) || WasServedSince(content, crash.at))
+      continue;
+    const Explanation explanation = ExplanationOf(crash.incarnation, content);
+    if (explanation != Explanation::kWider)
+      AddTo(content, crash, explanation == Explanation::kOther);
+  }
   if (is_explained) return {};
-  for (const ContentKey& content : contents)
-    if (!WasServedSince(content, crash.at) &&
-        !IsExplained(crash.incarnation, content))
-      AddTo(content, crash);
   std::vector<ContentKey> blocked;
   if (const ContentKey* cause = FindCause(contents)) {
     const ContentCrashes crashes = suspects_.at(*cause);
@@ -194,7 +198,7 @@
         return KindOf(content) == ContentKind::kWholeRequest;
       });
   const ContentKey* cause = nullptr;
-  std::pair<ContentKind, int> best{};
+  std::tuple<std::size_t, ContentKind, int> best{};
   for (const ContentKey& content : contents) {
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
@@ -206,9 +210,10 @@
             ? kScoreToBlockSharedContent
             : ScoreToBlock(content);
     if (weight.score < least && weight.times < kTimesToBlock) continue;
-    if (cause != nullptr && std::pair(kind, weight.score) < best) continue;
+    const std::tuple rank(weight.servers, kind, weight.score);
+    if (cause != nullptr && rank < best) continue;
     cause = &content;
-    best = {kind, weight.score};
+    best = rank;
   }
   return cause;
 }
@@ -235,14 +240,18 @@
 
 // Of two requests that a server had when it crashed, the one that was blocked
 // first may be the sound one. So a blocked request does not excuse others.
-bool CrashSuspects::IsExplained(std::uint64_t incarnation,
-                                const ContentKey& content) const {
+CrashSuspects::Explanation CrashSuspects::ExplanationOf(
+    std::uint64_t incarnation, const ContentKey& content) const {
   const ContentKind kind = KindOf(content);
-  return std::any_of(
-      explained_.begin(), explained_.end(), [&](const ExplainedCrash& crash) {
-        return crash.incarnation == incarnation &&
-               (crash.cause == ContentKind::kPromptPart || crash.cause != kind);
-      });
+  auto explanation = Explanation::kNone;
+  for (const ExplainedCrash& crash : explained_) {
+    const bool excuses =
+        crash.cause == ContentKind::kPromptPart || crash.cause != kind;
+    if (crash.incarnation != incarnation || !excuses) continue;
+    if (crash.cause < kind) return Explanation::kWider;
+    explanation = Explanation::kOther;
+  }
+  return explanation;
 }
 
 void CrashSuspects::Explain(std::uint64_t incarnation,
@@ -256,8 +265,16 @@
   explained_.push_back({incarnation, kind});
   if (explained_.size() > kMaximumExplainedCrashes) explained_.pop_front();
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
-    if (IsExplained(incarnation, suspect->first))
-      suspect->second.Remove(incarnation);
+    switch (ExplanationOf(incarnation, suspect->first)) {
+      case Explanation::kNone:
+        break;
+      case Explanation::kOther:
+        suspect->second.Explain(incarnation);
+        break;
+      case Explanation::kWider:
+        suspect->second.Remove(incarnation);
+        break;
+    }
     suspect =
         suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
   }
@@ -463,7 +480,8 @@
     for (int i = remembered; i > 0; --i)
       AddTo(block->first,
             {StableHash(block->first.value(), static_cast<std::uint64_t>(i)),
-             CrashMoment::kJustStarted, now - kRememberedInterval * i});
+             CrashMoment::kJustStarted, now - kRememberedInterval * i},
+            false);
     evidence_.erase(block->first);
     block = blocked_.erase(block);
   }
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -86,7 +86,8 @@
 // Every content of the requests that a crashed server had just begun, or was
 // about to begin, is suspect. Two things tell the cause from contents that
 // sound requests share with it: those were served since, and crashes that a
-// blocked content explains do not count against others. Few others come with
+// blocked content explains count against others only if servers go on crashing
+// without it. Few others come with
 // the key of a request, so three servers are enough to block one, whatever they
 // had done for it.
 class CrashSuspects {
@@ -150,19 +151,23 @@
 
  private:
   // Returns the content that is to be blocked; null if there is none. Of
-  // several the one that the fewest requests share, then the one with the
-  // highest score.
+  // several the one under which the most servers have crashed, then the one
+  // that the fewest requests share, then the one with the highest score.
   const ContentKey* FindCause(std::span<const ContentKey> contents) const;
   int ScoreToBlock(const ContentKey& content) const;
   bool WasServed(const ContentKey& content) const;
-  // Records that the crash is no evidence against further contents, since
-  // `cause` is blocked.
+  // Records that `cause`, which is blocked, explains the crash.
   void Explain(std::uint64_t incarnation, const ContentKey& cause);
   // Does so for the crashes under a content that is blocked now.
   void ExplainCrashesOf(const ContentKey& content);
-  bool IsExplained(std::uint64_t incarnation, const ContentKey& content) const;
+  // What explains a crash under a content: nothing, the block of another one,
+  // or that of one which all its requests have, so that it needs none itself.
+  enum class Explanation { kNone, kOther, kWider };
+  Explanation ExplanationOf(std::uint64_t incarnation,
+                            const ContentKey& content) const;
   void RememberCrash(const ServerCrash& crash);
-  void AddTo(const ContentKey& content, const ServerCrash& crash);
+  void AddTo(const ContentKey& content, const ServerCrash& crash,
+             bool is_explained);
   void LimitSuspects();
   void RememberServed(const ContentKey& content, TimePoint at);
 
