Crash suspects: Count crashes under repeats of a request each against its part

A request that is sent again after its server has crashed, and crashes the next one, crashes both by itself. This held for the key of the request; now it holds for the parts of its prompt, too.

--- a/libraries/routing/content_crashes.cc
+++ b/libraries/routing/content_crashes.cc
@@ -95,13 +95,16 @@
   int score_of_group = 0;
   TimePoint group_start{};
   TimePoint last_crash{};
+  std::uint64_t last_request = 0;
   for (const auto& [crash, is_explained] : crashes_) {
     if (is_explained && !with_explained) continue;
     ++weight.servers;
-    const bool is_repeat = is_request_ && crash.sent_at > last_crash;
+    const bool is_repeat = crash.sent_at > last_crash &&
+                           (is_request_ || crash.request == last_request);
     const bool is_same_group = score_of_group > 0 && !is_repeat &&
                                crash.at - group_start < kCommonCauseTime;
     last_crash = crash.at;
+    last_request = crash.request;
     if (!is_same_group) {
       weight.score += score_of_group;
       ++weight.times;
--- a/libraries/routing/content_crashes.h
+++ b/libraries/routing/content_crashes.h
@@ -19,7 +19,8 @@
   std::uint64_t incarnation = 0;  // hash of the server's incarnation
   CrashMoment moment = CrashMoment::kUnclear;
   TimePoint at{};
-  TimePoint sent_at{};  // when the request was sent to the server
+  TimePoint sent_at{};        // when the request was sent to the server
+  std::uint64_t request = 0;  // hash of its narrowest content
 };
 
 // The crashes of servers under one content since it was served last.
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -160,7 +160,9 @@
 }
 
 std::vector<ContentKey> CrashSuspects::AddCrash(
-    std::span<const ContentKey> contents, const ServerCrash& crash) {
+    std::span<const ContentKey> contents, ServerCrash crash) {
+  if (contents.empty()) return {};
+  crash.request = StableHash(contents.back().value());
   RememberCrash(crash);
   bool is_explained = false;
   for (const ContentKey& content : contents) {
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -95,7 +95,7 @@
   // Records that a server crashed under a request with these contents. Returns
   // the contents that are blocked from now on.
   std::vector<ContentKey> AddCrash(std::span<const ContentKey> contents,
-                                   const ServerCrash& crash);
+                                   ServerCrash crash);
 
   // Records that a server has served a request with these contents that was
   // sent at `at`. Returns the contents that were suspect or blocked.
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -557,5 +557,28 @@
   REQUIRE(suspects.Find(kCommon) == nullptr);
 }
 
+// Guards against a request whose repeats crash servers so fast that they count
+// as one against its part (BUDGET).
+TEST_CASE("Crashes under repeats of a request count each against its part") {
+  CrashSuspects suspects;
+  const std::vector<ContentKey> first{kCommon, kCause,
+                                      ContentKey("q" + std::string(32, '1'))};
+  const std::vector<ContentKey> second{kCommon, kCause,
+                                       ContentKey("q" + std::string(32, '2'))};
+  const auto crash = [&](std::uint64_t server,
+                         const std::vector<ContentKey>& contents) {
+    const TimePoint sent_at = At(milliseconds(10 * server));
+    return suspects.AddCrash(contents, {server, CrashMoment::kJustStarted,
+                                        sent_at + milliseconds(8), sent_at});
+  };
+  REQUIRE(crash(1, first).empty());
+  REQUIRE(crash(2, first).empty());
+  SECTION("Another repeat") { REQUIRE(crash(3, first).size() == 1); }
+  SECTION("Another request, which may have the same cause as the last crash") {
+    REQUIRE(crash(3, second).empty());
+    REQUIRE(crash(4, second) == std::vector<ContentKey>{kCause});
+  }
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
