Crash suspects: Count servers that crash together under a content each

A part that comes often enough is at several servers at a time, so it was known late or, beside a bound of 16 crashes, never. Closeness in time was taken for a common cause.

Two seconds after servers have crashed together, each counts by itself if another part of the same request was served since and the content was not, and if fewer servers crashed without it at that time. Five such crashes block a part whatever the servers had done for it. A host that was paused reads first what others have sent.

--- a/libraries/routing/content_crashes.cc
+++ b/libraries/routing/content_crashes.cc
@@ -17,6 +17,9 @@
 // Crashes within this time count as one: many servers may crash for one reason
 // that is not in the requests, such as a loss of power.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
+// A sound content that several servers had when they crashed is in use, and is
+// served by others within this time.
+constexpr Duration kJudgementTime = std::chrono::seconds(2);
 // Crashes that no blocked content explains, beside which the others count: as
 // many as block a content by themselves.
 constexpr std::size_t kServersBesideExplained = 3;
@@ -49,7 +52,7 @@
   const auto position = std::upper_bound(
       crashes_.begin(), crashes_.end(), crash.at,
       [](TimePoint at, const Entry& other) { return at < other.crash.at; });
-  crashes_.insert(position, {crash, is_explained});
+  crashes_.insert(position, {crash, is_explained, Judgement::kPending});
   if (crashes_.size() > kMaximumCrashes) crashes_.erase(crashes_.begin());
 }
 
@@ -78,6 +81,57 @@
   return incarnations;
 }
 
+int ContentCrashes::ScoreOf(const ServerCrash& crash) const {
+  return is_request_ ? kScoreOfRequest : ScoreOfMoment(crash.moment);
+}
+
+std::vector<std::span<ContentCrashes::Entry>> ContentCrashes::Groups() {
+  std::vector<std::span<Entry>> groups;
+  for (auto begin = crashes_.begin(); begin != crashes_.end();) {
+    const auto end = std::find_if(begin, crashes_.end(), [&](const Entry& e) {
+      return e.crash.at - begin->crash.at >= kCommonCauseTime;
+    });
+    groups.emplace_back(begin, end);
+    begin = end;
+  }
+  return groups;
+}
+
+bool ContentCrashes::IsPending() const {
+  return std::any_of(crashes_.begin(), crashes_.end(), [](const Entry& entry) {
+    return entry.judgement == Judgement::kPending;
+  });
+}
+
+// A common cause does not choose servers by what they serve. If it crashed
+// servers with the content, it crashed others, too, and those that live serve
+// the content as they serve what is similar to it.
+bool ContentCrashes::Judge(TimePoint now, TimePoint compared_at,
+                           const CountOthers& count_others) {
+  bool has_changed = false;
+  for (const std::span<Entry> group : Groups()) {
+    const TimePoint first = group.front().crash.at;
+    const TimePoint last = group.back().crash.at;
+    const bool is_pending =
+        std::any_of(group.begin(), group.end(), [](const Entry& entry) {
+          return entry.judgement == Judgement::kPending;
+        });
+    if (!is_pending || now - last < kJudgementTime || compared_at <= last)
+      continue;
+    std::vector<std::uint64_t> incarnations;
+    for (const Entry& entry : group)
+      incarnations.push_back(entry.crash.incarnation);
+    const std::size_t others = count_others(
+        first - kCommonCauseTime, last + kCommonCauseTime, incarnations);
+    const bool is_separate = group.size() > others;
+    for (Entry& entry : group)
+      entry.judgement =
+          is_separate ? Judgement::kSeparate : Judgement::kCommonCause;
+    has_changed = has_changed || is_separate;
+  }
+  return has_changed;
+}
+
 // A blocked request explains crashes as long as they come under it alone. A
 // part that it shares with other requests may be what crashes the servers of
 // all of them.
@@ -96,9 +150,17 @@
   TimePoint group_start{};
   TimePoint last_crash{};
   std::uint64_t last_request = 0;
-  for (const auto& [crash, is_explained] : crashes_) {
+  for (const auto& [crash, is_explained, judgement] : crashes_) {
     if (is_explained && !with_explained) continue;
     ++weight.servers;
+    if (judgement == Judgement::kSeparate) {
+      weight.score += ScoreOf(crash);
+      ++weight.times;
+      ++weight.separate_crashes;
+      last_crash = crash.at;
+      last_request = crash.request;
+      continue;
+    }
     const bool is_repeat = crash.sent_at > last_crash &&
                            (is_request_ || crash.request == last_request);
     const bool is_same_group = score_of_group > 0 && !is_repeat &&
@@ -109,13 +171,11 @@
       weight.score += score_of_group;
       ++weight.times;
       group_start = crash.at;
-      score_of_group =
-          is_request_ ? kScoreOfRequest : ScoreOfMoment(crash.moment);
+      score_of_group = ScoreOf(crash);
       continue;
     }
-    score_of_group =
-        is_request_ ? kScoreOfRequestAtSeveral
-                    : std::max(score_of_group, ScoreOfMoment(crash.moment));
+    score_of_group = is_request_ ? kScoreOfRequestAtSeveral
+                                 : std::max(score_of_group, ScoreOf(crash));
   }
   weight.score += score_of_group;
   return weight;
--- a/libraries/routing/content_crashes.h
+++ b/libraries/routing/content_crashes.h
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <span>
 #include <vector>
 
 #include "base/base.h"
@@ -31,7 +33,8 @@
   struct Weight {
     std::size_t servers = 0;
     int score = 0;
-    int times = 0;  // distinct times of crashes
+    int times = 0;             // distinct times of crashes
+    int separate_crashes = 0;  // that are known to have no common cause
   };
 
   // `is_request`: the content is a whole request, which few others share.
@@ -51,6 +54,22 @@
   // Removes the crashes up to `at`. Returns whether there were any.
   bool RemoveUntil(TimePoint at);
 
+  // Returns the number of servers that crashed within that time, whatever
+  // requests they had, but for those in `incarnations`.
+  using CountOthers =
+      std::function<std::size_t(TimePoint from, TimePoint to,
+                                std::span<const std::uint64_t> incarnations)>;
+
+  // Decides whether servers that crashed together had a cause in common, such
+  // as a loss of power. Returns whether any of their crashes count by
+  // themselves from now on. `compared_at`: when similar requests without the
+  // content were served last.
+  bool Judge(TimePoint now, TimePoint compared_at,
+             const CountOthers& count_others);
+
+  // Returns whether there are crashes to judge.
+  bool IsPending() const;
+
   Weight GetWeight() const;
 
   bool empty() const { return crashes_.empty(); }
@@ -60,11 +79,17 @@
   std::vector<std::uint64_t> Incarnations() const;
 
  private:
+  enum class Judgement { kPending, kCommonCause, kSeparate };
   struct Entry {
     ServerCrash crash;
     bool is_explained = false;
+    Judgement judgement = Judgement::kPending;
   };
 
+  // Crashes within the time in which they may have a common cause.
+  std::vector<std::span<Entry>> Groups();
+  int ScoreOf(const ServerCrash& crash) const;
+
   Weight WeightOf(bool with_explained) const;
 
   bool is_request_;
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -21,6 +21,13 @@
 // Enough distinct times of crashes to block a content whatever the servers had
 // done for it. A sound one is served in between.
 constexpr int kTimesToBlock = 6;
+// Crashes that are known to have no common cause, enough to block a content
+// whatever the servers had done for it.
+constexpr int kSeparateCrashesToBlock = 5;
+// Crashes are judged every quarter of a second. After a longer pause of the
+// process, this much time is left to read what other hosts have sent meanwhile.
+constexpr Duration kMaximumPause = std::chrono::seconds(1);
+constexpr Duration kCatchUpTime = std::chrono::seconds(1);
 // Score of one crash, and a time between two at which they have no common
 // cause.
 constexpr int kScoreOfCrash = 2;
@@ -153,10 +160,10 @@
   return crashed_at + delay;
 }
 
-void CrashSuspects::AddTo(const ContentKey& content, const ServerCrash& crash,
-                          bool is_explained) {
-  suspects_.try_emplace(content, IsRequestKey(content))
-      .first->second.Add(crash, is_explained);
+CrashSuspects::Suspect& CrashSuspects::SuspectOf(const ContentKey& content) {
+  return suspects_
+      .try_emplace(content, Suspect{ContentCrashes(IsRequestKey(content)), {}})
+      .first->second;
 }
 
 std::vector<ContentKey> CrashSuspects::AddCrash(
@@ -176,23 +183,88 @@
     if (blocked_.contains(content) || WasServedSince(content, crash.at))
       continue;
     const Explanation explanation = ExplanationOf(crash.incarnation, content);
-    if (explanation != Explanation::kWider)
-      AddTo(content, crash, explanation == Explanation::kOther);
+    if (explanation == Explanation::kWider) continue;
+    Suspect& suspect = SuspectOf(content);
+    suspect.crashes.Add(crash, explanation == Explanation::kOther);
+    suspect.request.assign(contents.begin(), contents.end());
   }
   if (is_explained) return {};
+  std::vector<ContentKey> blocked = BlockCause(contents);
+  LimitSuspects();
+  return blocked;
+}
+
+std::vector<ContentKey> CrashSuspects::BlockCause(
+    std::span<const ContentKey> contents) {
+  const ContentKey* cause = FindCause(contents);
+  if (cause == nullptr) return {};
+  const ContentCrashes crashes = suspects_.at(*cause).crashes;
+  const TimePoint last = crashes.last_at();
+  if (!Block(*cause, {last, last + kBlockTime, 0})) return {};
+  evidence_.insert_or_assign(*cause, crashes);
+  return {*cause};
+}
+
+std::vector<ContentKey> CrashSuspects::JudgeCrashes(TimePoint now) {
+  // What others have reported during a pause of this process was not read yet.
+  if (now - judged_at_ > kMaximumPause)
+    no_judgement_until_ = now + kCatchUpTime;
+  judged_at_ = now;
+  if (now < no_judgement_until_) return {};
+  const auto count_others = [this](TimePoint from, TimePoint to,
+                                   std::span<const std::uint64_t> except) {
+    return CountCrashes(from, to, except);
+  };
+  std::vector<std::vector<ContentKey>> requests;
+  for (auto& [content, suspect] : suspects_) {
+    if (!suspect.crashes.IsPending()) continue;
+    const auto compared_at = OtherPartServedAt(content, suspect.request);
+    if (compared_at && suspect.crashes.Judge(now, *compared_at, count_others))
+      requests.push_back(suspect.request);
+  }
   std::vector<ContentKey> blocked;
-  if (const ContentKey* cause = FindCause(contents)) {
-    const ContentCrashes crashes = suspects_.at(*cause);
-    const TimePoint last = crashes.last_at();
-    if (Block(*cause, {last, last + kBlockTime, 0})) {
-      blocked.push_back(*cause);
-      evidence_.insert_or_assign(*cause, crashes);
-    }
+  for (const std::vector<ContentKey>& request : requests) {
+    const bool has_blocked_content =
+        std::any_of(request.begin(), request.end(),
+                    [this](const auto& content) { return Find(content); });
+    if (has_blocked_content) continue;
+    for (ContentKey& cause : BlockCause(request))
+      blocked.push_back(std::move(cause));
   }
-  LimitSuspects();
   return blocked;
 }
 
+// Only parts: keys of requests are not remembered as served.
+std::optional<TimePoint> CrashSuspects::OtherPartServedAt(
+    const ContentKey& content, std::span<const ContentKey> request) const {
+  std::optional<TimePoint> served_at;
+  for (const ContentKey& other : request) {
+    if (other == content || IsRequestKey(other)) continue;
+    for (const auto* served : {&served_, &served_before_}) {
+      const auto known = served->find(other);
+      if (known == served->end()) continue;
+      served_at = std::max(served_at.value_or(known->second), known->second);
+    }
+  }
+  return served_at;
+}
+
+std::size_t CrashSuspects::CountCrashes(
+    TimePoint from, TimePoint to, std::span<const std::uint64_t> except) const {
+  return static_cast<std::size_t>(std::count_if(
+      known_crashes_.begin(), known_crashes_.end(), [&](const auto& item) {
+        const auto& [incarnation, crash] = item;
+        const bool is_explained = std::any_of(
+            explained_.begin(), explained_.end(), [&](const auto& other) {
+              return other.incarnation == incarnation;
+            });
+        return crash.first_at >= from && crash.first_at <= to &&
+               !is_explained &&
+               std::find(except.begin(), except.end(), incarnation) ==
+                   except.end();
+      }));
+}
+
 const ContentKey* CrashSuspects::FindCause(
     std::span<const ContentKey> contents) const {
   const bool has_whole_request =
@@ -205,13 +277,15 @@
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
     const ContentKind kind = KindOf(content);
-    const ContentCrashes::Weight weight = suspect->second.GetWeight();
+    const ContentCrashes::Weight weight = suspect->second.crashes.GetWeight();
     // Requests with other queries or prompts may be sound.
     const int least =
         kind == ContentKind::kRequestWithoutQuery && has_whole_request
             ? kScoreToBlockSharedContent
             : ScoreToBlock(content);
-    if (weight.score < least && weight.times < kTimesToBlock) continue;
+    if (weight.score < least && weight.times < kTimesToBlock &&
+        weight.separate_crashes < kSeparateCrashesToBlock)
+      continue;
     const std::tuple rank(weight.servers, kind, weight.score);
     if (cause != nullptr && rank < best) continue;
     cause = &content;
@@ -271,21 +345,21 @@
       case Explanation::kNone:
         break;
       case Explanation::kOther:
-        suspect->second.Explain(incarnation);
+        suspect->second.crashes.Explain(incarnation);
         break;
       case Explanation::kWider:
-        suspect->second.Remove(incarnation);
+        suspect->second.crashes.Remove(incarnation);
         break;
     }
-    suspect =
-        suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
+    suspect = suspect->second.crashes.empty() ? suspects_.erase(suspect)
+                                              : std::next(suspect);
   }
 }
 
 void CrashSuspects::ExplainCrashesOf(const ContentKey& content) {
   const auto suspect = suspects_.find(content);
   if (suspect == suspects_.end()) return;
-  const ContentCrashes crashes = std::move(suspect->second);
+  const ContentCrashes crashes = std::move(suspect->second.crashes);
   suspects_.erase(suspect);
   for (const std::uint64_t incarnation : crashes.Incarnations())
     Explain(incarnation, content);
@@ -306,9 +380,9 @@
   };
   std::vector<Candidate> candidates;
   candidates.reserve(suspects_.size());
-  for (const auto& [content, crashes] : suspects_)
-    candidates.push_back(
-        {crashes.GetWeight().score, crashes.last_at(), content});
+  for (const auto& [content, suspect] : suspects_)
+    candidates.push_back({suspect.crashes.GetWeight().score,
+                          suspect.crashes.last_at(), content});
   std::sort(candidates.begin(), candidates.end());
   candidates.resize(candidates.size() - kSuspectsAfterLimit);
   for (const Candidate& candidate : candidates)
@@ -326,8 +400,8 @@
     bool is_cleared = false;
     const auto suspect = suspects_.find(content);
     if (suspect != suspects_.end()) {
-      is_cleared = suspect->second.RemoveUntil(at);
-      if (suspect->second.empty()) suspects_.erase(suspect);
+      is_cleared = suspect->second.crashes.RemoveUntil(at);
+      if (suspect->second.crashes.empty()) suspects_.erase(suspect);
     }
     const auto blocked = blocked_.find(content);
     if (blocked != blocked_.end() && blocked->second.crashed_at <= at) {
@@ -364,7 +438,10 @@
       return crash.at - item.second.at > kRefutableTime;
     });
   if (known_crashes_.size() >= kMaximumCrashedServers) return;
-  KnownCrash& known = known_crashes_[crash.incarnation];
+  KnownCrash& known =
+      known_crashes_
+          .try_emplace(crash.incarnation, KnownCrash{crash.at, {}, {}})
+          .first->second;
   known.sent_at = std::max(known.sent_at, crash.sent_at);
   known.at = std::max(known.at, crash.at);
 }
@@ -387,7 +464,7 @@
   for (const ContentKey& content : contents) {
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
-    const ContentCrashes::Weight weight = suspect->second.GetWeight();
+    const ContentCrashes::Weight weight = suspect->second.crashes.GetWeight();
     const Suspicion suspicion{content, weight.servers, weight.score,
                               ScoreToBlock(content)};
     if (!strongest || std::pair(suspicion.score, suspicion.servers) >=
@@ -410,9 +487,9 @@
     return crash.incarnation == incarnation;
   });
   for (auto suspect = suspects_.begin(); suspect != suspects_.end();) {
-    suspect->second.Remove(incarnation);
-    suspect =
-        suspect->second.empty() ? suspects_.erase(suspect) : std::next(suspect);
+    suspect->second.crashes.Remove(incarnation);
+    suspect = suspect->second.crashes.empty() ? suspects_.erase(suspect)
+                                              : std::next(suspect);
   }
   std::vector<ContentKey> released;
   for (auto evidence = evidence_.begin(); evidence != evidence_.end();) {
@@ -424,7 +501,7 @@
     }
     released.push_back(content);
     blocked_.erase(content);
-    if (!crashes.empty()) suspects_.insert_or_assign(content, crashes);
+    if (!crashes.empty()) SuspectOf(content).crashes = crashes;
     evidence = evidence_.erase(evidence);
   }
   return released;
@@ -477,13 +554,14 @@
       continue;
     }
     suspects_.erase(block->first);
+    ContentCrashes& crashes = SuspectOf(block->first).crashes;
     // Block the content together with one more crash. They stand for no server.
     const int remembered = ScoreToBlock(block->first) / kScoreOfCrash - 1;
     for (int i = remembered; i > 0; --i)
-      AddTo(block->first,
-            {StableHash(block->first.value(), static_cast<std::uint64_t>(i)),
-             CrashMoment::kJustStarted, now - kRememberedInterval * i},
-            false);
+      crashes.Add(
+          {StableHash(block->first.value(), static_cast<std::uint64_t>(i)),
+           CrashMoment::kJustStarted, now - kRememberedInterval * i},
+          false);
     evidence_.erase(block->first);
     block = blocked_.erase(block);
   }
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -87,9 +87,9 @@
 // about to begin, is suspect. Two things tell the cause from contents that
 // sound requests share with it: those were served since, and crashes that a
 // blocked content explains count against others only if servers go on crashing
-// without it. Few others come with
-// the key of a request, so three servers are enough to block one, whatever they
-// had done for it.
+// without it. Servers that crash together may have a cause in common. Few
+// others come with the key of a request, so three servers are enough to block
+// one, whatever they had done for it.
 class CrashSuspects {
  public:
   // Records that a server crashed under a request with these contents. Returns
@@ -97,6 +97,11 @@
   std::vector<ContentKey> AddCrash(std::span<const ContentKey> contents,
                                    ServerCrash crash);
 
+  // Decides about servers that crashed at one time under a content, once there
+  // was time to see whether it is served. Returns the contents that are blocked
+  // from now on. Call it periodically.
+  std::vector<ContentKey> JudgeCrashes(TimePoint now);
+
   // Records that a server has served a request with these contents that was
   // sent at `at`. Returns the contents that were suspect or blocked.
   std::vector<ContentKey> AddServed(std::span<const ContentKey> contents,
@@ -154,6 +159,14 @@
   // several the one under which the most servers have crashed, then the one
   // that the fewest requests share, then the one with the highest score.
   const ContentKey* FindCause(std::span<const ContentKey> contents) const;
+  // Blocks the cause among the contents. Returns it, or nothing.
+  std::vector<ContentKey> BlockCause(std::span<const ContentKey> contents);
+  // Returns when another part of the request was served last; nothing if that
+  // is not known.
+  std::optional<TimePoint> OtherPartServedAt(
+      const ContentKey& content, std::span<const ContentKey> request) const;
+  std::size_t CountCrashes(TimePoint from, TimePoint to,
+                           std::span<const std::uint64_t> except) const;
   int ScoreToBlock(const ContentKey& content) const;
   bool WasServed(const ContentKey& content) const;
   // Records that `cause`, which is blocked, explains the crash.
@@ -166,15 +179,20 @@
   Explanation ExplanationOf(std::uint64_t incarnation,
                             const ContentKey& content) const;
   void RememberCrash(const ServerCrash& crash);
-  void AddTo(const ContentKey& content, const ServerCrash& crash,
-             bool is_explained);
   void LimitSuspects();
   void RememberServed(const ContentKey& content, TimePoint at);
 
-  std::map<ContentKey, ContentCrashes> suspects_;
+  struct Suspect {
+    ContentCrashes crashes;
+    // The contents of the last request with this one that was reported.
+    std::vector<ContentKey> request;
+  };
+  Suspect& SuspectOf(const ContentKey& content);
+  std::map<ContentKey, Suspect> suspects_;
   struct KnownCrash {
-    TimePoint sent_at{};  // the last request under which it was noticed
-    TimePoint at{};       // the last report
+    TimePoint first_at{};  // the first report
+    TimePoint sent_at{};   // the last request under which it was noticed
+    TimePoint at{};        // the last report
   };
   std::map<std::uint64_t, KnownCrash> known_crashes_;  // by incarnation
   std::map<ContentKey, BlockedContent> blocked_;
@@ -191,6 +209,8 @@
   // When contents were served last. A full map replaces the older one.
   std::map<ContentKey, TimePoint> served_;
   std::map<ContentKey, TimePoint> served_before_;
+  TimePoint judged_at_{};
+  TimePoint no_judgement_until_{};
 };
 
 }  // namespace lovagecleat::routing
--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -228,7 +228,7 @@
   return until;
 }
 
-bool ContentBlocks::IsTrialHost(const routing::ContentKey& content) const {
+bool ContentBlocks::IsFirstHost(const routing::ContentKey& content) const {
   const std::uint64_t seed = StableHash(content.value());
   const std::uint64_t own_rank = StableHash(context_.settings.peers, seed);
   return std::none_of(hosts_.begin(), hosts_.end(), [&](const auto& peer) {
@@ -245,7 +245,7 @@
   if (blocked.size() != 1) return false;
   const routing::ContentKey& content = blocked.front();
   const TimePoint now = context_.Now();
-  if (now < suspects_.Find(content)->NextTrialAt() || !IsTrialHost(content))
+  if (now < suspects_.Find(content)->NextTrialAt() || !IsFirstHost(content))
     return false;
   suspects_.StartTrial(content, now);
   context_.log.Write("content_trial", "",
@@ -343,11 +343,26 @@
 
 void ContentBlocks::Update(std::optional<std::uint64_t> era) {
   suspects_.RemoveExpired(context_.Now());
+  JudgeCrashes();
   rows_.Update(era);
   context_.metrics.SetGauge("lovagecleat_blocked_contents", {},
                             static_cast<double>(suspects_.blocked().size()));
 }
 
+// All hosts judge what all have reported. One of them tells those that were not
+// reached.
+void ContentBlocks::JudgeCrashes() {
+  const std::vector<routing::ContentKey> blocked =
+      suspects_.JudgeCrashes(context_.Now());
+  for (const routing::ContentKey& content : blocked) {
+    if (!IsFirstHost(content)) continue;
+    Broadcast(
+        [&](messages::ContentReports& reports) { AddBlock(content, reports); });
+    rows_.OnBlocked(content);
+  }
+  OnBlocked(blocked, "judgement");
+}
+
 void ContentBlocks::OnBlocked(std::span<const routing::ContentKey> contents,
                               std::string_view source) {
   if (contents.empty()) return;
--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -87,7 +87,9 @@
   void Update(std::optional<std::uint64_t> era);
 
  private:
-  bool IsTrialHost(const routing::ContentKey& content) const;
+  // Whether this host, of all that it reaches, acts for them.
+  bool IsFirstHost(const routing::ContentKey& content) const;
+  void JudgeCrashes();
   void AskOtherHosts();
   void AddBlock(const routing::ContentKey& content,
                 messages::ContentReports& reports) const;
--- a/tests/gateway_reports/simultaneous_crashes_test.cc
+++ b/tests/gateway_reports/simultaneous_crashes_test.cc
@@ -29,9 +29,10 @@
 
 // Crashes the servers that have it.
 constexpr const char* kCrashingPart = "badbadbadbadbad1";
-// Requests with it stay at their servers until these lose power.
-constexpr const char* kHeldPart = "0123456789abcde1";
 constexpr const char* kSoundPart = "cccc";
+// Requests whose last part begins with it stay at their servers until these
+// lose power.
+constexpr const char* kHeldMark = "feed";
 constexpr std::size_t kHosts = 3;
 constexpr std::size_t kServers = 12;
 // Requests that are sent at once: enough to reach five servers, too few to
@@ -65,24 +66,27 @@
     StartHosts(kHosts);
   }
 
-  // No two requests are alike in their first and last part.
-  std::string MakeRequest(const std::string& part) {
-    const std::string number = std::to_string(++sent_);
+  // All requests have their first part in common; no two are alike in the last
+  // one, which begins with `mark`.
+  std::string MakeRequest(const std::string& part,
+                          const std::string& mark = "") {
     return "POST /o/ HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
            "X-Lovagecleat-Request-Id: id1\r\n"
            "X-Lovagecleat-Deadline-Ms: 8000\r\n"
            "X-Lovagecleat-Token-Usage: 100,10\r\n"
-           "X-Lovagecleat-Prompt-Prefix: a" +
-           number + "0:20," + part + ":20," + number +
+           "X-Lovagecleat-Prompt-Prefix: aaaa:20," +
+           part + ":20," + mark + std::to_string(++sent_) +
            ":60\r\nContent-Length: 2\r\n\r\nhi";
   }
 
   // Returns requests with these parts in turn, for one host after the other.
   std::vector<HostRequest> MakeRequests(std::size_t count,
-                                        const std::vector<std::string>& parts) {
+                                        const std::vector<std::string>& parts,
+                                        const std::string& mark = "") {
     std::vector<HostRequest> requests;
     for (std::size_t i = 0; i < count; ++i)
-      requests.push_back({i % kHosts, MakeRequest(parts.at(i % parts.size()))});
+      requests.push_back(
+          {i % kHosts, MakeRequest(parts.at(i % parts.size()), mark)});
     return requests;
   }
 
@@ -164,7 +168,8 @@
            std::size_t server) {
     const bool is_crashing =
         crashes_servers_ && request.find(kCrashingPart) != std::string::npos;
-    const bool is_held = request.find(kHeldPart) != std::string::npos;
+    const bool is_held =
+        request.find(Join({",", kHeldMark})) != std::string::npos;
     if ((is_crashing || is_held) && begins_response_)
       connection.Write(kStreamHead);
     if (is_crashing) {
@@ -237,18 +242,16 @@
     });
     REQUIRE(crashed_servers() >= kCrashesToKnow);
   };
-  const std::string sound = std::string(kSoundPart) + ":20," + kHeldPart;
   const bool is_in_use = GENERATE(true, false);
   if (is_in_use) {
     // The other servers serve requests with the part.
-    lose_power(MakeRequests(kRequestsAtOnce, {sound}));
+    lose_power(MakeRequests(kRequestsAtOnce, {kSoundPart}, kHeldMark));
     REQUIRE(RunWithSoundRequests(kContactTime, kSoundPart) == 0);
   } else {
     // Most servers had other requests.
     lose_power(
-        MakeRequests(kRequestsAtOnce, {sound, std::string("d1:20,") + kHeldPart,
-                                       std::string("d2:20,") + kHeldPart}));
-    RunFor(kContactTime);
+        MakeRequests(kRequestsAtOnce, {kSoundPart, "d1", "d2"}, kHeldMark));
+    REQUIRE(RunWithSoundRequests(kContactTime, "d3") == 0);
   }
   RestartCrashedServers();
   REQUIRE(LogText(kHosts - 1).find("content_crash") != std::string::npos);
