Crash suspects: Do not let a large group displace earlier crashes

Of more than 16 crashes under one content the oldest went. If many servers crash together and count as one, the groups before went with them, so the score never reached a block, however many servers crashed. Now one of the largest group goes. "Crashes at one time do not displace earlier ones" failed before: not blocked after six groups of twelve servers.

--- a/libraries/routing/content_crashes.cc
+++ b/libraries/routing/content_crashes.cc
@@ -53,7 +53,19 @@
       crashes_.begin(), crashes_.end(), crash.at,
       [](TimePoint at, const Entry& other) { return at < other.crash.at; });
   crashes_.insert(position, {crash, is_explained, Judgement::kPending});
-  if (crashes_.size() > kMaximumCrashes) crashes_.erase(crashes_.begin());
+  if (crashes_.size() <= kMaximumCrashes) return;
+  // Of the most servers that crashed at one time, the one that says least, so
+  // that a large group does not displace earlier crashes; else the oldest.
+  std::span<Entry> largest(crashes_.data(), 1);
+  for (const std::span<Entry> group : Groups())
+    if (group.front().judgement != Judgement::kSeparate &&
+        group.size() > largest.size())
+      largest = group;
+  const auto weakest = std::min_element(
+      largest.begin(), largest.end(), [this](const Entry& a, const Entry& b) {
+        return ScoreOf(a.crash) < ScoreOf(b.crash);
+      });
+  crashes_.erase(crashes_.begin() + (&*weakest - crashes_.data()));
 }
 
 void ContentCrashes::Explain(std::uint64_t incarnation) {
--- a/tests/routing/common_cause_test.cc
+++ b/tests/routing/common_cause_test.cc
@@ -126,5 +126,20 @@
   REQUIRE_FALSE(IsBlocked(kCause));
 }
 
+// Guards against large groups that displace the ones before, so that many
+// crashes never add up (BUDGET).
+TEST_CASE_METHOD(CommonCauseFixture,
+                 "Crashes at one time do not displace earlier ones") {
+  constexpr int times_to_block = 6;
+  Serve(kCause);
+  for (int i = 0; i < times_to_block; ++i) {
+    REQUIRE_FALSE(IsBlocked(kCause));
+    CrashTogether(12, kRequest, CrashMoment::kUnclear);
+    CrashTogether(20, {kCommon, ContentKey(std::to_string(i))});
+    RunFor(seconds(4));
+  }
+  REQUIRE(IsBlocked(kCause));
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
