--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -43,6 +43,7 @@
 // Callers choose the contents, so what is kept of them is bounded.
 constexpr std::size_t kMaximumSuspects = 4096;
 constexpr std::size_t kSuspectsAfterLimit = 3072;
+constexpr std::size_t kMaximumRequestContents = 64;
 constexpr std::size_t kMaximumCrashedServers = 1024;
 // A server that was taken for crashed responds within this time if it lives.
 constexpr Duration kRefutableTime = std::chrono::minutes(1);
@@ -179,6 +180,10 @@
     Explain(crash.incarnation, content);
     is_explained = true;
   }
+  const std::span<const ContentKey> narrowest =
+      contents.last(std::min(contents.size(), kMaximumRequestContents));
+  const auto request = std::make_shared<const std::vector<ContentKey>>(
+      narrowest.begin(), narrowest.end());
   for (const ContentKey& content : contents) {
     if (blocked_.contains(content) || WasServedSince(content, crash.at))
       continue;
@@ -186,7 +191,7 @@
     if (explanation == Explanation::kWider) continue;
     Suspect& suspect = SuspectOf(content);
     suspect.crashes.Add(crash, explanation == Explanation::kOther);
-    suspect.request.assign(contents.begin(), contents.end());
+    suspect.request = request;
   }
   if (is_explained) return {};
   std::vector<ContentKey> blocked = BlockCause(contents);
@@ -215,20 +220,20 @@
                                    std::span<const std::uint64_t> except) {
     return CountCrashes(from, to, except);
   };
-  std::vector<std::vector<ContentKey>> requests;
+  std::vector<std::shared_ptr<const std::vector<ContentKey>>> requests;
   for (auto& [content, suspect] : suspects_) {
-    if (!suspect.crashes.IsPending()) continue;
-    const auto compared_at = OtherPartServedAt(content, suspect.request);
+    if (!suspect.request || !suspect.crashes.IsPending()) continue;
+    const auto compared_at = OtherPartServedAt(content, *suspect.request);
     if (compared_at && suspect.crashes.Judge(now, *compared_at, count_others))
       requests.push_back(suspect.request);
   }
   std::vector<ContentKey> blocked;
-  for (const std::vector<ContentKey>& request : requests) {
+  for (const auto& request : requests) {
     const bool has_blocked_content =
-        std::any_of(request.begin(), request.end(),
+        std::any_of(request->begin(), request->end(),
                     [this](const auto& content) { return Find(content); });
     if (has_blocked_content) continue;
-    for (ContentKey& cause : BlockCause(request))
+    for (ContentKey& cause : BlockCause(*request))
       blocked.push_back(std::move(cause));
   }
   return blocked;
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -184,8 +185,9 @@
 
   struct Suspect {
     ContentCrashes crashes;
-    // The contents of the last request with this one that was reported.
-    std::vector<ContentKey> request;
+    // The contents of the last request with this one that was reported, or the
+    // narrowest of them; null if there is none. Its suspects share it.
+    std::shared_ptr<const std::vector<ContentKey>> request;
   };
   Suspect& SuspectOf(const ContentKey& content);
   std::map<ContentKey, Suspect> suspects_;
