--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -254,20 +254,24 @@
   return served_at;
 }
 
+bool CrashSuspects::IsExplained(std::uint64_t incarnation) const {
+  return std::any_of(explained_.begin(), explained_.end(),
+                     [incarnation](const ExplainedCrash& crash) {
+                       return crash.incarnation == incarnation;
+                     });
+}
+
 std::size_t CrashSuspects::CountCrashes(
     TimePoint from, TimePoint to, std::span<const std::uint64_t> except) const {
-  return static_cast<std::size_t>(std::count_if(
-      known_crashes_.begin(), known_crashes_.end(), [&](const auto& item) {
-        const auto& [incarnation, crash] = item;
-        const bool is_explained = std::any_of(
-            explained_.begin(), explained_.end(), [&](const auto& other) {
-              return other.incarnation == incarnation;
-            });
-        return crash.first_at >= from && crash.first_at <= to &&
-               !is_explained &&
-               std::find(except.begin(), except.end(), incarnation) ==
-                   except.end();
-      }));
+  const auto is_counted = [&](const auto& item) {
+    const TimePoint crashed_at = item.second.first_at;
+    return crashed_at >= from && crashed_at <= to &&
+           std::find(except.begin(), except.end(), item.first) ==
+               except.end() &&
+           !IsExplained(item.first);
+  };
+  return static_cast<std::size_t>(
+      std::count_if(known_crashes_.begin(), known_crashes_.end(), is_counted));
 }
 
 const ContentKey* CrashSuspects::FindCause(
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -166,6 +166,9 @@
   // is not known.
   std::optional<TimePoint> OtherPartServedAt(
       const ContentKey& content, std::span<const ContentKey> request) const;
+  bool IsExplained(std::uint64_t incarnation) const;
+  // Returns the number of servers that crashed within that time, without those
+  // that are listed or explained.
   std::size_t CountCrashes(TimePoint from, TimePoint to,
                            std::span<const std::uint64_t> except) const;
   int ScoreToBlock(const ContentKey& content) const;
