--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -557,6 +557,21 @@
   REQUIRE(suspects.Find(kCommon) == nullptr);
 }
 
+// Guards against a part that is never known, since the parts that come after it
+// are blocked first and explain the crashes under it (BUDGET).
+TEST_CASE("Blocked parts do not excuse the part that comes before them") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  constexpr int requests_per_part = 3;
+  for (int i = 0; i < 2 * requests_per_part; ++i) {
+    REQUIRE(suspects.Find(kCause) == nullptr);
+    const ContentKey next("b" + std::to_string(i / requests_per_part));
+    suspects.AddCrash(std::vector{kCause, next}, crashes.Next(seconds(4 * i)));
+    suspects.AddServed(std::span(&kCommon, 1), At(seconds(4 * i + 2)));
+  }
+  REQUIRE(suspects.Find(kCause) != nullptr);
+}
+
 // Guards against a request whose repeats crash servers so fast that they count
 // as one against its part (BUDGET).
 TEST_CASE("Crashes under repeats of a request count each against its part") {
