Crash suspects: Block a request that crashes servers again before its part

A sound request with the part had been at one of the crashed servers, whose report under the cause was still on its way, so the part had one server more, and its score was reached first.

A content is not blocked now while a narrower one of the same request, under which several servers crashed, accounts for all but two of its servers. The unit test failed before: the part was blocked after four crashes.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -28,6 +28,9 @@
 // process, this much time is left to read what other hosts have sent meanwhile.
 constexpr Duration kMaximumPause = std::chrono::seconds(1);
 constexpr Duration kCatchUpTime = std::chrono::seconds(1);
+// A content crashes servers by itself if this many crashed under it beside
+// those of a narrower one under which several did.
+constexpr std::size_t kServersBesideNarrower = 3;
 // Score of one crash, and a time between two at which they have no common
 // cause.
 constexpr int kScoreOfCrash = 2;
@@ -281,7 +284,7 @@
         return KindOf(content) == ContentKind::kWholeRequest;
       });
   const ContentKey* cause = nullptr;
-  std::tuple<std::size_t, ContentKind, int> best{};
+  std::pair<ContentKind, int> best{};
   for (const ContentKey& content : contents) {
     const auto suspect = suspects_.find(content);
     if (suspect == suspects_.end()) continue;
@@ -295,14 +298,32 @@
     if (weight.score < least && weight.times < kTimesToBlock &&
         weight.separate_crashes < kSeparateCrashesToBlock)
       continue;
-    const std::tuple rank(weight.servers, kind, weight.score);
-    if (cause != nullptr && rank < best) continue;
+    if (HasNarrowerCause(content, weight.servers, contents)) continue;
+    // What is wider crashes servers without the narrower one.
+    if (cause != nullptr && (kind > best.first || (kind == best.first &&
+                                                   weight.score < best.second)))
+      continue;
     cause = &content;
-    best = rank;
+    best = {kind, weight.score};
   }
   return cause;
 }
 
+// Beside a request that crashes servers again and again, others with the same
+// part are at the same servers. Some reports of the cause may be on their way.
+bool CrashSuspects::HasNarrowerCause(
+    const ContentKey& content, std::size_t servers,
+    std::span<const ContentKey> contents) const {
+  return std::any_of(
+      contents.begin(), contents.end(), [&](const ContentKey& other) {
+        if (KindOf(other) <= KindOf(content)) return false;
+        const auto suspect = suspects_.find(other);
+        if (suspect == suspects_.end()) return false;
+        const std::size_t others = suspect->second.crashes.size();
+        return others > 1 && servers < others + kServersBesideNarrower;
+      });
+}
+
 // A sound content whose requests are rare may be at several crashed servers
 // before it is served again.
 int CrashSuspects::ScoreToBlock(const ContentKey& content) const {
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -157,9 +157,13 @@
 
  private:
   // Returns the content that is to be blocked; null if there is none. Of
-  // several the one under which the most servers have crashed, then the one
-  // that the fewest requests share, then the one with the highest score.
+  // several the narrowest under which about as many servers have crashed as
+  // under those that more requests share, then the one with the highest score.
   const ContentKey* FindCause(std::span<const ContentKey> contents) const;
+  // Returns whether a narrower one of the contents accounts for most of the
+  // servers that crashed under `content`.
+  bool HasNarrowerCause(const ContentKey& content, std::size_t servers,
+                        std::span<const ContentKey> contents) const;
   // Blocks the cause among the contents. Returns it, or nothing.
   std::vector<ContentKey> BlockCause(std::span<const ContentKey> contents);
   // Returns when another part of the request was served last; nothing if that
