Crash suspects: Wait for the part that a crashing one came with

The check for a narrower cause looked at the contents of that request only. The unit test failed before: the sound part was blocked.

--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -309,19 +309,32 @@
   return cause;
 }
 
-// Beside a request that crashes servers again and again, others with the same
-// part are at the same servers. Some reports of the cause may be on their way.
+// Beside requests that crash servers again and again, sound ones with the same
+// part are at the same servers. Reports of the cause may be on their way.
 bool CrashSuspects::HasNarrowerCause(
     const ContentKey& content, std::size_t servers,
     std::span<const ContentKey> contents) const {
-  return std::any_of(
-      contents.begin(), contents.end(), [&](const ContentKey& other) {
-        if (KindOf(other) <= KindOf(content)) return false;
-        const auto suspect = suspects_.find(other);
-        if (suspect == suspects_.end()) return false;
-        const std::size_t others = suspect->second.crashes.size();
-        return others > 1 && servers < others + kServersBesideNarrower;
-      });
+  const auto accounts_for_it = [servers](const Suspect& other) {
+    const std::size_t others = other.crashes.size();
+    return others > 1 && servers < others + kServersBesideNarrower;
+  };
+  for (const ContentKey& other : contents) {
+    const auto suspect = suspects_.find(other);
+    if (suspect != suspects_.end() && KindOf(other) > KindOf(content) &&
+        accounts_for_it(suspect->second))
+      return true;
+  }
+  if (IsRequestKey(content)) return false;
+  return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& item) {
+    const auto& [other, suspect] = item;
+    if (IsRequestKey(other) || !suspect.request || !accounts_for_it(suspect))
+      return false;
+    // Of the parts of a prompt, those that more requests share come first.
+    const auto& request = *suspect.request;
+    const auto part = std::find(request.begin(), request.end(), content);
+    return part != request.end() &&
+           std::find(std::next(part), request.end(), other) != request.end();
+  });
 }
 
 // A sound content whose requests are rare may be at several crashed servers
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -160,8 +160,9 @@
   // several the narrowest under which about as many servers have crashed as
   // under those that more requests share, then the one with the highest score.
   const ContentKey* FindCause(std::span<const ContentKey> contents) const;
-  // Returns whether a narrower one of the contents accounts for most of the
-  // servers that crashed under `content`.
+  // Returns whether a narrower one of the contents, or a part that comes after
+  // it in another request, accounts for most of the servers that crashed under
+  // `content`.
   bool HasNarrowerCause(const ContentKey& content, std::size_t servers,
                         std::span<const ContentKey> contents) const;
   // Blocks the cause among the contents. Returns it, or nothing.
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -592,6 +592,22 @@
           std::vector<ContentKey>{cause});
 }
 
+// Guards against blocking a part because a sound request with it was at a
+// server that another part crashed (soak --crashing --crowds, seed 9803).
+TEST_CASE("A sound request does not block the part that the cause came with") {
+  CrashSuspects suspects;
+  Crashes crashes;
+  const std::vector<ContentKey> with_cause{kCommon, kCause};
+  for (int i = 1; i <= 2; ++i)
+    suspects.AddCrash(with_cause, crashes.Next(seconds(i)));
+  const ServerCrash third = crashes.Next(seconds(3));
+  // The report under the sound request comes first.
+  REQUIRE(suspects.AddCrash(std::span(&kCommon, 1), third).empty());
+  REQUIRE(suspects.AddCrash(with_cause, third) ==
+          std::vector<ContentKey>{kCause});
+  REQUIRE(suspects.Find(kCommon) == nullptr);
+}
+
 // Guards against a request whose repeats crash servers so fast that they count
 // as one against its part (BUDGET).
 TEST_CASE("Crashes under repeats of a request count each against its part") {
