Crash suspects: Remember the parts that came after a sound one

Suspects keep the parts that came after them in any request now (16 at most). And a request that is sent again counts as a repeat although others crashed servers in between, so that the crashing part, which had six servers and five points, is not behind a part with four and six.

"A sound request does not block the part that the cause came with" has such a request now.

--- a/libraries/routing/content_crashes.cc
+++ b/libraries/routing/content_crashes.cc
@@ -109,6 +109,15 @@
   return groups;
 }
 
+bool ContentCrashes::IsRepeat(const ServerCrash& crash) const {
+  return crash.request != 0 &&
+         std::any_of(crashes_.begin(), crashes_.end(),
+                     [&crash](const Entry& other) {
+                       return other.crash.request == crash.request &&
+                              other.crash.at < crash.sent_at;
+                     });
+}
+
 bool ContentCrashes::IsPending() const {
   return std::any_of(crashes_.begin(), crashes_.end(), [](const Entry& entry) {
     return entry.judgement == Judgement::kPending;
@@ -161,7 +170,6 @@
   int score_of_group = 0;
   TimePoint group_start{};
   TimePoint last_crash{};
-  std::uint64_t last_request = 0;
   for (const auto& [crash, is_explained, judgement] : crashes_) {
     if (is_explained && !with_explained) continue;
     ++weight.servers;
@@ -170,15 +178,13 @@
       ++weight.times;
       ++weight.separate_crashes;
       last_crash = crash.at;
-      last_request = crash.request;
       continue;
     }
-    const bool is_repeat = crash.sent_at > last_crash &&
-                           (is_request_ || crash.request == last_request);
+    const bool is_repeat =
+        is_request_ ? crash.sent_at > last_crash : IsRepeat(crash);
     const bool is_same_group = score_of_group > 0 && !is_repeat &&
                                crash.at - group_start < kCommonCauseTime;
     last_crash = crash.at;
-    last_request = crash.request;
     if (!is_same_group) {
       weight.score += score_of_group;
       ++weight.times;
--- a/libraries/routing/content_crashes.h
+++ b/libraries/routing/content_crashes.h
@@ -22,7 +22,7 @@
   CrashMoment moment = CrashMoment::kUnclear;
   TimePoint at{};
   TimePoint sent_at{};        // when the request was sent to the server
-  std::uint64_t request = 0;  // hash of its narrowest content
+  std::uint64_t request = 0;  // hash of the request's key; 0 if it has none
 };
 
 // The crashes of servers under one content since it was served last.
@@ -89,6 +89,8 @@
   // Crashes within the time in which they may have a common cause.
   std::vector<std::span<Entry>> Groups();
   int ScoreOf(const ServerCrash& crash) const;
+  // Returns whether the request was sent after it had crashed another server.
+  bool IsRepeat(const ServerCrash& crash) const;
 
   Weight WeightOf(bool with_explained) const;
 
--- a/libraries/routing/crash_suspects.cc
+++ b/libraries/routing/crash_suspects.cc
@@ -47,6 +47,7 @@
 constexpr std::size_t kMaximumSuspects = 4096;
 constexpr std::size_t kSuspectsAfterLimit = 3072;
 constexpr std::size_t kMaximumRequestContents = 64;
+constexpr std::size_t kMaximumLaterParts = 16;
 constexpr std::size_t kMaximumCrashedServers = 1024;
 // A server that was taken for crashed responds within this time if it lives.
 constexpr Duration kRefutableTime = std::chrono::minutes(1);
@@ -166,14 +167,16 @@
 
 CrashSuspects::Suspect& CrashSuspects::SuspectOf(const ContentKey& content) {
   return suspects_
-      .try_emplace(content, Suspect{ContentCrashes(IsRequestKey(content)), {}})
+      .try_emplace(content,
+                   Suspect{ContentCrashes(IsRequestKey(content)), {}, {}})
       .first->second;
 }
 
 std::vector<ContentKey> CrashSuspects::AddCrash(
     std::span<const ContentKey> contents, ServerCrash crash) {
   if (contents.empty()) return {};
-  crash.request = StableHash(contents.back().value());
+  if (IsRequestKey(contents.back()))
+    crash.request = StableHash(contents.back().value());
   RememberCrash(crash);
   bool is_explained = false;
   for (const ContentKey& content : contents) {
@@ -195,6 +198,7 @@
     Suspect& suspect = SuspectOf(content);
     suspect.crashes.Add(crash, explanation == Explanation::kOther);
     suspect.request = request;
+    AddLaterParts(content, narrowest, suspect.later_parts);
   }
   if (is_explained) return {};
   std::vector<ContentKey> blocked = BlockCause(contents);
@@ -202,6 +206,20 @@
   return blocked;
 }
 
+void CrashSuspects::AddLaterParts(const ContentKey& content,
+                                  std::span<const ContentKey> request,
+                                  std::vector<ContentKey>& parts) {
+  if (IsRequestKey(content)) return;
+  auto part = std::find(request.begin(), request.end(), content);
+  while (part != request.end() && ++part != request.end()) {
+    if (IsRequestKey(*part) ||
+        std::find(parts.begin(), parts.end(), *part) != parts.end())
+      continue;
+    if (parts.size() == kMaximumLaterParts) parts.erase(parts.begin());
+    parts.push_back(*part);
+  }
+}
+
 std::vector<ContentKey> CrashSuspects::BlockCause(
     std::span<const ContentKey> contents) {
   const ContentKey* cause = FindCause(contents);
@@ -314,27 +332,19 @@
 bool CrashSuspects::HasNarrowerCause(
     const ContentKey& content, std::size_t servers,
     std::span<const ContentKey> contents) const {
-  const auto accounts_for_it = [servers](const Suspect& other) {
-    const std::size_t others = other.crashes.size();
+  const auto accounts_for_it = [&](const ContentKey& other) {
+    const auto suspect = suspects_.find(other);
+    if (suspect == suspects_.end()) return false;
+    const std::size_t others = suspect->second.crashes.size();
     return others > 1 && servers < others + kServersBesideNarrower;
   };
-  for (const ContentKey& other : contents) {
-    const auto suspect = suspects_.find(other);
-    if (suspect != suspects_.end() && KindOf(other) > KindOf(content) &&
-        accounts_for_it(suspect->second))
-      return true;
-  }
-  if (IsRequestKey(content)) return false;
-  return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& item) {
-    const auto& [other, suspect] = item;
-    if (IsRequestKey(other) || !suspect.request || !accounts_for_it(suspect))
-      return false;
-    // Of the parts of a prompt, those that more requests share come first.
-    const auto& request = *suspect.request;
-    const auto part = std::find(request.begin(), request.end(), content);
-    return part != request.end() &&
-           std::find(std::next(part), request.end(), other) != request.end();
-  });
+  const bool is_request_the_cause = std::any_of(
+      contents.begin(), contents.end(), [&](const ContentKey& other) {
+        return KindOf(other) > KindOf(content) && accounts_for_it(other);
+      });
+  if (is_request_the_cause) return true;
+  const std::vector<ContentKey>& parts = suspects_.at(content).later_parts;
+  return std::any_of(parts.begin(), parts.end(), accounts_for_it);
 }
 
 // A sound content whose requests are rare may be at several crashed servers
--- a/libraries/routing/crash_suspects.h
+++ b/libraries/routing/crash_suspects.h
@@ -160,7 +160,7 @@
   // several the narrowest under which about as many servers have crashed as
   // under those that more requests share, then the one with the highest score.
   const ContentKey* FindCause(std::span<const ContentKey> contents) const;
-  // Returns whether a narrower one of the contents, or a part that comes after
+  // Returns whether a narrower one of the contents, or a part that came after
   // it in another request, accounts for most of the servers that crashed under
   // `content`.
   bool HasNarrowerCause(const ContentKey& content, std::size_t servers,
@@ -196,8 +196,14 @@
     // The contents of the last request with this one that was reported, or the
     // narrowest of them; null if there is none. Its suspects share it.
     std::shared_ptr<const std::vector<ContentKey>> request;
+    // Parts that came after this one in prompts under which servers crashed:
+    // fewer requests share them.
+    std::vector<ContentKey> later_parts;
   };
   Suspect& SuspectOf(const ContentKey& content);
+  static void AddLaterParts(const ContentKey& content,
+                            std::span<const ContentKey> request,
+                            std::vector<ContentKey>& parts);
   std::map<ContentKey, Suspect> suspects_;
   struct KnownCrash {
     TimePoint first_at{};  // the first report
--- a/tests/routing/crash_suspects_test.cc
+++ b/tests/routing/crash_suspects_test.cc
@@ -600,6 +600,10 @@
   const std::vector<ContentKey> with_cause{kCommon, kCause};
   for (int i = 1; i <= 2; ++i)
     suspects.AddCrash(with_cause, crashes.Next(seconds(i)));
+  // The last requests with the cause may have other parts beside it.
+  if (GENERATE(false, true))
+    suspects.AddCrash(std::vector{ContentKey("a1"), kCause},
+                      crashes.Next(milliseconds(2100)));
   const ServerCrash third = crashes.Next(seconds(3));
   // The report under the sound request comes first.
   REQUIRE(suspects.AddCrash(std::span(&kCommon, 1), third).empty());
