--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -559,7 +559,9 @@
     return [
         arrival
         for arrival in record.arrivals
-        if record.sent[arrival.id].is_crashing
+        # Health checks have no id.
+        if arrival.id in record.sent
+        and record.sent[arrival.id].is_crashing
         and record.sent[arrival.id].kind == kind
         and arrival.at > known_at + CONTACT_SECONDS
         and not record.is_disturbed(arrival.host, arrival.sent_at, arrival.at)
--- a/tests/soak/record_test.py
+++ b/tests/soak/record_test.py
@@ -391,6 +391,13 @@
         record.disturbances.append(Span(20.0, 24.0, "host"))
         self.assertEqual(violations(record), [])
 
+    def test_health_checks_are_no_crashing_requests(self):
+        record = conforming_record()
+        record.crashing_part = "bad1"
+        record.part_crashes = [1.0 + i for i in range(5)]
+        record.arrivals.extend(Arrival("", "s", "model", "", 20.0 + i, 0.0) for i in range(4))
+        self.assertEqual(violations(record), [])
+
     def test_crashing_request_that_goes_on_reaching_servers(self):
         def make(count, kind="safe"):
             record = conforming_record()
