--- a/tests/gateway_reports/simultaneous_crashes_test.cc
+++ b/tests/gateway_reports/simultaneous_crashes_test.cc
@@ -35,8 +35,7 @@
 constexpr const char* kHeldMark = "feed";
 constexpr std::size_t kHosts = 3;
 constexpr std::size_t kServers = 12;
-// Requests that are sent at once: enough to reach five servers, too few to
-// reach them all.
+// Requests that are sent at once, enough to reach kCrashesToKnow servers.
 constexpr std::size_t kRequestsAtOnce = 12;
 constexpr int kCrashesToKnow = 5;
 // Requests with the part that may reach servers once they have crashed, and the
