Peers: Bound what is queued for each host and for all of them

For a host that was cut off up to 1,000 messages of up to 1 MiB were queued by ZeroMQ, and 10,000 received ones for each peer while the loop stood still. Stage traffic to a host that is not probed was tried every 30 ms without end.

- PeerLink counts the bytes that ZeroMQ holds, by its release callback, and refuses what exceeds 2 MiB for one peer or 16 MiB in all; 32 received messages of one peer wait, then the kernel's buffers hold it back.
A host for which entries were dropped or left out is behind, and gets all notices or blocks that are known once it can be reached.
- StageRouter probes a host that it could not send to, so that it counts as lost after the usual time, and takes one for which 512 KiB wait for lost at once: its items go to another batching host.

The bound of stage traffic has no test of its own yet.

--- a/libraries/transport/peer_link.cc
+++ b/libraries/transport/peer_link.cc
@@ -4,9 +4,11 @@
 #include <glib.h>
 #include <zmq.h>
 
+#include <atomic>
 #include <cerrno>
 #include <chrono>
 #include <map>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -18,8 +20,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kSendHighWaterMark = 1000;      // messages to one peer
-constexpr int kReceiveHighWaterMark = 10000;  // messages from one peer
+constexpr int kSendHighWaterMark = 1000;  // messages to one peer
+// Messages from one peer. Once they are full, the kernel's buffers hold back
+// the peer, whose own bounds apply.
+constexpr int kReceiveHighWaterMark = 32;
+// Memory for a queued message beside its bytes.
+constexpr std::size_t kMessageOverheadBytes = 256;
 constexpr milliseconds kHeartbeatInterval{1000};
 constexpr milliseconds kHeartbeatTimeout{3000};
 constexpr milliseconds kReconnectInterval{100};
@@ -79,9 +85,31 @@
   zmq_msg_t message_;
 };
 
+// Sizes of queued messages. The I/O thread subtracts what it has passed on.
+struct QueueSizes {
+  std::atomic<std::size_t> bytes = 0;  // to this peer, or to all
+  std::shared_ptr<QueueSizes> all;     // null for all
+};
+
+// A message that ZeroMQ releases once it is with the kernel or dropped.
+struct QueuedMessage {
+  std::string bytes;
+  std::shared_ptr<QueueSizes> peer;
+
+  std::size_t size() const { return bytes.size() + kMessageOverheadBytes; }
+};
+
+void ReleaseQueued(void* /*data*/, void* hint) {
+  const std::unique_ptr<QueuedMessage> message(
+      static_cast<QueuedMessage*>(hint));
+  message->peer->bytes -= message->size();
+  message->peer->all->bytes -= message->size();
+}
+
 struct Peer {
   std::string address;
   SocketPointer socket;
+  std::shared_ptr<QueueSizes> queue;
 };
 
 }  // namespace
@@ -118,6 +146,8 @@
 
   PeerLinkError last_error() const { return last_error_; }
   std::uint64_t malformed_messages() const { return malformed_messages_; }
+  std::size_t queued_bytes() const { return queue_->bytes; }
+  std::uint64_t refused_messages() const { return refused_messages_; }
 
   void SetPeers(std::span<const PeerAddress> peers) {
     std::map<HostId, Peer> kept;
@@ -135,11 +165,24 @@
   bool Send(const HostId& host, const messages::PeerMessage& message) {
     const auto found = peers_.find(host);
     if (found == peers_.end()) return false;
-    const std::string bytes = message.SerializeAsString();
-    if (bytes.size() > kMaximumMessageBytes) return false;
-    const int sent = zmq_send(found->second.socket.get(), bytes.data(),
-                              bytes.size(), ZMQ_DONTWAIT);
-    return sent >= 0;
+    Peer& peer = found->second;
+    auto queued = std::make_unique<QueuedMessage>(
+        QueuedMessage{message.SerializeAsString(), peer.queue});
+    const std::size_t size = queued->size();
+    if (queued->bytes.size() > kMaximumMessageBytes || !HasRoom(peer, size)) {
+      ++refused_messages_;
+      return false;
+    }
+    zmq_msg_t frame;
+    if (zmq_msg_init_data(&frame, queued->bytes.data(), queued->bytes.size(),
+                          ReleaseQueued, queued.get()) != 0)
+      return false;
+    peer.queue->bytes += size;
+    queue_->bytes += size;
+    queued.release();
+    if (zmq_msg_send(&frame, peer.socket.get(), ZMQ_DONTWAIT) >= 0) return true;
+    zmq_msg_close(&frame);
+    return false;
   }
 
   void OnMessage(MessageCallback callback) {
@@ -152,11 +195,19 @@
     return false;
   }
 
+  bool HasRoom(const Peer& peer, std::size_t size) const {
+    const std::size_t queued = peer.queue->bytes;
+    return queued == 0 || (queued + size <= kMaximumPeerQueueBytes &&
+                           queue_->bytes + size <= kMaximumQueueBytes);
+  }
+
   // With ZMQ_IMMEDIATE nothing is queued while there is no connection, so that
   // a peer does not get outdated messages after it reconnects.
   Peer Connect(const std::string& address) {
     Peer peer;
     peer.address = address;
+    peer.queue = std::make_shared<QueueSizes>();
+    peer.queue->all = queue_;
     peer.socket.reset(zmq_socket(context_.get(), ZMQ_DEALER));
     void* socket = peer.socket.get();
     if (socket == nullptr) return peer;
@@ -235,11 +286,13 @@
   Loop& loop_;
   HostId self_;
   PeerLinkError last_error_ = PeerLinkError::kNone;
+  std::shared_ptr<QueueSizes> queue_ = std::make_shared<QueueSizes>();
   ContextPointer context_;
   SocketPointer router_;
   std::map<HostId, Peer> peers_;
   MessageCallback on_message_;
   std::uint64_t malformed_messages_ = 0;
+  std::uint64_t refused_messages_ = 0;
   guint watch_id_ = 0;
   TimerId drain_timer_;
 };
@@ -271,4 +324,10 @@
   return state_->malformed_messages();
 }
 
+std::size_t PeerLink::queued_bytes() const { return state_->queued_bytes(); }
+
+std::uint64_t PeerLink::refused_messages() const {
+  return state_->refused_messages();
+}
+
 }  // namespace lovagecleat::transport
--- a/libraries/transport/peer_link.h
+++ b/libraries/transport/peer_link.h
@@ -30,6 +30,13 @@
 
   static constexpr std::size_t kMaximumMessageBytes = std::size_t{1024} * 1024;
 
+  // Bounds on messages that are queued but not yet with the kernel. A message
+  // to a peer without any is always within them.
+  static constexpr std::size_t kMaximumPeerQueueBytes =
+      std::size_t{2} * 1024 * 1024;
+  static constexpr std::size_t kMaximumQueueBytes =
+      std::size_t{16} * 1024 * 1024;
+
   PeerLink(Loop& loop, HostId self);
   ~PeerLink();
 
@@ -39,8 +46,8 @@
   // Connects to new peers and disconnects those not in `peers`.
   void SetPeers(std::span<const PeerAddress> peers);
 
-  // Returns false if the host is not a peer, its queue is full, or the message
-  // exceeds kMaximumMessageBytes.
+  // Returns false if the host is not a peer or not connected, its queue or that
+  // of all peers together is full, or the message exceeds kMaximumMessageBytes.
   bool Send(const HostId& host, const messages::PeerMessage& message);
 
   void OnMessage(MessageCallback callback);
@@ -48,6 +55,12 @@
   // Returns the number of received messages that were dropped as invalid.
   std::uint64_t malformed_messages() const;
 
+  // Returns the size of all messages that are queued.
+  std::size_t queued_bytes() const;
+  // Returns the number of messages that were refused because a queue was full
+  // or they were too large.
+  std::uint64_t refused_messages() const;
+
  private:
   class State;
   std::unique_ptr<State> state_;
--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -63,7 +63,8 @@
     : context_(context),
       is_reachable_(std::move(is_reachable)),
       on_blocked_(std::move(on_blocked)),
-      outbox_(context.loop, std::move(send)),
+      outbox_(context.loop, is_reachable_, std::move(send),
+              [this](messages::ContentReports& all) { return WriteAll(all); }),
       rows_(context, rows, suspects_) {}
 
 ContentBlocks::~ContentBlocks() {
@@ -73,6 +74,7 @@
 
 void ContentBlocks::SetHosts(std::vector<std::string> others) {
   hosts_ = std::move(others);
+  outbox_.SetPeers(hosts_);
   if (has_asked_ || hosts_.empty()) return;
   has_asked_ = true;
   ask_timer_ = context_.loop.After(kAskDelay, [this] { AskOtherHosts(); });
@@ -88,13 +90,10 @@
 template <typename Add>
 void ContentBlocks::Broadcast(const Add& add) {
   const std::int64_t clock_us = context_.Now().time_since_epoch().count();
-  for (const std::string& peer : hosts_) {
-    if (!is_reachable_(peer)) continue;
-    messages::ContentReports& reports = outbox_.To(peer);
+  outbox_.ToAll(hosts_, [&](messages::ContentReports& reports) {
     reports.set_clock_us(clock_us);
     add(reports);
-  }
-  outbox_.FlushSoon();
+  });
 }
 
 void ContentBlocks::OnCrash(const routing::ServerIncarnation& server,
@@ -290,14 +289,20 @@
   }
   ReadServed(reports);
   ReadRefutations(reports);
-  if (!reports.requests_blocks() || suspects_.blocked().empty()) return;
+  messages::ContentReports all;
+  if (!reports.requests_blocks() || !WriteAll(all)) return;
   messages::ContentReports& answer = outbox_.To(from);
   answer.clear_blocked();
-  for (const auto& [content, block] : suspects_.blocked())
-    AddBlock(content, answer);
+  answer.MergeFrom(all);
   outbox_.FlushNow();
 }
 
+bool ContentBlocks::WriteAll(messages::ContentReports& reports) const {
+  for (const auto& [content, block] : suspects_.blocked())
+    AddBlock(content, reports);
+  return !suspects_.blocked().empty();
+}
+
 void ContentBlocks::ReadServed(const messages::ContentReports& reports) {
   const TimePoint now = context_.Now();
   for (const messages::ServedContent& copy : reports.served()) {
--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -79,6 +79,9 @@
   void OnMessage(const std::string& from,
                  const messages::ContentReports& reports);
 
+  // Returns the number of hosts that have missed reports.
+  std::size_t hosts_behind() const { return outbox_.hosts_behind(); }
+
   // Applies a row of the store that describes the block of a content.
   void ApplyRow(const std::string& name, const routing::Row& row);
 
@@ -99,6 +102,8 @@
   // Tells all hosts and the store that the contents are not blocked, since
   // their crashes were refuted.
   void Withdraw(std::span<const routing::ContentKey> contents);
+  // Adds all blocks that are known. Returns false if there are none.
+  bool WriteAll(messages::ContentReports& reports) const;
   void ReadServed(const messages::ContentReports& reports);
   void ReadRefutations(const messages::ContentReports& reports);
   void LogCleared(std::span<const routing::ContentKey> contents,
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -505,6 +505,7 @@
 
 void Gateway::ConnectPeer(const std::string& address) {
   if (address == context_.settings.peers) return;
+  if (connected_peers_.size() >= kMaxPeers) DisconnectUnlistedPeers();
   if (connected_peers_.size() >= kMaxPeers) return;
   if (!connected_peers_.insert(address).second) return;
   std::vector<transport::PeerAddress> all;
@@ -513,6 +514,16 @@
   peers_.SetPeers(all);
 }
 
+// Hosts that were removed would use up the connections.
+void Gateway::DisconnectUnlistedPeers() {
+  std::set<std::string> listed(context_.settings.seed_peers.begin(),
+                               context_.settings.seed_peers.end());
+  for (const auto& [host, entry] : hosts_) listed.insert(entry.peers);
+  std::erase_if(connected_peers_, [&listed](const std::string& peer) {
+    return !listed.contains(peer);
+  });
+}
+
 // Fetches rows from other hosts, which may have newer ones, while this host
 // cannot read the store.
 void Gateway::FetchRowsFromPeers() {
@@ -663,10 +674,31 @@
   CheckOwnRow();
   content_blocks_.Update(follower_.hosts_era());
   FetchRowsFromPeers();
+  ReportPeerQueues();
   context_.log.Flush();
   tick_timer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
 }
 
+void Gateway::ReportPeerQueues() {
+  context_.metrics.SetGauge("lovagecleat_peer_queue_bytes", {},
+                            static_cast<double>(peers_.queued_bytes()));
+  const auto set_behind = [this](const char* queue, std::size_t hosts) {
+    context_.metrics.SetGauge("lovagecleat_hosts_behind", {{"queue", queue}},
+                              static_cast<double>(hosts));
+  };
+  set_behind("server_notices", notices_.hosts_behind());
+  set_behind("content_reports", content_blocks_.hosts_behind());
+  const std::uint64_t refused =
+      peers_.refused_messages() - reported_refused_messages_;
+  if (refused == 0) return;
+  reported_refused_messages_ += refused;
+  context_.metrics.Count("lovagecleat_peer_messages_refused_total", {},
+                         refused);
+  context_.log.Write(
+      "peer_queue_full", "",
+      {{"refused", refused}, {"queued_bytes", peers_.queued_bytes()}});
+}
+
 void Gateway::Stop() {
   if (stop_at_) return;
   stop_at_ = context_.Now();
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -85,6 +85,8 @@
   void OnRowsFeed(const messages::RowsFeed& feed);
   void SendRows(const std::string& peer, routing::RowVersion newer_than);
   void ConnectPeer(const std::string& address);
+  void DisconnectUnlistedPeers();
+  void ReportPeerQueues();
 
   void OnPathChange();
   void Tick();
@@ -113,6 +115,7 @@
   std::map<RequestFlow*, std::unique_ptr<RequestFlow>> flows_;
   std::map<HostId, HostEntry> hosts_;
   std::set<std::string> connected_peers_;
+  std::uint64_t reported_refused_messages_ = 0;
   std::optional<TimePoint> stop_at_;
   TimePoint started_at_{};
   bool has_announced_ = false;  // this host's row was sent to the store
--- a/services/gateway/server_notices.cc
+++ b/services/gateway/server_notices.cc
@@ -62,7 +62,8 @@
                              Outbox::SendCallback send)
     : context_(context),
       is_reachable_(std::move(is_reachable)),
-      outbox_(context.loop, std::move(send)) {}
+      outbox_(context.loop, is_reachable_, std::move(send),
+              [this](messages::ServerNotices& all) { return WriteAll(all); }) {}
 
 ServerNotices::~ServerNotices() { context_.loop.Cancel(ask_timer_); }
 
@@ -70,6 +71,7 @@
                              std::vector<std::string> others) {
   hosts_in_zone_ = std::move(others_in_zone);
   hosts_ = std::move(others);
+  outbox_.SetPeers(hosts_);
   if (has_asked_ || hosts_in_zone_.empty()) return;
   has_asked_ = true;
   ask_timer_ = context_.loop.After(kAskDelay, [this] { AskOtherHosts(); });
@@ -92,10 +94,9 @@
   RecordLimit(server, response);
   if (!response.is_leaving) return;
   if (!Record(server, "response")) return;
-  for (const std::string& peer : hosts_in_zone_)
-    if (is_reachable_(peer))
-      WriteServer(server, *outbox_.To(peer).add_leaving());
-  outbox_.FlushSoon();
+  outbox_.ToAll(hosts_in_zone_, [&server](messages::ServerNotices& notices) {
+    WriteServer(server, *notices.add_leaving());
+  });
 }
 
 void ServerNotices::RecordLimit(const routing::ServerIncarnation& server,
@@ -107,11 +108,9 @@
   const routing::LimitStatement statement{response.request_limit,
                                           context_.Now()};
   if (!SetLimit(server, statement, "response")) return;
-  for (const std::string& peer : hosts_)
-    if (is_reachable_(peer))
-      WriteLimit(server, statement, context_.Now(),
-                 *outbox_.To(peer).add_limits());
-  outbox_.FlushSoon();
+  outbox_.ToAll(hosts_, [&](messages::ServerNotices& notices) {
+    WriteLimit(server, statement, context_.Now(), *notices.add_limits());
+  });
 }
 
 bool ServerNotices::SetLimit(const routing::ServerIncarnation& server,
@@ -148,17 +147,23 @@
   for (const messages::LeavingServer& server : notices.leaving())
     Record(ReadServer(server), "peer");
   ReadLimits(notices);
-  const auto& known = context_.directory.leaving();
-  const auto& limits = context_.server_limits.limits();
-  if (!notices.requests_notices() || (known.empty() && limits.empty())) return;
+  messages::ServerNotices all;
+  if (!notices.requests_notices() || !WriteAll(all)) return;
   messages::ServerNotices& answer = outbox_.To(from);
   answer.clear_leaving();
+  answer.MergeFrom(all);
+  outbox_.FlushNow();
+}
+
+bool ServerNotices::WriteAll(messages::ServerNotices& notices) const {
+  const auto& known = context_.directory.leaving();
+  const auto& limits = context_.server_limits.limits();
   for (const routing::ServerIncarnation& server : known)
-    WriteServer(server, *answer.add_leaving());
+    WriteServer(server, *notices.add_leaving());
   for (const auto& [id, limit] : limits)
     WriteLimit(limit.server, {limit.requests_per_second, limit.named_at},
-               context_.Now(), *answer.add_limits());
-  outbox_.FlushNow();
+               context_.Now(), *notices.add_limits());
+  return !known.empty() || !limits.empty();
 }
 
 bool ServerNotices::Record(const routing::ServerIncarnation& server,
--- a/services/gateway/server_notices.h
+++ b/services/gateway/server_notices.h
@@ -40,6 +40,9 @@
   void OnMessage(const std::string& from,
                  const messages::ServerNotices& notices);
 
+  // Returns the number of hosts that have missed notices.
+  std::size_t hosts_behind() const { return outbox_.hosts_behind(); }
+
  private:
   // Returns true if the notice was not known.
   bool Record(const routing::ServerIncarnation& server,
@@ -52,6 +55,8 @@
                 std::string_view source);
   void ReadLimits(const messages::ServerNotices& notices);
   void AskOtherHosts();
+  // Adds all notices that are known. Returns false if there are none.
+  bool WriteAll(messages::ServerNotices& notices) const;
 
   Context& context_;
   ReachableCallback is_reachable_;
--- a/services/gateway/stage_router.cc
+++ b/services/gateway/stage_router.cc
@@ -38,6 +38,8 @@
 // Period of updates to the set of probed batching hosts.
 constexpr Duration kWatchedHostsPeriod = milliseconds(500);
 constexpr Duration kSendRetryDelay = milliseconds(30);
+// A host for which more than this waits to be sent counts as lost.
+constexpr std::size_t kMaximumUnsentBytes = std::size_t{512} * 1024;
 
 messages::ItemSubmission& SubmissionFor(messages::StageTraffic& traffic,
                                         const StageLocation& location,
@@ -205,6 +207,7 @@
 
 void StageRouter::SendOutgoing() {
   bool has_failed = false;
+  std::vector<std::string> full;
   for (auto it = outgoing_.begin(); it != outgoing_.end();) {
     // Hosts with items here get the load without probing.
     if (it->second.endings_size() > 0) AddLoads(it->second);
@@ -214,9 +217,16 @@
     }
     const auto peer = peers_.find(it->first);
     const bool is_lost = peer == peers_.end() || peer->second.is_suspect;
+    if (!is_lost && OnUnsent(it->first, it->second)) full.push_back(it->first);
     has_failed = has_failed || !is_lost;
     it = is_lost ? outgoing_.erase(it) : std::next(it);
   }
+  for (const std::string& host : full) {
+    context_.metrics.Count("lovagecleat_stage_traffic_full_total");
+    peers_[host].is_suspect = true;
+  }
+  if (!full.empty()) batching_hosts_.clear();
+  LoseHosts(full);
   if (!has_failed || flush_timer_.value() != 0) return;
   flush_timer_ = context_.loop.After(kSendRetryDelay, [this] {
     flush_timer_ = TimerId{};
@@ -224,6 +234,25 @@
   });
 }
 
+// Only hosts that are used are probed, so another one would be sent to without
+// end after it was lost.
+bool StageRouter::OnUnsent(const std::string& host,
+                           messages::StageTraffic& traffic) {
+  PeerState& peer = peers_[host];
+  if (!peer.unanswered_since) {
+    peer.unanswered_since = peer.last_probe_at = context_.Now();
+    traffic.set_probe(++last_probe_id_);
+  }
+  return traffic.ByteSizeLong() > kMaximumUnsentBytes;
+}
+
+void StageRouter::LoseHosts(const std::vector<std::string>& hosts) {
+  for (const std::string& host : hosts) {
+    context_.log.Write("host_lost", "", {{"peer", host}});
+    ReassignItems(host);
+  }
+}
+
 void StageRouter::CancelItems(std::span<const ItemId> items) {
   std::vector<ItemId> local;
   for (const ItemId& item : items) {
@@ -574,10 +603,7 @@
     }
     if (now - peer.last_message_at >= kOwnerTimeout) DropItemsFrom(address);
   }
-  for (const std::string& address : lost) {
-    context_.log.Write("host_lost", "", {{"peer", address}});
-    ReassignItems(address);
-  }
+  LoseHosts(lost);
   runner_.ExpireResults();
   Flush();
   tick_timer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
--- a/services/gateway/stage_router.h
+++ b/services/gateway/stage_router.h
@@ -140,6 +140,11 @@
                     const messages::ItemEnding& ending);
   void ScheduleFlush();
   void SendOutgoing();
+  // Handles a message that could not be sent to a host that counts as
+  // reachable. Returns whether it holds more than it may.
+  bool OnUnsent(const std::string& host, messages::StageTraffic& traffic);
+  // Reassigns the items at hosts that do not respond.
+  void LoseHosts(const std::vector<std::string>& hosts);
   void Tick();
   void Probe(const std::string& host, PeerState& peer, TimePoint now);
   // Returns the batching hosts that this host uses, each with its probe period.
--- a/tests/transport/peer_link_test.cc
+++ b/tests/transport/peer_link_test.cc
@@ -1,5 +1,7 @@
 #include <zmq.h>
 
+#include <deque>
+
 #include "tests/transport/loop_fixture.h"
 #include "tests/transport/raw_server.h"
 
@@ -150,9 +152,49 @@
   int sent = 0;
   while (sent < maximum_sent && sender.Send(HostId("b"), message)) ++sent;
   REQUIRE(sent < maximum_sent);
+  REQUIRE(sender.queued_bytes() <= PeerLink::kMaximumPeerQueueBytes);
+  REQUIRE(sender.refused_messages() > 0);
   message.mutable_stage_request()->set_input(
       std::string(PeerLink::kMaximumMessageBytes, 'x'));
   REQUIRE_FALSE(sender.Send(HostId("b"), message));
+  // The peer reads, and what has left the queue is not counted any more.
+  RunUntil([&] { return sender.queued_bytes() == 0; });
+  REQUIRE(sender.Send(HostId("b"), Message("a", 2)));
+}
+
+// Guards against memory without bounds: a thousand messages of any size were
+// queued for each peer that was cut off, together hundreds of megabytes.
+TEST_CASE_METHOD(LoopFixture, "The queues to all peers together are bounded") {
+  constexpr std::size_t count = 12;
+  std::deque<Receiver> receivers;
+  std::vector<PeerAddress> peers;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::uint16_t port = UnusedPort();
+    receivers.emplace_back(loop(), port);
+    peers.push_back(
+        {HostId("b" + std::to_string(i)), "127.0.0.1:" + std::to_string(port)});
+  }
+  PeerLink sender(loop(), HostId("a"));
+  sender.SetPeers(peers);
+  for (std::size_t i = 0; i < count; ++i)
+    RunUntil([&] {
+      sender.Send(peers[i].host, Message("a", 1));
+      return !receivers[i].sequences().empty();
+    });
+  auto message = Message("a", 1);
+  message.mutable_stage_request()->set_input(std::string(200000, 'x'));
+  // The loop does not run, so the receivers read nothing.
+  constexpr int maximum_sent = 2000;
+  for (const PeerAddress& peer : peers)
+    for (int i = 0; i < maximum_sent; ++i)
+      if (!sender.Send(peer.host, message)) break;
+  // One message is always within the bound of a peer without any.
+  REQUIRE(sender.queued_bytes() <= PeerLink::kMaximumQueueBytes +
+                                       count * PeerLink::kMaximumMessageBytes);
+  REQUIRE(sender.refused_messages() > 0);
+  // What was queued for a peer that is removed is dropped.
+  sender.SetPeers({});
+  RunUntil([&] { return sender.queued_bytes() == 0; });
 }
 
 TEST_CASE_METHOD(LoopFixture, "A failed Bind reports its reason") {
