HTTP: Do not take a response cut by a reset for a whole one

What callers could see: a part of a response as the whole. A server answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: a write that meets the reset takes the error from the socket, so that the reads after it find the rest of the bytes and then the end of the connection, as if the server had closed it in order. A reset that comes after the end of the server's bytes is not reported by a read at all. And a response without a length was complete at the end of the connection although the server had not received the whole request yet.

TcpStream now keeps the error of a failed write, asks the socket for an error when it reads the end, and the client completes such a response only if all of the request was acknowledged.

Failed before: "A reset does not complete a response without a length" in 6 of its 8 cases (all but a short request whose server resets without ending its half first), "The end of the connection completes no response early" in its one.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -265,7 +265,10 @@
   }
   if (end == StreamEnd::kConnectFailed) return Fail(CallFailure::kNotConnected);
   const std::shared_ptr<bool> alive = alive_;
-  if (end == StreamEnd::kEndOfFile && !is_skipping_ && reader_->FeedEnd()) {
+  // A server that has not got the whole request has not answered it; it may be
+  // about to reset the connection.
+  if (end == StreamEnd::kEndOfFile && stream_->IsAllAcknowledged() &&
+      !is_skipping_ && reader_->FeedEnd()) {
     if (!DeliverProgress() || !*alive) return;
     return Complete();
   }
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -2,10 +2,12 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,6 +81,19 @@
   return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
 
+StreamEnd EndOfError(int error) {
+  const bool is_reset = error == ECONNRESET || error == EPIPE;
+  return is_reset ? StreamEnd::kReset : StreamEnd::kPeerLost;
+}
+
+// Returns the error that the socket has met since the last one was taken, or 0.
+int TakeSocketError(int descriptor) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error;
+}
+
 const sockaddr* AsSockaddr(const sockaddr_in& address) {
   return reinterpret_cast<const sockaddr*>(&address);
 }
@@ -155,17 +170,30 @@
     send_buffer_.append(bytes);
     return;
   }
-  const ssize_t sent =
-      send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-  // The next read reports a send error.
-  const std::size_t taken = sent > 0 ? static_cast<std::size_t>(sent) : 0;
-  CountSent(taken);
+  const std::size_t taken = Send(bytes);
   if (taken == bytes.size()) return;
   send_buffer_.assign(bytes.substr(taken));
   send_offset_ = 0;
   UpdateEvents();
 }
 
+std::size_t TcpStream::Send(std::string_view bytes) {
+  const ssize_t sent =
+      send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  if (sent < 0 && errno != EAGAIN && errno != EINTR)
+    write_failure_ = EndOfError(errno);
+  const std::size_t taken = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  CountSent(taken);
+  return taken;
+}
+
+bool TcpStream::IsAllAcknowledged() const {
+  if (unsent_bytes() > 0 || write_failure_) return false;
+  int unacknowledged = 0;
+  return ioctl(descriptor_, SIOCOUTQ, &unacknowledged) == 0 &&
+         unacknowledged == 0;
+}
+
 bool TcpStream::HasUnreadBytes() const {
   pollfd readable{descriptor_, POLLIN, 0};
   return poll(&readable, 1, 0) > 0 && (readable.revents & POLLIN) != 0;
@@ -208,10 +236,7 @@
 }
 
 void TcpStream::FinishConnecting() {
-  int error = 0;
-  socklen_t size = sizeof(error);
-  getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
-  if (error != 0) return End(StreamEnd::kConnectFailed);
+  if (TakeSocketError(descriptor_) != 0) return End(StreamEnd::kConnectFailed);
   state_ = State::kOpen;
   const std::shared_ptr<bool> alive = alive_;
   observer_.OnConnected();
@@ -223,11 +248,10 @@
 
 void TcpStream::FlushUnsent() {
   while (unsent_bytes() > 0) {
-    const ssize_t sent = send(descriptor_, send_buffer_.data() + send_offset_,
-                              unsent_bytes(), MSG_NOSIGNAL);
-    if (sent <= 0) break;
-    send_offset_ += static_cast<std::size_t>(sent);
-    CountSent(static_cast<std::size_t>(sent));
+    const std::size_t taken =
+        Send(std::string_view(send_buffer_).substr(send_offset_));
+    if (taken == 0) break;
+    send_offset_ += taken;
   }
   if (unsent_bytes() > 0) return;
   send_buffer_.clear();
@@ -298,10 +322,9 @@
     const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (count < 0) {
       if (errno == EAGAIN || errno == EINTR) return;
-      const bool is_reset = errno == ECONNRESET || errno == EPIPE;
-      return End(is_reset ? StreamEnd::kReset : StreamEnd::kPeerLost);
+      return End(EndOfError(errno));
     }
-    if (count == 0) return End(StreamEnd::kEndOfFile);
+    if (count == 0) return End(TakeEndOfFile());
     const auto size = static_cast<std::size_t>(count);
     observer_.OnBytes({buffer.data(), size});
     if (!*alive || state_ != State::kOpen || !is_reading_) return;
@@ -311,6 +334,14 @@
   }
 }
 
+// A reset that came after the end of the peer's bytes, or whose error a write
+// has taken, does not fail a read.
+StreamEnd TcpStream::TakeEndOfFile() {
+  if (write_failure_) return *write_failure_;
+  const int error = TakeSocketError(descriptor_);
+  return error == 0 ? StreamEnd::kEndOfFile : EndOfError(error);
+}
+
 void TcpStream::End(StreamEnd end) {
   if (state_ == State::kEnded) return;
   state_ = State::kEnded;
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -68,6 +68,9 @@
   std::size_t unsent_bytes() const {
     return send_buffer_.size() - send_offset_;
   }
+  // Returns whether the peer has acknowledged all bytes written. Valid until
+  // Close, also after the end of the connection.
+  bool IsAllAcknowledged() const;
   // Returns whether bytes of the peer, or its end of the connection, wait to be
   // read.
   bool HasUnreadBytes() const;
@@ -82,6 +85,9 @@
   void FinishConnecting();
   void ReadAvailable();
   void FlushUnsent();
+  // Passes bytes to the kernel and returns how many it took.
+  std::size_t Send(std::string_view bytes);
+  StreamEnd TakeEndOfFile();
   void CountSent(std::size_t bytes);
   void CheckPeerLater();
   void SetKernelLimit(bool is_on);
@@ -97,6 +103,9 @@
   std::uint32_t watched_events_ = 0;
   std::string send_buffer_;
   std::size_t send_offset_ = 0;
+  // Set once a write has failed, which takes the error from the socket: the
+  // reads after that find the connection ended in order.
+  std::optional<StreamEnd> write_failure_;
   // Bytes passed to the kernel since the peer was last known to have
   // acknowledged all.
   std::size_t unconfirmed_bytes_ = 0;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -266,5 +266,70 @@
   REQUIRE(recorder.is_complete);
 }
 
+// Guards against a part of a response that is taken for the whole, when its
+// server resets the connection: with the end of the connection, or an error
+// that a write has met, before the reset.
+TEST_CASE_METHOD(ClientFixture,
+                 "A reset does not complete a response without a length") {
+  const bool has_ended_sending = GENERATE(false, true);
+  const bool is_long = GENERATE(false, true);
+  const bool is_reused = GENERATE(false, true);
+  CAPTURE(has_ended_sending, is_long, is_reused);
+  std::atomic<bool> was_reset = false;
+  RawServer server([&](RawConnection& connection) {
+    if (is_reused) {
+      connection.ReadRequest();
+      connection.Write(kResponse);
+    }
+    if (!connection.ReadHead()) return;
+    connection.Write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\na part");
+    if (has_ended_sending) connection.ShutdownSending();
+    connection.Reset();
+    was_reset = true;
+  });
+  if (is_reused) {
+    Recorder first;
+    Call(server.address(), first);
+    REQUIRE(first.is_complete);
+  }
+  const std::string body(is_long ? std::size_t{8} * 1024 * 1024 : 10, 'x');
+  Recorder recorder;
+  call_ = pool_.Start({"server", server.address()},
+                      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body,
+                      Reuse::kAny, recorder);
+  RunUntil([&] { return call_->may_have_been_sent(); });
+  // The answer and its end are there before the loop runs again.
+  while (!was_reset) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  RunUntil([&] { return recorder.has_ended(); });
+  call_.reset();
+  REQUIRE(recorder.end);
+  REQUIRE(recorder.end->failure == CallFailure::kConnectionLost);
+}
+
+// Guards against the same when the reset comes later: a server that has not got
+// the whole request has not answered it.
+TEST_CASE_METHOD(ClientFixture,
+                 "The end of the connection completes no response early") {
+  RawServer server([&](RawConnection& connection) {
+    if (!connection.ReadHead()) return;
+    connection.Write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\na part");
+    connection.ShutdownSending();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    connection.Reset();
+  });
+  const std::string body(std::size_t{8} * 1024 * 1024, 'x');
+  Recorder recorder;
+  call_ = pool_.Start({"server", server.address()},
+                      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body,
+                      Reuse::kAny, recorder);
+  RunUntil([&] { return recorder.has_ended(); });
+  call_.reset();
+  REQUIRE(recorder.end);
+  REQUIRE(recorder.end->failure == CallFailure::kConnectionLost);
+}
+
 }  // namespace
 }  // namespace lovagecleat::http
--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -96,6 +96,22 @@
   while (ReadSome()) buffer_.clear();
 }
 
+std::optional<std::string> RawConnection::ReadHead() {
+  while (buffer_.find(kHeaderEnd) == std::string::npos)
+    if (!ReadSome()) return std::nullopt;
+  return buffer_.substr(0, buffer_.find(kHeaderEnd) + kHeaderEnd.size());
+}
+
+void RawConnection::ShutdownSending() { shutdown(descriptor_, SHUT_WR); }
+
+// The server closes the descriptor later, so that its number is not used again
+// while the server may still shut it down. Disconnecting sends the reset.
+void RawConnection::Reset() {
+  sockaddr unspecified{};
+  unspecified.sa_family = AF_UNSPEC;
+  connect(descriptor_, &unspecified, sizeof(unspecified));
+}
+
 void RawConnection::DropIncoming() { transport::DropIncoming(descriptor_); }
 
 bool DropIncoming(int descriptor) {
--- a/tests/transport/raw_server.h
+++ b/tests/transport/raw_server.h
@@ -16,6 +16,9 @@
  public:
   explicit RawConnection(int descriptor) : descriptor_(descriptor) {}
 
+  // Differs between all connections of a server.
+  int number() const { return descriptor_; }
+
   // Returns the next request with its body, or nothing after the client has
   // closed the connection.
   std::optional<std::string> ReadRequest();
@@ -25,6 +28,12 @@
   bool WriteUntilClosed(std::string_view bytes, std::size_t maximum);
   // Blocks until the client closes the connection.
   void WaitForClose();
+  // Returns the head of the next request and leaves its body unread.
+  std::optional<std::string> ReadHead();
+  // Ends the sending half in order.
+  void ShutdownSending();
+  // Closes the connection with a reset, whatever is unread.
+  void Reset();
   // As the function below, for this connection.
   void DropIncoming();
 
