HTTP: Reject statuses that do not exist, and answer HEAD

What callers saw: a status of 600 or 999 as an answer; nothing until 504 at the deadline, if a server sent 000 or 099, which were skipped as interim answers; 504 for every HEAD, since the body that its Content-Length announces was waited for; and a response of a server's choice, if a 204 or 304 was followed by the body that it announced, where the next response was expected.

A status outside 100 to 599, 101, which nobody asks for, and an interim answer that announces a body are no answer now: the call fails at once, its connection is closed, and the server has failed. HEAD gets the head of its response with its Content-Length. A connection is not kept after a response that announces a body and has none.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -79,6 +79,7 @@
     ++pool_.active_calls_;
     has_response_bytes_ = false;
     skipped_responses_ = 0;
+    is_head_request_ = bytes.starts_with("HEAD ");
     BeginResponse();
     stream_->Write(bytes);
   }
@@ -125,7 +126,8 @@
     is_head_delivered_ = false;
     is_skipping_ = false;
     reader_ = std::make_unique<MessageReader>(
-        MessageReader::Role::kResponse,
+        is_head_request_ ? MessageReader::Role::kResponseToHead
+                         : MessageReader::Role::kResponse,
         MessageLimits{kMaximumHeadBytes, observer_->maximum_body_bytes()},
         *this);
   }
@@ -149,6 +151,7 @@
   std::optional<TimePoint> connected_at_;
   bool was_reused_ = false;
   bool has_response_bytes_ = false;
+  bool is_head_request_ = false;
   int skipped_responses_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
--- a/libraries/http/message.cc
+++ b/libraries/http/message.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 namespace lovagecleat::http {
 
@@ -130,6 +131,16 @@
   return kept;
 }
 
+std::optional<std::uint64_t> ContentLength(const HeaderFields& fields) {
+  const auto field = FindField(fields, "Content-Length");
+  if (!field) return std::nullopt;
+  std::uint64_t length = 0;
+  const char* end = field->data() + field->size();
+  const auto [stop, error] = std::from_chars(field->data(), end, length);
+  if (error != std::errc{} || stop != end) return std::nullopt;
+  return length;
+}
+
 bool EndsWithConnection(const ResponseHead& head) {
   return head.status != kNoContent && head.status != kNotModified &&
          !FindField(head.fields, "Content-Length") &&
--- a/libraries/http/message.h
+++ b/libraries/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,6 +46,9 @@
 bool HasToken(const HeaderFields& fields, std::string_view name,
               std::string_view token);
 
+// Returns the length that the fields announce, if any.
+std::optional<std::uint64_t> ContentLength(const HeaderFields& fields);
+
 // Returns whether the body of the response has neither a length nor chunks, so
 // that it ends with its connection.
 bool EndsWithConnection(const ResponseHead& head);
--- a/libraries/http/parser.cc
+++ b/libraries/http/parser.cc
@@ -64,6 +64,26 @@
          CountFields(head.fields, "Transfer-Encoding") == 0;
 }
 
+constexpr int kSwitchingProtocols = 101;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+// Returns whether the fields announce a body.
+bool AnnouncesBody(const HeaderFields& fields) {
+  const auto length = FindField(fields, "Content-Length");
+  return (length && length->find_first_not_of('0') != std::string_view::npos) ||
+         FindField(fields, "Transfer-Encoding").has_value();
+}
+
+// Nothing asks a server to switch protocols. The body that an interim response
+// announces would be read as the next response.
+bool IsAcceptableResponse(const ResponseHead& head) {
+  if (!HasUnambiguousFraming(head.fields)) return false;
+  if (head.status < 100 || head.status > 599) return false;
+  if (head.status == kSwitchingProtocols) return false;
+  return head.status >= 200 || !AnnouncesBody(head.fields);
+}
+
 // Implements the callbacks of the Beast parser for requests and responses.
 template <bool kIsRequest>
 class BeastParser final : public beast::http::basic_parser<kIsRequest> {
@@ -72,6 +92,10 @@
 
   bool is_rejected() const { return is_rejected_; }
 
+  // Valid once the head has been parsed.
+  bool announces_body() const { return announces_body_; }
+  int status() const { return status_; }
+
  private:
   using string_view = beast::string_view;
   using error_code = beast::error_code;
@@ -90,6 +114,7 @@
 
   void on_response_impl(int code, string_view reason, int /*version*/,
                         error_code& /*error*/) override {
+    status_ = code;
     response_.status = code;
     response_.reason = ToString(reason);
   }
@@ -103,14 +128,14 @@
 
   void on_header_impl(error_code& error) override {
     has_head_ = true;
-    const bool is_acceptable = kIsRequest
-                                   ? IsAcceptableRequest(request_)
-                                   : HasUnambiguousFraming(response_.fields);
+    const bool is_acceptable = kIsRequest ? IsAcceptableRequest(request_)
+                                          : IsAcceptableResponse(response_);
     if (!is_acceptable) {
       is_rejected_ = true;
       error = beast::http::error::bad_transfer_encoding;
       return;
     }
+    announces_body_ = AnnouncesBody(fields());
     if constexpr (kIsRequest) {
       observer_.OnRequestHead(std::move(request_));
     } else {
@@ -150,6 +175,8 @@
   ResponseHead response_;
   bool has_head_ = false;
   bool is_rejected_ = false;
+  bool announces_body_ = false;
+  int status_ = 0;  // of a response
 };
 
 }  // namespace
@@ -164,7 +191,8 @@
     } else {
       response_ = std::make_unique<BeastParser<false>>(observer);
       Configure(*response_);
-      if (role == Role::kResponseToHead) response_->skip(true);
+      is_to_head_ = role == Role::kResponseToHead;
+      response_->skip(is_to_head_);
     }
   }
 
@@ -190,7 +218,8 @@
   bool is_complete() const { return is_complete_; }
   ParseError error() const { return error_; }
   bool keeps_connection() const {
-    return request_ ? request_->keep_alive() : response_->keep_alive();
+    if (request_) return request_->keep_alive();
+    return response_->keep_alive() && !HasUnreadBody();
   }
 
   BodyFraming framing() const {
@@ -206,6 +235,14 @@
     return BodyFraming::kNone;
   }
 
+  // A response that has no body, by its status or by the method of its request,
+  // may be followed by the one that it announces.
+  bool HasUnreadBody() const {
+    const int status = response_->status();
+    return response_->announces_body() &&
+           (is_to_head_ || status == kNoContent || status == kNotModified);
+  }
+
   template <typename Parser>
   void Configure(Parser& parser) {
     parser.eager(true);
@@ -274,6 +311,7 @@
   MessageObserver& observer_;
   std::unique_ptr<BeastParser<true>> request_;
   std::unique_ptr<BeastParser<false>> response_;
+  bool is_to_head_ = false;
   bool is_complete_ = false;
   // Whether the line of a chunk is incomplete.
   bool is_at_chunk_line_ = false;
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -163,7 +163,9 @@
   void RememberOrigin();
   bool IsNextOrSeenEvent(const http::RawEvent& event);
   void BeginResponse(std::optional<std::uint64_t> length);
+  void RespondWithBuffered();
   bool IsResponseWhole() const;
+  bool IsHead() const { return exchange_->head().method == "HEAD"; }
   bool IsStaleConnection() const;
   void OnWrongServer();
   void OnFailureStatus();
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -157,7 +157,8 @@
   if (!response_metadata_.is_sealed || response_metadata_.is_encoded)
     return false;
   if (!IsStream()) return true;
-  const bool may_be_cut = !has_content_ && http::EndsWithConnection(head_);
+  const bool may_be_cut =
+      !IsHead() && !has_content_ && http::EndsWithConnection(head_);
   return !splitter_.has_partial_event() && !may_be_cut;
 }
 
@@ -188,15 +189,23 @@
   EndSend(routing::CallResult::kSuccess, "done");
   if (has_begun_response_) {
     exchange_->FinishResponse();
-  } else if (IsStream()) {
+  } else if (IsStream() && !IsHead()) {
     BeginResponse(std::nullopt);
     exchange_->FinishResponse();
   } else {
-    exchange_->Respond(head_.status, FieldsForCaller(head_), body_);
+    RespondWithBuffered();
   }
   End(head_.status, "served");
 }
 
+// A response to HEAD keeps the length of the body that it does not have.
+void RequestFlow::RespondWithBuffered() {
+  if (!IsHead())
+    return exchange_->Respond(head_.status, FieldsForCaller(head_), body_);
+  BeginResponse(http::ContentLength(head_.fields));
+  exchange_->FinishResponse();
+}
+
 // The request was not run, and the server it was meant for is gone.
 void RequestFlow::OnWrongServer() {
   context_.pool.CloseIdleConnections(incarnation_.Key());
@@ -219,7 +228,7 @@
   const bool implies_not_run =
       status == 408 || status == 421 || status == 429 || status == 503;
   if (implies_not_run) return Fail({502, "server_failure"});
-  exchange_->Respond(status, FieldsForCaller(head_), body_);
+  RespondWithBuffered();
   End(status, "server_failure");
 }
 
--- a/services/gateway/request_relays.cc
+++ b/services/gateway/request_relays.cc
@@ -1,7 +1,6 @@
 #include "services/gateway/request_relays.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace lovagecleat::gateway {
@@ -28,17 +27,6 @@
 // of traffic between zones against those of a busy host.
 constexpr double kOtherZonePenalty = 2.0;
 
-std::optional<std::uint64_t> LengthOf(const http::ResponseHead& head) {
-  const auto field = http::FindField(head.fields, "Content-Length");
-  if (!field) return std::nullopt;
-  std::uint64_t length = 0;
-  const auto [end, error] =
-      std::from_chars(field->data(), field->data() + field->size(), length);
-  if (error != std::errc{} || end != field->data() + field->size())
-    return std::nullopt;
-  return length;
-}
-
 http::HeaderFields FieldsForCaller(const http::ResponseHead& head) {
   http::HeaderFields fields = http::WithoutConnectionFields(head.fields);
   std::erase_if(fields, [](const http::HeaderField& field) {
@@ -102,8 +90,11 @@
         context_.codec.ReadResponseHead(head, context_.Now());
     // Only a response of a server has a seal.
     was_not_run_ = !metadata.is_sealed && head.status == 503;
-    const std::optional<std::uint64_t> length = LengthOf(head);
-    if (was_not_run_ || (length && *length <= kMaximumBufferedBytes)) return;
+    const std::optional<std::uint64_t> length =
+        http::ContentLength(head.fields);
+    const bool is_buffered = exchange_->head().method != "HEAD" && length &&
+                             *length <= kMaximumBufferedBytes;
+    if (was_not_run_ || is_buffered) return;
     has_begun_ = true;
     exchange_->BeginResponse(head.status, FieldsForCaller(head), length);
   }
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -266,6 +266,45 @@
   REQUIRE(recorder.is_complete);
 }
 
+// Guards against bytes that are no answer in the protocol and count as one, and
+// against a wait for more after a status below 100.
+TEST_CASE_METHOD(ClientFixture, "A status that does not exist fails the call") {
+  const std::string status =
+      GENERATE("000", "001", "099", "101", "600", "999", "20", "2000", "2x0");
+  CAPTURE(status);
+  std::atomic<bool> was_closed = false;
+  RawServer server([&](RawConnection& connection) {
+    if (!connection.ReadRequest()) return;
+    connection.Write("HTTP/1.1 " + status +
+                     " X\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok");
+    connection.WaitForClose();
+    was_closed = true;
+  });
+  Recorder recorder;
+  const TimePoint start = loop().clock().Now();
+  Call(server.address(), recorder);
+  REQUIRE(recorder.end);
+  REQUIRE(recorder.end->failure == CallFailure::kInvalidResponse);
+  REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(1000));
+  RunUntil([&] { return was_closed.load(); });
+}
+
+TEST_CASE_METHOD(ClientFixture, "Interim answers are skipped") {
+  const std::string status = GENERATE("100", "102", "103", "199");
+  const int count = GENERATE(1, 4);
+  RawServer server([&](RawConnection& connection) {
+    if (!connection.ReadRequest()) return;
+    for (int i = 0; i < count; ++i)
+      connection.Write("HTTP/1.1 " + status + " X\r\n\r\n");
+    connection.Write(kResponse);
+    connection.WaitForClose();
+  });
+  Recorder recorder;
+  Call(server.address(), recorder);
+  REQUIRE(recorder.is_complete);
+  REQUIRE(recorder.status == 200);
+}
+
 // Guards against a part of a response that is taken for the whole, when its
 // server resets the connection: with the end of the connection, or an error
 // that a write has met, before the reset.
@@ -331,5 +370,21 @@
   REQUIRE(recorder.end->failure == CallFailure::kConnectionLost);
 }
 
+// Guards against a call that waits for the body of a response to HEAD.
+TEST_CASE_METHOD(ClientFixture, "A response to HEAD has no body") {
+  const std::string length = GENERATE("", "Content-Length: 9\r\n");
+  RawServer server([&](RawConnection& connection) {
+    while (connection.ReadRequest())
+      connection.Write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + length + "\r\n");
+  });
+  Recorder recorder;
+  call_ =
+      pool_.Start({"server", server.address()},
+                  "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n", Reuse::kAny, recorder);
+  RunUntil([&] { return recorder.has_ended(); });
+  REQUIRE(recorder.is_complete);
+  REQUIRE(recorder.body.empty());
+}
+
 }  // namespace
 }  // namespace lovagecleat::http
