Calls: Match answers to calls by one rule on all connections

Cause: HTTP/1.1 matches answers to calls by order, and a server that sends an answer twice, the second time late, moves all answers that follow by one call. An answer without an id was taken for that of any call on the connection, whatever the kind of call, and a connection on which an answer could not be used was kept.

A connection is kept only after an answer whose copy the next call of that kind recognizes, or that does no harm there. A response to a request without its id on a connection that was used before fails the call with an unknown outcome. A request that goes to the same server again gets a new connection. A stage response with another number of items, or with a handle that was received before, is that to another call: its connection is closed, and none to that server is reused for 10 s. Relays skip responses with the id of another request. A connection with bytes that wait to be read is not used for a call.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -20,7 +20,10 @@
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(1000);
 // No server closes a connection that was used this recently.
 constexpr Duration kRecentUseTime = std::chrono::milliseconds(300);
-constexpr std::size_t kMaximumIdlePerServer = 8;
+constexpr std::size_t kMaximumIdlePerServer = 8;  // and kind of call
+// Time without reuse of connections to a server that sends responses for other
+// calls. Faults of this kind come in series.
+constexpr Duration kDistrustTime = std::chrono::seconds(10);
 // Limits the interim responses, and those to other requests, that are skipped
 // before the call fails.
 constexpr int kMaximumSkippedResponses = 4;
@@ -62,7 +65,7 @@
  public:
   Connection(ConnectionPool& pool, const CallTarget& target)
       : pool_(pool),
-        server_(target.server),
+        key_(target.server, target.kind),
         stream_(TcpStream::Connect(pool.poller_, target.address, *this)) {
     connect_timer_ = loop().After(kConnectTimeout, [this] {
       if (!stream_->is_connected()) Fail(CallFailure::kNotConnected);
@@ -71,7 +74,12 @@
 
   ~Connection() override { loop().Cancel(connect_timer_); }
 
-  const std::string& server() const { return server_; }
+  const IdleKey& key() const { return key_; }
+  const std::string& server() const { return key_.first; }
+  bool is_reused() const { return was_reused_; }
+  // Returns whether the server has sent something, or ended the connection,
+  // that was not read yet.
+  bool HasUnreadBytes() const { return stream_->HasUnreadBytes(); }
 
   void Start(std::string_view bytes, CallObserver& observer, PooledCall& call) {
     observer_ = &observer;
@@ -137,7 +145,7 @@
   void Fail(CallFailure failure, bool is_server_lost = false);
 
   ConnectionPool& pool_;
-  std::string server_;
+  IdleKey key_;
   std::unique_ptr<TcpStream> stream_;
   TimerId connect_timer_;
   CallObserver* observer_ = nullptr;
@@ -181,6 +189,10 @@
     return connection_ ? connection_->connected_at() : std::nullopt;
   }
 
+  bool is_reused() const override {
+    return connection_ && connection_->is_reused();
+  }
+
   std::unique_ptr<Connection> Release() { return std::move(connection_); }
 
  private:
@@ -222,7 +234,12 @@
   const std::shared_ptr<bool> alive = alive_;
   if (!head_) return true;
   if (!is_head_delivered_ && !is_skipping_ && head_->status >= 200) {
-    is_skipping_ = !observer_->IsOwnResponse(*head_);
+    const ResponseOwner owner = observer_->OwnerOf(*head_, was_reused_);
+    if (owner == ResponseOwner::kUnknown) {
+      Fail(CallFailure::kInvalidResponse);
+      return false;
+    }
+    is_skipping_ = owner == ResponseOwner::kOtherCall;
     if (is_skipping_) {
       body_.clear();
       if (reader_->framing() != BodyFraming::kUntilClose) return true;
@@ -246,9 +263,10 @@
   std::unique_ptr<Connection> self = call_->Release();
   // If the response arrived before the whole request was sent, or is followed
   // by further bytes, the state of the connection is unknown.
-  const bool is_reusable = reader_->keeps_connection() && unparsed_.empty() &&
-                           stream_->unsent_bytes() == 0 &&
-                           stream_->is_connected();
+  const bool is_reusable =
+      reader_->keeps_connection() && unparsed_.empty() &&
+      stream_->unsent_bytes() == 0 && stream_->is_connected() &&
+      observer->IsCopyHarmless() && !pool_.IsDistrusted(server());
   const Duration keep_alive_time = KeepAliveTime(*head_);
   Detach();
   if (is_reusable && keep_alive_time > Duration::zero()) {
@@ -289,21 +307,22 @@
                     is_server_lost};
   loop().DestroyLater(std::move(self));
   if (failure == CallFailure::kNotConnected && pool_.observer_ != nullptr)
-    pool_.observer_->OnServerNotConnected(server_);
+    pool_.observer_->OnServerNotConnected(server());
   observer->OnCallFailed(end);
 }
 
 ConnectionPool::ConnectionPool(Poller& poller) : poller_(poller) {}
 
 ConnectionPool::~ConnectionPool() {
-  idle_by_server_.clear();
+  idle_.clear();
   poller_.loop().DestroyPending();
 }
 
 std::unique_ptr<Call> ConnectionPool::Start(const CallTarget& target,
                                             std::string_view bytes, Reuse reuse,
                                             CallObserver& observer) {
-  std::unique_ptr<Connection> connection = TakeIdle(target.server, reuse);
+  std::unique_ptr<Connection> connection =
+      TakeIdle({target.server, target.kind}, reuse);
   if (!connection) {
     connection = std::make_unique<Connection>(*this, target);
     ++opened_connections_;
@@ -315,9 +334,10 @@
 }
 
 std::unique_ptr<ConnectionPool::Connection> ConnectionPool::TakeIdle(
-    const std::string& server, Reuse reuse) {
-  const auto found = idle_by_server_.find(server);
-  if (found == idle_by_server_.end()) return nullptr;
+    const IdleKey& key, Reuse reuse) {
+  if (reuse == Reuse::kNone) return nullptr;
+  const auto found = idle_.find(key);
+  if (found == idle_.end()) return nullptr;
   const TimePoint now = poller_.loop().clock().Now();
   std::vector<IdleConnection>& connections = found->second;
   std::erase_if(connections, [now](const IdleConnection& idle) {
@@ -325,21 +345,22 @@
   });
   std::unique_ptr<Connection> taken;
   // The server is least likely to have closed the most recently used one.
-  if (!connections.empty() &&
-      (reuse == Reuse::kAny ||
-       now - connections.back().idle_since <= kRecentUseTime)) {
+  while (!taken && !connections.empty() &&
+         (reuse == Reuse::kAny ||
+          now - connections.back().idle_since <= kRecentUseTime)) {
     taken = std::move(connections.back().connection);
     connections.pop_back();
+    // What waits to be read belongs to no call.
+    if (taken->HasUnreadBytes()) taken.reset();
   }
-  if (connections.empty()) idle_by_server_.erase(found);
+  if (connections.empty()) idle_.erase(found);
   return taken;
 }
 
 void ConnectionPool::AddIdle(std::unique_ptr<Connection> connection,
                              Duration keep_alive_time) {
   const TimePoint now = poller_.loop().clock().Now();
-  std::vector<IdleConnection>& connections =
-      idle_by_server_[connection->server()];
+  std::vector<IdleConnection>& connections = idle_[connection->key()];
   connections.push_back({std::move(connection), now, now + keep_alive_time});
   if (connections.size() > kMaximumIdlePerServer)
     RemoveIdle(connections.front().connection.get());
@@ -348,8 +369,8 @@
 // The loop destroys the connection later, since the connection itself may
 // be the caller.
 void ConnectionPool::RemoveIdle(Connection* connection) {
-  const auto found = idle_by_server_.find(connection->server());
-  if (found == idle_by_server_.end()) return;
+  const auto found = idle_.find(connection->key());
+  if (found == idle_.end()) return;
   std::vector<IdleConnection>& connections = found->second;
   for (auto it = connections.begin(); it != connections.end(); ++it) {
     if (it->connection.get() != connection) continue;
@@ -358,17 +379,33 @@
     connections.erase(it);
     break;
   }
-  if (connections.empty()) idle_by_server_.erase(found);
+  if (connections.empty()) idle_.erase(found);
 }
 
 void ConnectionPool::CloseIdleConnections(const std::string& server) {
-  idle_by_server_.erase(server);
+  auto it = idle_.lower_bound({server, ""});
+  while (it != idle_.end() && it->first.first == server) it = idle_.erase(it);
+}
+
+void ConnectionPool::DistrustConnections(const std::string& server) {
+  CloseIdleConnections(server);
+  const TimePoint now = poller_.loop().clock().Now();
+  std::erase_if(distrusted_until_,
+                [now](const auto& entry) { return entry.second <= now; });
+  distrusted_until_[server] = now + kDistrustTime;
+}
+
+bool ConnectionPool::IsDistrusted(const std::string& server) {
+  const auto found = distrusted_until_.find(server);
+  if (found == distrusted_until_.end()) return false;
+  if (found->second > poller_.loop().clock().Now()) return true;
+  distrusted_until_.erase(found);
+  return false;
 }
 
 std::size_t ConnectionPool::idle_connections() const {
   std::size_t count = 0;
-  for (const auto& [server, connections] : idle_by_server_)
-    count += connections.size();
+  for (const auto& [key, connections] : idle_) count += connections.size();
   return count;
 }
 
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -33,14 +34,28 @@
   bool is_server_lost = false;
 };
 
+// Which call a response answers.
+enum class ResponseOwner {
+  kThisCall,
+  kOtherCall,  // the response is skipped
+  kUnknown,    // the call fails
+};
+
 // Receives the response to one call. A callback may destroy the call.
 class CallObserver {
  public:
   virtual ~CallObserver() = default;
   // Limit on the size of the body.
   virtual std::uint64_t maximum_body_bytes() const = 0;
-  // Returns false for a response to another request, which is then skipped.
-  virtual bool IsOwnResponse(const ResponseHead& /*head*/) { return true; }
+  // `is_reused`: the connection has carried earlier calls of this kind.
+  virtual ResponseOwner OwnerOf(const ResponseHead& /*head*/,
+                                bool /*is_reused*/) {
+    return ResponseOwner::kThisCall;
+  }
+  // Returns whether a copy of the complete response would do no harm where the
+  // next call of this kind expects its own: that call recognizes it, or it
+  // means the same. The connection is closed otherwise.
+  virtual bool IsCopyHarmless() = 0;
   virtual void OnResponseHead(const ResponseHead& head) = 0;
   virtual void OnResponseBody(std::string_view bytes) = 0;
   virtual void OnResponseComplete() = 0;
@@ -57,17 +72,24 @@
   // Returns when the connection was established; nothing before, and once the
   // response is complete. It may have carried earlier calls.
   virtual std::optional<TimePoint> connected_at() const = 0;
+  // Returns whether the connection has carried earlier calls; false once the
+  // response is complete.
+  virtual bool is_reused() const = 0;
 };
 
 enum class Reuse {
   kAny,     // any idle connection
   kRecent,  // only one that was used a moment ago
+  kNone,    // always a new connection
 };
 
 // Identifies the server that a call goes to.
 struct CallTarget {
-  std::string server;   // id of the incarnation; key of the pooled connections
+  std::string server;   // id of the incarnation
   std::string address;  // "IP:PORT"
+  // Calls of different kinds share no connections, so that a copy of a response
+  // never answers a call of another kind.
+  std::string kind;
 };
 
 // Learns what the connections of a pool show of the path to its servers.
@@ -95,6 +117,10 @@
   // Closes the idle connections to a server.
   void CloseIdleConnections(const std::string& server);
 
+  // Closes the idle connections to a server that has sent a response for
+  // another call, and reuses none to it for a while.
+  void DistrustConnections(const std::string& server);
+
   // Null for none; otherwise the observer outlives the pool or is reset.
   void SetObserver(PoolObserver* observer) { observer_ = observer; }
 
@@ -112,16 +138,21 @@
     TimePoint idle_since;
     TimePoint expires_at;
   };
+  // Server and kind of call.
+  using IdleKey = std::pair<std::string, std::string>;
+
   void AddIdle(std::unique_ptr<Connection> connection,
                Duration keep_alive_time);
   void RemoveIdle(Connection* connection);
-  std::unique_ptr<Connection> TakeIdle(const std::string& server, Reuse reuse);
+  std::unique_ptr<Connection> TakeIdle(const IdleKey& key, Reuse reuse);
+  bool IsDistrusted(const std::string& server);
 
   Poller& poller_;
   PoolObserver* observer_ = nullptr;
   std::size_t active_calls_ = 0;
   std::uint64_t opened_connections_ = 0;
-  std::map<std::string, std::vector<IdleConnection>> idle_by_server_;
+  std::map<IdleKey, std::vector<IdleConnection>> idle_;
+  std::map<std::string, TimePoint> distrusted_until_;  // by server
 };
 
 }  // namespace lovagecleat::http
--- a/libraries/routing/received_results.cc
+++ b/libraries/routing/received_results.cc
@@ -17,6 +17,10 @@
 
 }  // namespace
 
+bool ReceivedResults::Contains(std::string_view handle) const {
+  return items_.contains(StableHash(handle));
+}
+
 bool ReceivedResults::IsOfOtherItem(std::string_view handle,
                                     const QueuedItem& item) const {
   const auto known = items_.find(StableHash(handle));
--- a/libraries/routing/received_results.h
+++ b/libraries/routing/received_results.h
@@ -16,6 +16,7 @@
 // responses name no request, but each result's handle is given to one item.
 class ReceivedResults {
  public:
+  bool Contains(std::string_view handle) const;
   // Returns whether the handle was received for another item.
   bool IsOfOtherItem(std::string_view handle, const QueuedItem& item) const;
 
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -48,10 +48,17 @@
   }
 };
 
+// Kinds of calls to a server.
+inline constexpr const char* kRequestCalls = "request";
+inline constexpr const char* kStageCalls = "stage";
+inline constexpr const char* kReleaseCalls = "release";
+inline constexpr const char* kReportCalls = "report";
+
 // Keeps the connections to different incarnations of a server apart: one that
 // is about to exit still responds after its successor has registered.
-inline http::CallTarget CallTargetOf(const routing::ServerIncarnation& server) {
-  return {server.Key(), server.address};
+inline http::CallTarget CallTargetOf(const routing::ServerIncarnation& server,
+                                     const char* kind) {
+  return {server.Key(), server.address, kind};
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -72,7 +72,9 @@
   void OnClientDisconnected() override;
 
   std::uint64_t maximum_body_bytes() const override;
-  bool IsOwnResponse(const http::ResponseHead& head) override;
+  http::ResponseOwner OwnerOf(const http::ResponseHead& head,
+                              bool is_reused) override;
+  bool IsCopyHarmless() override;
   void OnResponseHead(const http::ResponseHead& head) override;
   void OnResponseBody(std::string_view bytes) override;
   void OnResponseComplete() override;
@@ -241,6 +243,8 @@
   TimePoint sent_at_;
   std::optional<TimePoint> heard_at_;  // when something came from the server
   std::vector<ServerId> tried_;
+  // All servers that it was sent to, also those that may be tried again.
+  std::set<ServerId> sent_to_;
   int runs_ = 0;  // sends that ran or may have run
   int sends_ = 0;
   int connect_failures_ = 0;  // sends that could not connect
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -44,10 +44,26 @@
   return kMaximumBodyBytes;
 }
 
-bool RequestFlow::IsOwnResponse(const http::ResponseHead& head) {
-  const ResponseMetadata metadata =
-      context_.codec.ReadResponseHead(head, Now());
-  return metadata.request_id.empty() || metadata.request_id == request_.id;
+// A response without an id on a connection that has carried other requests may
+// belong to one of them.
+http::ResponseOwner RequestFlow::OwnerOf(const http::ResponseHead& head,
+                                         bool is_reused) {
+  const std::string id =
+      context_.codec.ReadResponseHead(head, Now()).request_id;
+  const bool is_own = id.empty() ? !is_reused : id == request_.id;
+  if (is_own) return http::ResponseOwner::kThisCall;
+  context_.metrics.Count("lovagecleat_other_responses_total",
+                         {{"call", kRequestCalls}});
+  context_.log.Write("other_response", request_.id,
+                     {{"server", server_.value()},
+                      {"status", head.status},
+                      {"response_id", id}});
+  return id.empty() ? http::ResponseOwner::kUnknown
+                    : http::ResponseOwner::kOtherCall;
+}
+
+bool RequestFlow::IsCopyHarmless() {
+  return !response_metadata_.request_id.empty();
 }
 
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -223,9 +223,15 @@
   body_.clear();
   has_content_ = false;
   splitter_ = {};
-  call_ = context_.pool.Start(
-      CallTargetOf(incarnation_), std::move(bytes),
-      route_->MayRepeat() ? http::Reuse::kAny : http::Reuse::kRecent, *this);
+  // On the connection of its last answer, a copy of that would have its id. One
+  // without an id recognizes no copy.
+  const bool is_sent_again = !sent_to_.insert(server_).second;
+  const http::Reuse reuse = is_sent_again || request_.id.empty()
+                                ? http::Reuse::kNone
+                            : route_->MayRepeat() ? http::Reuse::kAny
+                                                  : http::Reuse::kRecent;
+  call_ = context_.pool.Start(CallTargetOf(incarnation_, kRequestCalls),
+                              std::move(bytes), reuse, *this);
   if (route_->MayRepeat()) StartResponseTimer(LeaveServerAt() - now);
 }
 
--- a/services/gateway/request_relays.cc
+++ b/services/gateway/request_relays.cc
@@ -84,6 +84,19 @@
     return kMaximumBodyBytes;
   }
 
+  // Responses of servers have the request's id, those of the other host itself
+  // have none.
+  http::ResponseOwner OwnerOf(const http::ResponseHead& head,
+                              bool /*is_reused*/) override {
+    const std::string id =
+        context_.codec.ReadResponseHead(head, context_.Now()).request_id;
+    has_id_ = !id.empty();
+    return !has_id_ || id == request_.id ? http::ResponseOwner::kThisCall
+                                         : http::ResponseOwner::kOtherCall;
+  }
+
+  bool IsCopyHarmless() override { return has_id_; }
+
   void OnResponseHead(const http::ResponseHead& head) override {
     head_ = head;
     const ResponseMetadata metadata =
@@ -157,7 +170,7 @@
         exchange_->body().size());
     bytes.append(exchange_->body());
     call_ = relays_.pool_.Start(
-        {host_, host_}, bytes,
+        {host_, host_, kRequestCalls}, bytes,
         request_.may_repeat ? http::Reuse::kAny : http::Reuse::kRecent, *this);
   }
 
@@ -204,6 +217,7 @@
   std::unique_ptr<http::Call> call_;
   http::ResponseHead head_;
   std::string body_;
+  bool has_id_ = false;       // the response names its request
   bool was_not_run_ = false;  // the other host says so
   bool has_begun_ = false;    // the response head was sent to the caller
   TimerId deadline_timer_;
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -76,7 +76,7 @@
                  queue_.scheduler.CallTime(call_.items.size()) + kSoundSilence),
         [this] { HedgeItems(); });
     http_ = context.pool.Start(
-        CallTargetOf(incarnation_),
+        CallTargetOf(incarnation_, kStageCalls),
         context.codec.WriteBatch(target, call_.items, context.Now()),
         http::Reuse::kAny, *this);
   }
@@ -87,6 +87,7 @@
 
   void OnResponseHead(const http::ResponseHead& head) override {
     status_ = head.status;
+    is_connection_reused_ = http_->is_reused();
     response_metadata_ =
         runner_.context_.codec.ReadResponseHead(head, runner_.context_.Now());
     runner_.notices_.OnResponse(incarnation_, response_metadata_);
@@ -109,20 +110,30 @@
                                   runner_.context_.Now() + kFullServerBackoff);
       return Finish("full", routing::CallResult::kNoEvidence, std::nullopt, {});
     }
-    std::optional<std::vector<BatchResult>> results;
-    if (status_ == 200)
-      results = runner_.context_.codec.ReadBatchResponse(body_);
-    if (!results || results->size() != call_.items.size())
+    ReadResults();
+    if (!results_ && !is_other_response_)
       return Finish("unreadable", routing::CallResult::kFailed, std::nullopt,
                     {});
-    if (HasOtherItems(*results)) {
+    if (is_other_response_) {
       // The response to this call is still to come on that connection.
-      runner_.context_.pool.CloseIdleConnections(incarnation_.Key());
+      runner_.context_.metrics.Count("lovagecleat_other_responses_total",
+                                     {{"call", kStageCalls}});
+      runner_.context_.pool.DistrustConnections(incarnation_.Key());
       return Finish("other_response", routing::CallResult::kNoEvidence,
                     std::nullopt, {});
     }
     Finish("done", routing::CallResult::kSuccess,
-           runner_.context_.Now() - started_at_, *results);
+           runner_.context_.Now() - started_at_, *results_);
+  }
+
+  // A copy is recognized by results that were received before.
+  bool IsCopyHarmless() override {
+    ReadResults();
+    return results_ && !is_other_response_ &&
+           std::any_of(results_->begin(), results_->end(),
+                       [](const BatchResult& result) {
+                         return result.outcome == ItemOutcome::kCompleted;
+                       });
   }
 
   void OnCallFailed(http::CallEnd end) override {
@@ -144,16 +155,35 @@
  private:
   transport::Loop& loop() { return runner_.context_.loop; }
 
-  // Returns whether the results are those of an earlier call.
-  bool HasOtherItems(std::span<const BatchResult> results) const {
-    for (std::size_t i = 0; i < results.size(); ++i)
-      if (results[i].outcome == ItemOutcome::kCompleted &&
-          runner_.received_results_.IsOfOtherItem(results[i].handle,
+  // Sets the results if they can be those of this call, or else whether the
+  // response is that to another one.
+  void ReadResults() {
+    if (status_ != 200 || results_ || is_other_response_) return;
+    results_ = runner_.context_.codec.ReadBatchResponse(body_);
+    if (results_ && results_->size() != call_.items.size()) results_.reset();
+    // On its first call, a connection brings no copy of an earlier response.
+    is_other_response_ =
+        results_ ? HasOtherItems() || (is_connection_reused_ && HasKnownItem())
+                 : is_connection_reused_;
+  }
+
+  bool HasOtherItems() const {
+    for (std::size_t i = 0; i < results_->size(); ++i)
+      if ((*results_)[i].outcome == ItemOutcome::kCompleted &&
+          runner_.received_results_.IsOfOtherItem((*results_)[i].handle,
                                                   call_.items[i]))
         return true;
     return false;
   }
 
+  bool HasKnownItem() const {
+    return std::any_of(
+        results_->begin(), results_->end(), [this](const BatchResult& result) {
+          return result.outcome == ItemOutcome::kCompleted &&
+                 runner_.received_results_.Contains(result.handle);
+        });
+  }
+
   // Queues the items of a slow call again; the first result is used.
   void HedgeItems() {
     is_hedged_ = true;
@@ -283,8 +313,11 @@
   std::shared_ptr<ActiveCall*> self_handle_ =
       std::make_shared<ActiveCall*>(this);
   int status_ = 0;
+  bool is_connection_reused_ = false;
   ResponseMetadata response_metadata_;
   std::string body_;
+  std::optional<std::vector<BatchResult>> results_;
+  bool is_other_response_ = false;
 };
 
 // A short control call to a stage server. The callback is called once, with the
@@ -293,8 +326,8 @@
  public:
   using Callback = std::function<void(std::optional<std::string>)>;
 
-  ControlCall(StageRunner& runner, Callback callback)
-      : runner_(runner), callback_(std::move(callback)) {}
+  ControlCall(StageRunner& runner, const char* kind, Callback callback)
+      : runner_(runner), kind_(kind), callback_(std::move(callback)) {}
   ~ControlCall() override { runner_.context_.loop.Cancel(timeout_timer_); }
 
   void Start(const routing::ServerRecord& server, std::string_view bytes) {
@@ -303,7 +336,7 @@
     // Servers answer control calls without queueing them.
     timeout_timer_ =
         context.loop.After(kSilenceTimeout, [this] { Finish(std::nullopt); });
-    http_ = context.pool.Start(CallTargetOf(incarnation_), bytes,
+    http_ = context.pool.Start(CallTargetOf(incarnation_, kind_), bytes,
                                http::Reuse::kAny, *this);
   }
 
@@ -322,6 +355,9 @@
   }
   void OnCallFailed(http::CallEnd /*end*/) override { Finish(std::nullopt); }
 
+  // A copy says once more that results are released, or is an older report.
+  bool IsCopyHarmless() override { return status_ == 200; }
+
  private:
   void Finish(std::optional<std::string> body) {
     const Callback callback = std::move(callback_);
@@ -333,6 +369,7 @@
   }
 
   StageRunner& runner_;
+  const char* kind_;
   Callback callback_;
   routing::ServerIncarnation incarnation_;  // that the call was sent to
   std::unique_ptr<http::Call> http_;
@@ -682,7 +719,7 @@
     const std::string bytes =
         context_.codec.WriteRelease(TargetOf(*record), handles);
     StartControlCall(
-        *record, bytes,
+        *record, kReleaseCalls, bytes,
         [this, handles](const std::optional<std::string>& body) {
           if (body) return OnReleased(handles);
           // The results expire at the server, and their memory is counted as
@@ -700,10 +737,11 @@
 }
 
 void StageRunner::StartControlCall(
-    const routing::ServerRecord& server, std::string_view bytes,
+    const routing::ServerRecord& server, const char* kind,
+    std::string_view bytes,
     std::function<void(std::optional<std::string>)> callback) {
   CountSend(server);
-  auto call = std::make_unique<ControlCall>(*this, std::move(callback));
+  auto call = std::make_unique<ControlCall>(*this, kind, std::move(callback));
   ControlCall* raw = call.get();
   control_calls_.emplace(raw, std::move(call));
   raw->Start(server, bytes);
@@ -720,7 +758,8 @@
   if (record == nullptr || NextSendAt(*record, now) > now) return;
   context_.metrics.Count("lovagecleat_report_questions_total");
   StartControlCall(
-      *record, context_.codec.WriteReportRequest(TargetOf(*record)),
+      *record, kReportCalls,
+      context_.codec.WriteReportRequest(TargetOf(*record)),
       [this, server, callback](const std::optional<std::string>& body) {
         const auto report =
             body ? context_.codec.ReadReport(*body) : std::nullopt;
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -121,7 +121,8 @@
   void FlushReleases();
   static ForwardedCall TargetOf(const routing::ServerRecord& server);
   void StartControlCall(
-      const routing::ServerRecord& server, std::string_view bytes,
+      const routing::ServerRecord& server, const char* kind,
+      std::string_view bytes,
       std::function<void(std::optional<std::string>)> callback);
   void QueryReport(
       const ServerId& server,
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -24,9 +24,14 @@
 
 // Records the events of one call.
 struct Recorder final : CallObserver {
-  bool IsOwnResponse(const ResponseHead& head) override {
-    return FindField(head.fields, "X-Id").value_or("1") == "1";
+  ResponseOwner OwnerOf(const ResponseHead& head, bool is_reused) override {
+    was_reused = is_reused;
+    const auto id = FindField(head.fields, "X-Id");
+    if (!id && needs_id) return ResponseOwner::kUnknown;
+    return id.value_or("1") == "1" ? ResponseOwner::kThisCall
+                                   : ResponseOwner::kOtherCall;
   }
+  bool IsCopyHarmless() override { return is_copy_harmless; }
   void OnResponseHead(const ResponseHead& head) override {
     status = head.status;
   }
@@ -37,7 +42,10 @@
   bool has_ended() const { return is_complete || end.has_value(); }
 
   std::uint64_t limit = 1'000'000;
+  bool needs_id = false;
+  bool is_copy_harmless = true;
 
+  bool was_reused = false;
   int status = 0;
   std::string body;
   bool is_complete = false;
@@ -48,7 +56,7 @@
  public:
   void Call(const std::string& address, Recorder& recorder,
             Reuse reuse = Reuse::kAny) {
-    call_ = pool_.Start({"server", address}, kRequest, reuse, recorder);
+    call_ = pool_.Start({"server", address, ""}, kRequest, reuse, recorder);
     RunUntil([&] { return recorder.has_ended(); });
     call_.reset();
   }
@@ -183,7 +191,7 @@
     if (connection.ReadRequest()) ++requests;
   });
   Recorder recorder;
-  call_ = pool_.Start({"server", server.address()}, kRequest, Reuse::kAny,
+  call_ = pool_.Start({"server", server.address(), ""}, kRequest, Reuse::kAny,
                       recorder);
   // The connection is established before the loop runs again.
   std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -201,7 +209,7 @@
     has_ended = true;
   });
   Recorder recorder;
-  call_ = pool_.Start({"server", server.address()}, kRequest, Reuse::kAny,
+  call_ = pool_.Start({"server", server.address(), ""}, kRequest, Reuse::kAny,
                       recorder);
   RunUntil([&] { return call_->may_have_been_sent(); });
   call_.reset();
@@ -257,7 +265,7 @@
   });
   const std::string body(std::size_t{4} * 1024 * 1024, 'x');
   Recorder recorder;
-  call_ = pool_.Start({"server", server.address()},
+  call_ = pool_.Start({"server", server.address(), ""},
                       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                           std::to_string(body.size()) + "\r\n\r\n" + body,
                       Reuse::kAny, recorder);
@@ -333,7 +341,7 @@
   }
   const std::string body(is_long ? std::size_t{8} * 1024 * 1024 : 10, 'x');
   Recorder recorder;
-  call_ = pool_.Start({"server", server.address()},
+  call_ = pool_.Start({"server", server.address(), ""},
                       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                           std::to_string(body.size()) + "\r\n\r\n" + body,
                       Reuse::kAny, recorder);
@@ -360,7 +368,7 @@
   });
   const std::string body(std::size_t{8} * 1024 * 1024, 'x');
   Recorder recorder;
-  call_ = pool_.Start({"server", server.address()},
+  call_ = pool_.Start({"server", server.address(), ""},
                       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                           std::to_string(body.size()) + "\r\n\r\n" + body,
                       Reuse::kAny, recorder);
@@ -370,6 +378,123 @@
   REQUIRE(recorder.end->failure == CallFailure::kConnectionLost);
 }
 
+// Guards against the response of an earlier call: bytes that had come while no
+// call was outstanding, and were not read yet, were taken for the answer to the
+// next call.
+TEST_CASE_METHOD(ClientFixture,
+                 "A connection with unread bytes is not used for a call") {
+  std::atomic<bool> may_continue = false;
+  std::atomic<bool> has_sent_extra = false;
+  std::atomic<int> connections = 0;
+  RawServer server([&](RawConnection& connection) {
+    const bool is_first = ++connections == 1;
+    if (!connection.ReadRequest()) return;
+    connection.Write(kResponse);
+    while (is_first && !may_continue)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    if (is_first)
+      connection.Write(
+          "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nwrong");
+    has_sent_extra = true;
+    connection.WaitForClose();
+  });
+  Recorder first;
+  Call(server.address(), first);
+  may_continue = true;
+  while (!has_sent_extra)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  Recorder second;
+  Call(server.address(), second);
+  REQUIRE(second.is_complete);
+  REQUIRE(second.body == "ok");
+  REQUIRE(connections == 2);
+}
+
+// Guards against the response of an earlier call: calls of different kinds
+// cannot recognize each other's responses.
+TEST_CASE_METHOD(ClientFixture, "A connection serves calls of one kind") {
+  std::atomic<int> connections = 0;
+  RawServer server([&](RawConnection& connection) {
+    ++connections;
+    while (connection.ReadRequest()) connection.Write(kResponse);
+  });
+  for (const char* kind : {"a", "b", "a", "b", "a"}) {
+    Recorder recorder;
+    call_ = pool_.Start({"server", server.address(), kind}, kRequest,
+                        Reuse::kAny, recorder);
+    RunUntil([&] { return recorder.has_ended(); });
+    REQUIRE(recorder.is_complete);
+  }
+  REQUIRE(connections == 2);
+  REQUIRE(pool_.idle_connections() == 2);
+  pool_.CloseIdleConnections("server");
+  REQUIRE(pool_.idle_connections() == 0);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "A connection is kept only if a copy would do no harm") {
+  RawServer server([&](RawConnection& connection) {
+    while (connection.ReadRequest()) connection.Write(kResponse);
+  });
+  Recorder harmful;
+  harmful.is_copy_harmless = false;
+  Call(server.address(), harmful);
+  REQUIRE(harmful.is_complete);
+  REQUIRE(pool_.idle_connections() == 0);
+  Recorder harmless;
+  Call(server.address(), harmless);
+  REQUIRE_FALSE(harmless.was_reused);
+  REQUIRE(pool_.idle_connections() == 1);
+  Recorder next;
+  Call(server.address(), next);
+  REQUIRE(next.was_reused);
+  Recorder separate;
+  Call(server.address(), separate, Reuse::kNone);
+  REQUIRE_FALSE(separate.was_reused);
+  REQUIRE(pool_.opened_connections() == 3);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "A response of an unknown call fails the call") {
+  RawServer server([&](RawConnection& connection) {
+    if (!connection.ReadRequest()) return;
+    connection.Write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    connection.Write(kResponse);
+    connection.WaitForClose();
+  });
+  Recorder recorder;
+  recorder.needs_id = true;
+  Call(server.address(), recorder);
+  REQUIRE(recorder.end);
+  REQUIRE(recorder.end->failure == CallFailure::kInvalidResponse);
+  REQUIRE(pool_.idle_connections() == 0);
+}
+
+TEST_CASE_METHOD(ClientFixture,
+                 "Connections to a distrusted server are not reused") {
+  RawServer server([&](RawConnection& connection) {
+    while (connection.ReadRequest()) connection.Write(kResponse);
+  });
+  const auto call_twice = [&](const std::string& name) {
+    for (int i = 0; i < 2; ++i) {
+      Recorder recorder;
+      call_ = pool_.Start({name, server.address(), ""}, kRequest, Reuse::kAny,
+                          recorder);
+      RunUntil([&] { return recorder.has_ended(); });
+    }
+  };
+  call_twice("server");
+  call_twice("other");
+  REQUIRE(pool_.opened_connections() == 2);
+  pool_.DistrustConnections("server");
+  REQUIRE(pool_.idle_connections() == 1);
+  call_twice("server");
+  REQUIRE(pool_.opened_connections() == 4);
+  call_twice("other");
+  REQUIRE(pool_.opened_connections() == 4);
+}
+
 // Guards against a call that waits for the body of a response to HEAD.
 TEST_CASE_METHOD(ClientFixture, "A response to HEAD has no body") {
   const std::string length = GENERATE("", "Content-Length: 9\r\n");
@@ -379,7 +504,7 @@
   });
   Recorder recorder;
   call_ =
-      pool_.Start({"server", server.address()},
+      pool_.Start({"server", server.address(), ""},
                   "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n", Reuse::kAny, recorder);
   RunUntil([&] { return recorder.has_ended(); });
   REQUIRE(recorder.is_complete);
--- a/tests/routing/received_results_test.cc
+++ b/tests/routing/received_results_test.cc
@@ -21,6 +21,7 @@
   ReceivedResults results;
   const QueuedItem item = ItemOf("a", 1, 2);
   REQUIRE_FALSE(results.IsOfOtherItem("h", item));
+  REQUIRE_FALSE(results.Contains("h"));
   results.Add("h", item, At(0));
   // A server may give the same result again for the same item.
   REQUIRE_FALSE(results.IsOfOtherItem("h", item));
@@ -28,6 +29,8 @@
                                   ItemOf("a", 1, 1), ItemOf("a", 2, 1)})
     REQUIRE(results.IsOfOtherItem("h", other));
   REQUIRE_FALSE(results.IsOfOtherItem("g", ItemOf("b", 1, 2)));
+  REQUIRE(results.Contains("h"));
+  REQUIRE_FALSE(results.Contains("g"));
 }
 
 TEST_CASE("Received results are forgotten in time and in number") {
