--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -44,10 +44,26 @@
   return kMaximumBodyBytes;
 }
 
-bool RequestFlow::IsOwnResponse(const http::ResponseHead& head) {
-  const ResponseMetadata metadata =
-      context_.codec.ReadResponseHead(head, Now());
-  return metadata.request_id.empty() || metadata.request_id == request_.id;
+// A response without an id on a connection that has carried other requests may
+// belong to one of them.
+http::ResponseOwner RequestFlow::OwnerOf(const http::ResponseHead& head,
+                                         bool is_reused) {
+  const std::string id =
+      context_.codec.ReadResponseHead(head, Now()).request_id;
+  const bool is_own = id.empty() ? !is_reused : id == request_.id;
+  if (is_own) return http::ResponseOwner::kThisCall;
+  context_.metrics.Count("lovagecleat_other_responses_total",
+                         {{"call", kRequestCalls}});
+  context_.log.Write("other_response", request_.id,
+                     {{"server", server_.value()},
+                      {"status", head.status},
+                      {"response_id", id}});
+  return id.empty() ? http::ResponseOwner::kUnknown
+                    : http::ResponseOwner::kOtherCall;
+}
+
+bool RequestFlow::IsCopyHarmless() {
+  return !response_metadata_.request_id.empty();
 }
 
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
@@ -157,7 +173,8 @@
   if (!response_metadata_.is_sealed || response_metadata_.is_encoded)
     return false;
   if (!IsStream()) return true;
-  const bool may_be_cut = !has_content_ && http::EndsWithConnection(head_);
+  const bool may_be_cut =
+      !IsHead() && !has_content_ && http::EndsWithConnection(head_);
   return !splitter_.has_partial_event() && !may_be_cut;
 }
 
@@ -188,15 +205,23 @@
   EndSend(routing::CallResult::kSuccess, "done");
   if (has_begun_response_) {
     exchange_->FinishResponse();
-  } else if (IsStream()) {
+  } else if (IsStream() && !IsHead()) {
     BeginResponse(std::nullopt);
     exchange_->FinishResponse();
   } else {
-    exchange_->Respond(head_.status, FieldsForCaller(head_), body_);
+    RespondWithBuffered();
   }
   End(head_.status, "served");
 }
 
+// A response to HEAD keeps the length of the body that it does not have.
+void RequestFlow::RespondWithBuffered() {
+  if (!IsHead())
+    return exchange_->Respond(head_.status, FieldsForCaller(head_), body_);
+  BeginResponse(http::ContentLength(head_.fields));
+  exchange_->FinishResponse();
+}
+
 // The request was not run, and the server it was meant for is gone.
 void RequestFlow::OnWrongServer() {
   context_.pool.CloseIdleConnections(incarnation_.Key());
@@ -219,7 +244,7 @@
   const bool implies_not_run =
       status == 408 || status == 421 || status == 429 || status == 503;
   if (implies_not_run) return Fail({502, "server_failure"});
-  exchange_->Respond(status, FieldsForCaller(head_), body_);
+  RespondWithBuffered();
   End(status, "server_failure");
 }
 
--- a/services/gateway/request_relays.cc
+++ b/services/gateway/request_relays.cc
@@ -1,7 +1,6 @@
 #include "services/gateway/request_relays.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace lovagecleat::gateway {
@@ -28,17 +27,6 @@
 // of traffic between zones against those of a busy host.
 constexpr double kOtherZonePenalty = 2.0;
 
-std::optional<std::uint64_t> LengthOf(const http::ResponseHead& head) {
-  const auto field = http::FindField(head.fields, "Content-Length");
-  if (!field) return std::nullopt;
-  std::uint64_t length = 0;
-  const auto [end, error] =
-      std::from_chars(field->data(), field->data() + field->size(), length);
-  if (error != std::errc{} || end != field->data() + field->size())
-    return std::nullopt;
-  return length;
-}
-
 http::HeaderFields FieldsForCaller(const http::ResponseHead& head) {
   http::HeaderFields fields = http::WithoutConnectionFields(head.fields);
   std::erase_if(fields, [](const http::HeaderField& field) {
@@ -96,14 +84,30 @@
     return kMaximumBodyBytes;
   }
 
+  // Responses of servers have the request's id, those of the other host itself
+  // have none.
+  http::ResponseOwner OwnerOf(const http::ResponseHead& head,
+                              bool /*is_reused*/) override {
+    const std::string id =
+        context_.codec.ReadResponseHead(head, context_.Now()).request_id;
+    has_id_ = !id.empty();
+    return !has_id_ || id == request_.id ? http::ResponseOwner::kThisCall
+                                         : http::ResponseOwner::kOtherCall;
+  }
+
+  bool IsCopyHarmless() override { return has_id_; }
+
   void OnResponseHead(const http::ResponseHead& head) override {
     head_ = head;
     const ResponseMetadata metadata =
         context_.codec.ReadResponseHead(head, context_.Now());
     // Only a response of a server has a seal.
     was_not_run_ = !metadata.is_sealed && head.status == 503;
-    const std::optional<std::uint64_t> length = LengthOf(head);
-    if (was_not_run_ || (length && *length <= kMaximumBufferedBytes)) return;
+    const std::optional<std::uint64_t> length =
+        http::ContentLength(head.fields);
+    const bool is_buffered = exchange_->head().method != "HEAD" && length &&
+                             *length <= kMaximumBufferedBytes;
+    if (was_not_run_ || is_buffered) return;
     has_begun_ = true;
     exchange_->BeginResponse(head.status, FieldsForCaller(head), length);
   }
@@ -166,7 +170,7 @@
         exchange_->body().size());
     bytes.append(exchange_->body());
     call_ = relays_.pool_.Start(
-        {host_, host_}, bytes,
+        {host_, host_, kRequestCalls}, bytes,
         request_.may_repeat ? http::Reuse::kAny : http::Reuse::kRecent, *this);
   }
 
@@ -213,6 +217,7 @@
   std::unique_ptr<http::Call> call_;
   http::ResponseHead head_;
   std::string body_;
+  bool has_id_ = false;       // the response names its request
   bool was_not_run_ = false;  // the other host says so
   bool has_begun_ = false;    // the response head was sent to the caller
   TimerId deadline_timer_;
