Platform: Read a server's load with more than three figures

Servers add a fourth figure to X-Lovagecleat-Server-Load: how long work takes on their machine at this moment.

The reader takes the figures that it knows and leaves further ones. A figure that is missing, negative, above a million or no number leaves the load unknown, where it was taken for 0 before, and a slowdown that makes no sense leaves only itself unknown; both are logged as field_unreadable. These lines are limited to ten a second, since a server may send the field with each response; the metric lovagecleat_unreadable_fields_total counts all.

--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -20,6 +20,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  // How long work takes on the server's machine at that moment, divided by how
+  // long it takes as a rule; nothing if the server did not say.
+  std::optional<double> slowdown;
   TimePoint at;
 };
 
--- a/services/gateway/server_notices.cc
+++ b/services/gateway/server_notices.cc
@@ -1,7 +1,6 @@
 #include "services/gateway/server_notices.h"
 
 #include <algorithm>
-#include <span>
 #include <utility>
 
 #include "services/gateway/quiet_servers.h"
@@ -23,16 +22,10 @@
 
 // Longest part of a value that is logged.
 constexpr std::size_t kLoggedValueBytes = 128;
-
-void LogFieldProblems(Context& context, const ServerId& server,
-                      std::span<const FieldProblem> problems) {
-  for (const FieldProblem& problem : problems)
-    context.log.Write("field_unreadable", "",
-                      {{"server", server.value()},
-                       {"field", problem.field},
-                       {"value", problem.value.substr(0, kLoggedValueBytes)},
-                       {"expected", problem.expected}});
-}
+// A server may send an unreadable field with each response, so this many are
+// logged in a period.
+constexpr int kLoggedProblems = 10;
+constexpr Duration kLogPeriod = std::chrono::seconds(1);
 
 void WriteServer(const routing::ServerIncarnation& server,
                  messages::LeavingServer& copy) {
@@ -82,9 +75,29 @@
   outbox_.FlushNow();
 }
 
+void ServerNotices::LogFieldProblems(const ServerId& server,
+                                     std::span<const FieldProblem> problems) {
+  if (problems.empty()) return;
+  context_.metrics.Count("lovagecleat_unreadable_fields_total", {},
+                         problems.size());
+  const TimePoint now = context_.Now();
+  if (now - logged_since_ >= kLogPeriod) {
+    logged_since_ = now;
+    logged_problems_ = 0;
+  }
+  for (const FieldProblem& problem : problems) {
+    if (++logged_problems_ > kLoggedProblems) return;
+    context_.log.Write("field_unreadable", "",
+                       {{"server", server.value()},
+                        {"field", problem.field},
+                        {"value", problem.value.substr(0, kLoggedValueBytes)},
+                        {"expected", problem.expected}});
+  }
+}
+
 void ServerNotices::OnResponse(const routing::ServerIncarnation& server,
                                const ResponseMetadata& response) {
-  LogFieldProblems(context_, server.id, response.problems);
+  LogFieldProblems(server.id, response.problems);
   // Another server that now has this address speaks for itself.
   if (response.is_wrong_server) return;
   if (response.quiet_time && *response.quiet_time > Duration::zero())
--- a/services/gateway/server_notices.h
+++ b/services/gateway/server_notices.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,9 @@
   // Returns true if the notice was not known.
   bool Record(const routing::ServerIncarnation& server,
               std::string_view source);
+  // Logs them up to a rate, and counts all.
+  void LogFieldProblems(const ServerId& server,
+                        std::span<const FieldProblem> problems);
   void RecordLimit(const routing::ServerIncarnation& server,
                    const ResponseMetadata& response);
   // Returns whether other hosts should know.
@@ -60,6 +64,9 @@
   std::vector<std::string> hosts_in_zone_;
   std::vector<std::string> hosts_;
   bool has_asked_ = false;
+  // Fields logged as unreadable since the start of the period.
+  TimePoint logged_since_{};
+  int logged_problems_ = 0;
   TimerId ask_timer_;
 };
 
--- a/tests/platform_adapter/message_codec_test.cc
+++ b/tests/platform_adapter/message_codec_test.cc
@@ -63,6 +63,59 @@
   REQUIRE_FALSE(loaded.is_sealed);
 }
 
+// Guards against dropping the whole load when the field has more figures than
+// this version knows, as in the first plays of servers that add a fourth.
+TEST_CASE("A server's load is read from a field with further figures") {
+  const auto load_of = [](const char* value) {
+    return kCodec
+        .ReadResponseHead({200, "", {{"X-Lovagecleat-Server-Load", value}}},
+                          TimePoint())
+        .load;
+  };
+  const auto short_load = load_of("3,1,8");
+  REQUIRE(short_load);
+  REQUIRE_FALSE(short_load->slowdown);
+  for (const char* value :
+       {"3,1,8,250", " 3 , 1,8 ,250 ", "3,1,8,250,7", "3,1,8,250,new;x=1,-4"}) {
+    CAPTURE(value);
+    const auto load = load_of(value);
+    REQUIRE(load);
+    REQUIRE(load->running == 3);
+    REQUIRE(load->waiting == 1);
+    REQUIRE(load->slots == 8);
+    REQUIRE(load->slowdown == 2.5);
+  }
+  REQUIRE(load_of("3,1,8,62.5")->slowdown == 0.625);
+}
+
+TEST_CASE("Figures of a server's load that cannot be read are reported") {
+  const auto metadata_of = [](http::HeaderFields fields) {
+    return kCodec.ReadResponseHead({200, "", std::move(fields)}, TimePoint());
+  };
+  REQUIRE_FALSE(metadata_of({}).load);
+  REQUIRE(metadata_of({}).problems.empty());
+  for (const char* value :
+       {"", "3", "3,1", "3,,8", "-3,1,8", "3,-1,8", "3,1,-8", "three,1,8",
+        "3,1,99999999999999999999", "3,1,8000000", "3.5,1,8", "nan,1,8"}) {
+    CAPTURE(value);
+    const auto metadata = metadata_of({{"X-Lovagecleat-Server-Load", value}});
+    REQUIRE_FALSE(metadata.load);
+    REQUIRE(metadata.problems.size() == 1);
+    REQUIRE(metadata.problems.front().field == "X-Lovagecleat-Server-Load");
+    REQUIRE(metadata.problems.front().value == value);
+  }
+  // The other figures count without the fourth.
+  for (const char* value : {"3,1,8,,", "3,1,8,0", "3,1,8,-100", "3,1,8,nan",
+                            "3,1,8,inf", "3,1,8,1e300", "3,1,8,slow"}) {
+    CAPTURE(value);
+    const auto metadata = metadata_of({{"X-Lovagecleat-Server-Load", value}});
+    REQUIRE(metadata.load);
+    REQUIRE(metadata.load->waiting == 1);
+    REQUIRE_FALSE(metadata.load->slowdown);
+    REQUIRE(metadata.problems.size() == 1);
+  }
+}
+
 TEST_CASE("A server's notice that it leaves is read from any response") {
   const auto metadata_of = [](http::HeaderFields fields) {
     return kCodec.ReadResponseHead({500, "", std::move(fields)}, TimePoint());
