Routing: Estimate the speed of each backend server

Servers of one service may differ by a factor of 2.7 and have moments in which work takes 2.5 times as long, and nothing told them apart.

ServerSpeeds keeps the slowness of each server by kind of work, relative to the median server of its service: a steady part with bounded steps, a memory of 30 s and a dead band of 1.25, and a moment of slow work that is noticed at once and fades with a half-life of 600 ms. Times of kinds that are known better count for the others. Unknown servers and restarted ones are at the median. A host's own observations can be told to others.

--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -14,6 +14,7 @@
 #include "routing/send_limiter.h"      // IWYU pragma: export
 #include "routing/server_directory.h"  // IWYU pragma: export
 #include "routing/server_limits.h"     // IWYU pragma: export
+#include "routing/server_speed.h"      // IWYU pragma: export
 #include "routing/stage_plan.h"        // IWYU pragma: export
 #include "routing/stage_zones.h"       // IWYU pragma: export
 #include "routing/stream_origins.h"    // IWYU pragma: export
--- /dev/null
+++ b/libraries/routing/server_speed.cc
@@ -0,0 +1,326 @@
+#include "routing/server_speed.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace lovagecleat::routing {
+
+namespace {
+
+// One observation moves the steady part by at most this much, in logarithms,
+// and less the more observations there were.
+constexpr double kMaximumStep = 0.5;
+// Load makes single observations too long, never too short, so those above the
+// steady part move it by less.
+constexpr double kLoadWeight = 0.5;
+// Lowest weight of an observation: the steady part follows a change within some
+// tens of observations.
+constexpr double kLowestGain = 1.0 / 16;
+// Observations that say as much as the assumption that a server is like the
+// median one.
+constexpr double kPriorObservations = 2.0;
+// A server with fewer counts as unknown.
+constexpr double kMinimumWeight = 2.0;
+// Servers that must be known for a median.
+constexpr std::size_t kMinimumServers = 3;
+// Distances below this many standard errors are noise.
+constexpr double kNoiseErrors = 2.0;
+// Weight of an observation in a moment of slow work.
+constexpr double kMomentGain = 0.5;
+// Longest excess of one observation, as a factor of 4.
+constexpr double kMaximumExcess = 1.386;
+// What a server says of its machine changes many times a second.
+constexpr Duration kReportedHalfLife = std::chrono::milliseconds(300);
+// The median is measured again after this time.
+constexpr Duration kReferencePeriod = std::chrono::milliseconds(200);
+constexpr double kSpreadGain = 0.02;
+// Added to the spread of a kind of work, so that a few observations that agree
+// by chance count for little.
+constexpr double kLeastSpread = 0.05;
+// The kind of work asked for may be known this many times worse than another.
+constexpr double kOwnKindPreference = 2.0;
+// Another host's observations count at most this much in one message.
+constexpr double kMaximumMergedCount = 8.0;
+// Logarithms beyond it, a factor of a million, are errors.
+constexpr double kMaximumLogRatio = 13.8;
+
+double Faded(double value, TimePoint since, TimePoint now, Duration half_life) {
+  const double age =
+      std::max<double>(0, static_cast<double>((now - since).count()));
+  return value * std::exp2(-age / static_cast<double>(half_life.count()));
+}
+
+double Median(std::vector<double>& values) {
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+}  // namespace
+
+std::optional<Duration> EventGaps::Add(Duration gap) {
+  gaps_[count_++] = gap;
+  if (count_ < kGaps) return std::nullopt;
+  count_ = 0;
+  // A read that comes late makes the next gap too short, so the lowest does not
+  // count.
+  std::nth_element(gaps_.begin(), gaps_.begin() + 1, gaps_.end());
+  return gaps_[1];
+}
+
+ServerSpeeds::ServerState& ServerSpeeds::StateOf(
+    const ServiceId& service, const ServerIncarnation& server, TimePoint now) {
+  auto& servers = services_[service].servers;
+  auto found = servers.find(server.id);
+  if (found == servers.end()) {
+    if (size_ >= kMaximumServers) RemoveOldest();
+    found = services_[service].servers.emplace(server.id, ServerState{}).first;
+    found->second.incarnation = server;
+    ++size_;
+  } else if (found->second.incarnation != server) {
+    found->second = ServerState{};
+    found->second.incarnation = server;
+  }
+  found->second.seen_at = now;
+  return found->second;
+}
+
+void ServerSpeeds::RemoveOldest() {
+  ServiceState* oldest_service = nullptr;
+  std::optional<std::pair<TimePoint, ServerId>> oldest;
+  for (auto& [id, service] : services_)
+    for (const auto& [server, state] : service.servers)
+      if (!oldest || state.seen_at < oldest->first) {
+        oldest = {state.seen_at, server};
+        oldest_service = &service;
+      }
+  if (oldest_service == nullptr) return;
+  oldest_service->servers.erase(oldest->second);
+  --size_;
+  std::erase_if(services_,
+                [](const auto& item) { return item.second.servers.empty(); });
+}
+
+double ServerSpeeds::WeightNow(const Estimate& estimate, TimePoint now) {
+  return Faded(estimate.weight, estimate.at, now, kMemory);
+}
+
+void ServerSpeeds::Add(Estimate& estimate, Reference& reference,
+                       double log_ratio, double count, TimePoint now) {
+  const double weight = WeightNow(estimate, now);
+  // The first observations are bounded around what is usual in the service.
+  if (weight < 1e-3) {
+    estimate.mean =
+        reference.median
+            ? std::clamp(log_ratio, *reference.median - kMaximumExcess,
+                         *reference.median + kMaximumExcess)
+            : log_ratio;
+    estimate.weight = count;
+    estimate.at = now;
+    return;
+  }
+  const double residual = log_ratio - estimate.mean;
+  const double bounded = std::clamp(residual, -kMaximumStep, kMaximumStep) *
+                         (residual > 0 ? kLoadWeight : 1.0);
+  const double gain =
+      std::min(1.0, std::max(count / (weight + count), count * kLowestGain));
+  estimate.mean += gain * bounded;
+  estimate.weight = std::min(weight + count, 1.0 / kLowestGain);
+  estimate.at = now;
+  const double deviation = std::min(std::abs(residual), kMaximumExcess);
+  reference.spread_weight += 1;
+  reference.spread += std::max(1.0 / reference.spread_weight, kSpreadGain) *
+                      (deviation - reference.spread);
+}
+
+void ServerSpeeds::Observe(const ServiceId& service,
+                           const ServerIncarnation& server, WorkKind kind,
+                           Duration taken, Duration expected, TimePoint now) {
+  if (taken <= Duration::zero() || expected <= Duration::zero()) return;
+  const auto index = static_cast<std::size_t>(kind);
+  ServerState& observed = StateOf(service, server, now);
+  // What the server says of the moment is no part of the steady slowness.
+  const double log_ratio =
+      std::log(static_cast<double>(taken.count()) /
+               static_cast<double>(expected.count())) -
+      Faded(observed.reported, observed.reported_at, now, kReportedHalfLife);
+  Estimate& estimate = observed.kinds[index];
+  ServiceState& state = services_[service];
+  Reference& reference = state.references[index];
+  MeasuredReference(state, index, now);
+  if (WeightNow(estimate, now) >= kMinimumWeight) {
+    // What is usual for single observations is no moment of slow work.
+    const double excess =
+        std::min(log_ratio - estimate.mean - kNoiseErrors * reference.spread,
+                 kMaximumExcess);
+    const double before =
+        Faded(estimate.excess, estimate.excess_at, now, kMoment);
+    estimate.excess = before + kMomentGain * (std::max(excess, 0.0) - before);
+    estimate.excess_at = now;
+  }
+  Add(estimate, reference, log_ratio, 1, now);
+  estimate.new_sum += log_ratio;
+  ++estimate.new_count;
+}
+
+void ServerSpeeds::Merge(const SpeedSample& sample, TimePoint now) {
+  const auto index = static_cast<std::size_t>(sample.kind);
+  if (index >= kWorkKinds || sample.count == 0 || sample.server.id.empty() ||
+      !(std::abs(sample.log_ratio) <= kMaximumLogRatio))
+    return;
+  Estimate& estimate = StateOf(sample.service, sample.server, now).kinds[index];
+  ServiceState& state = services_[sample.service];
+  MeasuredReference(state, index, now);
+  Add(estimate, state.references[index], sample.log_ratio,
+      std::min<double>(sample.count, kMaximumMergedCount), now);
+}
+
+void ServerSpeeds::SetReported(const ServiceId& service,
+                               const ServerIncarnation& server, double slowdown,
+                               TimePoint now) {
+  if (!std::isfinite(slowdown) || slowdown <= 0) return;
+  ServerState& state = StateOf(service, server, now);
+  state.reported = std::log(slowdown);
+  state.reported_at = now;
+}
+
+// Measures the median again if it is old. The mean of a server whose weight has
+// faded still counts: it is the best known.
+const ServerSpeeds::Reference& ServerSpeeds::MeasuredReference(
+    const ServiceState& service, std::size_t kind, TimePoint now) {
+  Reference& reference = service.references[kind];
+  if (now - reference.measured_at < kReferencePeriod) return reference;
+  std::vector<double> means;
+  for (const auto& [id, server] : service.servers) {
+    const Estimate& estimate = server.kinds[kind];
+    if (WeightNow(estimate, now) >= kMinimumWeight)
+      means.push_back(estimate.mean);
+  }
+  reference.measured_at = now;
+  reference.median.reset();
+  if (means.size() >= kMinimumServers) reference.median = Median(means);
+  return reference;
+}
+
+// Returns the logarithm of the steady slowness, or nothing if it is unknown.
+std::optional<double> ServerSpeeds::SteadyOf(const Estimate& estimate,
+                                             const Reference& reference,
+                                             TimePoint now) {
+  const double weight = WeightNow(estimate, now);
+  if (!reference.median || weight < kMinimumWeight) return std::nullopt;
+  const double distance = (estimate.mean - *reference.median) * weight /
+                          (weight + kPriorObservations);
+  const double noise = kNoiseErrors * reference.spread / std::sqrt(weight);
+  if (std::abs(distance) <= noise) return 0.0;
+  const double step = 2 * std::log(kDeadBand);
+  return step * std::round(distance / step);
+}
+
+// A machine is slow as a whole, so a kind that is known better tells more.
+double ServerSpeeds::Steady(const ServiceState& service,
+                            const ServerState& server, std::size_t kind,
+                            TimePoint now) {
+  double least_error = std::numeric_limits<double>::infinity();
+  double steady = 0;
+  for (std::size_t i = 0; i < kWorkKinds; ++i) {
+    const Estimate& estimate = server.kinds[i];
+    const Reference& reference = MeasuredReference(service, i, now);
+    const auto distance = SteadyOf(estimate, reference, now);
+    if (!distance) continue;
+    const double error = (reference.spread + kLeastSpread) /
+                         std::sqrt(WeightNow(estimate, now)) /
+                         (i == kind ? kOwnKindPreference : 1.0);
+    if (error >= least_error) continue;
+    least_error = error;
+    steady = *distance;
+  }
+  return steady;
+}
+
+double ServerSpeeds::Moment(const ServerState& server, TimePoint now) {
+  double excess = 0;
+  for (const Estimate& estimate : server.kinds)
+    excess = std::max(excess,
+                      Faded(estimate.excess, estimate.excess_at, now, kMoment));
+  const double reported =
+      Faded(server.reported, server.reported_at, now, kReportedHalfLife);
+  const double moment = reported < 0 ? reported : std::max(excess, reported);
+  return std::abs(moment) <= std::log(kMomentDeadBand) ? 0.0 : moment;
+}
+
+const ServerSpeeds::ServerState* ServerSpeeds::Find(
+    const ServiceId& service, const ServerId& server) const {
+  const auto known = services_.find(service);
+  if (known == services_.end()) return nullptr;
+  const auto state = known->second.servers.find(server);
+  return state == known->second.servers.end() ? nullptr : &state->second;
+}
+
+double ServerSpeeds::SlownessOf(const ServiceId& service,
+                                const ServerId& server, WorkKind kind,
+                                TimePoint now) const {
+  const ServerState* state = Find(service, server);
+  if (state == nullptr) return 1.0;
+  return std::clamp(std::exp(Steady(services_.find(service)->second, *state,
+                                    static_cast<std::size_t>(kind), now) +
+                             Moment(*state, now)),
+                    kLowestSlowness, kHighestSlowness);
+}
+
+double ServerSpeeds::SteadySlownessOf(const ServiceId& service,
+                                      const ServerId& server, WorkKind kind,
+                                      TimePoint now) const {
+  const ServerState* state = Find(service, server);
+  if (state == nullptr) return 1.0;
+  return std::clamp(std::exp(Steady(services_.find(service)->second, *state,
+                                    static_cast<std::size_t>(kind), now)),
+                    kLowestSlowness, kHighestSlowness);
+}
+
+std::vector<SpeedSample> ServerSpeeds::TakeObserved() {
+  std::vector<SpeedSample> samples;
+  for (auto& [service, state] : services_)
+    for (auto& [id, server] : state.servers)
+      for (std::size_t kind = 0; kind < kWorkKinds; ++kind) {
+        Estimate& estimate = server.kinds[kind];
+        if (estimate.new_count == 0) continue;
+        samples.push_back(
+            {service, server.incarnation, static_cast<WorkKind>(kind),
+             estimate.new_sum / estimate.new_count, estimate.new_count});
+        estimate.new_sum = 0;
+        estimate.new_count = 0;
+      }
+  return samples;
+}
+
+std::vector<SpeedSummary> ServerSpeeds::Summaries(TimePoint now) const {
+  std::vector<SpeedSummary> summaries;
+  for (const auto& [id, service] : services_) {
+    std::vector<double> values;
+    for (const auto& [server, state] : service.servers) {
+      double weight = 0;
+      std::size_t best = 0;
+      for (std::size_t kind = 0; kind < kWorkKinds; ++kind) {
+        if (WeightNow(state.kinds[kind], now) <= weight) continue;
+        weight = WeightNow(state.kinds[kind], now);
+        best = kind;
+      }
+      if (weight >= kMinimumWeight)
+        values.push_back(std::exp(Steady(service, state, best, now)));
+    }
+    if (values.empty()) continue;
+    std::sort(values.begin(), values.end());
+    SpeedSummary summary{id, values.size(), values.front(),
+                         values[values.size() / 2], values.back()};
+    summary.below_half = static_cast<std::size_t>(
+        std::count_if(values.begin(), values.end(),
+                      [](double slowness) { return slowness > 2.0; }));
+    summaries.push_back(std::move(summary));
+  }
+  return summaries;
+}
+
+}  // namespace lovagecleat::routing
--- /dev/null
+++ b/tests/routing/server_speed_test.cc
@@ -0,0 +1,291 @@
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <limits>
+#include <string>
+
+#include "routing/routing.h"
+
+// Load patterns: uneven servers, and moments of slow work.
+namespace lovagecleat::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceId kService("v");
+constexpr Duration kExpected = milliseconds(100);
+// Single observations differ by up to this share.
+constexpr double kNoise = 0.2;
+
+ServerIncarnation MakeServer(int number, std::uint64_t started = 1) {
+  return {ServerId("s" + std::to_string(number)), "10.0.0.1:80", "v1", started};
+}
+
+// Observations of servers under virtual time.
+class Observed {
+ public:
+  // Lets `count` observations of each of the servers pass, `gap` apart.
+  // `slowness_of` gives the true slowness of a server.
+  template <typename Slowness>
+  void Observe(int servers, int count, Duration gap, Slowness slowness_of,
+               WorkKind kind = WorkKind::kDecodeStep) {
+    for (int i = 0; i < count; ++i) {
+      now += gap;
+      for (int server = 0; server < servers; ++server)
+        Add(server, slowness_of(server), kind);
+    }
+  }
+
+  void Add(int server, double slowness, WorkKind kind = WorkKind::kDecodeStep) {
+    const double noise = 1 + kNoise * (2 * random.Unit() - 1);
+    speeds.Observe(
+        kService, MakeServer(server), kind,
+        Duration(static_cast<std::int64_t>(
+            static_cast<double>(kExpected.count()) * slowness * noise)),
+        kExpected, now);
+  }
+
+  double Slowness(int server, WorkKind kind = WorkKind::kDecodeStep) const {
+    return speeds.SlownessOf(kService, MakeServer(server).id, kind, now);
+  }
+
+  ServerSpeeds speeds;
+  TimePoint now{seconds(100)};
+  Random random{1};
+};
+
+double Factor(int server) {
+  if (server % 3 == 0) return 0.6;
+  return server % 3 == 1 ? 1.0 : 1.6;
+}
+
+TEST_CASE("Steady differences of speed by a factor of 2.7 are estimated") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(500), Factor);
+  for (int server = 0; server < 12; ++server) {
+    CAPTURE(server);
+    REQUIRE(observed.Slowness(server) == Approx(Factor(server)).epsilon(0.15));
+  }
+}
+
+TEST_CASE("A scale that all servers share doesn't matter") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(500),
+                   [](int server) { return 40 * Factor(server); });
+  REQUIRE(observed.Slowness(2) == Approx(1.6).epsilon(0.15));
+}
+
+// Guards against prompts that leave their homes for nothing.
+TEST_CASE("Servers that differ by noise only have a slowness of exactly 1") {
+  Observed observed;
+  int differing = 0;
+  for (int i = 0; i < 200; ++i) {
+    observed.Observe(12, 1, milliseconds(200),
+                     [](int server) { return server % 2 == 0 ? 1.0 : 1.1; });
+    for (int server = 0; server < 12; ++server)
+      if (observed.Slowness(server) != 1.0) ++differing;
+  }
+  REQUIRE(differing == 0);
+}
+
+TEST_CASE("A moment of slow work is noticed at once and soon forgotten") {
+  Observed observed;
+  const auto even = [](int) { return 1.0; };
+  const auto one_slow = [](int server) { return server == 5 ? 2.5 : 1.0; };
+  observed.Observe(12, 40, milliseconds(250), even);
+  REQUIRE(observed.Slowness(5) == 1.0);
+  observed.Observe(12, 2, milliseconds(100), one_slow);
+  REQUIRE(observed.Slowness(5) > 1.3);
+  observed.Observe(12, 10, milliseconds(100), one_slow);
+  REQUIRE(observed.Slowness(5) > 1.6);
+  REQUIRE(observed.Slowness(4) == 1.0);
+  // It fades without observations too, so that the server is tried again.
+  observed.now += seconds(3);
+  REQUIRE(observed.Slowness(5) < 1.4);
+  observed.Observe(12, 20, milliseconds(200), even);
+  REQUIRE(observed.Slowness(5) == 1.0);
+}
+
+TEST_CASE("A server that turns slow for seconds is trusted again later") {
+  Observed observed;
+  const auto even = [](int) { return 1.0; };
+  observed.Observe(12, 40, milliseconds(250), even);
+  observed.Observe(12, 60, milliseconds(100),
+                   [](int server) { return server == 5 ? 2.5 : 1.0; });
+  REQUIRE(observed.Slowness(5) == Approx(2.5).epsilon(0.25));
+  int until_trusted = 0;
+  while (observed.Slowness(5) != 1.0 && until_trusted < 100) {
+    observed.Observe(12, 1, milliseconds(100), even);
+    ++until_trusted;
+  }
+  REQUIRE(until_trusted > 5);
+  REQUIRE(until_trusted < 60);
+}
+
+TEST_CASE("A slow server without work is tried again after some time") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(500), Factor);
+  REQUIRE(observed.Slowness(2) > 1.3);
+  for (int i = 0; i < 240; ++i) {
+    observed.now += milliseconds(500);
+    for (int server = 0; server < 12; ++server)
+      if (server != 2) observed.Add(server, Factor(server));
+  }
+  REQUIRE(observed.Slowness(2) == 1.0);
+}
+
+TEST_CASE("Outliers move an estimate by little") {
+  Observed observed;
+  observed.Observe(12, 40, milliseconds(250), [](int) { return 1.0; });
+  for (int i = 0; i < 40; ++i) {
+    observed.Observe(12, 1, milliseconds(250), [](int) { return 1.0; });
+    if (i % 10 == 0) observed.Add(3, 500);
+    if (i % 10 == 5) observed.Add(3, 0.001);
+  }
+  observed.now += seconds(2);
+  REQUIRE(observed.Slowness(3) == 1.0);
+}
+
+TEST_CASE("A first observation that is an outlier is bounded") {
+  Observed observed;
+  const auto even = [](int) { return 1.0; };
+  observed.Observe(11, 20, milliseconds(250), even);
+  observed.Add(11, 10'000);
+  REQUIRE(observed.Slowness(11) == 1.0);
+  observed.Observe(12, 30, milliseconds(250), even);
+  observed.now += seconds(2);
+  REQUIRE(observed.Slowness(11) == 1.0);
+}
+
+TEST_CASE("Unknown servers and those with few observations are at the median") {
+  Observed observed;
+  REQUIRE(observed.Slowness(0) == 1.0);
+  observed.Observe(12, 20, milliseconds(500), Factor);
+  REQUIRE(observed.Slowness(77) == 1.0);
+  observed.Add(77, 3.0);
+  REQUIRE(observed.Slowness(77) == 1.0);
+  // Without a median of several servers nothing is known.
+  Observed alone;
+  alone.Observe(2, 40, milliseconds(100),
+                [](int server) { return 1.0 + server; });
+  REQUIRE(alone.Slowness(1) == 1.0);
+}
+
+TEST_CASE("Another kind of work tells of a server until its own kind does") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(200), Factor);
+  REQUIRE(observed.Slowness(2, WorkKind::kPrefill) ==
+          Approx(1.6).epsilon(0.15));
+  observed.Observe(
+      12, 40, milliseconds(200), [](int) { return 1.0; }, WorkKind::kPrefill);
+  REQUIRE(observed.Slowness(2, WorkKind::kPrefill) == 1.0);
+}
+
+TEST_CASE("A restart of a server forgets its estimate") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(500), Factor);
+  REQUIRE(observed.Slowness(2) > 1.3);
+  observed.speeds.Observe(kService, MakeServer(2, 2), WorkKind::kDecodeStep,
+                          kExpected, kExpected, observed.now);
+  REQUIRE(observed.Slowness(2) == 1.0);
+}
+
+TEST_CASE("A server's own figure counts at once and for a moment") {
+  Observed observed;
+  const auto set = [&](double slowdown) {
+    observed.speeds.SetReported(kService, MakeServer(3), slowdown,
+                                observed.now);
+  };
+  set(2.5);
+  REQUIRE(observed.Slowness(3) == Approx(2.5));
+  set(1.0);
+  REQUIRE(observed.Slowness(3) == 1.0);
+  set(2.5);
+  observed.now += seconds(2);
+  REQUIRE(observed.Slowness(3) == 1.0);
+  // It is not counted again in what is observed meanwhile.
+  observed.Observe(12, 20, milliseconds(100), [](int) { return 1.0; });
+  for (int i = 0; i < 20; ++i) {
+    set(2.5);
+    observed.Add(3, 2.5);
+  }
+  REQUIRE(observed.Slowness(3) == Approx(2.5).epsilon(0.15));
+}
+
+TEST_CASE("Times and figures that make no sense are ignored") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(500), Factor);
+  const double before = observed.Slowness(2);
+  const auto observe = [&](Duration taken, Duration expected) {
+    observed.speeds.Observe(kService, MakeServer(2), WorkKind::kDecodeStep,
+                            taken, expected, observed.now);
+  };
+  observe(Duration::zero(), kExpected);
+  observe(Duration(-5), kExpected);
+  observe(kExpected, Duration::zero());
+  observe(kExpected, Duration(-1));
+  for (const double slowdown :
+       {0.0, -1.0, std::nan(""), std::numeric_limits<double>::infinity()})
+    observed.speeds.SetReported(kService, MakeServer(2), slowdown,
+                                observed.now);
+  SpeedSample sample{kService, MakeServer(2), WorkKind::kDecodeStep, 0, 100};
+  for (const double log_ratio :
+       {std::nan(""), 1e300, -std::numeric_limits<double>::infinity()}) {
+    sample.log_ratio = log_ratio;
+    observed.speeds.Merge(sample, observed.now);
+  }
+  sample.log_ratio = 0;
+  sample.count = 0;
+  observed.speeds.Merge(sample, observed.now);
+  sample.count = 1;
+  sample.kind = static_cast<WorkKind>(17);
+  observed.speeds.Merge(sample, observed.now);
+  REQUIRE(observed.Slowness(2) == before);
+  observed.speeds.SetReported(kService, MakeServer(2), 1e6, observed.now);
+  REQUIRE(observed.Slowness(2) == ServerSpeeds::kHighestSlowness);
+  observed.speeds.SetReported(kService, MakeServer(2), 1e-6, observed.now);
+  REQUIRE(observed.Slowness(2) == ServerSpeeds::kLowestSlowness);
+}
+
+TEST_CASE("Observations of other hosts are merged, those told not told again") {
+  Observed host;
+  host.Observe(12, 20, milliseconds(500), Factor);
+  const std::vector<SpeedSample> told = host.speeds.TakeObserved();
+  REQUIRE(told.size() == 12);
+  REQUIRE(host.speeds.TakeObserved().empty());
+  Observed other;
+  other.now = host.now;
+  for (int i = 0; i < 2; ++i)
+    for (const SpeedSample& sample : told)
+      other.speeds.Merge(sample, other.now);
+  other.now += seconds(1);
+  REQUIRE(other.Slowness(2) == Approx(1.6).epsilon(0.15));
+  REQUIRE(other.Slowness(0) == Approx(0.6).epsilon(0.25));
+  REQUIRE(other.speeds.TakeObserved().empty());
+}
+
+TEST_CASE("The number of servers that are kept is bounded") {
+  ServerSpeeds speeds;
+  const TimePoint now{seconds(1)};
+  const int count = static_cast<int>(ServerSpeeds::kMaximumServers);
+  for (int i = 0; i < count + 50; ++i)
+    speeds.Observe(kService, MakeServer(i), WorkKind::kPlain, kExpected,
+                   kExpected, now + Duration(i));
+  REQUIRE(speeds.size() == ServerSpeeds::kMaximumServers);
+}
+
+TEST_CASE("A summary tells how uneven the servers of a service are") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(500), [](int server) {
+    return server == 0 ? 4.0 : Factor(server);
+  });
+  const auto summaries = observed.speeds.Summaries(observed.now);
+  REQUIRE(summaries.size() == 1);
+  REQUIRE(summaries.front().servers == 12);
+  REQUIRE(summaries.front().below_half == 1);
+  REQUIRE(summaries.front().lowest == Approx(0.6).epsilon(0.2));
+  REQUIRE(summaries.front().highest == Approx(4.0).epsilon(0.3));
+}
+
+}  // namespace
+}  // namespace lovagecleat::routing
