Gateway: Place requests by the speed of their servers

The servers fall into three groups, 16, 28 and 45 to 60 ms for an event.

A server is now the home of prompt parts in proportion to 1/slowness^2 (weighted rendezvous hashing of the steady part), and its slowness multiplies the expected delay there, the own prefill included. Plain servers, stage calls, the capacity of a stage and the prefill in a stage item's soft deadline use the estimate too. Without estimates beyond the dead band the order is that of before.

A server that only is slow is no longer suspended: CallResult::kSlow has no effect, and kHung counts as kSlow did before. A call is hung if no event of any stream of this host came from its server within the limit.

--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -141,30 +141,34 @@
       });
 }
 
-double BatchScheduler::SlownessNow(const ServerId& server,
-                                   TimePoint now) const {
-  const auto state = states_.find(server);
-  return state == states_.end() ? 1.0 : SlownessNow(state->second, now);
+double BatchScheduler::SlownessNow(const ServerRecord& server, TimePoint now,
+                                   const SpeedView& speeds) const {
+  const auto state = states_.find(server.entry.id);
+  const double observed =
+      state == states_.end() ? 1.0 : SlownessNow(state->second, now);
+  const double told = speeds.SlownessOf(server.entry, WorkKind::kStageCall);
+  return told > 1.0 ? std::max(observed, told) : observed;
 }
 
 double BatchScheduler::Capacity(std::span<ServerRecord* const> servers,
-                                TimePoint now) const {
+                                TimePoint now, const SpeedView& speeds) const {
   double capacity = 0;
   for (const ServerRecord* server : servers)
-    capacity += 1.0 / std::max(1.0, SlownessNow(server->entry.id, now));
+    capacity += 1.0 / std::max(1.0, SlownessNow(*server, now, speeds));
   return capacity;
 }
 
 bool BatchScheduler::AreAllSlow(std::span<ServerRecord* const> servers,
-                                TimePoint now) const {
+                                TimePoint now, const SpeedView& speeds) const {
   return std::all_of(servers.begin(), servers.end(),
                      [&](const ServerRecord* server) {
-                       return SlownessNow(server->entry.id, now) >= kSlowFactor;
+                       return SlownessNow(*server, now, speeds) >= kSlowFactor;
                      });
 }
 
 std::vector<BatchCall> BatchScheduler::TakeCalls(
-    std::span<ServerRecord* const> servers, TimePoint now) {
+    std::span<ServerRecord* const> servers, TimePoint now,
+    const SpeedView& speeds) {
   std::vector<BatchCall> calls;
   if (queue_.empty()) return calls;
   SortQueue(now);
@@ -172,22 +176,25 @@
   bool has_fast_server = false;
   for (ServerRecord* server : servers) {
     const ServerState& state = states_[server->entry.id];
-    has_fast_server = has_fast_server || SlownessNow(state, now) < kSlowFactor;
+    has_fast_server =
+        has_fast_server || SlownessNow(*server, now, speeds) < kSlowFactor;
     if (IsFree(state, now)) free.push_back(server);
   }
   std::sort(free.begin(), free.end(),
-            [this, now](const ServerRecord* a, const ServerRecord* b) {
-              const auto cost = [this, now](const ServerRecord* server) {
+            [&](const ServerRecord* a, const ServerRecord* b) {
+              const auto cost = [&](const ServerRecord* server) {
                 const ServerState& state = states_[server->entry.id];
                 const int waiting = server->load ? server->load->waiting : 0;
                 const auto running = static_cast<double>(state.calls.size());
-                return SlownessNow(state, now) * (1 + waiting + running);
+                return SlownessNow(*server, now, speeds) *
+                       (1 + waiting + running);
               };
               return cost(a) < cost(b);
             });
   for (ServerRecord* server : free) {
     ServerState& state = states_[server->entry.id];
-    if (has_fast_server && SlownessNow(state, now) >= kSlowFactor) continue;
+    if (has_fast_server && SlownessNow(*server, now, speeds) >= kSlowFactor)
+      continue;
     // The calls chosen above may have left less than a full batch.
     if (!IsFree(state, now)) continue;
     std::vector<QueuedItem> items = TakeItems(state, now);
@@ -243,21 +250,24 @@
   if (!state.calls.empty()) state.calls.pop_back();
 }
 
-void BatchScheduler::EndCall(const ServerId& server, std::size_t items,
-                             std::optional<Duration> served, TimePoint now) {
+std::optional<Duration> BatchScheduler::EndCall(const ServerId& server,
+                                                std::size_t items,
+                                                std::optional<Duration> served,
+                                                TimePoint now) {
   ServerState& state = states_[server];
-  if (state.calls.empty()) return;
+  if (state.calls.empty()) return std::nullopt;
   // Excludes the time that the call was queued behind an earlier one.
   const Duration service_time =
       std::min(served.value_or(Duration::zero()), now - state.started_at());
   state.calls.pop_front();
   state.ended_at = now;
-  if (!served) return;
+  if (!served) return std::nullopt;
   const double ratio = static_cast<double>(service_time.count()) /
                        static_cast<double>(CallTime(items).count());
   const double before = SlownessNow(state, now);
   state.slowness = before + kSlownessGain * (ratio - before);
   state.slowness_at = now;
+  return service_time;
 }
 
 void BatchScheduler::DeferCalls(const ServerId& server, TimePoint until) {
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -14,6 +14,7 @@
 #include "base/base.h"
 #include "routing/model.h"
 #include "routing/server_directory.h"
+#include "routing/server_speed.h"
 #include "routing/stage_plan.h"
 
 namespace lovagecleat::routing {
@@ -71,16 +72,20 @@
   std::vector<QueuedItem> TakeAll() { return std::exchange(queue_, {}); }
 
   // Chooses calls for the servers to which this host may send one now.
+  // `speeds` tells of servers that are slower than their calls here show, by
+  // what other hosts saw or the servers themselves say.
   std::vector<BatchCall> TakeCalls(std::span<ServerRecord* const> servers,
-                                   TimePoint now);
+                                   TimePoint now, const SpeedView& speeds = {});
 
   // Records that the newest call of TakeCalls for the server was not sent.
   void CancelCall(const ServerId& server);
 
   // Records the end of the oldest call to the server. `served` is its duration,
-  // or nothing if that does not measure the server's speed.
-  void EndCall(const ServerId& server, std::size_t items,
-               std::optional<Duration> served, TimePoint now);
+  // or nothing if that does not measure the server's speed. Returns the time
+  // for which the server worked on it, if that is known.
+  std::optional<Duration> EndCall(const ServerId& server, std::size_t items,
+                                  std::optional<Duration> served,
+                                  TimePoint now);
 
   // Sends no call to the server before `until`, since it had no free slot or no
   // memory for a result.
@@ -115,10 +120,12 @@
 
   // Returns the servers' total speed, in units of one server of the expected
   // speed.
-  double Capacity(std::span<ServerRecord* const> servers, TimePoint now) const;
+  double Capacity(std::span<ServerRecord* const> servers, TimePoint now,
+                  const SpeedView& speeds = {}) const;
 
   // Returns whether every server is much slower than expected.
-  bool AreAllSlow(std::span<ServerRecord* const> servers, TimePoint now) const;
+  bool AreAllSlow(std::span<ServerRecord* const> servers, TimePoint now,
+                  const SpeedView& speeds = {}) const;
 
   std::size_t queue_size() const { return queue_.size(); }
 
@@ -155,7 +162,8 @@
   bool IsFree(const ServerState& state, TimePoint now) const;
   TimePoint PipelinedCallAt(const ServerState& state) const;
   double SlownessNow(const ServerState& state, TimePoint now) const;
-  double SlownessNow(const ServerId& server, TimePoint now) const;
+  double SlownessNow(const ServerRecord& server, TimePoint now,
+                     const SpeedView& speeds) const;
   std::vector<QueuedItem> TakeItems(const ServerState& state, TimePoint now);
   static std::int64_t ExternalBytes(const ServerState& state, TimePoint now);
 
--- a/libraries/routing/prompt_placement.cc
+++ b/libraries/routing/prompt_placement.cc
@@ -1,6 +1,7 @@
 #include "routing/prompt_placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 
 namespace lovagecleat::routing {
@@ -20,15 +21,39 @@
 // inference engines batch requests.
 constexpr double kDelayPerRunningRequestMs = 0.5;
 
-std::uint64_t Rank(const ServerRecord& server, std::string_view part) {
-  return StableHash(server.entry.id.value(), StableHash(part));
-}
-
-void OrderByRank(std::vector<ServerRecord*>& servers, std::string_view part) {
-  std::sort(servers.begin(), servers.end(),
-            [part](const ServerRecord* a, const ServerRecord* b) {
-              return Rank(*a, part) > Rank(*b, part);
+// A server's part of the homes falls with this power of its slowness. With 1
+// all servers would be equally busy; with more, slow servers keep free time, so
+// that pauses of streams stay short there.
+constexpr double kHomeSharePower = 2.0;
+
+// Orders the servers by weighted rendezvous hashing. Without weights (all 1)
+// that is the order of the hashes.
+void OrderByRank(std::vector<ServerRecord*>& servers, std::string_view part,
+                 const SpeedView& speeds) {
+  struct Ranked {
+    ServerRecord* server;
+    std::uint64_t hash;
+    double key;
+  };
+  const std::uint64_t part_hash = StableHash(part);
+  std::vector<Ranked> ranked;
+  ranked.reserve(servers.size());
+  bool is_even = true;
+  for (ServerRecord* server : servers) {
+    const double slowness =
+        speeds.SteadySlownessOf(server->entry, WorkKind::kPrefill);
+    const std::uint64_t hash = StableHash(server->entry.id.value(), part_hash);
+    is_even = is_even && slowness == 1.0;
+    const double unit = (static_cast<double>(hash) + 1.0) * 0x1p-64;
+    ranked.push_back(
+        {server, hash, -std::log(unit) * std::pow(slowness, kHomeSharePower)});
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [is_even](const Ranked& a, const Ranked& b) {
+              return is_even ? a.hash > b.hash : a.key < b.key;
             });
+  std::transform(ranked.begin(), ranked.end(), servers.begin(),
+                 [](const Ranked& entry) { return entry.server; });
 }
 
 // Returns the expected delay in milliseconds, from this host's own requests.
@@ -58,11 +83,11 @@
 };
 
 HomeOrder OrderHomes(std::span<ServerRecord* const> usable,
-                     const Prompt& prompt) {
+                     const Prompt& prompt, const SpeedView& speeds) {
   HomeOrder order;
   order.servers.assign(usable.begin(), usable.end());
   if (prompt.parts.size() < 2 || usable.empty()) return order;
-  OrderByRank(order.servers, prompt.parts.front().id);
+  OrderByRank(order.servers, prompt.parts.front().id, speeds);
   order.group = std::min(
       std::max(kMinimumGroupSize, order.servers.size() / kGroupDivisor),
       order.servers.size());
@@ -71,7 +96,7 @@
   std::vector<ServerRecord*> group_servers(
       order.servers.begin(),
       order.servers.begin() + static_cast<std::ptrdiff_t>(order.group));
-  OrderByRank(group_servers, last_shared_part);
+  OrderByRank(group_servers, last_shared_part, speeds);
   std::copy(group_servers.begin(), group_servers.end(), order.servers.begin());
   return order;
 }
@@ -90,25 +115,31 @@
 
 PromptServerChoice PromptPlacement::Choose(
     std::span<ServerRecord* const> usable, const Prompt& prompt,
-    std::size_t host_count) const {
-  const HomeOrder order = OrderHomes(usable, prompt);
+    std::size_t host_count, const SpeedView& speeds) const {
+  const HomeOrder order = OrderHomes(usable, prompt, speeds);
+  const std::uint32_t own_tokens =
+      prompt.prompt_tokens -
+      std::min(prompt.prompt_tokens, prompt.SharedTokens());
+  const double own_prefill_ms = own_tokens / kPrefillTokensPerMillisecond;
   PromptServerChoice best;
   double best_cost = 0;
   double best_uncached = 0;
   for (std::size_t i = 0; i < order.servers.size(); ++i) {
     const double uncached = UncachedTokensAt(order, i, prompt);
-    const double cost =
+    const double delay_ms =
         ExpectedDelayMs(*order.servers[i], host_count) +
         kCacheMissWeight * uncached / kPrefillTokensPerMillisecond;
+    const double slowness =
+        speeds.SlownessOf(order.servers[i]->entry, WorkKind::kPrefill);
+    // The own prefill at the median server is the same for all and left out.
+    const double cost = delay_ms + (slowness - 1) * (delay_ms + own_prefill_ms);
     if (best.server != nullptr && cost >= best_cost) continue;
     best.server = order.servers[i];
     best.home_rank = i;
+    best.slowness = slowness;
     best_cost = cost;
     best_uncached = uncached;
   }
-  const std::uint32_t own_tokens =
-      prompt.prompt_tokens -
-      std::min(prompt.prompt_tokens, prompt.SharedTokens());
   best.prefill_tokens = own_tokens + static_cast<std::uint64_t>(best_uncached);
   return best;
 }
--- a/libraries/routing/prompt_placement.h
+++ b/libraries/routing/prompt_placement.h
@@ -6,6 +6,7 @@
 
 #include "routing/model.h"
 #include "routing/server_directory.h"
+#include "routing/server_speed.h"
 
 namespace lovagecleat::routing {
 
@@ -25,6 +26,7 @@
   // server does not cache.
   std::uint64_t prefill_tokens = 0;
   std::size_t home_rank = 0;  // rank among the prompt's home servers, from 0
+  double slowness = 1;        // expected at that server
 };
 
 // Chooses the server whose cache most likely holds the shared parts of a
@@ -32,16 +34,21 @@
 // another server is faster. All hosts agree on the home servers of a part
 // without messages, by rendezvous hashing. Handles the load pattern "hot key":
 // requests beyond the capacity of the first home go to the next in order.
+// Handles "uneven servers": a server is the home of fewer parts the slower it
+// is. Handles "moment of slow work": a slow server is left for one that begins
+// the response earlier although it reads shared parts again.
 class PromptPlacement {
  public:
-  // Prefill speed of a server, from the deployments' data sheets. Only the
-  // relative weight of the loads depends on it.
+  // Prefill speed of the median server, from the deployments' data sheets. Only
+  // the relative weight of the loads depends on it.
   static constexpr double kPrefillTokensPerMillisecond = 30.9;
 
   // `host_count` is the number of hosts that place requests on these servers.
-  // The result has no server if `usable` is empty.
+  // The result has no server if `usable` is empty. The choice among servers of
+  // one slowness does not depend on `speeds`.
   PromptServerChoice Choose(std::span<ServerRecord* const> usable,
-                            const Prompt& prompt, std::size_t host_count) const;
+                            const Prompt& prompt, std::size_t host_count,
+                            const SpeedView& speeds = {}) const;
 };
 
 }  // namespace lovagecleat::routing
--- a/libraries/routing/server_directory.cc
+++ b/libraries/routing/server_directory.cc
@@ -9,7 +9,7 @@
 // Consecutive failures after which a server is suspended. A single error may be
 // caused by the request itself.
 constexpr int kFailuresToSuspend = 2;
-constexpr int kSlowCallsToSuspend = 4;
+constexpr int kHungCallsToSuspend = 4;
 constexpr Duration kInitialSuspension = std::chrono::milliseconds(500);
 constexpr Duration kMaximumSuspension = std::chrono::milliseconds(4000);
 
@@ -233,7 +233,7 @@
 void ServerDirectory::ForgetFailures() {
   for (auto& [id, record] : servers_) {
     record.consecutive_failures = 0;
-    record.consecutive_slow_calls = 0;
+    record.consecutive_hung_calls = 0;
     record.suspended_until = TimePoint{};
     record.cold_until = record.known_cold_until;
     if (record.in_flight == 0) record.silent_since.reset();
@@ -247,15 +247,17 @@
   switch (result) {
     case CallResult::kSuccess:
       record->consecutive_failures = 0;
-      record->consecutive_slow_calls = 0;
+      record->consecutive_hung_calls = 0;
       record->suspended_until = TimePoint{};
       return;
     case CallResult::kNoEvidence:
-      return;
     case CallResult::kSlow:
+      // A slow server gets less work by its estimate (see ServerSpeeds).
+      return;
+    case CallResult::kHung:
       // A loaded server recovers by itself; moving its requests would only load
       // another server.
-      if (++record->consecutive_slow_calls < kSlowCallsToSuspend) return;
+      if (++record->consecutive_hung_calls < kHungCallsToSuspend) return;
       record->consecutive_failures =
           std::max(record->consecutive_failures, kFailuresToSuspend);
       break;
--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -38,7 +38,9 @@
   // or when something came last while calls were in flight.
   std::optional<TimePoint> silent_since;
   int consecutive_failures = 0;
-  int consecutive_slow_calls = 0;
+  int consecutive_hung_calls = 0;
+  // When an event of a stream came last.
+  TimePoint progressed_at{};
   // The server may be cold until this time.
   TimePoint cold_until{};
   // The same without regard to failed calls, after which it may have restarted.
@@ -61,7 +63,8 @@
 enum class CallResult {
   kSuccess,
   kNoEvidence,  // no evidence about its health, such as no free slot
-  kSlow,        // no response within the time limit of this attempt
+  kSlow,        // left within its time limit, while the server worked on
+  kHung,        // no event of a stream within the time limit, from any stream
   kFailed,      // an error, a broken connection, or a timeout
   kUnreachable,
 };
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -37,8 +37,10 @@
   // Whether this host learns of changes in the store, from it or from a host
   // that reads it.
   bool is_store_available = false;
+  routing::ServerSpeeds speeds{};
 
   TimePoint Now() const { return loop.clock().Now(); }
+  routing::SpeedView SpeedsNow() const { return {speeds, Now()}; }
 
   routing::ColdRateLimit ColdRateLimitOf(const ServiceId& service) const {
     const routing::Service* found =
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -322,6 +322,7 @@
 
 void RequestFlow::OnDeadline() {
   if (call_) {
+    ObserveMissingEvent();
     EndSend(ResultOfSilence(), "time_up");
     send_state_ = SendState::kUnknown;
   }
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -160,6 +160,11 @@
 
   // Response.
   void ForwardStreamBytes(std::string_view bytes);
+  // Records how long the server took for `events` more events of the stream.
+  void ObserveEvents(std::size_t events);
+  void ObserveSpeed(routing::WorkKind kind, Duration taken, Duration expected);
+  // Records that the server has not sent the first event until now.
+  void ObserveMissingEvent();
   void RememberOrigin();
   bool IsNextOrSeenEvent(const http::RawEvent& event);
   void BeginResponse(std::optional<std::uint64_t> length);
@@ -249,6 +254,13 @@
   // Rank of the server among the home servers of the prompt.
   std::size_t home_rank_ = 0;
   bool counts_pending_tokens_ = false;
+  // Prompt tokens of this host that the server had to process before these.
+  std::uint64_t tokens_ahead_ = 0;
+  // Newest event of the last send, and the gaps between its events.
+  std::optional<TimePoint> event_at_;
+  routing::EventGaps event_gaps_;
+  // Slowness of the server that would get the request, when its stages began.
+  double expected_slowness_ = 1;
 
   http::ResponseHead head_;
   ResponseMetadata response_metadata_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -28,6 +28,19 @@
 constexpr std::uint64_t kMaximumBodyBytes = std::uint64_t{64} * 1024 * 1024;
 // Responses with a failure status are buffered whole.
 constexpr std::size_t kMaximumFailureBytes = std::size_t{1024} * 1024;
+// Shorter prompts are read within the time of other work.
+constexpr std::uint64_t kMinimumPrefillTokens = 500;
+// Time to the first event beside prefill.
+constexpr Duration kFirstEventTime = milliseconds(40);
+// Nominal; only its ratio between servers counts.
+constexpr Duration kExpectedEventGap = milliseconds(30);
+
+Duration PrefillTime(std::uint64_t tokens) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          static_cast<double>(tokens) /
+          routing::PromptPlacement::kPrefillTokensPerMillisecond));
+}
 
 // Returns the fields of a server's response that are forwarded to the caller.
 http::HeaderFields FieldsForCaller(const http::ResponseHead& head) {
@@ -64,8 +77,11 @@
                                 call_->connected_at().value_or(Now()),
                                 sent_at_});
   routing::ServerRecord* server = context_.directory.Find(server_);
-  if (server != nullptr && response_metadata_.load)
-    server->load = response_metadata_.load;
+  if (server == nullptr || !response_metadata_.load) return;
+  server->load = response_metadata_.load;
+  if (server->load->slowdown)
+    context_.speeds.SetReported(service_, incarnation_, *server->load->slowdown,
+                                Now());
 }
 
 void RequestFlow::OnResponseBody(std::string_view bytes) {
@@ -89,7 +105,9 @@
 
 void RequestFlow::ForwardStreamBytes(std::string_view bytes) {
   std::string passed;
+  std::size_t received = 0;
   for (const http::RawEvent& event : splitter_.Feed(bytes)) {
+    ++received;
     if (!IsNextOrSeenEvent(event)) {
       EndSend(routing::CallResult::kFailed, "event_gap");
       ++runs_;
@@ -101,6 +119,7 @@
     passed.append(event.bytes);
     ++events_;
   }
+  ObserveEvents(received);
   if (passed.empty() && splitter_.has_failed())
     return OnBrokenResponse("too_large");
   if (passed.empty()) return;
@@ -128,6 +147,36 @@
                                 route_->stream_gap_target * kGapTimeoutFactor));
 }
 
+void RequestFlow::ObserveSpeed(routing::WorkKind kind, Duration taken,
+                               Duration expected) {
+  context_.speeds.Observe(service_, incarnation_, kind, taken, expected, Now());
+}
+
+// Several events may be read at once.
+void RequestFlow::ObserveEvents(std::size_t events) {
+  if (events == 0) return;
+  const TimePoint now = Now();
+  routing::ServerRecord* server = context_.directory.Find(server_);
+  if (server != nullptr) server->progressed_at = now;
+  if (!event_at_) {
+    // Prompts ahead and the rest of the work hide the speed.
+    if (tokens_ahead_ == 0 && pending_tokens_ >= kMinimumPrefillTokens)
+      ObserveSpeed(routing::WorkKind::kPrefill, now - sent_at_,
+                   PrefillTime(pending_tokens_) + kFirstEventTime);
+  } else if (const auto gap = event_gaps_.Add(
+                 (now - *event_at_) / static_cast<std::int64_t>(events))) {
+    ObserveSpeed(routing::WorkKind::kDecodeStep, *gap, kExpectedEventGap);
+  }
+  event_at_ = now;
+}
+
+void RequestFlow::ObserveMissingEvent() {
+  if (IsStream() && !event_at_ && pending_tokens_ > 0)
+    ObserveSpeed(
+        routing::WorkKind::kPrefill, Now() - sent_at_,
+        PrefillTime(pending_tokens_ + tokens_ahead_) + kFirstEventTime);
+}
+
 // Called before the first event is forwarded, since callers may resume the
 // stream from then on.
 void RequestFlow::RememberOrigin() {
@@ -185,6 +234,9 @@
     return Retry("not_whole");
   }
   content_watch_.OnComplete(!http::EndsWithConnection(head_));
+  if (!IsStream())
+    ObserveSpeed(routing::WorkKind::kPlain, Now() - sent_at_,
+                 route_->latency_target);
   EndSend(routing::CallResult::kSuccess, "done");
   if (has_begun_response_) {
     exchange_->FinishResponse();
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -90,20 +90,24 @@
   if (usable.empty()) return {};
   if (route_->uses_prompts)
     return context_.placement.Choose(usable, request_.prompt,
-                                     context_.host_count);
+                                     context_.host_count, context_.SpeedsNow());
   return {ChooseLeastLoadedServer(usable), 0, 0};
 }
 
 routing::ServerRecord* RequestFlow::ChooseLeastLoadedServer(
     std::span<routing::ServerRecord* const> usable) {
+  const routing::SpeedView speeds = context_.SpeedsNow();
   routing::ServerRecord* best = nullptr;
   double best_load = 0;
   for (routing::ServerRecord* server : usable) {
     const bool is_in_own_zone = server->entry.zone == context_.settings.zone;
     // A server in the own zone is preferred up to one call more in flight; the
     // random term breaks ties.
-    const double load = server->in_flight + (is_in_own_zone ? 0.0 : 0.9) +
-                        0.2 * context_.random.Unit();
+    const double slowness =
+        speeds.SlownessOf(server->entry, routing::WorkKind::kPlain);
+    const double load =
+        server->in_flight + (slowness - 1) * (server->in_flight + 1) +
+        (is_in_own_zone ? 0.0 : 0.9) + 0.2 * context_.random.Unit();
     if (best != nullptr && load >= best_load) continue;
     best = server;
     best_load = load;
@@ -212,6 +216,9 @@
   tried_.push_back(server_);
   ++server.in_flight;
   home_rank_ = choice.home_rank;
+  tokens_ahead_ = server.pending_tokens;
+  event_at_.reset();
+  event_gaps_ = {};
   pending_tokens_ = choice.prefill_tokens;
   server.pending_tokens += pending_tokens_;
   counts_pending_tokens_ = true;
@@ -256,7 +263,7 @@
 }
 
 // Returns what a server without a response shows. One that answers other calls
-// meanwhile is not silent.
+// meanwhile is not silent, and one that works on other streams is only slow.
 routing::CallResult RequestFlow::ResultOfSilence() const {
   const routing::ServerRecord* server = context_.directory.Find(server_);
   const bool is_silent = !heard_at_ && server != nullptr &&
@@ -264,8 +271,11 @@
                          *server->silent_since <= sent_at_;
   if (is_silent && Now() - *server->silent_since < kSoundSilence)
     return routing::CallResult::kNoEvidence;
+  if (!IsStream()) return routing::CallResult::kFailed;
   // A long stream may reach its deadline at a sound server.
-  return IsStream() ? routing::CallResult::kSlow : routing::CallResult::kFailed;
+  const bool has_progress =
+      server != nullptr && server->progressed_at > Now() - kSilenceTimeout;
+  return has_progress ? routing::CallResult::kSlow : routing::CallResult::kHung;
 }
 
 void RequestFlow::StartResponseTimer(Duration limit) {
@@ -284,6 +294,7 @@
 }
 
 void RequestFlow::LeaveServer() {
+  ObserveMissingEvent();
   EndSend(ResultOfSilence(), "silent");
   ++runs_;
   send_state_ = SendState::kUnknown;
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -13,10 +13,10 @@
 // zone at most this often per request, over all stages.
 constexpr int kMaximumStageFailures = 12;
 
-Duration PrefillTime(const routing::Prompt& prompt) {
+Duration PrefillTime(const routing::Prompt& prompt, double slowness) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(
-          prompt.prompt_tokens /
+          slowness * prompt.prompt_tokens /
           routing::PromptPlacement::kPrefillTokensPerMillisecond));
 }
 
@@ -32,11 +32,11 @@
     if (plan_->IsFinal(i))
       final_bytes += plan_->item_count(i) * plan_->stage(i).result_bytes;
   }
-  const routing::ServerRecord* likely =
-      context_.placement
-          .Choose(context_.directory.Usable(service_, Now()), request_.prompt,
-                  context_.host_count)
-          .server;
+  const routing::PromptServerChoice choice = context_.placement.Choose(
+      context_.directory.Usable(service_, Now()), request_.prompt,
+      context_.host_count, context_.SpeedsNow());
+  const routing::ServerRecord* likely = choice.server;
+  expected_slowness_ = choice.slowness;
   std::vector<routing::ZoneCandidate> candidates;
   for (const ZoneId& zone : zones) {
     routing::ZoneCandidate candidate;
@@ -82,7 +82,9 @@
     longest =
         std::max(longest, time_of(plan_->stage(i)) + TimeAfter(i, time_of));
   }
-  return longest > Duration::zero() ? longest : PrefillTime(request_.prompt);
+  return longest > Duration::zero()
+             ? longest
+             : PrefillTime(request_.prompt, expected_slowness_);
 }
 
 Duration RequestFlow::ExpectedTimeAfter(std::size_t stage) {
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -95,7 +95,12 @@
     // The server that now has the address says nothing of the one before.
     const bool has_load =
         response_metadata_.load && !response_metadata_.is_wrong_server;
-    if (server != nullptr && has_load) server->load = response_metadata_.load;
+    if (server == nullptr || !has_load) return;
+    server->load = response_metadata_.load;
+    if (server->load->slowdown)
+      runner_.context_.speeds.SetReported(queue_.location.service, incarnation_,
+                                          *server->load->slowdown,
+                                          runner_.context_.Now());
   }
 
   void OnResponseBody(std::string_view bytes) override { body_.append(bytes); }
@@ -202,8 +207,12 @@
     loop().Cancel(slow_timer_);
     loop().Cancel(hedge_timer_);
     self_handle_.reset();
-    queue_.scheduler.EndCall(call_.server, call_.items.size(), call_duration,
-                             now);
+    const auto service_time = queue_.scheduler.EndCall(
+        call_.server, call_.items.size(), call_duration, now);
+    if (service_time)
+      context.speeds.Observe(
+          queue_.location.service, incarnation_, routing::WorkKind::kStageCall,
+          *service_time, queue_.scheduler.CallTime(call_.items.size()), now);
     context.directory.Report(call_.server, result, now);
     context.metrics.Count("lovagecleat_batch_calls_total",
                           {{"outcome", std::string(outcome)}});
@@ -449,7 +458,8 @@
       now - queue.expiry_checked_at < kExpiryCheckPeriod)
     return;
   queue.expiry_checked_at = now;
-  const double capacity = queue.scheduler.Capacity(servers, now);
+  const routing::SpeedView speeds = context_.SpeedsNow();
+  const double capacity = queue.scheduler.Capacity(servers, now, speeds);
   for (const routing::QueuedItem& item :
        queue.scheduler.TakeInfeasible(capacity, now))
     DropCopy(item, ItemOutcome::kDeadlinePassed, queue.location);
@@ -461,11 +471,12 @@
                     return server->entry.zone != queue.location.zone;
                   });
   if (servers.empty() ||
-      (has_other_zone && queue.scheduler.AreAllSlow(servers, now))) {
+      (has_other_zone && queue.scheduler.AreAllSlow(servers, now, speeds))) {
     HandBackItems(queue);
     return;
   }
-  for (routing::BatchCall& call : queue.scheduler.TakeCalls(servers, now))
+  for (routing::BatchCall& call :
+       queue.scheduler.TakeCalls(servers, now, speeds))
     StartCall(queue, std::move(call));
 }
 
@@ -785,8 +796,8 @@
 StageLoad StageRunner::MeasureLoad(StageQueue& queue) {
   StageLoad load;
   load.location = queue.location;
-  load.capacity =
-      queue.scheduler.Capacity(ServersAt(queue.location), context_.Now());
+  load.capacity = queue.scheduler.Capacity(
+      ServersAt(queue.location), context_.Now(), context_.SpeedsNow());
   for (std::size_t i = 0; i < kLoadPriorities; ++i)
     load.waiting[i] = queue.scheduler.ItemsAhead(static_cast<int>(i));
   return load;
