Gateway: Share what hosts see of their servers' speed

Once a second a host sends what it observed since its last message to the other hosts of its zone, at most 40, with 256 samples at most, and nothing if it observed nothing. Samples of servers that the receiver does not list, or of another start of one, are left out.

--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -139,6 +139,15 @@
           [this] {
             for (RequestFlow* flow : OpenRequests()) flow->OnContentBlocked();
           }),
+      speed_exchange_(
+          context_,
+          [this](const std::string& peer) { return stages_.IsReachable(peer); },
+          [this](const std::string& peer,
+                 const messages::ServerSpeeds& speeds) {
+            messages::PeerMessage message;
+            *message.mutable_server_speeds() = speeds;
+            return SendPeerMessage(peer, std::move(message));
+          }),
       runner_(context_, notices_),
       stages_(context_, runner_,
               [this](const std::string& peer,
@@ -430,6 +439,7 @@
   stages_.SetHosts(others);
   origins_.SetHosts(others);
   relays_.SetHosts(std::move(relay_hosts));
+  speed_exchange_.SetHosts(others_in_zone);
   notices_.SetHosts(std::move(others_in_zone), all_others);
   content_blocks_.SetHosts(std::move(all_others));
   context_.host_count = hosts.size();
@@ -559,6 +569,8 @@
     return content_blocks_.OnMessage(message.sender(),
                                      message.content_reports());
   }
+  if (message.has_server_speeds())
+    return speed_exchange_.OnMessage(message.server_speeds());
   if (message.has_rows_feed()) return OnRowsFeed(message.rows_feed());
   if (message.has_rows_push())
     follower_.MergeFromPeer(ReadRows(message.rows_push().rows()));
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "services/gateway/row_follower.h"
 #include "services/gateway/server_notices.h"
 #include "services/gateway/server_path.h"
+#include "services/gateway/speed_exchange.h"
 #include "services/gateway/stage_router.h"
 #include "services/gateway/stage_runner.h"
 #include "services/gateway/stream_origin_exchange.h"
@@ -97,6 +98,7 @@
   RowSource& rows_;
   ServerNotices notices_;
   ContentBlocks content_blocks_;
+  SpeedExchange speed_exchange_;
   StageRunner runner_;
   StageRouter stages_;
   StreamOriginExchange origins_;
