Routing: Keep prompts at homes that their servers' speed has chosen

The steady slowness counted twice, in the homes and in the cost of a choice, so that requests with short shared parts left their homes and met at the servers with the lowest estimates. The cost now has only the moment of slow work.

Plain requests are no longer observed: one expectation for all routes of a service made three even servers look different by a factor of up to 20 (requests that take no work beside those that do), which drew plain requests to one.

--- a/libraries/routing/prompt_placement.cc
+++ b/libraries/routing/prompt_placement.cc
@@ -129,10 +129,14 @@
     const double delay_ms =
         ExpectedDelayMs(*order.servers[i], host_count) +
         kCacheMissWeight * uncached / kPrefillTokensPerMillisecond;
-    const double slowness =
-        speeds.SlownessOf(order.servers[i]->entry, WorkKind::kPrefill);
-    // The own prefill at the median server is the same for all and left out.
-    const double cost = delay_ms + (slowness - 1) * (delay_ms + own_prefill_ms);
+    const ServerEntry& entry = order.servers[i]->entry;
+    const double slowness = speeds.SlownessOf(entry, WorkKind::kPrefill);
+    // The homes are spread by the steady part already; with it here, all hosts
+    // would meet at the servers with the lowest estimates.
+    const double moment =
+        slowness / speeds.SteadySlownessOf(entry, WorkKind::kPrefill);
+    // The own prefill without a moment is about the same for all and left out.
+    const double cost = delay_ms + (moment - 1) * (delay_ms + own_prefill_ms);
     if (best.server != nullptr && cost >= best_cost) continue;
     best.server = order.servers[i];
     best.home_rank = i;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -234,9 +234,6 @@
     return Retry("not_whole");
   }
   content_watch_.OnComplete(!http::EndsWithConnection(head_));
-  if (!IsStream())
-    ObserveSpeed(routing::WorkKind::kPlain, Now() - sent_at_,
-                 route_->latency_target);
   EndSend(routing::CallResult::kSuccess, "done");
   if (has_begun_response_) {
     exchange_->FinishResponse();
