--- a/tests/routing/rollout_simulation.cc
+++ b/tests/routing/rollout_simulation.cc
@@ -38,7 +38,7 @@
     hosts_[i].address = "10.0.0." + std::to_string(i);
     StartProcess(hosts_[i]);
   }
-  Run(std::chrono::seconds(2));
+  Run(std::chrono::seconds(8));
 }
 
 void RolloutSimulation::StartProcess(Host& host) {
