Gateway: Carry out orders to roll a version out

The gateway reads orders, chooses the version of each request and stage call with routing::Rollouts, counts answers, exchanges reports with other hosts (PeerMessage.body 24) and writes status/rollout/SERVICE under a condition. Settings bounds.exposure_share, exposure_slack, rollback_ms, rendered only where the deployment has them.

--- a/libraries/configuration/gateway_settings.cc
+++ b/libraries/configuration/gateway_settings.cc
@@ -50,6 +50,24 @@
   duration = Duration(static_cast<std::int64_t>(milliseconds * 1000.0));
 }
 
+// The limits apply if one of them is set.
+void ReadExposure(ObjectReader& object, std::optional<ExposureLimits>& exposure,
+                  std::vector<Problem>& problems) {
+  constexpr double kUnset = -1;
+  constexpr Duration kUnsetTime{-1000};
+  double share = kUnset;
+  double slack = kUnset;
+  Duration rollback_time = kUnsetTime;
+  ReadNumber(object, "exposure_share", share, problems);
+  ReadNumber(object, "exposure_slack", slack, problems);
+  ReadDuration(object, "rollback_ms", rollback_time, problems);
+  if (share == kUnset && slack == kUnset && rollback_time == kUnsetTime) return;
+  exposure.emplace();
+  if (share != kUnset) exposure->share = share;
+  if (slack != kUnset) exposure->slack = slack;
+  if (rollback_time != kUnsetTime) exposure->rollback_time = rollback_time;
+}
+
 void ReadLimits(ObjectReader& parent, GatewayLimits& limits,
                 std::vector<Problem>& problems) {
   const auto element = parent.ReadValue("bounds", Presence::kOptional);
@@ -62,6 +80,7 @@
   ReadDuration(object, "contact_ms", limits.store_contact_timeout, problems);
   ReadDuration(object, "change_ms", limits.maximum_change_delay, problems);
   ReadDuration(object, "stop_ms", limits.shutdown_timeout, problems);
+  ReadExposure(object, limits.exposure, problems);
 }
 
 }  // namespace
--- a/libraries/configuration/gateway_settings.h
+++ b/libraries/configuration/gateway_settings.h
@@ -11,6 +11,15 @@
 
 namespace lovagecleat::configuration {
 
+// What a version that is rolled out may cost if it is bad, over all hosts.
+struct ExposureLimits {
+  // Part of its service's requests that may reach it, and requests beyond that.
+  double share = 0.1;
+  double slack = 50;
+  // Time to stop it after its 50th bad answer.
+  Duration rollback_time = std::chrono::seconds(5);
+};
+
 // Limits that the deployment sets for all hosts together.
 struct GatewayLimits {
   double cold_factor = 1.5;  // multiplies the rate limit of a cold server
@@ -23,6 +32,8 @@
   Duration maximum_change_delay = std::chrono::seconds(2);
   // From SIGTERM to SIGKILL.
   Duration shutdown_timeout = std::chrono::seconds(8);
+  // Missing on deployments without roll-outs.
+  std::optional<ExposureLimits> exposure;
 };
 
 // The settings of one gateway process.
--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -49,6 +49,7 @@
     case Body::kStreamOrigins:
     case Body::kServerNotices:
     case Body::kContentReports:
+    case Body::kRollouts:
     case Body::BODY_NOT_SET:
       return;
     case Body::kProvisionalDrains:
--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -178,6 +178,13 @@
   return false;
 }
 
+bool Rollout::TakesNewCall(std::uint64_t items, TimePoint now) const {
+  if (!MaySendNew(items, now)) return false;
+  return phase_ != RolloutPhase::kCanary ||
+         static_cast<double>(exposure_.sent_new() + items) <=
+             share_ * static_cast<double>(exposure_.requests());
+}
+
 bool Rollout::TakesNew(TimePoint now) {
   if (phase_ == RolloutPhase::kCompleted) return true;
   if (phase_ == RolloutPhase::kMoving) return MaySendNew(1, now);
--- a/libraries/routing/rollout.h
+++ b/libraries/routing/rollout.h
@@ -117,6 +117,8 @@
   // --- Sending ---
   // Decides whether a new request goes to the version on trial.
   bool TakesNew(TimePoint now);
+  // Decides the same for a call with up to that many stage items.
+  bool TakesNewCall(std::uint64_t items, TimePoint now) const;
   // Returns whether that many requests may be sent to it.
   bool MaySendNew(std::uint64_t count, TimePoint now) const;
   void CountRequests(std::uint64_t count) { exposure_.CountRequests(count); }
--- a/libraries/routing/rollout_coordinator.cc
+++ b/libraries/routing/rollout_coordinator.cc
@@ -10,6 +10,9 @@
 constexpr int kAnnouncements = 2;
 constexpr Duration kAnnouncementInterval = std::chrono::milliseconds(300);
 
+constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(300);
+constexpr int kMaximumDoublings = 6;
+
 std::uint64_t RankHash(const ServiceId& service, const std::string& address) {
   return StableHash(address, StableHash(service.value()));
 }
@@ -124,7 +127,8 @@
                                     TimePoint now, RolloutActions& actions) {
   if (state.is_calling) return;
   const auto to_write = rollout.StateToWrite(surroundings.rank, now);
-  if (to_write && state.has_read_status && !state.must_read) {
+  if (to_write && state.has_read_status && !state.must_read &&
+      now >= state.next_write_at) {
     RolloutStatus status{rollout.order().to, *to_write, std::nullopt};
     if (store_time)
       status.started =
@@ -135,7 +139,8 @@
                                      state.status_version});
     return;
   }
-  const bool is_needed = state.must_read || to_write.has_value();
+  const bool is_needed =
+      state.must_read || (to_write && !state.has_read_status);
   if (!rollout.TakeStatusRead(is_needed, surroundings, now)) return;
   state.is_calling = true;
   actions.status_reads.push_back(service);
@@ -170,8 +175,15 @@
   if (result != StatusWriteResult::kWritten || rollout == nullptr ||
       rollout->order() != state.order || state.order.to != write.status.to) {
     state.must_read = true;
+    // Another host may have written, which the read shows. The next attempts
+    // are for a row of the order that this host has not read yet.
+    state.failed_writes = std::min(state.failed_writes + 1, kMaximumDoublings);
+    state.next_write_at =
+        now +
+        kWriteRetryDelay * ((std::int64_t{1} << state.failed_writes) / 2 - 1);
     return;
   }
+  state.failed_writes = 0;
   state.status_version = version;
   rollouts_.OnStatus(write.service, write.status, version, std::nullopt, now);
 }
--- a/libraries/routing/rollout_coordinator.h
+++ b/libraries/routing/rollout_coordinator.h
@@ -97,6 +97,8 @@
     std::optional<RowVersion> status_version;
     bool is_calling = false;  // a read or a write is in progress
     bool must_read = false;
+    int failed_writes = 0;  // since the last one that was accepted
+    TimePoint next_write_at{};
   };
 
   void StepOrder(const ServiceId& service, Rollout& rollout,
--- a/libraries/routing/rollouts.cc
+++ b/libraries/routing/rollouts.cc
@@ -105,8 +105,15 @@
                 ->second;
   // Entries of one read are applied at nearly the same time.
   const bool is_found = now - oldest < 2 * new_version_delay_;
-  state.first_seen.try_emplace(version,
-                               is_found ? now - new_version_delay_ : now);
+  const TimePoint seen_at = is_found ? now - new_version_delay_ : now;
+  if (state.first_seen.try_emplace(version, seen_at).second)
+    state.newest_seen = std::max(state.newest_seen, seen_at);
+}
+
+bool Rollouts::IsPlain(const ServiceState& state, TimePoint now) const {
+  return !state.rollout && state.replaced.empty() && state.lingering.empty() &&
+         state.given_up.empty() &&
+         now - state.newest_seen >= new_version_delay_;
 }
 
 void Rollouts::SetVersions(const ServiceId& service,
@@ -189,6 +196,7 @@
   const auto found = services_.find(service);
   if (found == services_.end()) return VersionAccess::kOpen;
   const ServiceState& state = found->second;
+  if (IsPlain(state, now)) return VersionAccess::kOpen;
   if (state.rollout && state.rollout->order().to == version) {
     const Rollout& rollout = *state.rollout;
     switch (rollout.phase()) {
@@ -222,7 +230,7 @@
                       std::vector<ServerRecord*>& servers,
                       TimePoint now) const {
   const auto state = services_.find(service);
-  if (state == services_.end()) return;
+  if (state == services_.end() || IsPlain(state->second, now)) return;
   const std::optional<Rollout>& rollout = state->second.rollout;
   std::vector<ServerRecord*> open;
   std::vector<ServerRecord*> on_trial;
--- a/libraries/routing/rollouts.h
+++ b/libraries/routing/rollouts.h
@@ -89,9 +89,13 @@
     std::set<std::string> lingering;
     std::set<std::string> listed;
     std::map<std::string, TimePoint> first_seen;
+    TimePoint newest_seen{};  // of first_seen
     bool has_completed = false;
   };
 
+  // Returns whether all versions of the service are open.
+  bool IsPlain(const ServiceState& state, TimePoint now) const;
+
   static bool HasOthers(const ServiceState& state, const std::string& version);
   void UpdateState(ServiceState& state) const;
 
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -37,6 +37,7 @@
   // Whether this host learns of changes in the store, from it or from a host
   // that reads it.
   bool is_store_available = false;
+  routing::Rollouts rollouts{HostId(), 0, TimePoint{}};
 
   TimePoint Now() const { return loop.clock().Now(); }
 
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -159,6 +159,15 @@
               [this](const std::string& peer) {
                 return stages_.IsReachable(peer) && stages_.HasPath(peer);
               }),
+      rollouts_(
+          context_, rows,
+          [this](const std::string& peer) { return stages_.IsReachable(peer); },
+          [this](const std::string& peer,
+                 const messages::RolloutTraffic& traffic) {
+            messages::PeerMessage message;
+            *message.mutable_rollouts() = traffic;
+            return SendPeerMessage(peer, std::move(message));
+          }),
       follower_(context_, rows,
                 [this](const routing::Row& row, RowOrigin origin) {
                   ApplyRow(row, origin);
@@ -176,6 +185,7 @@
       metrics_server_(poller, *metrics_handler_) {
   peers_.OnMessage(
       [this](const messages::PeerMessage& message) { OnPeerMessage(message); });
+  rollouts_.Start(incarnation_);
   UpdateHosts();
 }
 
@@ -227,6 +237,7 @@
   if (before.callers != settings.callers) callers_.Listen(settings.callers);
   if (before.readiness != settings.readiness)
     readiness_.Listen(settings.readiness);
+  rollouts_.UpdateBounds();
   UpdateHosts();
   context_.log.Write("reload", "", {{"store", settings.store}});
 }
@@ -275,6 +286,8 @@
       return ApplyHost(subject.name, row);
     case RowSubject::Kind::kContentBlock:
       return content_blocks_.ApplyRow(subject.name, row);
+    case RowSubject::Kind::kRollout:
+      return rollouts_.ApplyOrder(subject.name, row);
     case RowSubject::Kind::kOther:
       return;
   }
@@ -360,6 +373,7 @@
     return;
   }
   const bool is_new_instance = context_.directory.Put(*entry, now);
+  rollouts_.OnServer(*entry);
   if (!is_new_instance && before.sequence && entry->sequence &&
       *entry->sequence > *before.sequence)
     content_blocks_.OnHeartbeat(entry->incarnation());
@@ -431,6 +445,7 @@
   origins_.SetHosts(others);
   relays_.SetHosts(std::move(relay_hosts));
   notices_.SetHosts(std::move(others_in_zone), all_others);
+  rollouts_.SetHosts(hosts, all_others);
   content_blocks_.SetHosts(std::move(all_others));
   context_.host_count = hosts.size();
   context_.server_limits.SetHosts(hosts);
@@ -559,6 +574,10 @@
     return content_blocks_.OnMessage(message.sender(),
                                      message.content_reports());
   }
+  if (message.has_rollouts()) {
+    ConnectPeer(message.sender());
+    return rollouts_.OnTraffic(message.sender(), message.rollouts());
+  }
   if (message.has_rows_feed()) return OnRowsFeed(message.rows_feed());
   if (message.has_rows_push())
     follower_.MergeFromPeer(ReadRows(message.rows_push().rows()));
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "services/gateway/context.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/request_relays.h"
+#include "services/gateway/rollout_control.h"
 #include "services/gateway/row_follower.h"
 #include "services/gateway/server_notices.h"
 #include "services/gateway/server_path.h"
@@ -102,6 +103,7 @@
   StreamOriginExchange origins_;
   ServerPath path_;
   RequestRelays relays_;
+  RolloutControl rollouts_;
   RowFollower follower_;
   transport::PeerLink peers_;
   std::uint64_t incarnation_;
--- a/services/gateway/kept_rows.cc
+++ b/services/gateway/kept_rows.cc
@@ -16,6 +16,12 @@
       is_older = !row.is_removed &&
                  IsOlderServerEntry(known, row, kept_.contains(key));
       break;
+    case RowSubject::Kind::kRollout:
+      // Operators write again what the store has lost.
+      is_older = row.version.era() != known.version.era() &&
+                 !known.is_removed && !row.is_removed &&
+                 row.value != known.value;
+      break;
     case RowSubject::Kind::kEvacuation:
     case RowSubject::Kind::kHost:
     case RowSubject::Kind::kContentBlock:
--- a/services/gateway/message_codec.h
+++ b/services/gateway/message_codec.h
@@ -130,6 +130,9 @@
       std::string_view value) const = 0;
   virtual std::optional<routing::ServerEntry> ReadServer(
       std::string_view key, std::string_view value) const = 0;
+  // Fields that are missing or of another type are left empty.
+  virtual std::optional<routing::RolloutOrderFields> ReadRolloutOrder(
+      std::string_view value) const = 0;
 };
 
 // What a row of the platform's store describes.
@@ -140,10 +143,23 @@
     kServer,
     kHost,
     kContentBlock,
+    kRollout,
     kOther
   };
   Kind kind = Kind::kOther;
-  std::string name;  // of the zone, server, host or prompt part
+  std::string name;  // of the zone, server, host, prompt part or service
+};
+
+// The row that tells operators the state of an order to roll a version out.
+struct RolloutStatusRow {
+  // Nothing if there is no row, or none that can be read.
+  std::optional<routing::RolloutStatus> status;
+  std::optional<routing::RowVersion> version;  // nothing if there is no row
+};
+
+struct RolloutStatusResult {
+  routing::StatusWriteResult result = routing::StatusWriteResult::kNoResponse;
+  routing::RowVersion version;  // of the row if it was written
 };
 
 struct RowsResponse {
@@ -191,6 +207,16 @@
   virtual void WriteStreamOrigins(const HostId& host, std::string value,
                                   std::function<void(bool)> callback) = 0;
 
+  // Read and write the state of the service's order. The callback of the first
+  // gets nothing if the store did not respond. The second writes only if the
+  // versions are those of the rows of the order and of the state.
+  virtual void ReadRolloutStatus(
+      const ServiceId& service,
+      std::function<void(std::optional<RolloutStatusRow>)> callback) = 0;
+  virtual void WriteRolloutStatus(
+      const routing::RolloutStatusWrite& write,
+      std::function<void(RolloutStatusResult)> callback) = 0;
+
   // Returns the time on the store's steady clock, by its newest response;
   // nothing before the first one.
   virtual std::optional<Duration> StoreTime() const = 0;
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -12,6 +12,7 @@
 #include "services/gateway/content_watch.h"
 #include "services/gateway/context.h"
 #include "services/gateway/request_relays.h"
+#include "services/gateway/rollout_control.h"
 #include "services/gateway/server_notices.h"
 #include "services/gateway/server_path.h"
 #include "services/gateway/stage_router.h"
@@ -137,6 +138,12 @@
   // Sending.
   void Send();
   bool IsCandidate(const routing::ServerRecord& server) const;
+  // Whether a roll-out allows the server's version.
+  bool MayUseVersion(const routing::ServerRecord& server) const;
+  void ChooseVersion();
+  void CountVersionSend(const routing::ServerRecord& server);
+  void CountStreamBegin();
+  void CountVersionAnswer(routing::CallResult result);
   std::vector<routing::ServerRecord*> WithoutUnavailable(
       std::vector<routing::ServerRecord*> servers) const;
   routing::PromptServerChoice ChooseServer();
@@ -236,6 +243,11 @@
   // Set for a stream that has begun: only servers of this version may continue
   // it.
   std::optional<std::string> required_version_;
+  // The request goes to the version that is rolled out.
+  bool takes_new_ = false;
+  bool has_chosen_version_ = false;
+  bool is_answer_counted_ = false;  // of the last send, as it began
+  bool is_answer_bad_ = false;
   TimePoint sent_at_;
   std::optional<TimePoint> heard_at_;  // when something came from the server
   std::vector<ServerId> tried_;
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -108,6 +108,7 @@
     first_event_at_ = Now();
     RememberOrigin();
   }
+  CountStreamBegin();
   if (counts_pending_tokens_) {
     counts_pending_tokens_ = false;
     routing::ServerRecord* server = context_.directory.Find(server_);
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -59,6 +59,7 @@
 bool RequestFlow::IsCandidate(const routing::ServerRecord& server) const {
   if (required_version_ && server.entry.software_version != *required_version_)
     return false;
+  if (!MayUseVersion(server)) return false;
   return std::find(tried_.begin(), tried_.end(), server.entry.id) ==
          tried_.end();
 }
@@ -77,10 +78,11 @@
                                            routing::ServerUsers::kAllHosts,
                                            now);
   });
-  return servers;
+  return ServersByRollout(context_, service_, takes_new_, std::move(servers));
 }
 
 routing::PromptServerChoice RequestFlow::ChooseServer() {
+  ChooseVersion();
   std::vector<routing::ServerRecord*> usable =
       WithoutUnavailable(context_.directory.Usable(service_, Now()));
   // If no server is usable, one that has failed recently is better than none.
@@ -129,6 +131,8 @@
     std::erase_if(servers, [this](const routing::ServerRecord* server) {
       return server->entry.software_version != *required_version_;
     });
+  context_.rollouts.Filter(service, service == service_ && takes_new_, servers,
+                           Now());
   return routing::FirstReturn(servers, Now());
 }
 
@@ -211,6 +215,7 @@
   ++sends_;
   tried_.push_back(server_);
   ++server.in_flight;
+  CountVersionSend(server);
   home_rank_ = choice.home_rank;
   pending_tokens_ = choice.prefill_tokens;
   server.pending_tokens += pending_tokens_;
@@ -302,6 +307,7 @@
                           std::string_view outcome) {
   context_.loop.Cancel(response_timer_);
   call_.reset();
+  CountVersionAnswer(result);
   routing::ServerRecord* server = context_.directory.Find(server_);
   if (server != nullptr) {
     server->in_flight = std::max(0, server->in_flight - 1);
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -34,8 +34,9 @@
   }
   const routing::ServerRecord* likely =
       context_.placement
-          .Choose(context_.directory.Usable(service_, Now()), request_.prompt,
-                  context_.host_count)
+          .Choose(ServersByRollout(context_, service_, false,
+                                   context_.directory.Usable(service_, Now())),
+                  request_.prompt, context_.host_count)
           .server;
   std::vector<routing::ZoneCandidate> candidates;
   for (const ZoneId& zone : zones) {
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -65,6 +65,7 @@
       return kHostSettleTime;
     case RowSubject::Kind::kEvacuation:
     case RowSubject::Kind::kContentBlock:
+    case RowSubject::Kind::kRollout:
     case RowSubject::Kind::kOther:
       return kOperatorSettleTime;
   }
--- a/services/gateway/stage_router.cc
+++ b/services/gateway/stage_router.cc
@@ -287,8 +287,8 @@
   cached.measured_at = now;
   cached.capacity.clear();
   std::map<ZoneId, std::size_t> servers;
-  for (const routing::ServerRecord* server :
-       context_.directory.Usable(service, now))
+  for (const routing::ServerRecord* server : ServersByRollout(
+           context_, service, false, context_.directory.Usable(service, now)))
     ++servers[server->entry.zone];
   for (const auto& [zone, count] : servers) {
     const double capacity = MeasureCapacity({service, zone}, count);
@@ -308,8 +308,8 @@
   for (const auto& [zone, capacity] : CachedZoneCapacities(service).capacity)
     zones.insert(zone);
   if (!zones.empty()) return zones;
-  for (const routing::ServerRecord* server :
-       context_.directory.InService(service))
+  for (const routing::ServerRecord* server : ServersByRollout(
+           context_, service, false, context_.directory.InService(service)))
     zones.insert(server->entry.zone);
   return zones;
 }
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -28,6 +28,8 @@
 constexpr Duration kLimitCheckPeriod = std::chrono::milliseconds(200);
 // Least time between two queries for a server's free memory.
 constexpr Duration kFreeMemoryQueryPeriod = std::chrono::milliseconds(400);
+// Name under which the evidence of roll-outs counts stage calls.
+constexpr std::string_view kStageRoute = "stage calls";
 
 }  // namespace
 
@@ -58,6 +60,8 @@
     loop().Cancel(hedge_timer_);
   }
 
+  std::size_t item_count() const { return call_.items.size(); }
+
   void Start(const routing::ServerRecord& server) {
     Context& context = runner_.context_;
     const ForwardedCall target = TargetOf(server);
@@ -205,6 +209,7 @@
     queue_.scheduler.EndCall(call_.server, call_.items.size(), call_duration,
                              now);
     context.directory.Report(call_.server, result, now);
+    CountVersionAnswer(result, call_duration, results);
     context.metrics.Count("lovagecleat_batch_calls_total",
                           {{"outcome", std::string(outcome)}});
     context.metrics.Count("lovagecleat_batch_items_total",
@@ -242,6 +247,38 @@
     runner.DispatchCalls();
   }
 
+  // Times are counted in thousandths of the expected one.
+  void CountVersionAnswer(routing::CallResult result,
+                          std::optional<Duration> call_duration,
+                          std::span<const BatchResult> results) {
+    if (result != routing::CallResult::kSuccess &&
+        result != routing::CallResult::kFailed)
+      return;
+    RolloutAnswer answer;
+    answer.service = queue_.location.service;
+    answer.route = kStageRoute;
+    answer.software_version = incarnation_.software_version;
+    answer.server = call_.server;
+    answer.has_failed =
+        result == routing::CallResult::kFailed ||
+        std::any_of(results.begin(), results.end(), [](const auto& item) {
+          return item.outcome == ItemOutcome::kFailed;
+        });
+    const routing::Service* service =
+        runner_.context_.table
+            ? runner_.context_.table->FindService(queue_.location.service)
+            : nullptr;
+    if (call_duration && service != nullptr && service->batches) {
+      const Duration expected =
+          service->batches->call_time +
+          service->batches->item_time *
+              static_cast<std::int64_t>(call_.items.size());
+      if (expected > Duration::zero())
+        answer.time = Duration(*call_duration * 1000 / expected);
+    }
+    CountAnswer(runner_.context_, answer);
+  }
+
   void HandleResults(std::span<const BatchResult> results, TimePoint now) {
     bool is_out_of_memory = false;
     for (std::size_t i = 0; i < results.size(); ++i) {
@@ -377,11 +414,43 @@
     });
     return servers;
   };
-  const std::vector<routing::ServerRecord*> usable =
-      context_.directory.Usable(location.service, context_.Now());
+  const std::vector<routing::ServerRecord*> usable = ServersByRollout(
+      context_, location.service, false,
+      context_.directory.Usable(location.service, context_.Now()));
   if (!usable.empty()) return in_zone(usable);
-  return in_zone(
-      context_.directory.UsableOrSuspended(location.service, context_.Now()));
+  return in_zone(ServersByRollout(
+      context_, location.service, false,
+      context_.directory.UsableOrSuspended(location.service, context_.Now())));
+}
+
+// Exposure is counted in items.
+std::vector<routing::ServerRecord*> StageRunner::ServersOnTrialAt(
+    const StageLocation& location) {
+  const routing::Rollout* rollout = context_.rollouts.Find(location.service);
+  const routing::Service* service =
+      context_.table ? context_.table->FindService(location.service) : nullptr;
+  if (rollout == nullptr || service == nullptr || !service->batches) return {};
+  const TimePoint now = context_.Now();
+  const std::size_t items = service->batches->items;
+  std::vector<routing::ServerRecord*> servers;
+  if (!rollout->TakesNewCall(items, now)) return servers;
+  for (routing::ServerRecord* server :
+       context_.directory.Usable(location.service, now)) {
+    const bool is_on_trial =
+        context_.rollouts.Access(location.service,
+                                 server->entry.software_version,
+                                 now) == routing::VersionAccess::kOnTrial;
+    if (is_on_trial && server->cold_until <= now &&
+        server->entry.zone == location.zone)
+      servers.push_back(server);
+  }
+  // Each gets a whole call.
+  const std::size_t calls =
+      rollout->phase() == routing::RolloutPhase::kCanary
+          ? 1
+          : static_cast<std::size_t>(rollout->exposure().Remaining()) / items;
+  routing::KeepFocus(calls, context_.random.Below(1U << 20U), servers);
+  return servers;
 }
 
 StageRunner::ItemId StageRunner::Submit(const StageLocation& location,
@@ -417,7 +486,8 @@
   if (!context_.directory.UsableOrSuspended(location.service, now).empty())
     return std::nullopt;
   std::vector<routing::ServerRecord*> servers =
-      context_.directory.InService(location.service);
+      ServersByRollout(context_, location.service, false,
+                       context_.directory.InService(location.service));
   std::erase_if(servers, [&location](const routing::ServerRecord* server) {
     return server->entry.zone != location.zone;
   });
@@ -438,7 +508,17 @@
 
 void StageRunner::DispatchQueue(StageQueue& queue) {
   const TimePoint now = context_.Now();
-  const std::vector<routing::ServerRecord*> servers = ServersAt(queue.location);
+  std::vector<routing::ServerRecord*> servers = ServersAt(queue.location);
+  std::vector<routing::ServerRecord*> on_trial =
+      ServersOnTrialAt(queue.location);
+  const routing::Rollout* rollout =
+      context_.rollouts.Find(queue.location.service);
+  if (!on_trial.empty() && rollout != nullptr &&
+      rollout->phase() == routing::RolloutPhase::kMoving)
+    servers = std::exchange(on_trial, {});
+  DeferLimitedServers(queue, on_trial);
+  for (routing::BatchCall& call : queue.scheduler.TakeCalls(on_trial, now))
+    StartCall(queue, std::move(call));
   if (servers.empty())
     if (const auto first_return = FirstReturnAt(queue.location))
       return HoldUntilReturn(queue, *first_return);
@@ -454,7 +534,8 @@
        queue.scheduler.TakeInfeasible(capacity, now))
     DropCopy(item, ItemOutcome::kDeadlinePassed, queue.location);
   const std::vector<routing::ServerRecord*> usable_anywhere =
-      context_.directory.Usable(queue.location.service, now);
+      ServersByRollout(context_, queue.location.service, false,
+                       context_.directory.Usable(queue.location.service, now));
   const bool has_other_zone =
       std::any_of(usable_anywhere.begin(), usable_anywhere.end(),
                   [&queue](const routing::ServerRecord* server) {
@@ -537,6 +618,13 @@
   auto active_call =
       std::make_unique<ActiveCall>(*this, queue, std::move(call));
   CountSend(*server);
+  if (routing::Rollout* rollout =
+          context_.rollouts.Find(queue.location.service)) {
+    const std::size_t items = active_call->item_count();
+    rollout->CountRequests(items);
+    if (server->entry.software_version == rollout->order().to)
+      rollout->CountNew(items);
+  }
   ActiveCall* raw = active_call.get();
   active_calls_.emplace(raw, std::move(active_call));
   raw->Start(*server);
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "services/gateway/context.h"
+#include "services/gateway/rollout_control.h"
 #include "services/gateway/server_notices.h"
 
 namespace lovagecleat::gateway {
@@ -88,6 +89,10 @@
 
   StageQueue* FindOrAddQueue(const StageLocation& location);
   std::vector<routing::ServerRecord*> ServersAt(const StageLocation& location);
+  // Returns the servers there of a version that is rolled out which may get a
+  // call now.
+  std::vector<routing::ServerRecord*> ServersOnTrialAt(
+      const StageLocation& location);
   std::optional<TimePoint> FirstReturnAt(const StageLocation& location);
   void DispatchQueue(StageQueue& queue);
   // Starts no call to a server before its limit allows one.
--- a/tests/configuration/gateway_settings_test.cc
+++ b/tests/configuration/gateway_settings_test.cc
@@ -22,6 +22,23 @@
   REQUIRE(settings->limits.store_contact_timeout == std::chrono::seconds(4));
   REQUIRE(settings->limits.maximum_change_delay == std::chrono::seconds(3));
   REQUIRE(settings->limits.shutdown_timeout == std::chrono::seconds(9));
+  REQUIRE_FALSE(settings->limits.exposure);
+}
+
+TEST_CASE("The limits on versions that are rolled out are read") {
+  std::string text(kValidSettings);
+  text.replace(text.find(R"("stop_ms")"), 9,
+               R"("exposure_share":0.2,"exposure_slack":30,
+                  "rollback_ms":4000,"stop_ms")");
+  GatewaySettingsReader reader;
+  const auto settings = reader.Read(text);
+  REQUIRE(settings);
+  REQUIRE(settings->limits.exposure);
+  CHECK(settings->limits.exposure->share == 0.2);
+  CHECK(settings->limits.exposure->slack == 30);
+  CHECK(settings->limits.exposure->rollback_time == std::chrono::seconds(4));
+  text.replace(text.find("0.2"), 3, "-.2");
+  REQUIRE_FALSE(reader.Read(text));
 }
 
 TEST_CASE(
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -24,6 +24,8 @@
   if (row.key == "config") return {RowSubject::Kind::kRouting, row.key};
   if (row.key.starts_with("evacuate/"))
     return {RowSubject::Kind::kEvacuation, row.key.substr(9)};
+  if (row.key.starts_with("rollout/"))
+    return {RowSubject::Kind::kRollout, row.key.substr(8)};
   return {};
 }
 
@@ -91,6 +93,31 @@
   callback(is_written);
 }
 
+void FakeRowSource::ReadRolloutStatus(
+    const ServiceId& service,
+    std::function<void(std::optional<RolloutStatusRow>)> callback) {
+  ++rollout_reads;
+  if (status != RowsResponse::Status::kRead) return callback(std::nullopt);
+  callback(rollout_statuses[service]);
+}
+
+void FakeRowSource::WriteRolloutStatus(
+    const routing::RolloutStatusWrite& write,
+    std::function<void(RolloutStatusResult)> callback) {
+  if (status != RowsResponse::Status::kRead) return callback({});
+  const routing::Row* order = Find("op", "rollout/" + write.service.value());
+  RolloutStatusRow& row = rollout_statuses[write.service];
+  if (order == nullptr || order->version != write.order_version ||
+      row.version != write.status_version) {
+    ++rollout_conflicts;
+    return callback({routing::StatusWriteResult::kConflict, {}});
+  }
+  row.status = write.status;
+  row.version = routing::RowVersion(era_, ++version_);
+  rollout_writes.push_back(write.status);
+  callback({routing::StatusWriteResult::kWritten, *row.version});
+}
+
 std::optional<Duration> FakeRowSource::StoreTime() const {
   return SystemClock().Now().time_since_epoch();
 }
@@ -200,6 +227,14 @@
   if (count > 1) RunFor(kConnectTime);
 }
 
+void GatewayFixture::SetExposure(
+    const configuration::ExposureLimits& exposure) {
+  for (const auto& host : hosts_) {
+    host->settings.limits.exposure = exposure;
+    host->gateway->Reload(host->settings);
+  }
+}
+
 void GatewayFixture::KillHost(std::size_t number) {
   if (number == 0) gateway = nullptr;
   hosts_.at(number).reset();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -35,6 +35,12 @@
   void ReadStreamOrigins(Callback callback) override;
   void WriteStreamOrigins(const HostId& host, std::string value,
                           std::function<void(bool)> callback) override;
+  void ReadRolloutStatus(
+      const ServiceId& service,
+      std::function<void(std::optional<RolloutStatusRow>)> callback) override;
+  void WriteRolloutStatus(
+      const routing::RolloutStatusWrite& write,
+      std::function<void(RolloutStatusResult)> callback) override;
   std::optional<Duration> StoreTime() const override;
 
   void Set(const std::string& table, const std::string& key,
@@ -64,6 +70,10 @@
   int stream_origin_reads = 0;
   int stream_origin_writes = 0;
   bool stores_content_blocks = true;  // whether they are accepted
+  std::map<ServiceId, RolloutStatusRow> rollout_statuses;
+  std::vector<routing::RolloutStatus> rollout_writes;  // that were accepted
+  int rollout_conflicts = 0;
+  int rollout_reads = 0;
   bool stores_hosts = false;  // whether WriteHost changes the hosts table
 
  private:
@@ -109,6 +119,16 @@
                           std::function<void(bool)> callback) override {
     rows_.WriteStreamOrigins(host, std::move(value), std::move(callback));
   }
+  void ReadRolloutStatus(
+      const ServiceId& service,
+      std::function<void(std::optional<RolloutStatusRow>)> callback) override {
+    rows_.ReadRolloutStatus(service, std::move(callback));
+  }
+  void WriteRolloutStatus(
+      const routing::RolloutStatusWrite& write,
+      std::function<void(RolloutStatusResult)> callback) override {
+    rows_.WriteRolloutStatus(write, std::move(callback));
+  }
   std::optional<Duration> StoreTime() const override {
     return rows_.StoreTime();
   }
@@ -136,6 +156,9 @@
   // ready and had time to connect to each other.
   void StartHosts(std::size_t count);
 
+  // Sets the bounds on versions that are rolled out, for hosts that exist.
+  void SetExposure(const configuration::ExposureLimits& exposure);
+
   // Destroys a gateway with its connections, as if its process were killed. Its
   // row in the hosts table stays.
   void KillHost(std::size_t number);
--- a/tests/gateway/store_era_fixture.h
+++ b/tests/gateway/store_era_fixture.h
@@ -69,6 +69,18 @@
     if (is_cut) return callback(false);
     store_.WriteStreamOrigins(host, std::move(value), std::move(callback));
   }
+  void ReadRolloutStatus(
+      const ServiceId& service,
+      std::function<void(std::optional<RolloutStatusRow>)> callback) override {
+    if (is_cut) return callback(std::nullopt);
+    store_.ReadRolloutStatus(service, std::move(callback));
+  }
+  void WriteRolloutStatus(
+      const routing::RolloutStatusWrite& write,
+      std::function<void(RolloutStatusResult)> callback) override {
+    if (is_cut) return callback({});
+    store_.WriteRolloutStatus(write, std::move(callback));
+  }
   std::optional<Duration> StoreTime() const override {
     return store_.StoreTime();
   }
@@ -202,6 +214,7 @@
           hosts.insert(row.key);
         }
         return;
+      case RowSubject::Kind::kRollout:
       case RowSubject::Kind::kContentBlock:
       case RowSubject::Kind::kOther:
         return;
--- a/tests/platform_adapter/message_codec_test.cc
+++ b/tests/platform_adapter/message_codec_test.cc
@@ -242,6 +242,23 @@
   REQUIRE(table->team_by_key.at("k2").priority_override == 0);
 }
 
+TEST_CASE("Orders to roll a version out are read field by field") {
+  const auto order = kCodec.ReadRolloutOrder(
+      R"({"service":"orders","to":"v2","rolloutS":2.5,"more":[]})");
+  REQUIRE(order);
+  CHECK(order->service == "orders");
+  CHECK(order->to == "v2");
+  CHECK(order->seconds == 2.5);
+  const auto other =
+      kCodec.ReadRolloutOrder(R"({"service":1,"to":["v2"],"rolloutS":"60"})");
+  REQUIRE(other);
+  CHECK(other->service == "");
+  CHECK_FALSE(other->to);
+  CHECK_FALSE(other->seconds);
+  CHECK_FALSE(kCodec.ReadRolloutOrder("[]"));
+  CHECK_FALSE(kCodec.ReadRolloutOrder("{"));
+}
+
 TEST_CASE("Reading arbitrary bytes does not crash") {
   constexpr tests::PropertyRuns runs{
       .seed = 9, .count = 2000, .maximum_size = 40};
@@ -255,6 +272,7 @@
     }
     kCodec.ReadRouting(bytes);
     kCodec.ReadServer("i", bytes);
+    kCodec.ReadRolloutOrder(bytes);
     kCodec.ReadBatchResponse(bytes);
     kCodec.ReadReport(bytes);
   });
--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -1,6 +1,7 @@
 #include "platform/store_client.h"
 
 #include <fcntl.h>
+#include <glib.h>
 #include <unistd.h>
 
 #include <array>
@@ -226,5 +227,102 @@
   REQUIRE(removal.at("remove").at(0).at("key") == "blocked-part/bad1");
 }
 
+// Guards against states of roll-outs that are written over another order or
+// another state, or under other names than operators read.
+TEST_CASE_METHOD(StoreClientFixture,
+                 "The state of a roll-out is written under a condition") {
+  using gateway::RowSubject;
+  using routing::StatusWriteResult;
+  const RowSubject subject =
+      client.SubjectOf({"op", "rollout/plain", "", RowVersion(0, 1), false});
+  CHECK(subject.kind == RowSubject::Kind::kRollout);
+  CHECK(subject.name == "plain");
+  std::optional<gateway::RolloutStatusResult> result;
+  const auto write = [&](std::optional<RowVersion> known,
+                         const std::string& response) {
+    Respond(response);
+    result.reset();
+    client.WriteRolloutStatus(
+        {ServiceId("plain"),
+         {"v2", routing::RolloutState::kRolledBack, milliseconds(5)},
+         RowVersion(0, 7),
+         known},
+        [&](const gateway::RolloutStatusResult& written) { result = written; });
+    RunUntil([&] { return result.has_value(); });
+  };
+  write(std::nullopt,
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\":8}");
+  CHECK(result->result == StatusWriteResult::kWritten);
+  CHECK(result->version == RowVersion(0, 8));
+  const nlohmann::json body = LastBody();
+  CHECK(body.at("expect").at(0) == nlohmann::json({{"table", "op"},
+                                                   {"part", ""},
+                                                   {"key", "rollout/plain"},
+                                                   {"ver", 7}}));
+  CHECK(body.at("expect").at(1) == nlohmann::json({{"table", "status"},
+                                                   {"part", ""},
+                                                   {"key", "rollout/plain"},
+                                                   {"ver", 0}}));
+  CHECK(body.at("writes").at(0).at("table") == "status");
+  CHECK(body.at("writes").at(0).at("key") == "rollout/plain");
+  gsize size = 0;
+  guchar* value = g_base64_decode(
+      body.at("writes").at(0).at("value").get<std::string>().c_str(), &size);
+  CHECK(nlohmann::json::parse(value, value + size) ==
+        nlohmann::json(
+            {{"state", "rolled_back"}, {"to", "v2"}, {"startedMs", 5}}));
+  g_free(value);
+  write(RowVersion(0, 8), "HTTP/1.1 412 X\r\nContent-Length: 2\r\n\r\n{}");
+  CHECK(result->result == StatusWriteResult::kConflict);
+  CHECK(LastBody().at("expect").at(1).at("ver") == 8);
+  write(RowVersion(0, 8), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(result->result == StatusWriteResult::kNoResponse);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "The state of a roll-out is read") {
+  const auto read = [&](const std::string& key, const std::string& value) {
+    const std::string row = R"({"table":"status","key":")" + key +
+                            R"(","ver":4,"value":")" + value + R"("})";
+    const std::string body = R"({"ver":9,"nowMs":1,"rows":[)" +
+                             (key.empty() ? std::string() : row) + "]}";
+    Respond("HTTP/1.1 200 OK\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
+    std::optional<std::optional<gateway::RolloutStatusRow>> result;
+    client.ReadRolloutStatus(
+        ServiceId("plain"),
+        [&](const std::optional<gateway::RolloutStatusRow>& row_read) {
+          result = row_read;
+        });
+    RunUntil([&] { return result.has_value(); });
+    return *result;
+  };
+  // {"state":"completed","to":"v2"}
+  auto row =
+      read("rollout/plain", "eyJzdGF0ZSI6ImNvbXBsZXRlZCIsInRvIjoidjIifQ==");
+  REQUIRE(row);
+  CHECK(row->version == RowVersion(0, 4));
+  CHECK(row->status == routing::RolloutStatus{"v2",
+                                              routing::RolloutState::kCompleted,
+                                              std::nullopt});
+  // Another service, and no JSON.
+  row = read("rollout/plainer", "e30=");
+  REQUIRE(row);
+  CHECK_FALSE(row->version);
+  row = read("rollout/plain", "dg==");
+  REQUIRE(row);
+  CHECK(row->version == RowVersion(0, 4));
+  CHECK_FALSE(row->status);
+  CHECK_FALSE(read("", "")->version);
+  Respond("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+  bool has_ended = false;
+  client.ReadRolloutStatus(
+      ServiceId("plain"),
+      [&](const std::optional<gateway::RolloutStatusRow>& unread) {
+        has_ended = true;
+        CHECK_FALSE(unread);
+      });
+  RunUntil([&] { return has_ended; });
+}
+
 }  // namespace
 }  // namespace lovagecleat::platform_adapter
