Gateway: Count evidence of servers that have failed, not of short delays

Four faults that tests/gateway/rollout_test.cc showed: a server counted as cold for 5 s after each failure, so a failing version got hardly any requests and was not found ("A version that fails is rolled back" failed: still running after 10 s); a sound version on a loaded machine was rolled back as slow, since answers of less than a millisecond vary by more than 2.5 times ("A sound version is rolled out" failed), so a slow answer takes at least 10 ms longer; an order that appeared counted as found at the start; times of stage calls had another scale than that floor. The test set the configuration after it had waited for readiness, and let requests run before the order was read.

--- a/libraries/routing/rollout_evidence.cc
+++ b/libraries/routing/rollout_evidence.cc
@@ -9,6 +9,8 @@
 constexpr double kSlowMedians = 2.5;
 constexpr double kSlowHighQuantiles = 1.2;
 constexpr double kHighQuantile = 0.9;
+// Shorter delays come from connections and hosts.
+constexpr Duration kMinimumDelay = std::chrono::milliseconds(10);
 // Times are compared with a limit that is at most this many times old.
 constexpr std::size_t kLimitUpdatePeriod = 4;
 // Servers beyond it share an entry.
@@ -45,8 +47,8 @@
   const Duration median = sorted[count_ / 2];
   const Duration high = sorted[static_cast<std::size_t>(
       kHighQuantile * static_cast<double>(count_ - 1))];
-  limit_ =
-      std::max(Scaled(median, kSlowMedians), Scaled(high, kSlowHighQuantiles));
+  limit_ = std::max({Scaled(median, kSlowMedians),
+                     Scaled(high, kSlowHighQuantiles), median + kMinimumDelay});
 }
 
 bool RecentTimes::IsSlow(Duration time) const {
--- a/services/gateway/rollout_control.cc
+++ b/services/gateway/rollout_control.cc
@@ -62,6 +62,7 @@
 
 void RolloutControl::SetHosts(std::vector<HostId> hosts,
                               std::vector<std::string> peers) {
+  if (context_.table && !configured_at_) configured_at_ = context_.Now();
   context_.rollouts.SetHosts(std::move(hosts));
   peers_ = std::move(peers);
 }
@@ -124,6 +125,7 @@
 }
 
 void RolloutControl::OnServer(const routing::ServerEntry& entry) {
+  if (context_.table && !configured_at_) configured_at_ = context_.Now();
   context_.rollouts.OnServer(entry.service, entry.software_version,
                              context_.Now());
   if (context_.rollouts.Find(entry.service) != nullptr)
@@ -327,7 +329,7 @@
       const bool is_new = server->entry.software_version == rollout->order().to;
       if (!is_new) ++before;
       // A cold server is slow, whatever its version.
-      if (is_new && server->cold_until <= now) on_trial.push_back(server);
+      if (is_new && server->known_cold_until <= now) on_trial.push_back(server);
     }
     const Duration rotation =
         std::max(rollout->order().time / kFocusRotations, kStepPeriod);
@@ -355,7 +357,7 @@
   counted.has_failed = answer.has_failed;
   counted.was_counted = answer.was_counted;
   const routing::ServerRecord* server = context.directory.Find(answer.server);
-  if (server != nullptr && server->cold_until <= context.Now()) {
+  if (server != nullptr && server->known_cold_until <= context.Now()) {
     counted.time = answer.time;
     counted.gap = answer.gap;
   }
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -247,7 +247,7 @@
     runner.DispatchCalls();
   }
 
-  // Times are counted in thousandths of the expected one.
+  // Times are counted as for a call of the same slowness without items.
   void CountVersionAnswer(routing::CallResult result,
                           std::optional<Duration> call_duration,
                           std::span<const BatchResult> results) {
@@ -274,7 +274,8 @@
           service->batches->item_time *
               static_cast<std::int64_t>(call_.items.size());
       if (expected > Duration::zero())
-        answer.time = Duration(*call_duration * 1000 / expected);
+        answer.time = service->batches->call_time * call_duration->count() /
+                      expected.count();
     }
     CountAnswer(runner_.context_, answer);
   }
@@ -440,7 +441,7 @@
         context_.rollouts.Access(location.service,
                                  server->entry.software_version,
                                  now) == routing::VersionAccess::kOnTrial;
-    if (is_on_trial && server->cold_until <= now &&
+    if (is_on_trial && server->known_cold_until <= now &&
         server->entry.zone == location.zone)
       servers.push_back(server);
   }
