--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -38,6 +38,7 @@
   // that reads it.
   bool is_store_available = false;
   routing::ServerSpeeds speeds{};
+  routing::Rollouts rollouts{HostId(), 0, TimePoint{}};
 
   TimePoint Now() const { return loop.clock().Now(); }
   routing::SpeedView SpeedsNow() const { return {speeds, Now()}; }
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -168,6 +168,15 @@
               [this](const std::string& peer) {
                 return stages_.IsReachable(peer) && stages_.HasPath(peer);
               }),
+      rollouts_(
+          context_, rows,
+          [this](const std::string& peer) { return stages_.IsReachable(peer); },
+          [this](const std::string& peer,
+                 const messages::RolloutTraffic& traffic) {
+            messages::PeerMessage message;
+            *message.mutable_rollouts() = traffic;
+            return SendPeerMessage(peer, std::move(message));
+          }),
       follower_(context_, rows,
                 [this](const routing::Row& row, RowOrigin origin) {
                   ApplyRow(row, origin);
@@ -185,6 +194,7 @@
       metrics_server_(poller, *metrics_handler_) {
   peers_.OnMessage(
       [this](const messages::PeerMessage& message) { OnPeerMessage(message); });
+  rollouts_.Start(incarnation_);
   UpdateHosts();
 }
 
@@ -236,6 +246,7 @@
   if (before.callers != settings.callers) callers_.Listen(settings.callers);
   if (before.readiness != settings.readiness)
     readiness_.Listen(settings.readiness);
+  rollouts_.UpdateBounds();
   UpdateHosts();
   context_.log.Write("reload", "", {{"store", settings.store}});
 }
@@ -284,6 +295,8 @@
       return ApplyHost(subject.name, row);
     case RowSubject::Kind::kContentBlock:
       return content_blocks_.ApplyRow(subject.name, row);
+    case RowSubject::Kind::kRollout:
+      return rollouts_.ApplyOrder(subject.name, row);
     case RowSubject::Kind::kOther:
       return;
   }
@@ -369,6 +382,7 @@
     return;
   }
   const bool is_new_instance = context_.directory.Put(*entry, now);
+  rollouts_.OnServer(*entry);
   if (!is_new_instance && before.sequence && entry->sequence &&
       *entry->sequence > *before.sequence)
     content_blocks_.OnHeartbeat(entry->incarnation());
@@ -441,6 +455,7 @@
   relays_.SetHosts(std::move(relay_hosts));
   speed_exchange_.SetHosts(others_in_zone);
   notices_.SetHosts(std::move(others_in_zone), all_others);
+  rollouts_.SetHosts(hosts, all_others);
   content_blocks_.SetHosts(std::move(all_others));
   context_.host_count = hosts.size();
   context_.server_limits.SetHosts(hosts);
@@ -582,6 +597,10 @@
   }
   if (message.has_server_speeds())
     return speed_exchange_.OnMessage(message.server_speeds());
+  if (message.has_rollouts()) {
+    ConnectPeer(message.sender());
+    return rollouts_.OnTraffic(message.sender(), message.rollouts());
+  }
   if (message.has_rows_feed()) return OnRowsFeed(message.rows_feed());
   if (message.has_rows_push())
     follower_.MergeFromPeer(ReadRows(message.rows_push().rows()));
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -33,8 +33,9 @@
       final_bytes += plan_->item_count(i) * plan_->stage(i).result_bytes;
   }
   const routing::PromptServerChoice choice = context_.placement.Choose(
-      context_.directory.Usable(service_, Now()), request_.prompt,
-      context_.host_count, context_.SpeedsNow());
+      ServersByRollout(context_, service_, false,
+                       context_.directory.Usable(service_, Now())),
+      request_.prompt, context_.host_count, context_.SpeedsNow());
   const routing::ServerRecord* likely = choice.server;
   expected_slowness_ = choice.slowness;
   std::vector<routing::ZoneCandidate> candidates;
