Gateway: Try bytes that are no text as an order

Open: with three hosts, the logs of two (those that were told) lack the line that the version was rolled back; not traced.

--- a/tests/gateway/rollout_test.cc
+++ b/tests/gateway/rollout_test.cc
@@ -182,7 +182,7 @@
       as<std::string>(), "", "[]", "{", "null", R"({"service":"plain"})",
       R"({"service":"plain","to":7,"rolloutS":5})",
       R"({"service":"crews","to":"v2","rolloutS":5})",
-      R"({"service":7,"to":"v2","rolloutS":5})", "\x01");
+      R"({"service":7,"to":"v2","rolloutS":5})", "\xff\xfe");
   CAPTURE(value);
   StartHosts(1);
   for (const char* version : {"v1", "v2"}) Add(version);
