--- a/services/gateway/request_flow_rollouts.cc
+++ b/services/gateway/request_flow_rollouts.cc
@@ -74,6 +74,7 @@
     case routing::CallResult::kUnreachable:
       return;
     case routing::CallResult::kSlow:
+    case routing::CallResult::kHung:
       // A stream that has begun may last until its deadline.
       if (is_answer_counted_) return;
       answer.has_failed = true;
