--- a/services/gateway/speed_exchange.cc
+++ b/services/gateway/speed_exchange.cc
@@ -21,7 +21,9 @@
                              Outbox::SendCallback send)
     : context_(context),
       is_reachable_(std::move(is_reachable)),
-      outbox_(context.loop, std::move(send)) {
+      // A host that missed samples learns from the next ones.
+      outbox_(context.loop, is_reachable_, std::move(send),
+              [](messages::ServerSpeeds&) { return false; }) {
   timer_ = context_.loop.After(kSendPeriod, [this] { Tick(); });
 }
 
