--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -412,9 +412,10 @@
   const double evidence = test_.Evidence();
   if (evidence >= RolloutTest::kRollBackEvidence)
     return Enter(RolloutPhase::kRolledBack, false, "evidence");
+  // Hosts that do not decide write the state if those that do cannot.
+  may_complete_ = HasEnoughServers(surroundings, now);
   if (!is_decider_) return;
   const bool is_doubtful = evidence >= RolloutTest::kDoubtfulEvidence;
-  may_complete_ = HasEnoughServers(surroundings, now);
   if (phase_ == RolloutPhase::kMoving) {
     if (!may_complete_ && Elapsed(now) >= order_.time + kMaximumServerWait)
       return Enter(RolloutPhase::kRolledBack, false, "no_servers");
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -557,14 +557,11 @@
   std::vector<routing::ServerRecord*> servers = ServersAt(queue.location);
   std::vector<routing::ServerRecord*> on_trial =
       ServersOnTrialAt(queue.location);
-  const routing::Rollout* rollout =
-      context_.rollouts.Find(queue.location.service);
-  if (!on_trial.empty() && rollout != nullptr &&
-      rollout->phase() == routing::RolloutPhase::kMoving)
-    servers = std::exchange(on_trial, {});
-  DeferLimitedServers(queue, on_trial);
-  for (routing::BatchCall& call : queue.scheduler.TakeCalls(on_trial, now))
-    StartCall(queue, std::move(call));
+  if (!on_trial.empty()) {
+    DeferLimitedServers(queue, on_trial);
+    for (routing::BatchCall& call : queue.scheduler.TakeCalls(on_trial, now))
+      StartCall(queue, std::move(call));
+  }
   if (servers.empty())
     if (const auto first_return = FirstReturnAt(queue.location))
       return HoldUntilReturn(queue, *first_return);
