Origin copies: Mark all hosts that failed together before their copies move

Hosts that were found to have failed in one flush were handled one by one, so the copies of the first went to hosts that failed next, and each move spent a redirect and a token of the budget for repeats. All of them are marked now before any copy moves.

--- a/libraries/routing/origin_copies.cc
+++ b/libraries/routing/origin_copies.cc
@@ -294,7 +294,7 @@
   }
 }
 
-void OriginCopies::OnFailure(Host& host, TimePoint now) {
+void OriginCopies::MarkFailed(Host& host, TimePoint now) {
   ++counts_.failures;
   host.avoided_until =
       now + Doubled(kAvoidanceTime, host.failures, kMaximumAvoidanceTime);
@@ -304,8 +304,14 @@
   host.probe_at = now + kProbePeriod;
   silent_.insert(&host);
   is_usable_known_ = false;
-  MoveCopies(host, now);
-  CheckZone(*host.zone, now);
+}
+
+// Copies would move from one failed host to the next if it was not known yet
+// that this one has failed too.
+void OriginCopies::OnFailures(const std::set<Host*>& hosts, TimePoint now) {
+  for (Host* host : hosts) MarkFailed(*host, now);
+  for (Host* host : hosts) MoveCopies(*host, now);
+  for (Host* host : hosts) CheckZone(*host->zone, now);
 }
 
 void OriginCopies::CheckZone(Zone& zone, TimePoint now) {
@@ -357,7 +363,7 @@
       batch.due = now + kSecondLookDelay;
     }
   }
-  for (Host* host : failed) OnFailure(*host, now);
+  OnFailures(failed, now);
   next_check_ = TimePoint::max();
   for (const auto& [number, batch] : sent_)
     next_check_ = std::min(next_check_, batch.due);
@@ -369,7 +375,7 @@
     for (Host* host : *hosts)
       if (host->unsent_since && now - *host->unsent_since >= kConnectTimeout)
         failed.insert(host);
-  for (Host* host : failed) OnFailure(*host, now);
+  OnFailures(failed, now);
 }
 
 void OriginCopies::OfferWaiting(TimePoint now) {
--- a/libraries/routing/origin_copies.h
+++ b/libraries/routing/origin_copies.h
@@ -180,7 +180,8 @@
   void Place(Zone& zone, Copy copy);
   void Wait(Zone& zone, Copy copy);
   void Redirect(Zone& zone, Copy copy, TimePoint now);
-  void OnFailure(Host& host, TimePoint now);
+  void MarkFailed(Host& host, TimePoint now);
+  void OnFailures(const std::set<Host*>& hosts, TimePoint now);
   // Probes the hosts of a zone of which several have failed, so that copies do
   // not find out about each lost one.
   void CheckZone(Zone& zone, TimePoint now);
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -439,5 +439,42 @@
   REQUIRE(streams.front() == "15");
 }
 
+// Guards against copies that were moved from one failed host to another that
+// failed at the same time.
+TEST_CASE("Copies of hosts that fail together move to a host that answers") {
+  constexpr int kHosts = 10;
+  constexpr int kStreams = 60;
+  OriginCopies copies("a");
+  std::vector<CopyHost> hosts;
+  for (int i = 0; i < kHosts; ++i)
+    hosts.push_back({"b" + std::to_string(i), "b", true});
+  const std::string answering = hosts.back().address;
+  TimePoint now = TimePoint() + seconds(1);
+  copies.SetHosts(hosts, now);
+  std::vector<OriginCopies::Batch> sent;
+  const auto send = [&sent](const OriginCopies::Batch& batch) {
+    sent.push_back(batch);
+    return true;
+  };
+  for (int i = 0; i < kStreams; ++i)
+    copies.Add(std::to_string(i), now + kLifetime, now);
+  copies.Flush(now, send);
+  for (const auto& batch : sent)
+    if (batch.host == answering)
+      copies.OnAcknowledged(batch.host, batch.number, now);
+  const std::size_t unacknowledged = copies.size();
+  REQUIRE(sent.size() > 3);
+  now += milliseconds(200);
+  copies.Flush(now, send);
+  sent.clear();
+  now += milliseconds(20);
+  copies.Flush(now, send);
+  REQUIRE(copies.counts().failures > 3);
+  REQUIRE(copies.counts().redirected == unacknowledged);
+  REQUIRE(copies.waiting() == 0);
+  for (const auto& batch : sent)
+    if (!batch.streams.empty()) REQUIRE(batch.host == answering);
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
