Origin copies: Try to send to a host before it counts as not connected

A process that stood still for over 200 ms while it connected took every host that it had a message for as failed, without trying to send again. Hosts are now tried first, and fail only if another try, 20 ms later, fails as well, as with acknowledgements. Copies of hosts that fail so are sent on in the same flush.

It passes, with the other cases of origin_copies_test.

--- a/libraries/routing/origin_copies.cc
+++ b/libraries/routing/origin_copies.cc
@@ -16,7 +16,8 @@
 // A missed acknowledgement counts only after a second look: it may have arrived
 // while this process stood still.
 constexpr Duration kSecondLookDelay = milliseconds(20);
-// A host that cannot be sent to for this time is not used.
+// A host that cannot be sent to for this time, and is tried twice after it, is
+// not used.
 constexpr Duration kConnectTimeout = milliseconds(200);
 constexpr Duration kSendRetryDelay = milliseconds(20);
 // A host that has failed is avoided for this time, doubled with each failure,
@@ -270,6 +271,16 @@
   return true;
 }
 
+void OriginCopies::OnUnsent(Host& host, TimePoint now) {
+  if (!host.unsent_since) host.unsent_since = now;
+  has_unsent_ = true;
+}
+
+void OriginCopies::OnSent(Host& host) {
+  host.unsent_since.reset();
+  host.overdue_since.reset();
+}
+
 void OriginCopies::MoveCopies(Host& host, TimePoint now) {
   std::vector<Copy> copies;
   std::erase_if(sent_, [&](auto& item) {
@@ -282,7 +293,7 @@
   host.queue.clear();
   host.held.clear();
   host.batches = 0;
-  host.unsent_since.reset();
+  OnSent(host);
   queued_.erase(&host);
   to_check_.erase(&host);
   if (host.gets_all) host.is_behind = true;
@@ -369,13 +380,23 @@
     next_check_ = std::min(next_check_, batch.due);
 }
 
-void OriginCopies::CheckUnsent(TimePoint now) {
-  std::set<Host*> failed;
+// Hosts are tried before this, and again after kSendRetryDelay: they may have
+// been connected while this process stood still.
+bool OriginCopies::CheckUnsent(TimePoint now) {
+  std::set<Host*> late;
   for (const auto* hosts : {&queued_, &to_check_})
     for (Host* host : *hosts)
       if (host->unsent_since && now - *host->unsent_since >= kConnectTimeout)
-        failed.insert(host);
+        late.insert(host);
+  std::set<Host*> failed;
+  for (Host* host : late) {
+    if (!host->overdue_since)
+      host->overdue_since = now;
+    else if (now - *host->overdue_since >= kSendRetryDelay)
+      failed.insert(host);
+  }
   OnFailures(failed, now);
+  return !failed.empty();
 }
 
 void OriginCopies::OfferWaiting(TimePoint now) {
@@ -415,11 +436,10 @@
       sent.copies.push_back(copy);
     }
     if (!send(batch)) {
-      if (!host.unsent_since) host.unsent_since = now;
-      has_unsent_ = true;
+      OnUnsent(host, now);
       return;
     }
-    host.unsent_since.reset();
+    OnSent(host);
     host.queue.erase(
         host.queue.begin(),
         host.queue.begin() + static_cast<std::ptrdiff_t>(sent.copies.size()));
@@ -430,18 +450,25 @@
   }
 }
 
+void OriginCopies::SendQueues(TimePoint now, const SendCallback& send) {
+  const std::vector<Host*> hosts(queued_.begin(), queued_.end());
+  for (Host* host : hosts) {
+    SendQueue(*host, now, send);
+    if (host->queue.empty()) queued_.erase(host);
+  }
+}
+
 void OriginCopies::SendChecks(TimePoint now, const SendCallback& send) {
   std::erase_if(to_check_, [&](Host* host) {
     if (host->batches > 0) return true;
     if (!probes_.Has(now)) return false;
     if (!send({host->address, last_batch_ + 1, {}})) {
-      if (!host->unsent_since) host->unsent_since = now;
-      has_unsent_ = true;
+      OnUnsent(*host, now);
       return false;
     }
     probes_.Take(now);
     ++counts_.probes;
-    host->unsent_since.reset();
+    OnSent(*host);
     ++host->batches;
     sent_.emplace(++last_batch_,
                   SentBatch{host, {}, now + kAcknowledgementTimeout});
@@ -467,14 +494,11 @@
   flushed_at_ = now;
   has_unsent_ = false;
   CheckAcknowledgements(now);
-  CheckUnsent(now);
   OfferWaiting(now);
-  const std::vector<Host*> hosts(queued_.begin(), queued_.end());
-  for (Host* host : hosts) {
-    SendQueue(*host, now, send);
-    if (host->queue.empty()) queued_.erase(host);
-  }
+  SendQueues(now, send);
   SendChecks(now, send);
+  // Copies of hosts that have failed are sent to others.
+  if (CheckUnsent(now)) SendQueues(now, send);
   SendProbes(now, send);
 }
 
--- a/libraries/routing/origin_copies.h
+++ b/libraries/routing/origin_copies.h
@@ -133,6 +133,7 @@
     TimePoint probe_at{};
     Duration probe_period{};
     std::optional<TimePoint> unsent_since;
+    std::optional<TimePoint> overdue_since;  // unsent for too long
     std::deque<Copy> queue;
     std::set<const StreamEntry*> held;  // queued or unacknowledged
     std::size_t batches = 0;            // unacknowledged
@@ -185,12 +186,16 @@
   // Probes the hosts of a zone of which several have failed, so that copies do
   // not find out about each lost one.
   void CheckZone(Zone& zone, TimePoint now);
+  void OnUnsent(Host& host, TimePoint now);
+  static void OnSent(Host& host);
   // Takes all copies from a host and sends them elsewhere.
   void MoveCopies(Host& host, TimePoint now);
   void CheckAcknowledgements(TimePoint now);
-  void CheckUnsent(TimePoint now);
+  // Returns whether a host has failed.
+  bool CheckUnsent(TimePoint now);
   void OfferWaiting(TimePoint now);
   void SendQueue(Host& host, TimePoint now, const SendCallback& send);
+  void SendQueues(TimePoint now, const SendCallback& send);
   void SendChecks(TimePoint now, const SendCallback& send);
   void SendProbes(TimePoint now, const SendCallback& send);
 
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -476,5 +476,40 @@
     if (!batch.streams.empty()) REQUIRE(batch.host == answering);
 }
 
+// Guards against a process that stood still while it connected, and then took
+// every host that it had a message for as failed.
+TEST_CASE("A host is tried again before it counts as not connected") {
+  const int failing_tries = GENERATE(0, 1, 100);
+  CAPTURE(failing_tries);
+  OriginCopies copies("a");
+  const std::vector<CopyHost> hosts = {{"b0", "b", true}};
+  TimePoint now = TimePoint() + seconds(1);
+  copies.SetHosts(hosts, now);
+  int left = 1;
+  std::size_t streams = 0;
+  std::uint64_t last = 0;
+  const auto send = [&](const OriginCopies::Batch& batch) {
+    if (left > 0) {
+      --left;
+      return false;
+    }
+    streams += batch.streams.size();
+    last = batch.number;
+    return true;
+  };
+  copies.Add("s", now + kLifetime, now);
+  copies.Flush(now, send);
+  now += milliseconds(500);
+  left = failing_tries;
+  for (int i = 0; i < 3; ++i) {
+    copies.Flush(now, send);
+    if (streams > 0) copies.OnAcknowledged("b0", last, now);
+    now += milliseconds(20);
+  }
+  const bool is_connected = failing_tries < 2;
+  REQUIRE(copies.counts().failures == (is_connected ? 0 : 1));
+  REQUIRE(streams == (is_connected ? 1 : 0));
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
