Origin copies: Displace waiting copies for a host that gets all streams

Once copies for a zone without usable hosts took all room, the host that stores origins missed every new stream until they expired, since AddFor asked for free room. It now takes the place of the oldest waiting copy, as Add does.

The new case failed before: HasRoom was false with 10 waiting copies of 10. It passes, with the other cases of origin_copies_test.

--- a/libraries/routing/origin_copies.cc
+++ b/libraries/routing/origin_copies.cc
@@ -247,7 +247,7 @@
   const Host* found = Find(host);
   return found != nullptr && found->IsUsable(now) &&
          found->held.size() < limits_.copies_per_host &&
-         copies_ < limits_.copies;
+         (copies_ < limits_.copies || waiting() > 0);
 }
 
 bool OriginCopies::AddFor(const std::string& host, const std::string& stream,
@@ -255,7 +255,7 @@
   Host* found = Find(host);
   if (found == nullptr) return false;
   found->gets_all = true;
-  if (!HasRoom(host, now)) {
+  if (!HasRoom(host, now) || !MakeRoom()) {
     found->is_behind = true;
     return false;
   }
--- a/libraries/routing/origin_copies.h
+++ b/libraries/routing/origin_copies.h
@@ -74,8 +74,9 @@
   // Copies a stream to the zones. The copies wait at most until `expires_at`.
   void Add(const std::string& stream, TimePoint expires_at, TimePoint now);
 
-  // Copies a stream to `host`, which gets all streams. Returns false if it is
-  // unusable or has no room; it is behind then.
+  // Copies a stream to `host`, which gets all streams, if need be in place of
+  // the oldest waiting copy. Returns false if it is unusable or has no room; it
+  // is behind then.
   bool AddFor(const std::string& host, const std::string& stream,
               TimePoint expires_at, TimePoint now);
   bool HasRoom(const std::string& host, TimePoint now);
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -511,5 +511,31 @@
   REQUIRE(streams == (is_connected ? 1 : 0));
 }
 
+// Guards against a host that gets all streams and misses them as long as copies
+// for a lost zone take all room.
+TEST_CASE("Copies for a host that gets all streams displace waiting ones") {
+  OriginCopyLimits limits;
+  limits.copies = 10;
+  OriginCopies copies("a", limits);
+  const TimePoint now = TimePoint() + seconds(1);
+  const std::vector<CopyHost> lost = {{"b0", "b", false}};
+  copies.SetHosts(lost, now);
+  for (int i = 0; i < 10; ++i)
+    copies.Add(std::to_string(i), now + kLifetime, now);
+  REQUIRE(copies.waiting() == 10);
+  const std::vector<CopyHost> both = {{"a0", "a", true}, {"b0", "b", false}};
+  copies.SetHosts(both, now);
+  REQUIRE(copies.HasRoom("a0", now));
+  REQUIRE(copies.AddFor("a0", "t", now + kLifetime, now));
+  REQUIRE_FALSE(copies.TakeBehind("a0", now));
+  REQUIRE(copies.size() == 10);
+  REQUIRE(copies.waiting() == 9);
+  REQUIRE(copies.counts().left_out == 1);
+  for (int i = 0; i < 9; ++i)
+    REQUIRE(copies.AddFor("a0", "t" + std::to_string(i), now + kLifetime, now));
+  REQUIRE_FALSE(copies.AddFor("a0", "u", now + kLifetime, now));
+  REQUIRE(copies.size() == 10);
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
