--- a/libraries/routing/origin_copies.h
+++ b/libraries/routing/origin_copies.h
@@ -74,8 +74,9 @@
   // Copies a stream to the zones. The copies wait at most until `expires_at`.
   void Add(const std::string& stream, TimePoint expires_at, TimePoint now);
 
-  // Copies a stream to `host`, which gets all streams. Returns false if it is
-  // unusable or has no room; it is behind then.
+  // Copies a stream to `host`, which gets all streams, if need be in place of
+  // the oldest waiting copy. Returns false if it is unusable or has no room; it
+  // is behind then.
   bool AddFor(const std::string& host, const std::string& stream,
               TimePoint expires_at, TimePoint now);
   bool HasRoom(const std::string& host, TimePoint now);
@@ -133,6 +134,7 @@
     TimePoint probe_at{};
     Duration probe_period{};
     std::optional<TimePoint> unsent_since;
+    std::optional<TimePoint> overdue_since;  // unsent for too long
     std::deque<Copy> queue;
     std::set<const StreamEntry*> held;  // queued or unacknowledged
     std::size_t batches = 0;            // unacknowledged
@@ -180,16 +182,21 @@
   void Place(Zone& zone, Copy copy);
   void Wait(Zone& zone, Copy copy);
   void Redirect(Zone& zone, Copy copy, TimePoint now);
-  void OnFailure(Host& host, TimePoint now);
+  void MarkFailed(Host& host, TimePoint now);
+  void OnFailures(const std::set<Host*>& hosts, TimePoint now);
   // Probes the hosts of a zone of which several have failed, so that copies do
   // not find out about each lost one.
   void CheckZone(Zone& zone, TimePoint now);
+  void OnUnsent(Host& host, TimePoint now);
+  static void OnSent(Host& host);
   // Takes all copies from a host and sends them elsewhere.
   void MoveCopies(Host& host, TimePoint now);
   void CheckAcknowledgements(TimePoint now);
-  void CheckUnsent(TimePoint now);
+  // Returns whether a host has failed.
+  bool CheckUnsent(TimePoint now);
   void OfferWaiting(TimePoint now);
   void SendQueue(Host& host, TimePoint now, const SendCallback& send);
+  void SendQueues(TimePoint now, const SendCallback& send);
   void SendChecks(TimePoint now, const SendCallback& send);
   void SendProbes(TimePoint now, const SendCallback& send);
 
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -439,5 +439,103 @@
   REQUIRE(streams.front() == "15");
 }
 
+// Guards against copies that were moved from one failed host to another that
+// failed at the same time.
+TEST_CASE("Copies of hosts that fail together move to a host that answers") {
+  constexpr int kHosts = 10;
+  constexpr int kStreams = 60;
+  OriginCopies copies("a");
+  std::vector<CopyHost> hosts;
+  for (int i = 0; i < kHosts; ++i)
+    hosts.push_back({"b" + std::to_string(i), "b", true});
+  const std::string answering = hosts.back().address;
+  TimePoint now = TimePoint() + seconds(1);
+  copies.SetHosts(hosts, now);
+  std::vector<OriginCopies::Batch> sent;
+  const auto send = [&sent](const OriginCopies::Batch& batch) {
+    sent.push_back(batch);
+    return true;
+  };
+  for (int i = 0; i < kStreams; ++i)
+    copies.Add(std::to_string(i), now + kLifetime, now);
+  copies.Flush(now, send);
+  for (const auto& batch : sent)
+    if (batch.host == answering)
+      copies.OnAcknowledged(batch.host, batch.number, now);
+  const std::size_t unacknowledged = copies.size();
+  REQUIRE(sent.size() > 3);
+  now += milliseconds(200);
+  copies.Flush(now, send);
+  sent.clear();
+  now += milliseconds(20);
+  copies.Flush(now, send);
+  REQUIRE(copies.counts().failures > 3);
+  REQUIRE(copies.counts().redirected == unacknowledged);
+  REQUIRE(copies.waiting() == 0);
+  for (const auto& batch : sent)
+    if (!batch.streams.empty()) REQUIRE(batch.host == answering);
+}
+
+// Guards against a process that stood still while it connected, and then took
+// every host that it had a message for as failed.
+TEST_CASE("A host is tried again before it counts as not connected") {
+  const int failing_tries = GENERATE(0, 1, 100);
+  CAPTURE(failing_tries);
+  OriginCopies copies("a");
+  const std::vector<CopyHost> hosts = {{"b0", "b", true}};
+  TimePoint now = TimePoint() + seconds(1);
+  copies.SetHosts(hosts, now);
+  int left = 1;
+  std::size_t streams = 0;
+  std::uint64_t last = 0;
+  const auto send = [&](const OriginCopies::Batch& batch) {
+    if (left > 0) {
+      --left;
+      return false;
+    }
+    streams += batch.streams.size();
+    last = batch.number;
+    return true;
+  };
+  copies.Add("s", now + kLifetime, now);
+  copies.Flush(now, send);
+  now += milliseconds(500);
+  left = failing_tries;
+  for (int i = 0; i < 3; ++i) {
+    copies.Flush(now, send);
+    if (streams > 0) copies.OnAcknowledged("b0", last, now);
+    now += milliseconds(20);
+  }
+  const bool is_connected = failing_tries < 2;
+  REQUIRE(copies.counts().failures == (is_connected ? 0 : 1));
+  REQUIRE(streams == (is_connected ? 1 : 0));
+}
+
+// Guards against a host that gets all streams and misses them as long as copies
+// for a lost zone take all room.
+TEST_CASE("Copies for a host that gets all streams displace waiting ones") {
+  OriginCopyLimits limits;
+  limits.copies = 10;
+  OriginCopies copies("a", limits);
+  const TimePoint now = TimePoint() + seconds(1);
+  const std::vector<CopyHost> lost = {{"b0", "b", false}};
+  copies.SetHosts(lost, now);
+  for (int i = 0; i < 10; ++i)
+    copies.Add(std::to_string(i), now + kLifetime, now);
+  REQUIRE(copies.waiting() == 10);
+  const std::vector<CopyHost> both = {{"a0", "a", true}, {"b0", "b", false}};
+  copies.SetHosts(both, now);
+  REQUIRE(copies.HasRoom("a0", now));
+  REQUIRE(copies.AddFor("a0", "t", now + kLifetime, now));
+  REQUIRE_FALSE(copies.TakeBehind("a0", now));
+  REQUIRE(copies.size() == 10);
+  REQUIRE(copies.waiting() == 9);
+  REQUIRE(copies.counts().left_out == 1);
+  for (int i = 0; i < 9; ++i)
+    REQUIRE(copies.AddFor("a0", "t" + std::to_string(i), now + kLifetime, now));
+  REQUIRE_FALSE(copies.AddFor("a0", "u", now + kLifetime, now));
+  REQUIRE(copies.size() == 10);
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
