Routing: Bound first observations of a server's speed

Without a median, the first observation of a server became its mean as it was, and a low outlier lasted for a hundred observations and more, since upward corrections are small. Outliers also went to other hosts unbounded.

An observation now counts as at most a factor of 100, own ones and those of other hosts, and the mean begins as the median of the first three.

Both tests failed before: a slowness of 0.25 for a server like all others, and a logarithm of -9.4 told to other hosts.

--- a/libraries/routing/server_speed.cc
+++ b/libraries/routing/server_speed.cc
@@ -29,6 +29,8 @@
 constexpr double kNoiseErrors = 2.0;
 // Weight of an observation in a moment of slow work.
 constexpr double kMomentGain = 0.5;
+// An estimate of less is begun anew.
+constexpr double kForgottenWeight = 1e-3;
 // Longest excess of one observation, as a factor of 4.
 constexpr double kMaximumExcess = 1.386;
 // What a server says of its machine changes many times a second.
@@ -43,8 +45,11 @@
 constexpr double kOwnKindPreference = 2.0;
 // Another host's observations count at most this much in one message.
 constexpr double kMaximumMergedCount = 8.0;
-// Logarithms beyond it, a factor of a million, are errors.
-constexpr double kMaximumLogRatio = 13.8;
+// An observation counts as at most a factor of 100. Part of it may be common to
+// all servers, so it is no bound of the slowness.
+constexpr double kMaximumLogRatio = 4.605;
+// What other hosts tell beyond it, a factor of a million, is an error.
+constexpr double kErroneousLogRatio = 13.8;
 
 double Faded(double value, TimePoint since, TimePoint now, Duration half_life) {
   const double age =
@@ -108,21 +113,45 @@
   return Faded(estimate.weight, estimate.at, now, kMemory);
 }
 
+// Returns the mean of two, since neither is known to be the outlier.
+double ServerSpeeds::MedianOfFirst(const Estimate& estimate) {
+  std::vector<double> values(
+      estimate.first.begin(),
+      estimate.first.begin() +
+          static_cast<std::ptrdiff_t>(estimate.first_count));
+  if (values.size() == 2) return (values[0] + values[1]) / 2;
+  return Median(values);
+}
+
+void ServerSpeeds::AddDeviation(Reference& reference, double residual) {
+  const double deviation = std::min(std::abs(residual), kMaximumExcess);
+  reference.spread_weight += 1;
+  reference.spread += std::max(1.0 / reference.spread_weight, kSpreadGain) *
+                      (deviation - reference.spread);
+}
+
 void ServerSpeeds::Add(Estimate& estimate, Reference& reference,
                        double log_ratio, double count, TimePoint now) {
   const double weight = WeightNow(estimate, now);
-  // The first observations are bounded around what is usual in the service.
-  if (weight < 1e-3) {
-    estimate.mean =
+  if (weight < kForgottenWeight) {
+    estimate.weight = 0;
+    estimate.first_count = 0;
+  }
+  const double residual = log_ratio - estimate.mean;
+  // Without a mean to bound them by, the median of the first observations
+  // counts, bounded around what is usual in the service.
+  if (estimate.first_count < estimate.first.size()) {
+    estimate.first[estimate.first_count++] =
         reference.median
             ? std::clamp(log_ratio, *reference.median - kMaximumExcess,
                          *reference.median + kMaximumExcess)
             : log_ratio;
-    estimate.weight = count;
+    estimate.mean = MedianOfFirst(estimate);
+    estimate.weight = std::min(weight + count, 1.0 / kLowestGain);
     estimate.at = now;
+    if (estimate.first_count > 1) AddDeviation(reference, residual);
     return;
   }
-  const double residual = log_ratio - estimate.mean;
   const double bounded = std::clamp(residual, -kMaximumStep, kMaximumStep) *
                          (residual > 0 ? kLoadWeight : 1.0);
   const double gain =
@@ -130,10 +159,7 @@
   estimate.mean += gain * bounded;
   estimate.weight = std::min(weight + count, 1.0 / kLowestGain);
   estimate.at = now;
-  const double deviation = std::min(std::abs(residual), kMaximumExcess);
-  reference.spread_weight += 1;
-  reference.spread += std::max(1.0 / reference.spread_weight, kSpreadGain) *
-                      (deviation - reference.spread);
+  AddDeviation(reference, residual);
 }
 
 void ServerSpeeds::Observe(const ServiceId& service,
@@ -144,9 +170,11 @@
   ServerState& observed = StateOf(service, server, now);
   // What the server says of the moment is no part of the steady slowness.
   const double log_ratio =
-      std::log(static_cast<double>(taken.count()) /
-               static_cast<double>(expected.count())) -
-      Faded(observed.reported, observed.reported_at, now, kReportedHalfLife);
+      std::clamp(std::log(static_cast<double>(taken.count()) /
+                          static_cast<double>(expected.count())) -
+                     Faded(observed.reported, observed.reported_at, now,
+                           kReportedHalfLife),
+                 -kMaximumLogRatio, kMaximumLogRatio);
   Estimate& estimate = observed.kinds[index];
   ServiceState& state = services_[service];
   Reference& reference = state.references[index];
@@ -169,12 +197,13 @@
 void ServerSpeeds::Merge(const SpeedSample& sample, TimePoint now) {
   const auto index = static_cast<std::size_t>(sample.kind);
   if (index >= kWorkKinds || sample.count == 0 || sample.server.id.empty() ||
-      !(std::abs(sample.log_ratio) <= kMaximumLogRatio))
+      !(std::abs(sample.log_ratio) <= kErroneousLogRatio))
     return;
   Estimate& estimate = StateOf(sample.service, sample.server, now).kinds[index];
   ServiceState& state = services_[sample.service];
   MeasuredReference(state, index, now);
-  Add(estimate, state.references[index], sample.log_ratio,
+  Add(estimate, state.references[index],
+      std::clamp(sample.log_ratio, -kMaximumLogRatio, kMaximumLogRatio),
       std::min<double>(sample.count, kMaximumMergedCount), now);
 }
 
--- a/libraries/routing/server_speed.h
+++ b/libraries/routing/server_speed.h
@@ -116,6 +116,8 @@
     double mean = 0;    // of the logarithms
     double weight = 0;  // number of observations, less those forgotten
     TimePoint at{};
+    std::array<double, 3> first{};  // observations
+    std::size_t first_count = 0;
     double excess = 0;  // of the newest observations over the mean
     TimePoint excess_at{};
     // Observations of this host that it has not told others.
@@ -147,6 +149,8 @@
   void RemoveOldest();
   static void Add(Estimate& estimate, Reference& reference, double log_ratio,
                   double count, TimePoint now);
+  static double MedianOfFirst(const Estimate& estimate);
+  static void AddDeviation(Reference& reference, double residual);
   static double WeightNow(const Estimate& estimate, TimePoint now);
   static const Reference& MeasuredReference(const ServiceState& service,
                                             std::size_t kind, TimePoint now);
--- a/tests/routing/server_speed_test.cc
+++ b/tests/routing/server_speed_test.cc
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "routing/routing.h"
 
@@ -264,6 +266,33 @@
   REQUIRE(other.speeds.TakeObserved().empty());
 }
 
+// Guards against a wrong estimate that lasts for a hundred observations.
+TEST_CASE("A first outlier without a median is soon outweighed") {
+  Observed observed;
+  const auto even = [](int) { return 1.0; };
+  observed.Add(0, 1e-4);
+  observed.Add(1, 1e5);
+  observed.Observe(12, 12, milliseconds(250), even);
+  observed.now += seconds(2);
+  REQUIRE(observed.Slowness(0) == 1.0);
+  REQUIRE(observed.Slowness(1) == 1.0);
+}
+
+// Guards against an outlier that spreads to other hosts.
+TEST_CASE("Outliers are bounded in what other hosts are told and accept") {
+  Observed observed;
+  observed.Add(0, 1e-4);
+  const std::vector<SpeedSample> told = observed.speeds.TakeObserved();
+  REQUIRE(told.size() == 1);
+  REQUIRE(told.front().log_ratio >= -std::log(101));
+  Observed other;
+  other.speeds.Merge({kService, MakeServer(0), WorkKind::kDecodeStep, -13.5, 8},
+                     other.now);
+  other.Observe(12, 12, milliseconds(250), [](int) { return 1.0; });
+  other.now += seconds(2);
+  REQUIRE(other.Slowness(0) == 1.0);
+}
+
 TEST_CASE("The number of servers that are kept is bounded") {
   ServerSpeeds speeds;
   const TimePoint now{seconds(1)};
