Routing: Bound what a server says of its machine

A server may report up to 1000 times its usual time, or 0.001 %, and that figure was taken away from each observation made meanwhile, so that the steady part became absurd. The figure is now bounded to the range of slowness when it is recorded.

--- a/libraries/routing/server_speed.cc
+++ b/libraries/routing/server_speed.cc
@@ -212,7 +212,8 @@
                                TimePoint now) {
   if (!std::isfinite(slowdown) || slowdown <= 0) return;
   ServerState& state = StateOf(service, server, now);
-  state.reported = std::log(slowdown);
+  state.reported =
+      std::log(std::clamp(slowdown, kLowestSlowness, kHighestSlowness));
   state.reported_at = now;
 }
 
--- a/tests/routing/server_speed_test.cc
+++ b/tests/routing/server_speed_test.cc
@@ -293,6 +293,22 @@
   REQUIRE(other.Slowness(0) == 1.0);
 }
 
+// Guards against observations from which an absurd figure is taken away.
+TEST_CASE("A server's own figure is bounded before it corrects observations") {
+  Observed observed;
+  observed.Observe(12, 20, milliseconds(250), [](int) { return 1.0; });
+  observed.speeds.TakeObserved();
+  const auto told_with = [&](double slowdown) {
+    observed.speeds.SetReported(kService, MakeServer(3), slowdown,
+                                observed.now);
+    observed.speeds.Observe(kService, MakeServer(3), WorkKind::kDecodeStep,
+                            kExpected, kExpected, observed.now);
+    return observed.speeds.TakeObserved().front().log_ratio;
+  };
+  REQUIRE(told_with(1000) == Approx(-std::log(ServerSpeeds::kHighestSlowness)));
+  REQUIRE(told_with(1e-5) == Approx(-std::log(ServerSpeeds::kLowestSlowness)));
+}
+
 TEST_CASE("The number of servers that are kept is bounded") {
   ServerSpeeds speeds;
   const TimePoint now{seconds(1)};
