Routing: Leave out gaps between reads of one event

Events that are split over two reads gave gaps of microseconds; two of five were enough to take a server for a fast one. Gaps below 1 ms are now left out.

The test failed before: no quantile of 30 ms was returned for five events 30 ms apart, each split over two reads.

--- a/libraries/routing/server_speed.cc
+++ b/libraries/routing/server_speed.cc
@@ -67,6 +67,7 @@
 }  // namespace
 
 std::optional<Duration> EventGaps::Add(Duration gap) {
+  if (gap < kShortestGap) return std::nullopt;
   gaps_[count_++] = gap;
   if (count_ < kGaps) return std::nullopt;
   count_ = 0;
--- a/libraries/routing/server_speed.h
+++ b/libraries/routing/server_speed.h
@@ -29,6 +29,8 @@
 
  private:
   static constexpr std::size_t kGaps = 5;
+  // Shorter ones lie between two reads of what was sent at once.
+  static constexpr Duration kShortestGap = std::chrono::milliseconds(1);
   std::array<Duration, kGaps> gaps_{};
   std::size_t count_ = 0;
 };
--- a/tests/routing/server_speed_test.cc
+++ b/tests/routing/server_speed_test.cc
@@ -309,6 +309,18 @@
   REQUIRE(told_with(1e-5) == Approx(-std::log(ServerSpeeds::kLowestSlowness)));
 }
 
+// Guards against "fast" servers whose events are split over two reads.
+TEST_CASE("Gaps between the reads of one event are no decode steps") {
+  EventGaps gaps;
+  std::optional<Duration> found;
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(!found);
+    gaps.Add(std::chrono::microseconds(20));
+    found = gaps.Add(milliseconds(30));
+  }
+  REQUIRE(found == milliseconds(30));
+}
+
 TEST_CASE("The number of servers that are kept is bounded") {
   ServerSpeeds speeds;
   const TimePoint now{seconds(1)};
