Platform: Limit times that overflow

A sanitized process ended at X-Lovagecleat-Deadline-Ms near 2^63 and at warmupMs of 1e300: times are kept in signed microseconds and are added to others.

--- a/tests/platform_adapter/message_codec_test.cc
+++ b/tests/platform_adapter/message_codec_test.cc
@@ -47,6 +47,27 @@
   REQUIRE(kCodec.ReadRequest(MakeHead({})));
 }
 
+// Guards against overflows of signed numbers: later times were added to these.
+TEST_CASE("Times beyond all use are limited") {
+  const auto request = kCodec.ReadRequest(
+      MakeHead({{"X-Lovagecleat-Deadline-Ms", "9223372036854775807"}}));
+  REQUIRE(request);
+  REQUIRE(request->timeout == std::chrono::hours(24));
+  const auto entry = kCodec.ReadServer(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready",
+          "warmupMs":1e300})");
+  REQUIRE(entry);
+  REQUIRE(entry->warm_up_time == std::chrono::hours(24));
+  const auto table = kCodec.ReadRouting(
+      R"({"version":1,"services":[{"name":"s"}],"routes":[{"name":"r",
+          "host":"h","prefix":"/","kind":"safe","service":"s",
+          "timeoutMs":-1e300}],"limits":{"idleMs":1e300}})");
+  REQUIRE(table);
+  REQUIRE(table->routes.front().timeout == -std::chrono::hours(24));
+  REQUIRE(table->limits.idle_time == std::chrono::hours(24));
+}
+
 TEST_CASE("Only a server's field or status 421 marks a request as not run") {
   const auto metadata_of = [](int status, http::HeaderFields fields) {
     return kCodec.ReadResponseHead({status, "", std::move(fields)},
