Gateway: Take a stream of a split route up at its service

RequestFlow drew a service by weight for a resumed stream too, and bound it to its version only if that was the service of its origin. Now the stream goes to the service of its origin if the route still allows it, and is refused otherwise; on a split route a stream that no host knows is refused, since its service is not known.

The three new tests failed before: streams begun at v1 got events of v2 and the reverse, a stream went on at the service that its route had moved to, and one of unknown service was served.

--- a/libraries/routing/model.h
+++ b/libraries/routing/model.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -46,6 +47,14 @@
   bool is_resumable = false;
   bool uses_prompts = false;  // its servers cache prompt prefixes
 
+  // Returns whether requests may go to that service.
+  bool Allows(const ServiceId& service) const {
+    return std::any_of(
+        services.begin(), services.end(), [&](const WeightedService& allowed) {
+          return allowed.service == service && allowed.weight > 0;
+        });
+  }
+
   bool MayRepeat() const {
     return kind == RequestKind::kSafe ||
            (kind == RequestKind::kStream && is_resumable);
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -128,8 +128,11 @@
   deadline_timer_ = context_.loop.At(end, [this] { OnDeadline(); });
 }
 
+// A stream that no host knows may have begun at any service of its route.
 void RequestFlow::FindOrigin() {
-  origins_.Find({StreamId(), service_, route_->timeout + kStreamAgeMargin},
+  const ServiceId only_service =
+      route_->services.size() == 1 ? service_ : ServiceId();
+  origins_.Find({StreamId(), only_service, route_->timeout + kStreamAgeMargin},
                 this,
                 [this](const std::optional<routing::StreamOrigin>& origin) {
                   OnOrigin(origin);
@@ -139,7 +142,9 @@
 void RequestFlow::OnOrigin(const std::optional<routing::StreamOrigin>& origin) {
   if (has_ended_) return;
   if (!origin) return Refuse("unknown_origin");
-  if (origin->service == service_) required_version_ = origin->software_version;
+  if (!route_->Allows(origin->service)) return Refuse("service_moved");
+  service_ = origin->service;
+  required_version_ = origin->software_version;
   const std::vector<routing::ServerRecord*> servers =
       context_.directory.InService(service_);
   if (std::none_of(servers.begin(), servers.end(),
--- a/tests/gateway/stream_versions_test.cc
+++ b/tests/gateway/stream_versions_test.cc
@@ -34,6 +34,24 @@
  "services":[{"name":"plain","healthPath":"/h","maxConns":9}],
  "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
 
+// Streams of the route begin at two services.
+constexpr const char* kSplitRouting = R"({"version":3,"routes":[
+ {"name":"stream","host":"a.example","prefix":"/r/","kind":"stream",
+  "timeoutMs":5000,"goalMs":1000,"attempts":2,"resumable":true,
+  "backends":[{"service":"plain","weight":50},{"service":"next","weight":50}]}],
+ "services":[{"name":"plain","healthPath":"/h","maxConns":9},
+             {"name":"next","healthPath":"/h","maxConns":9}],
+ "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
+
+// The route of kSplitRouting after all of it was moved to one service.
+constexpr const char* kMovedRouting = R"({"version":4,"routes":[
+ {"name":"stream","host":"a.example","prefix":"/r/","kind":"stream",
+  "timeoutMs":5000,"goalMs":1000,"attempts":2,"resumable":true,
+  "service":"next"}],
+ "services":[{"name":"plain","healthPath":"/h","maxConns":9},
+             {"name":"next","healthPath":"/h","maxConns":9}],
+ "limits":{"headerBytes":8000,"bodyBytes":1000,"headerMs":500,"idleMs":9000}})";
+
 // Longer than any stream of kShortRouting and than the delay of row changes.
 constexpr auto kLongerThanStreams = milliseconds(4000);
 // Changes of the store's tables have taken effect after this time.
@@ -269,6 +287,56 @@
   REQUIRE(next.requests() == 0);
 }
 
+// Guards against streams with events of two versions: a stream of a split route
+// was taken up at the service that was drawn anew.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream of a split route is taken up at its service") {
+  const std::size_t host = GENERATE(0U, 1U);
+  CAPTURE(host);
+  Add("v1", After::kWaitForClose);
+  Add("v2", After::kWaitForClose, After::kContinue, "next");
+  StartWith(2, kSplitRouting);
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "a" + std::to_string(i);
+    const std::string version = BeginAndClose(id);
+    CheckWholeStream(Send(TakeUp("b" + id, id), host), version);
+  }
+  REQUIRE(taken_up() == kStreams);
+}
+
+// Guards against requests that a service runs although the configuration no
+// longer allows it, and against streams that go on at another one.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream is refused once its route has left its service") {
+  Add("v1", After::kWaitForClose);
+  Add("v2", After::kWaitForClose, After::kContinue, "next");
+  StartWith(1, kSplitRouting);
+  std::string begun_at_v1;
+  for (int i = 0; i < kStreams && begun_at_v1.empty(); ++i) {
+    const std::string id = "a" + std::to_string(i);
+    if (BeginAndClose(id) == "v1") begun_at_v1 = id;
+  }
+  REQUIRE_FALSE(begun_at_v1.empty());
+  rows.Set("op", "config", kMovedRouting);
+  RunFor(kChangeDelay);
+  RequireRefused(TakeUp("b", begun_at_v1));
+}
+
+// Guards against streams with events of two versions: a stream whose beginning
+// no host knew was taken up at the service that was drawn, whose only version
+// need not be that of the stream.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A stream of unknown service is refused on a split route") {
+  Add("v1", After::kContinue);
+  Add("v2", After::kContinue, After::kContinue, "next");
+  std::string routing = kSplitRouting;
+  const std::string timeout = R"("timeoutMs":5000)";
+  routing.replace(routing.find(timeout), timeout.size(), R"("timeoutMs":1500)");
+  StartWith(1, routing.c_str());
+  RunFor(kLongerThanStreams);
+  RequireRefused(TakeUp("a2", "unknown"));
+}
+
 // Guards against cut streams: one that its caller had resumed waited behind new
 // requests of more urgent routes, until it was refused.
 TEST_CASE_METHOD(StreamVersionsFixture,
--- a/tests/gateway/version_servers.cc
+++ b/tests/gateway/version_servers.cc
@@ -95,10 +95,11 @@
 
 VersionServer& StreamVersionsFixture::Add(const std::string& version,
                                           After after_begin,
-                                          After after_take_up) {
+                                          After after_take_up,
+                                          const std::string& service) {
   VersionServer& server =
       servers.emplace_back(version, after_begin, after_take_up);
-  AddServer("s" + std::to_string(servers.size()), "plain", server.address(),
+  AddServer("s" + std::to_string(servers.size()), service, server.address(),
             version);
   return server;
 }
--- a/tests/gateway/version_servers.h
+++ b/tests/gateway/version_servers.h
@@ -57,14 +57,15 @@
 // Checks that the response is a whole stream with events of that version only.
 void CheckWholeStream(const std::string& response, const std::string& version);
 
-// Runs gateways and servers of several versions of one service, "plain".
+// Runs gateways and servers of several versions, mostly of the service "plain".
 class StreamVersionsFixture : public GatewayFixture {
  public:
   using After = VersionServer::After;
 
   // Adds a server, with the id "sN" in order.
   VersionServer& Add(const std::string& version, After after_begin,
-                     After after_take_up = After::kContinue);
+                     After after_take_up = After::kContinue,
+                     const std::string& service = "plain");
 
   // Starts hosts with that configuration.
   void StartWith(std::size_t hosts, const char* routing);
