Configuration: Read the time to stop in seconds

With a grace period of 7.5 s a SIGTERM cut all streams within 5 ms: the template appended 000 to the seconds, which makes milliseconds of whole seconds only, and 7.5 ms of 7.5. The setting is now stop_s, in seconds with a fraction.

The new test reads the deployment's template with 7.5 s; before, it got 7500 us.

--- a/libraries/configuration/gateway_settings.cc
+++ b/libraries/configuration/gateway_settings.cc
@@ -1,5 +1,7 @@
 #include "configuration/gateway_settings.h"
 
+#include <cmath>
+
 #include "configuration/object_reader.h"
 
 namespace lovagecleat::configuration {
@@ -8,6 +10,8 @@
 
 constexpr IntegerRange kSeedPeerCount{0, 64};
 constexpr double kMaximumNumber = 1e6;
+constexpr Duration kMillisecond = std::chrono::milliseconds(1);
+constexpr Duration kSecond = std::chrono::seconds(1);
 
 // Reads an address in the form "IP:PORT".
 std::string ReadAddress(ObjectReader& object, std::string_view key,
@@ -43,11 +47,13 @@
   number = element->value.get<double>();
 }
 
-void ReadDuration(ObjectReader& object, std::string_view key,
+// Reads a duration in that unit, which may have a fraction.
+void ReadDuration(ObjectReader& object, std::string_view key, Duration unit,
                   Duration& duration, std::vector<Problem>& problems) {
-  double milliseconds = static_cast<double>(duration.count()) / 1000.0;
-  ReadNumber(object, key, milliseconds, problems);
-  duration = Duration(static_cast<std::int64_t>(milliseconds * 1000.0));
+  const auto unit_count = static_cast<double>(unit.count());
+  double units = static_cast<double>(duration.count()) / unit_count;
+  ReadNumber(object, key, units, problems);
+  duration = Duration(std::llround(units * unit_count));
 }
 
 // The limits apply if one of them is set.
@@ -60,7 +66,7 @@
   Duration rollback_time = kUnsetTime;
   ReadNumber(object, "exposure_share", share, problems);
   ReadNumber(object, "exposure_slack", slack, problems);
-  ReadDuration(object, "rollback_ms", rollback_time, problems);
+  ReadDuration(object, "rollback_ms", kMillisecond, rollback_time, problems);
   if (share == kUnset && slack == kUnset && rollback_time == kUnsetTime) return;
   exposure.emplace();
   if (share != kUnset) exposure->share = share;
@@ -77,9 +83,11 @@
   ReadNumber(object, "cold_slack", limits.cold_slack, problems);
   ReadNumber(object, "retry_ratio", limits.retry_ratio, problems);
   ReadNumber(object, "retry_slack", limits.retry_slack, problems);
-  ReadDuration(object, "contact_ms", limits.store_contact_timeout, problems);
-  ReadDuration(object, "change_ms", limits.maximum_change_delay, problems);
-  ReadDuration(object, "stop_ms", limits.shutdown_timeout, problems);
+  ReadDuration(object, "contact_ms", kMillisecond, limits.store_contact_timeout,
+               problems);
+  ReadDuration(object, "change_ms", kMillisecond, limits.maximum_change_delay,
+               problems);
+  ReadDuration(object, "stop_s", kSecond, limits.shutdown_timeout, problems);
   ReadExposure(object, limits.exposure, problems);
 }
 
--- a/tests/configuration/gateway_settings_test.cc
+++ b/tests/configuration/gateway_settings_test.cc
@@ -1,4 +1,8 @@
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <string>
 
 #include "configuration/configuration.h"
 
@@ -9,7 +13,7 @@
  "callers":"127.0.0.1:1","readiness":"127.0.0.1:2","peers":"127.0.0.1:3",
  "metrics":"127.0.0.1:4","seeds":["127.0.0.1:5"],"store":"127.0.0.1:6",
  "bounds":{"cold_factor":1.25,"cold_slack":4,"retry_ratio":0.3,
- "retry_slack":9,"contact_ms":4000,"change_ms":3000,"stop_ms":9000},
+ "retry_slack":9,"contact_ms":4000,"change_ms":3000,"stop_s":9},
  "something_new":true})";
 
 TEST_CASE("Gateway settings are read and unknown keys are ignored") {
@@ -41,6 +45,38 @@
   REQUIRE_FALSE(reader.Read(text));
 }
 
+// Guards against a stop that cuts all requests: the time from SIGTERM to
+// SIGKILL may have a fraction, and 7.5 s was read as 7.5 ms.
+TEST_CASE("The deployment's template keeps the fraction of a stop time") {
+  std::ifstream file(TEST_DATA_DIRECTORY "/../../deploy/gateway.json.template");
+  std::string text((std::istreambuf_iterator<char>(file)),
+                   std::istreambuf_iterator<char>());
+  REQUIRE_FALSE(text.empty());
+  const std::map<std::string, std::string> values = {
+      {"nodeName", "h"},
+      {"zone", "z"},
+      {"listen.front", "10.0.0.1:1"},
+      {"listen.ready", "10.0.0.1:2"},
+      {"listen.control", "10.0.0.1:3"},
+      {"ip", "10.0.0.1"},
+      {"seedNodes|json", "[]"},
+      {"platform.address", "10.0.0.2:1"},
+      {"sloBounds.graceS", "7.5"}};
+  const std::string other_number = "2";
+  for (auto start = text.find("{{"); start != std::string::npos;
+       start = text.find("{{")) {
+    const auto end = text.find("}}", start);
+    const auto value = values.find(text.substr(start + 2, end - start - 2));
+    text.replace(start, end + 2 - start,
+                 value == values.end() ? other_number : value->second);
+  }
+  GatewaySettingsReader reader;
+  const auto settings = reader.Read(text);
+  INFO(text);
+  REQUIRE(settings);
+  REQUIRE(settings->limits.shutdown_timeout == std::chrono::milliseconds(7500));
+}
+
 TEST_CASE(
     "Each invalid gateway setting is reported with its key and the expected "
     "value") {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -167,7 +167,7 @@
             "bounds": {"cold_factor": records.COLD_FACTOR, "cold_slack": records.COLD_SLACK,
                        "retry_ratio": records.RETRY_RATIO, "retry_slack": records.RETRY_SLACK,
                        "contact_ms": records.CONTACT_SECONDS * 1000, "change_ms": records.CHANGE_SECONDS * 1000,
-                       "stop_ms": STOP_TIMEOUT_SECONDS * 1000},
+                       "stop_s": STOP_TIMEOUT_SECONDS},
         }
 
     def start(self):
