Gateway: Stop once clients have their responses

Answers of 5 MB that clients read at 7.2 Mbit/s were cut 2.5 s after a SIGTERM, with 5 s of the grace period left: the process ended once no request was open, while bytes of complete responses waited in its buffers. It now also waits, within the grace period, until all bytes of responses are with the kernel, which delivers them after the end of the process.

The new test, of a client that begins to read 7 MB after 3 s, got 3.9 MB before.

--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <vector>
 
 #include "http/server_connection.h"
@@ -67,6 +68,12 @@
   connections_.erase(found);
 }
 
+bool Server::HasUnsentBytes() const {
+  return std::any_of(
+      connections_.begin(), connections_.end(),
+      [](const auto& item) { return item.second->unsent_bytes() > 0; });
+}
+
 void Server::CloseIdleConnections() {
   for (auto& [key, connection] : connections_) connection->CloseIfIdle();
 }
--- a/libraries/http/server.h
+++ b/libraries/http/server.h
@@ -108,6 +108,9 @@
   // Closes the connections on which no request is being read or served.
   void CloseIdleConnections();
 
+  // Returns whether bytes of responses wait for clients to read.
+  bool HasUnsentBytes() const;
+
   std::size_t connections() const { return connections_.size(); }
   std::size_t active_exchanges() const { return active_exchanges_; }
   std::uint16_t port() const;
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -26,6 +26,7 @@
   // Enforces the time limits and the limit on unsent bytes.
   void CheckTimeouts(TimePoint now);
   void CloseIfIdle();
+  std::size_t unsent_bytes() const { return stream_->unsent_bytes(); }
 
   void Respond(int status, const HeaderFields& fields, std::string_view body);
   void BeginResponse(int status, const HeaderFields& fields,
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -748,8 +748,11 @@
     callers_.StopListening();
     callers_.CloseIdleConnections();
   }
+  // Slow clients may still read responses that are complete here.
+  const bool is_done =
+      flows_.empty() && relays_.size() == 0 && !callers_.HasUnsentBytes();
   if (until_end <= Duration::zero() ||
-      (elapsed >= kStopGracePeriod && flows_.empty() && relays_.size() == 0)) {
+      (elapsed >= kStopGracePeriod && is_done)) {
     context_.log.Write("stopped", "",
                        {{"requests_left", flows_.size() + relays_.size()}});
     context_.log.Flush();
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -317,6 +317,37 @@
   REQUIRE(loop().clock().Now() - start < std::chrono::milliseconds(500));
 }
 
+// Guards against cut responses: a stopping process ended although a slow client
+// was still reading a response that was complete at the host.
+TEST_CASE_METHOD(GatewayTest,
+                 "A stop waits for clients that still read their responses") {
+  const std::string body(std::size_t{7} << 20, 'x');
+  ScriptedServer server([&](RawConnection& connection, const std::string&) {
+    connection.Write(Join({"HTTP/1.1 200 OK\r\n", kSeal,
+                           "X-Lovagecleat-Request-Id: id1\r\nContent-Length: ",
+                           std::to_string(body.size()), "\r\n\r\n", body}));
+    return true;
+  });
+  StartWith({&server});
+  std::string response;
+  std::thread client([&, port = callers_port()] {
+    const RawClient raw(port);
+    raw.Write(MakeRequest("/s/"));
+    // Longer than the process waits for new connections.
+    std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+    response = raw.ReadToEnd();
+  });
+  RunUntil([&] {
+    return LogText().find(R"("cause":"served")") != std::string::npos;
+  });
+  gateway->Stop();
+  loop().Run();
+  KillHost(0);
+  client.join();
+  REQUIRE(response.size() > body.size());
+  REQUIRE(response.ends_with("0\r\n\r\n"));
+}
+
 // Guards against cut-off requests: a stopping host accepted requests until it
 // was killed.
 TEST_CASE_METHOD(GatewayTest,
