Gateway: Tell all hosts of a notice in a relayed response

A host without a path to servers passes requests on, maybe to another zone, and its responses name no server that it could note. The other host told only its own zone that a server was about to exit, so once the path was back and the store away, the first one sent that server requests. Notices in responses to requests that were passed on now go to all hosts, also if this host knew them.

The new test, with the hosts of two zones, failed before: the first host did not learn it.

--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -82,7 +82,11 @@
 void RequestFlow::OnResponseHead(const http::ResponseHead& head) {
   head_ = head;
   response_metadata_ = context_.codec.ReadResponseHead(head, Now());
-  notices_.OnResponse(incarnation_, response_metadata_);
+  // The host that has passed the request on may be in any zone, and gets the
+  // response as if it came from this host.
+  notices_.OnResponse(incarnation_, response_metadata_,
+                      request_.is_relayed ? ServerNotices::Audience::kAllHosts
+                                          : ServerNotices::Audience::kZone);
   // The server that now has the address says nothing of the one before.
   if (response_metadata_.is_wrong_server) return;
   OnHeard();
--- a/services/gateway/server_notices.cc
+++ b/services/gateway/server_notices.cc
@@ -98,7 +98,8 @@
 }
 
 void ServerNotices::OnResponse(const routing::ServerIncarnation& server,
-                               const ResponseMetadata& response) {
+                               const ResponseMetadata& response,
+                               Audience audience) {
   LogFieldProblems(server.id, response.problems);
   // Another server that now has this address speaks for itself.
   if (response.is_wrong_server) return;
@@ -106,10 +107,13 @@
     StartQuietPeriod(context_, server, *response.quiet_time);
   RecordLimit(server, response);
   if (!response.is_leaving) return;
-  if (!Record(server, "response")) return;
-  outbox_.ToAll(hosts_in_zone_, [&server](messages::ServerNotices& notices) {
-    WriteServer(server, *notices.add_leaving());
-  });
+  const bool is_new = Record(server, "response");
+  // The hosts of other zones have not been told of a known one.
+  if (!is_new && audience == Audience::kZone) return;
+  outbox_.ToAll(audience == Audience::kZone ? hosts_in_zone_ : hosts_,
+                [&server](messages::ServerNotices& notices) {
+                  WriteServer(server, *notices.add_leaving());
+                });
 }
 
 void ServerNotices::RecordLimit(const routing::ServerIncarnation& server,
--- a/services/gateway/server_notices.h
+++ b/services/gateway/server_notices.h
@@ -20,6 +20,8 @@
  public:
   using ReachableCallback = std::function<bool(const std::string& peer)>;
   using Outbox = PeerOutbox<messages::ServerNotices>;
+  // The hosts that learn that a server is about to exit.
+  enum class Audience { kZone, kAllHosts };
 
   ServerNotices(Context& context, ReachableCallback is_reachable,
                 Outbox::SendCallback send);
@@ -36,7 +38,8 @@
   // logs fields that cannot be read. `server` is the incarnation that the call
   // was sent to: its entry may have been replaced since.
   void OnResponse(const routing::ServerIncarnation& server,
-                  const ResponseMetadata& response);
+                  const ResponseMetadata& response,
+                  Audience audience = Audience::kZone);
 
   void OnMessage(const std::string& from,
                  const messages::ServerNotices& notices);
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -172,7 +172,8 @@
       rows(fixture.rows, fixture.edit_server_row, number),
       pool(fixture.poller_) {
   settings.host = HostId(name);
-  settings.zone = ZoneId("z");
+  const auto zone = fixture.host_zones.find(number);
+  settings.zone = ZoneId(zone == fixture.host_zones.end() ? "z" : zone->second);
   const auto address = [] {
     return "127.0.0.1:" + std::to_string(transport::UnusedPort());
   };
@@ -254,7 +255,8 @@
 void GatewayFixture::AddHostRow(const Host& host) {
   rows.Set("hosts", host.settings.host.value(),
            R"({"peers":")" + host.settings.peers + R"(","callers":")" +
-               host.settings.callers + R"(","zone":"z"})");
+               host.settings.callers + R"(","zone":")" +
+               host.settings.zone.value() + R"("})");
 }
 
 void GatewayFixture::AddOwnHostRow() { AddHostRow(*hosts_.front()); }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -196,6 +196,8 @@
   std::string LogText(std::size_t host = 0);
 
   FakeRowSource rows;
+  // Zones other than "z" of hosts that StartHosts adds, by number.
+  std::map<std::size_t, std::string> host_zones;
   // Set it before hosts start if they reach servers at addresses of their own.
   HostRowSource::Edit edit_server_row;
   Gateway* gateway = nullptr;  // the first one; null once killed
--- a/tests/gateway_reports/lost_path_test.cc
+++ b/tests/gateway_reports/lost_path_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,8 @@
 
   std::atomic<bool> closes_connections_ = false;  // after each response
 
+  std::atomic<bool> gives_notice_ = false;  // in each response
+
   std::atomic<bool> waits_for_close_ = false;  // in place of a response
   std::atomic<int> closed_by_client_ = 0;
 
@@ -137,6 +140,7 @@
     connection.Write(
         Join({"HTTP/1.1 200 OK\r\nX-Lovagecleat-Request-Id: id1\r\n", kSeal,
               closes_connections_ ? "Connection: close\r\n" : "",
+              gives_notice_ ? "Server-Leaving: 1\r\n" : "",
               "Content-Length: 5\r\n\r\nwhole"}));
     return !closes_connections_;
   }
@@ -167,6 +171,32 @@
   REQUIRE(requests_of(0) - before == kRequests);
 }
 
+// Guards against requests to a server that is about to exit: the host that had
+// passed a request on to another zone did not learn what the server said.
+TEST_CASE_METHOD(
+    LostPathFixture,
+    "A notice in a response from another zone reaches the caller's "
+    "host") {
+  for (std::size_t host = 1; host < kHosts; ++host) host_zones[host] = "y";
+  StartHosts(kHosts);
+  REQUIRE(ServedOf(kRequests, 0) == kRequests);
+  CutPaths(0, Cut::kReset);
+  NoticeCut(0);
+  gives_notice_ = true;
+  REQUIRE(SendTo(0, "/s/1").starts_with("HTTP/1.1 200"));
+  RunFor(milliseconds(200));
+  // The last log has the lines of all hosts.
+  const std::string log = LogText(kHosts - 1);
+  std::istringstream lines(log);
+  bool has_learned = false;
+  for (std::string line; std::getline(lines, line);)
+    has_learned |= line.find(R"("server_leaving")") != std::string::npos &&
+                   line.find(R"("host":"host")") != std::string::npos &&
+                   line.find(R"("source":"peer")") != std::string::npos;
+  INFO(log);
+  REQUIRE(has_learned);
+}
+
 // Guards against callers that wait although no host can serve them, and against
 // requests that go round between hosts.
 TEST_CASE_METHOD(LostPathFixture,
