Settings: Read what a process may use of its machine

The optional object memory of the gateway's and the entry program's settings names the memory and the descriptors of the machine, and the largest share of one client address.

--- a/libraries/configuration/gateway_settings.h
+++ b/libraries/configuration/gateway_settings.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 #include "configuration/json.h"
+#include "configuration/memory_settings.h"
 #include "configuration/settings.h"
 
 namespace lovagecleat::configuration {
@@ -38,6 +39,8 @@
   std::string store;             // "IP:PORT" of the platform's store
   double processor_cores = 1.0;  // CPU cores that the process may use
   GatewayLimits limits;
+  // Nothing bounds the memory for all clients together if absent.
+  std::optional<MemorySettings> memory;
 
   std::string log_level = "info";
 };
--- a/libraries/configuration/settings.cc
+++ b/libraries/configuration/settings.cc
@@ -121,6 +121,7 @@
   settings.peers = ReadEndpoint(object, "peers", kListeningPorts, problems_);
   settings.platform = ReadEndpoint(object, "platform", kRemotePorts, problems_);
   ReadOptionalSettings(object, settings);
+  settings.memory = ReadMemorySettings(object, problems_);
   object.ReportUnknownKeys();
   if (!problems_.empty()) return std::nullopt;
   return settings;
--- a/libraries/configuration/settings.h
+++ b/libraries/configuration/settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "configuration/json.h"
+#include "configuration/memory_settings.h"
 
 namespace lovagecleat::configuration {
 
@@ -35,6 +36,8 @@
   std::uint32_t maximum_body_bytes = 256 * 1024;
   std::uint32_t maximum_calls = 2000;
   std::uint64_t seed = 0;  // 0: chosen at random at start
+  // Nothing bounds the memory for all clients together if absent.
+  std::optional<MemorySettings> memory;
 };
 
 // Reads the text of a settings file and collects all of its problems.
--- a/tests/configuration/gateway_settings_test.cc
+++ b/tests/configuration/gateway_settings_test.cc
@@ -43,5 +43,28 @@
   REQUIRE(reader.problems().size() == 1);
 }
 
+TEST_CASE("Memory settings are read, and absent unless given") {
+  const std::string prefix =
+      R"({"host":"h","zone":"z","callers":"127.0.0.1:1",
+          "readiness":"127.0.0.1:2","peers":"127.0.0.1:3",
+          "store":"127.0.0.1:6")";
+  GatewaySettingsReader reader;
+  REQUIRE_FALSE(reader.Read(prefix + "}")->memory);
+  const auto settings = reader.Read(
+      prefix + R"(,"memory":{"megabytes":120,"descriptors":3075}})");
+  REQUIRE(settings);
+  REQUIRE(settings->memory->bytes == 120ULL * 1024 * 1024);
+  REQUIRE(settings->memory->descriptors == 3075);
+  REQUIRE(settings->memory->address_share == 1.0);
+  REQUIRE_FALSE(reader.Read(
+      prefix +
+      R"(,"memory":{"megabytes":1,"descriptors":"x","address_share":0}})"));
+  std::vector<std::string> keys;
+  for (const Problem& problem : reader.problems()) keys.push_back(problem.key);
+  REQUIRE(keys == std::vector<std::string>{"/memory/megabytes",
+                                           "/memory/descriptors",
+                                           "/memory/address_share"});
+}
+
 }  // namespace
 }  // namespace lovagecleat::configuration
