--- a/meta/check_layers.sh
+++ b/meta/check_layers.sh
@@ -2,7 +2,7 @@
 # Fails if a library includes a higher layer, or any header of another library but its public one.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-layers=(base configuration messages policy logging metrics transport http routing command_line platform)
+layers=(base memory configuration messages policy logging metrics transport http routing command_line platform)
 status=0
 for ((i = 0; i < ${#layers[@]}; i++)); do
   own="${layers[$i]}"
@@ -21,7 +21,7 @@
   done
 done
 for folder in services utilities; do
-  if grep -rnE '#include "(base|configuration|messages|policy|logging|metrics|transport|http|routing|command_line|platform)/' "$folder" | grep -vE '"([a-z_]+)/\1\.h"'; then
+  if grep -rnE '#include "(base|memory|configuration|messages|policy|logging|metrics|transport|http|routing|command_line|platform)/' "$folder" | grep -vE '"([a-z_]+)/\1\.h"'; then
     echo "$folder: only a library's public header may be included"
     status=1
   fi
