HTTP server, gateway: Bound what is held for clients

Callers saw hosts end: a process that exceeds the memory of its machine is killed. Bodies, heads, pipelined requests and unread responses were bounded for each connection only, and connections by a number above the descriptors of small machines.

All of it is entered in one account now, with limits from the settings (memory.megabytes); connections ask before they read beyond their share, wait unread, and are refused with 503 before their request is run. The next request on a connection is read only after most of the last response was taken; after a refusal at most one body limit is read on. Connections are bounded by the descriptors, and a new one displaces the one without progress for longest. Accepting pauses if the kernel has no descriptor left. Send buffers drop what was sent.

--- a/libraries/http/poller.cc
+++ b/libraries/http/poller.cc
@@ -26,12 +26,19 @@
 }  // namespace
 
 Poller::Poller(transport::Loop& loop)
-    : loop_(loop), epoll_descriptor_(epoll_create1(EPOLL_CLOEXEC)) {
+    : loop_(loop),
+      // Holders are evicted from the loop, since one of them may be the caller.
+      account_([this] {
+        account_timer_ = loop_.After(
+            Duration::zero(), [this] { account_.Run(loop_.clock().Now()); });
+      }),
+      epoll_descriptor_(epoll_create1(EPOLL_CLOEXEC)) {
   loop_.OnReadable(epoll_descriptor_, [this] { Dispatch(); });
 }
 
 Poller::~Poller() {
   loop_.Cancel(check_timer_);
+  loop_.Cancel(account_timer_);
   close(epoll_descriptor_);
 }
 
--- a/libraries/http/poller.h
+++ b/libraries/http/poller.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "memory/memory.h"
 #include "transport/transport.h"
 
 namespace lovagecleat::http {
@@ -43,6 +44,9 @@
 
   transport::Loop& loop() { return loop_; }
 
+  // What the connections of the process hold for clients.
+  memory::ByteAccount& account() { return account_; }
+
   static constexpr Duration kCheckPeriod = std::chrono::milliseconds(500);
 
  private:
@@ -60,6 +64,8 @@
   void RunChecks();
 
   transport::Loop& loop_;
+  TimerId account_timer_;
+  memory::ByteAccount account_;
   int epoll_descriptor_ = -1;
   std::uint32_t last_generation_ = 0;
   std::unordered_map<int, Entry> entries_;
--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -12,6 +12,10 @@
 
 // How often the time limits of connections are checked.
 constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
+// A connection on which nothing has come for this long may be displaced.
+constexpr Duration kDisplaceableIdleTime = std::chrono::seconds(1);
+// How often connections to displace are looked for in vain.
+constexpr Duration kDisplacePeriod = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -49,7 +53,9 @@
 }
 
 void Server::Accept(int descriptor) {
-  if (connections_.size() >= limits_.connections) {
+  if (connections_.size() >= limits_.connections &&
+      !DisplaceConnection(poller_.loop().clock().Now())) {
+    ++rejected_;
     close(descriptor);
     return;
   }
@@ -58,6 +64,25 @@
   connections_.emplace(key, std::move(connection));
 }
 
+bool Server::DisplaceConnection(TimePoint now) {
+  if (!poller_.account().is_limited()) return false;
+  if (now < displace_after_) return false;
+  ServerConnection* longest = nullptr;
+  for (auto& [key, connection] : connections_) {
+    const std::optional<TimePoint> since = connection->WaitsForClientSince();
+    if (!since || now - *since < kDisplaceableIdleTime) continue;
+    if (longest == nullptr || *since < *longest->WaitsForClientSince())
+      longest = key;
+  }
+  if (longest == nullptr) {
+    displace_after_ = now + kDisplacePeriod;
+    return false;
+  }
+  ++displaced_;
+  longest->Displace();
+  return true;
+}
+
 // The loop destroys the connection later, since the connection itself may be
 // the caller.
 void Server::Remove(ServerConnection* connection) {
@@ -77,6 +102,7 @@
   all.reserve(connections_.size());
   for (auto& [key, connection] : connections_) all.push_back(key);
   for (ServerConnection* connection : all) connection->CheckTimeouts(now);
+  poller_.account().Run(now);
   sweep_timer_ = poller_.loop().After(kSweepPeriod, [this] { Sweep(); });
 }
 
--- a/libraries/http/server.h
+++ b/libraries/http/server.h
@@ -12,6 +12,7 @@
 #include "http/parser.h"
 #include "http/poller.h"
 #include "http/tcp_stream.h"
+#include "memory/memory.h"
 
 namespace lovagecleat::http {
 
@@ -23,6 +24,8 @@
       std::chrono::seconds(3);  // first byte to complete head
   Duration idle_timeout =
       std::chrono::seconds(15);  // between requests, in a body
+  // Beyond this, a new connection displaces the one that has been idle for
+  // longest, or is closed.
   std::size_t connections = 3000;
 };
 
@@ -98,6 +101,7 @@
 
   bool Listen(std::string_view address);
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+  const ServerLimits& limits() const { return limits_; }
 
   // Adds "Connection: close" to every response from now on.
   void StartDraining() { is_draining_ = true; }
@@ -113,12 +117,17 @@
   std::uint16_t port() const;
 
   // Returns the number of requests that the server itself rejected, by status:
-  // 400, 408, 413 and 431.
+  // 400, 408, 413, 431 and 503.
   const std::map<int, std::uint64_t>& rejections() const { return rejections_; }
+  // Returns the number of connections closed to accept others, and of those
+  // closed at once since there was none to displace.
+  std::uint64_t displaced_connections() const { return displaced_; }
+  std::uint64_t rejected_connections() const { return rejected_; }
 
  private:
   friend class ServerConnection;
   void Accept(int descriptor);
+  bool DisplaceConnection(TimePoint now);
   void Remove(ServerConnection* connection);
   void Sweep();
 
@@ -130,6 +139,10 @@
   std::size_t active_exchanges_ = 0;
   bool is_draining_ = false;
   std::map<int, std::uint64_t> rejections_;
+  std::uint64_t displaced_ = 0;
+  std::uint64_t rejected_ = 0;
+  // No connection can be displaced before.
+  TimePoint displace_after_{};
   TimerId sweep_timer_;
 };
 
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -1,5 +1,9 @@
 #include "http/server_connection.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -15,6 +19,18 @@
 // The connection is reset when more bytes of the response than this wait for a
 // client that does not read them.
 constexpr std::size_t kMaximumUnsentBytes = std::size_t{8} * 1024 * 1024;
+// The next request is not read while more of the last response is unsent.
+constexpr std::size_t kMaximumUnsentBeforeNext = std::size_t{64} * 1024;
+// What the objects of a connection occupy.
+constexpr std::size_t kConnectionBytes = 4096;
+// What the kernel may hold for a connection that is not read; see
+// kBoundedReceiveBytes in tcp_stream.cc.
+constexpr std::size_t kUnreadBytes = std::size_t{64} * 1024;
+// A body is held once more while it is written to a server or another host.
+constexpr std::size_t kBodyCopies = 2;
+// A buffer of more bytes is released when it is empty.
+constexpr std::size_t kKeptBufferBytes = 4096;
+constexpr const char* kRetryAfterSeconds = "1";
 // How long a closing connection is still read. Closing it with unread data
 // would send a reset, which can discard the response before the client reads
 // it.
@@ -27,6 +43,42 @@
   return std::string(digits.data(), end) + "\r\n";
 }
 
+// Returns what a string has allocated.
+std::size_t AllocatedBytes(const std::string& text) {
+  static const std::size_t kOwnCapacity = std::string().capacity();
+  return text.capacity() > kOwnCapacity ? text.capacity() : 0;
+}
+
+// Returns what a head occupies, which is many times its length if its fields
+// are short.
+std::size_t AllocatedBytes(const RequestHead& head) {
+  std::size_t bytes = AllocatedBytes(head.target) +
+                      head.fields.capacity() * sizeof(HeaderField);
+  for (const HeaderField& field : head.fields)
+    bytes += AllocatedBytes(field.name) + AllocatedBytes(field.value);
+  return bytes;
+}
+
+// Returns the length that a head announces; the parser checks the field.
+std::optional<std::size_t> AnnouncedBytes(const RequestHead& head) {
+  const auto field = FindField(head.fields, "Content-Length");
+  if (!field) return std::nullopt;
+  std::size_t length = 0;
+  const auto [end, error] =
+      std::from_chars(field->data(), field->data() + field->size(), length);
+  if (error != std::errc{}) return std::nullopt;
+  return length;
+}
+
+// Returns 0 if the share of a client address is not bounded.
+std::uint32_t AddressOf(int descriptor, const memory::ByteAccount& account) {
+  if (account.limits().address_share >= account.limits().total) return 0;
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohl(address.sin_addr.s_addr);
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(Server& server, int descriptor)
@@ -34,7 +86,11 @@
       stream_(std::make_unique<TcpStream>(server.poller_, descriptor, *this)),
       phase_since_(Now()),
       progress_at_(Now()),
-      idle_timeout_(server.limits_.idle_timeout) {}
+      idle_timeout_(server.limits_.idle_timeout),
+      holder_(server.poller_.account(), *this,
+              AddressOf(descriptor, server.poller_.account()), progress_at_) {
+  UpdateHeld();
+}
 
 ServerConnection::~ServerConnection() = default;
 
@@ -44,20 +100,32 @@
 
 void ServerConnection::OnBytes(std::string_view bytes) {
   progress_at_ = Now();
-  if (phase_ == Phase::kClosing) return;
-  unparsed_.append(bytes);
-  if (phase_ == Phase::kServing) {
-    if (unparsed_.size() > kMaximumUnparsedBytes) stream_->SetReading(false);
+  holder_.OnProgress(progress_at_);
+  if (phase_ == Phase::kClosing) {
+    // A client may send on for a while before it reads the refusal.
+    dropped_bytes_ += bytes.size();
+    const MessageLimits& limits = server_.limits_.message;
+    if (dropped_bytes_ > limits.body_bytes + limits.header_bytes)
+      CloseAndRemove();
     return;
   }
-  ReadBuffered();
+  unparsed_.append(bytes);
+  if (phase_ != Phase::kServing) return ReadBuffered();
+  if (unparsed_.size() > MaximumUnparsedBytes()) stream_->SetReading(false);
+  UpdateHeld();
+}
+
+std::size_t ServerConnection::MaximumUnparsedBytes() const {
+  const memory::ByteAccount& account = server_.poller_.account();
+  return account.is_limited() ? account.limits().connection_share
+                              : kMaximumUnparsedBytes;
 }
 
 void ServerConnection::StartRequest() {
   phase_ = Phase::kReading;
   phase_since_ = Now();
-  head_ = {};
-  body_.clear();
+  ReleaseRequest();
+  holder_.BeginRequest();
   reader_ = std::make_unique<MessageReader>(MessageReader::Role::kRequest,
                                             server_.limits_.message, *this);
 }
@@ -67,35 +135,129 @@
 void ServerConnection::ReadBuffered() {
   if (is_reading_buffered_) return;
   is_reading_buffered_ = true;
-  while (!unparsed_.empty() && !is_removed_) {
-    if (phase_ == Phase::kIdle) {
-      // HTTP/1.1 allows an empty line before a request.
-      if (unparsed_.starts_with("\r\n")) {
-        unparsed_.erase(0, 2);
-        continue;
-      }
-      StartRequest();
-    }
-    if (phase_ != Phase::kReading) break;
-    const std::size_t used = reader_->Feed(unparsed_);
-    unparsed_.erase(0, used);
-    if (reader_->error() != ParseError::kNone) {
-      Reject(reader_->error());
-      break;
-    }
-    if (!reader_->is_complete()) break;
-    keeps_connection_ = reader_->keeps_connection();
-    phase_ = Phase::kServing;
-    ++server_.active_exchanges_;
-    exchange_ = std::make_unique<Exchange>(*this, std::move(head_),
-                                           std::move(body_), phase_since_);
-    server_.handler_.OnExchange(*exchange_);
+  while (ReadStep()) {
   }
   is_reading_buffered_ = false;
+  if (unparsed_.empty() && unparsed_.capacity() > kKeptBufferBytes)
+    std::string().swap(unparsed_);
+  UpdateHeld();
+}
+
+// Returns whether there may be more to do.
+bool ServerConnection::ReadStep() {
+  if (is_removed_ || waits_for_drain_) return false;
+  if (phase_ == Phase::kIdle) {
+    if (unparsed_.empty()) return false;
+    // HTTP/1.1 allows an empty line before a request.
+    if (unparsed_.starts_with("\r\n")) {
+      unparsed_.erase(0, 2);
+      return true;
+    }
+    StartRequest();
+  }
+  if (phase_ != Phase::kReading) return false;
+  if (reader_->is_complete()) return DispatchRequest();
+  if (unparsed_.empty() || !MakeRoomForBody()) return false;
+  const std::size_t used = reader_->Feed(unparsed_);
+  unparsed_.erase(0, used);
+  if (reader_->error() != ParseError::kNone) {
+    Reject(reader_->error());
+    return false;
+  }
+  return reader_->is_complete() && DispatchRequest();
+}
+
+bool ServerConnection::DispatchRequest() {
+  if (!AskForRoom(0)) return false;
+  holder_.EndRequest();
+  keeps_connection_ = reader_->keeps_connection();
+  phase_ = Phase::kServing;
+  ++server_.active_exchanges_;
+  exchange_ = std::make_unique<Exchange>(*this, std::move(head_),
+                                         std::move(body_), phase_since_);
+  body_ = {};
+  server_.handler_.OnExchange(*exchange_);
+  return true;
+}
+
+// Reserves the announced length at once. The buffer of a chunked body doubles,
+// up to its limit.
+bool ServerConnection::MakeRoomForBody() {
+  if (!reader_->has_head()) return true;
+  const std::size_t limit = server_.limits_.message.body_bytes;
+  const std::size_t needed =
+      announced_bytes_.value_or(body_.size() + unparsed_.size());
+  if (needed <= body_.capacity()) return AskForRoom(0);
+  const std::size_t capacity =
+      announced_bytes_
+          ? needed
+          : std::max(needed, std::min(2 * body_.capacity(), limit));
+  if (!AskForRoom(kBodyCopies * (capacity - body_.capacity()))) return false;
+  body_.reserve(capacity);
+  return true;
+}
+
+// If there is no room, the connection is not read, or refuses the request.
+bool ServerConnection::AskForRoom(std::size_t bytes) {
+  UpdateHeld();
+  switch (holder_.Ask(bytes, kUnreadBytes, Now())) {
+    case memory::Answer::kGranted:
+      return true;
+    case memory::Answer::kWait:
+      waits_for_room_ = true;
+      stream_->SetReading(false);
+      return false;
+    case memory::Answer::kRefused:
+      RejectWith(503);
+      return false;
+  }
+  return false;
+}
+
+void ServerConnection::OnRoom() {
+  waits_for_room_ = false;
+  progress_at_ = Now();
+  holder_.OnProgress(progress_at_);
+  stream_->SetReading(true);
+  ReadBuffered();
+}
+
+// A request that is being read has not run.
+void ServerConnection::OnEvicted(memory::Eviction /*eviction*/) {
+  waits_for_room_ = false;
+  if (phase_ == Phase::kReading) return RejectWith(503);
+  stream_->ResetOnClose();
+  OnStreamEnd(StreamEnd::kReset);
+}
+
+std::optional<TimePoint> ServerConnection::WaitsForClientSince() const {
+  if (phase_ == Phase::kServing || waits_for_room_) return std::nullopt;
+  return progress_at_;
+}
+
+void ServerConnection::ReleaseRequest() {
+  head_ = {};
+  std::string().swap(body_);
+  announced_bytes_.reset();
+  head_bytes_ = 0;
+  body_bytes_ = 0;
+}
+
+void ServerConnection::UpdateHeld() {
+  if (is_removed_) return;
+  if (phase_ == Phase::kReading) body_bytes_ = AllocatedBytes(body_);
+  holder_.Hold(memory::Kind::kConnections, kConnectionBytes);
+  holder_.Hold(memory::Kind::kHeads, head_bytes_ + AllocatedBytes(unparsed_));
+  holder_.Hold(memory::Kind::kBodies, kBodyCopies * body_bytes_);
+  holder_.Hold(memory::Kind::kResponses, stream_->buffered_bytes());
+  holder_.SetWaitsForPeer(phase_ != Phase::kServing ||
+                          stream_->unsent_bytes() > 0);
 }
 
 void ServerConnection::OnRequestHead(RequestHead&& head) {
   head_ = std::move(head);
+  head_bytes_ = AllocatedBytes(head_);
+  announced_bytes_ = AnnouncedBytes(head_);
   if (HasToken(head_.fields, "Expect", "100-continue"))
     stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -120,8 +282,9 @@
 
 void ServerConnection::RejectWith(int status) {
   ++server_.rejections_[status];
-  stream_->Write(FormatResponseHead(
-      status, {{"Content-Length", "0"}, {"Connection", "close"}}));
+  HeaderFields fields{{"Content-Length", "0"}, {"Connection", "close"}};
+  if (status == 503) fields.push_back({"Retry-After", kRetryAfterSeconds});
+  stream_->Write(FormatResponseHead(status, fields));
   CloseAfterSending();
 }
 
@@ -136,10 +299,23 @@
   CloseAndRemove();
 }
 
+void ServerConnection::NoteSentBytes() {
+  if (stream_->sent_bytes() == sent_bytes_seen_) return;
+  sent_bytes_seen_ = stream_->sent_bytes();
+  holder_.OnProgress(Now());
+}
+
 // The client can act on the response from now on.
 void ServerConnection::OnDrained() {
   progress_at_ = Now();
   if (phase_ == Phase::kClosing) phase_since_ = progress_at_;
+  NoteSentBytes();
+  if (waits_for_drain_) {
+    waits_for_drain_ = false;
+    stream_->SetReading(true);
+    ReadBuffered();
+  }
+  UpdateHeld();
 }
 
 void ServerConnection::CheckTimeouts(TimePoint now) {
@@ -148,6 +324,7 @@
   // under.
   const Duration idle_timeout = std::max(idle_timeout_, limits.idle_timeout);
   const bool is_sending = stream_->unsent_bytes() > 0;
+  if (is_sending) NoteSentBytes();
   switch (phase_) {
     case Phase::kIdle:
       // A request may have arrived while the process did not run.
@@ -156,6 +333,7 @@
         CloseAndRemove();
       return;
     case Phase::kReading: {
+      if (waits_for_room_) return;
       const bool has_head_timed_out =
           !reader_->has_head() && now - phase_since_ > limits.head_timeout;
       if (has_head_timed_out || now - progress_at_ > idle_timeout)
@@ -207,6 +385,7 @@
     response_fields.push_back({"Connection", "keep-alive"});
   }
   stream_->Write(FormatResponseHead(status, response_fields));
+  UpdateHeld();
 }
 
 void ServerConnection::SendBody(std::string_view bytes) {
@@ -216,6 +395,7 @@
   } else {
     stream_->Write(bytes);
   }
+  UpdateHeld();
 }
 
 void ServerConnection::FinishResponse() {
@@ -228,7 +408,8 @@
   phase_since_ = Now();
   progress_at_ = phase_since_;
   idle_timeout_ = server_.limits_.idle_timeout;
-  stream_->SetReading(true);
+  waits_for_drain_ = stream_->unsent_bytes() > kMaximumUnsentBeforeNext;
+  stream_->SetReading(!waits_for_drain_);
   ReadBuffered();
 }
 
@@ -243,20 +424,28 @@
 void ServerConnection::EndExchange() {
   --server_.active_exchanges_;
   server_.poller_.loop().DestroyLater(std::move(exchange_));
+  ReleaseRequest();
 }
 
 void ServerConnection::CloseAfterSending() {
   phase_ = Phase::kClosing;
   phase_since_ = Now();
-  unparsed_.clear();
+  std::string().swap(unparsed_);
+  ReleaseRequest();
+  holder_.EndRequest();
+  waits_for_drain_ = false;
   stream_->SetReading(true);
   stream_->ShutdownSending();
+  UpdateHeld();
 }
 
 void ServerConnection::CloseAndRemove() {
   if (is_removed_) return;
   is_removed_ = true;
   stream_->Close();
+  ReleaseRequest();
+  std::string().swap(unparsed_);
+  holder_.Release();
   server_.Remove(this);
 }
 
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -10,7 +10,9 @@
 
 // Serves one client connection: reads a complete request, passes it to the
 // handler, writes the response, and repeats. Private to the library.
-class ServerConnection final : public StreamObserver, public MessageObserver {
+class ServerConnection final : public StreamObserver,
+                               public MessageObserver,
+                               public memory::HolderObserver {
  public:
   ServerConnection(Server& server, int descriptor);
   ~ServerConnection() override;
@@ -23,6 +25,15 @@
   void OnMessageBody(std::string_view bytes) override;
   void OnMessageComplete() override;
 
+  void OnRoom() override;
+  void OnEvicted(memory::Eviction eviction) override;
+
+  // Returns since when the client has sent or taken nothing although it is its
+  // turn; nothing while its request is served or waits for room.
+  std::optional<TimePoint> WaitsForClientSince() const;
+  // Closes at once, so that another connection can be accepted.
+  void Displace() { CloseAndRemove(); }
+
   // Enforces the time limits and the limit on unsent bytes.
   void CheckTimeouts(TimePoint now);
   void CloseIfIdle();
@@ -38,7 +49,15 @@
   enum class Phase { kIdle, kReading, kServing, kClosing };
 
   void ReadBuffered();
+  bool ReadStep();
+  bool DispatchRequest();
   void StartRequest();
+  bool MakeRoomForBody();
+  bool AskForRoom(std::size_t bytes);
+  void ReleaseRequest();
+  void UpdateHeld();
+  void NoteSentBytes();
+  std::size_t MaximumUnparsedBytes() const;
   void Reject(ParseError error);
   void RejectWith(int status);
   void EndExchange();
@@ -57,10 +76,20 @@
   std::unique_ptr<MessageReader> reader_;
   RequestHead head_;
   std::string body_;
+  std::optional<std::size_t> announced_bytes_;
   std::unique_ptr<Exchange> exchange_;
+  // What the head and the body of the request being read or served occupy.
+  std::size_t head_bytes_ = 0;
+  std::size_t body_bytes_ = 0;
   bool keeps_connection_ = true;
   bool is_reading_buffered_ = false;
   bool is_removed_ = false;
+  bool waits_for_room_ = false;
+  // The next request is read once the last response was sent.
+  bool waits_for_drain_ = false;
+  std::size_t dropped_bytes_ = 0;      // read after a refusal
+  std::uint64_t sent_bytes_seen_ = 0;  // by the last check
+  memory::Holder holder_;
 };
 
 }  // namespace lovagecleat::http
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -34,6 +34,16 @@
 constexpr std::size_t kReadBufferBytes = 32768;
 constexpr int kListenBacklog = 512;
 constexpr int kMaximumReadsPerEvent = 4;
+// Bytes at the start of the send buffer that were sent are dropped once there
+// are this many, and more than unsent ones.
+constexpr std::size_t kCompactBytes = 65536;
+// An empty send buffer of more bytes is released.
+constexpr std::size_t kKeptBufferBytes = 4096;
+// While memory is bounded, the kernel holds at most about twice as much for a
+// connection that is not read.
+constexpr int kBoundedReceiveBytes = 32768;
+// How long no connection is accepted after the kernel could not do so.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
 template <typename Value>
 void SetOption(int descriptor, int level, int name, Value value) {
@@ -135,7 +145,7 @@
 
 void TcpStream::Close() {
   state_ = State::kEnded;
-  send_buffer_.clear();
+  std::string().swap(send_buffer_);
   send_offset_ = 0;
   if (descriptor_ < 0) return;
   poller_.Unwatch(descriptor_);
@@ -152,7 +162,7 @@
 void TcpStream::Write(std::string_view bytes) {
   if (state_ == State::kEnded) return;
   if (state_ == State::kConnecting || unsent_bytes() > 0) {
-    send_buffer_.append(bytes);
+    AppendUnsent(bytes);
     return;
   }
   const ssize_t sent =
@@ -166,6 +176,24 @@
   UpdateEvents();
 }
 
+// A peer that always leaves some bytes unsent would otherwise keep all.
+void TcpStream::AppendUnsent(std::string_view bytes) {
+  if (send_offset_ >= kCompactBytes && send_offset_ >= unsent_bytes()) {
+    send_buffer_.erase(0, send_offset_);
+    send_offset_ = 0;
+  }
+  send_buffer_.append(bytes);
+}
+
+void TcpStream::ReleaseBuffer() {
+  send_offset_ = 0;
+  if (send_buffer_.capacity() > kKeptBufferBytes) {
+    std::string().swap(send_buffer_);
+  } else {
+    send_buffer_.clear();
+  }
+}
+
 bool TcpStream::HasUnreadBytes() const {
   pollfd readable{descriptor_, POLLIN, 0};
   return poll(&readable, 1, 0) > 0 && (readable.revents & POLLIN) != 0;
@@ -230,8 +258,7 @@
     CountSent(static_cast<std::size_t>(sent));
   }
   if (unsent_bytes() > 0) return;
-  send_buffer_.clear();
-  send_offset_ = 0;
+  ReleaseBuffer();
   if (is_shutting_down_) shutdown(descriptor_, SHUT_WR);
   UpdateEvents();
   observer_.OnDrained();
@@ -239,6 +266,7 @@
 
 void TcpStream::CountSent(std::size_t bytes) {
   unconfirmed_bytes_ += bytes;
+  sent_bytes_ += bytes;
   if (unconfirmed_bytes_ >= kLeastWindowBytes) CheckPeerLater();
 }
 
@@ -332,6 +360,8 @@
   const int descriptor = OpenSocket();
   if (descriptor < 0) return nullptr;
   SetOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (poller.account().is_limited())
+    SetOption(descriptor, SOL_SOCKET, SO_RCVBUF, kBoundedReceiveBytes);
   if (bind(descriptor, AsSockaddr(*bind_address), sizeof(*bind_address)) != 0 ||
       listen(descriptor, kListenBacklog) != 0) {
     close(descriptor);
@@ -342,6 +372,7 @@
 }
 
 TcpListener::~TcpListener() {
+  poller_.loop().Cancel(resume_timer_);
   poller_.Unwatch(descriptor_);
   close(descriptor_);
 }
@@ -357,9 +388,22 @@
   while (true) {
     const int accepted =
         accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0) return;
+    if (accepted < 0) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+          errno == ENOMEM)
+        PauseAccepting();
+      return;
+    }
     callback_(accepted);
   }
 }
 
+// The descriptor stays readable while a connection waits, so that the loop
+// would do nothing else.
+void TcpListener::PauseAccepting() {
+  poller_.ChangeEvents(descriptor_, 0);
+  resume_timer_ = poller_.loop().After(
+      kAcceptPause, [this] { poller_.ChangeEvents(descriptor_, EPOLLIN); });
+}
+
 }  // namespace lovagecleat::http
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -68,6 +68,10 @@
   std::size_t unsent_bytes() const {
     return send_buffer_.size() - send_offset_;
   }
+  // Returns what the buffer for unsent bytes occupies.
+  std::size_t buffered_bytes() const { return send_buffer_.capacity(); }
+  // Returns how many bytes were passed to the kernel.
+  std::uint64_t sent_bytes() const { return sent_bytes_; }
   // Returns whether bytes of the peer, or its end of the connection, wait to be
   // read.
   bool HasUnreadBytes() const;
@@ -82,6 +86,8 @@
   void FinishConnecting();
   void ReadAvailable();
   void FlushUnsent();
+  void AppendUnsent(std::string_view bytes);
+  void ReleaseBuffer();
   void CountSent(std::size_t bytes);
   void CheckPeerLater();
   void SetKernelLimit(bool is_on);
@@ -97,6 +103,7 @@
   std::uint32_t watched_events_ = 0;
   std::string send_buffer_;
   std::size_t send_offset_ = 0;
+  std::uint64_t sent_bytes_ = 0;
   // Bytes passed to the kernel since the peer was last known to have
   // acknowledged all.
   std::size_t unconfirmed_bytes_ = 0;
@@ -126,11 +133,14 @@
   void OnDescriptorEvents(std::uint32_t events) override;
 
  private:
+  void PauseAccepting();
+
   TcpListener(Poller& poller, int descriptor, AcceptCallback callback);
 
   Poller& poller_;
   int descriptor_;
   AcceptCallback callback_;
+  TimerId resume_timer_;
 };
 
 }  // namespace lovagecleat::http
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -46,6 +46,18 @@
 // The load balancer sends new connections for two more seconds after a stop
 // begins. Idle connections are closed after this time.
 constexpr Duration kStopGracePeriod = milliseconds(2500);
+// Descriptors of a machine that are not for sockets.
+constexpr std::size_t kFileDescriptors = 200;
+// Parts of the sockets for connections of callers, and for those to each of the
+// other ports. The rest is for servers, other hosts and the store.
+constexpr std::size_t kCallerSocketsNumerator = 3;
+constexpr std::size_t kCallerSocketsDenominator = 4;
+constexpr std::size_t kStatusSocketsPart = 16;
+constexpr std::size_t kMaxStatusConnections = 256;
+// Requests for the state or metrics of the process have no body.
+constexpr std::uint64_t kMaxStatusBodyBytes = 4096;
+// Refusals for lack of memory are logged at most this often.
+constexpr Duration kMemoryLogPeriod = milliseconds(1000);
 // Value of Retry-After in seconds; short, since other hosts can serve at once.
 constexpr const char* kStopRetryAfter = "0.05";
 // The process exits this long before the stop time, after which it is killed.
@@ -170,12 +182,14 @@
         return StatusHandler::Response{is_ready() ? 200 : 503, {}};
       })),
       metrics_handler_(std::make_unique<StatusHandler>([this] {
+        SetMemoryMetrics();
         return StatusHandler::Response{200, metrics_.PrometheusText()};
       })),
       readiness_(poller, *readiness_handler_),
       metrics_server_(poller, *metrics_handler_) {
   peers_.OnMessage(
       [this](const messages::PeerMessage& message) { OnPeerMessage(message); });
+  ApplyMemorySettings();
   UpdateHosts();
 }
 
@@ -221,12 +235,90 @@
   return true;
 }
 
+void Gateway::ApplyMemorySettings() {
+  const auto& memory = context_.settings.memory;
+  memory::ByteAccount& account = context_.poller.account();
+  http::ServerLimits status_limits;
+  if (!memory) {
+    account.SetLimits({});
+    caller_connections_ = http::ServerLimits().connections;
+  } else {
+    memory::ReturnFreedBlocks();
+    account.SetLimits(memory::LimitsFor(memory->bytes, memory->address_share));
+    status_limits.message.body_bytes = kMaxStatusBodyBytes;
+    if (memory->descriptors > kFileDescriptors) {
+      const std::size_t sockets = memory->descriptors - kFileDescriptors;
+      caller_connections_ =
+          sockets / kCallerSocketsDenominator * kCallerSocketsNumerator;
+      status_limits.connections =
+          std::min(kMaxStatusConnections, sockets / kStatusSocketsPart);
+    }
+  }
+  readiness_.SetLimits(status_limits);
+  metrics_server_.SetLimits(status_limits);
+  http::ServerLimits limits = callers_.limits();
+  limits.connections = caller_connections_;
+  callers_.SetLimits(limits);
+}
+
+void Gateway::SetMemoryMetrics() {
+  const memory::ByteAccount& account = context_.poller.account();
+  for (std::size_t i = 0; i < memory::kKindCount; ++i) {
+    const auto kind = static_cast<memory::Kind>(i);
+    metrics_.SetGauge("lovagecleat_held_bytes",
+                      {{"kind", std::string(ToString(kind))}},
+                      static_cast<double>(account.held(kind)));
+  }
+  for (std::size_t i = 0; i < memory::kEvictionCount; ++i) {
+    const auto eviction = static_cast<memory::Eviction>(i);
+    metrics_.SetGauge("lovagecleat_memory_evictions",
+                      {{"reason", std::string(ToString(eviction))}},
+                      static_cast<double>(account.evictions(eviction)));
+  }
+  const std::pair<const char*, std::size_t> gauges[] = {
+      {"lovagecleat_held_bytes_limit", account.limits().total},
+      {"lovagecleat_waiting_for_memory", account.waiting()},
+      {"lovagecleat_client_connections", callers_.connections()},
+      {"lovagecleat_displaced_connections", callers_.displaced_connections()},
+      {"lovagecleat_rejected_connections", callers_.rejected_connections()}};
+  for (const auto& [name, value] : gauges)
+    metrics_.SetGauge(name, {}, static_cast<double>(value));
+}
+
+void Gateway::LogMemoryRefusals() {
+  const memory::ByteAccount& account = context_.poller.account();
+  std::uint64_t refusals =
+      callers_.displaced_connections() + callers_.rejected_connections();
+  for (std::size_t i = 0; i < memory::kEvictionCount; ++i)
+    refusals += account.evictions(static_cast<memory::Eviction>(i));
+  if (refusals == logged_refusals_ ||
+      context_.Now() - refusals_logged_at_ < kMemoryLogPeriod)
+    return;
+  logged_refusals_ = refusals;
+  refusals_logged_at_ = context_.Now();
+  const auto count = [&account](memory::Eviction eviction) {
+    return account.evictions(eviction);
+  };
+  context_.log.Write("memory_refused", "",
+                     {{"held", account.total()},
+                      {"limit", account.limits().total},
+                      {"waiting", account.waiting()},
+                      {"stalled", count(memory::Eviction::kStalled)},
+                      {"waited", count(memory::Eviction::kWaitedTooLong)},
+                      {"no_room", count(memory::Eviction::kNoRoom)},
+                      {"over_limit", count(memory::Eviction::kOverLimit)},
+                      {"connections", callers_.connections()},
+                      {"displaced", callers_.displaced_connections()},
+                      {"not_accepted", callers_.rejected_connections()}});
+}
+
 void Gateway::Reload(const configuration::GatewaySettings& settings) {
   const configuration::GatewaySettings before =
       std::exchange(context_.settings, settings);
   if (before.callers != settings.callers) callers_.Listen(settings.callers);
   if (before.readiness != settings.readiness)
     readiness_.Listen(settings.readiness);
+  ApplyMemorySettings();
   UpdateHosts();
   context_.log.Write("reload", "", {{"store", settings.store}});
 }
@@ -307,6 +399,7 @@
   limits.message.body_bytes = table->limits.body_bytes;
   limits.head_timeout = table->limits.header_time;
   limits.idle_timeout = table->limits.idle_time;
+  limits.connections = caller_connections_;
   callers_.SetLimits(limits);
   const bool is_first = context_.table == nullptr;
   context_.table =
@@ -663,6 +756,7 @@
   CheckOwnRow();
   content_blocks_.Update(follower_.hosts_era());
   FetchRowsFromPeers();
+  LogMemoryRefusals();
   context_.log.Flush();
   tick_timer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
 }
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -58,6 +58,9 @@
   };
 
   bool Listen();
+  void ApplyMemorySettings();
+  void SetMemoryMetrics();
+  void LogMemoryRefusals();
 
   void ApplyRow(const routing::Row& row, RowOrigin origin);
   void ApplyRouting(const routing::Row& row);
@@ -110,6 +113,9 @@
   std::unique_ptr<StatusHandler> metrics_handler_;
   http::Server readiness_;
   http::Server metrics_server_;
+  std::size_t caller_connections_ = http::ServerLimits().connections;
+  std::uint64_t logged_refusals_ = 0;
+  TimePoint refusals_logged_at_{};
   std::map<RequestFlow*, std::unique_ptr<RequestFlow>> flows_;
   std::map<HostId, HostEntry> hosts_;
   std::set<std::string> connected_peers_;
