HTTP server: Run a request that has its room although others wait

A complete request that held all it needs asked once more before it was dispatched, and waited behind an earlier incomplete one while another had the turn, up to its refusal. It asks only if it has not yet been granted room. Found by reading; the new case of bounded_server_test shows the state.

--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -45,8 +45,8 @@
 
 // Returns what a string has allocated.
 std::size_t AllocatedBytes(const std::string& text) {
-  static const std::size_t kOwnCapacity = std::string().capacity();
-  return text.capacity() > kOwnCapacity ? text.capacity() : 0;
+  static const std::size_t own_capacity = std::string().capacity();
+  return text.capacity() > own_capacity ? text.capacity() : 0;
 }
 
 // Returns what a head occupies, which is many times its length if its fields
@@ -168,7 +168,7 @@
 }
 
 bool ServerConnection::DispatchRequest() {
-  if (!AskForRoom(0)) return false;
+  if (!has_room_ && !AskForRoom(0)) return false;
   holder_.EndRequest();
   keeps_connection_ = reader_->keeps_connection();
   phase_ = Phase::kServing;
@@ -187,7 +187,7 @@
   const std::size_t limit = server_.limits_.message.body_bytes;
   const std::size_t needed =
       announced_bytes_.value_or(body_.size() + unparsed_.size());
-  if (needed <= body_.capacity()) return AskForRoom(0);
+  if (needed <= body_.capacity()) return has_room_ || AskForRoom(0);
   const std::size_t capacity =
       announced_bytes_
           ? needed
@@ -202,6 +202,7 @@
   UpdateHeld();
   switch (holder_.Ask(bytes, kUnreadBytes, Now())) {
     case memory::Answer::kGranted:
+      has_room_ = true;
       return true;
     case memory::Answer::kWait:
       waits_for_room_ = true;
@@ -239,6 +240,7 @@
   head_ = {};
   std::string().swap(body_);
   announced_bytes_.reset();
+  has_room_ = false;
   head_bytes_ = 0;
   body_bytes_ = 0;
 }
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -85,6 +85,7 @@
   bool is_reading_buffered_ = false;
   bool is_removed_ = false;
   bool waits_for_room_ = false;
+  bool has_room_ = false;  // for what was read of the request
   // The next request is read once the last response was sent.
   bool waits_for_drain_ = false;
   std::size_t dropped_bytes_ = 0;      // read after a refusal
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "memory/memory.h"
+
 namespace lovagecleat::gateway {
 
 namespace {
--- a/tests/http/bounded_server_test.cc
+++ b/tests/http/bounded_server_test.cc
@@ -137,6 +137,23 @@
           0);
 }
 
+// Guards against complete requests that wait behind incomplete ones.
+TEST_CASE_METHOD(BoundedServerFixture,
+                 "A request that got room is run although others wait") {
+  memory::AccountLimits limits = account().limits();
+  limits.stall_time = limits.maximum_wait = std::chrono::seconds(30);
+  account().SetLimits(limits);
+  RawClient& first = Open(Post(kBodyBytes, 60'000));
+  RunUntil([&] { return account().total() > 2 * kBodyBytes; });
+  for (int i = 0; i < 2; ++i) Open(Post(kBodyBytes, 60'000));
+  RunUntil([&] { return account().waiting() == 1; });
+  std::thread thread(
+      [&first] { first.Write(std::string(kBodyBytes - 60'000, 'x')); });
+  RunUntil([&] { return handler_.exchanges == 1; });
+  thread.join();
+  REQUIRE(account().evictions(memory::Eviction::kStalled) == 0);
+}
+
 TEST_CASE_METHOD(BoundedServerFixture,
                  "A request without room is refused before it is run") {
   // Served requests fill the pool; their clients cannot be closed instead.
