Entry program: Bound what is held for callers

libsoup keeps an object for each chunk of a body that it gathers: ten clients with one-byte chunks took 666 MB. Bodies of many callers, heads of many fields and connections had no common bound.

The server gathers bodies itself now, within the account that the gateway's server uses: a message asks before its body grows, is paused while there is no room, and is refused with 503 before its request is run. Connections are bounded by the descriptors; one without progress is closed for a new one. Limits come from the object memory of the settings and do not apply without it.

--- a/libraries/transport/http_problems.cc
+++ b/libraries/transport/http_problems.cc
@@ -16,6 +16,8 @@
   text.append(problem.title)
       .append("\r\nContent-Type: ")
       .append(kProblemContentType);
+  if (problem.status == kNoMemory.status)
+    text.append("\r\nRetry-After: ").append(kRetryAfterSeconds);
   text.append("\r\nContent-Length: ").append(std::to_string(body.size()));
   text.append("\r\nConnection: close\r\n\r\n").append(body);
   return text;
--- a/libraries/transport/http_problems.h
+++ b/libraries/transport/http_problems.h
@@ -22,6 +22,11 @@
 inline constexpr BuiltInProblem kTooManyCalls{503, "too_many_calls",
                                               "Too many calls are open"};
 
+inline constexpr BuiltInProblem kNoMemory{503, "no_memory",
+                                          "No memory for the request"};
+
+// Value of Retry-After in seconds, for problems with status 503.
+inline constexpr const char* kRetryAfterSeconds = "1";
 inline constexpr const char* kProblemContentType = "application/problem+json";
 
 // Returns the problem as a JSON document.
--- a/libraries/transport/http_server.cc
+++ b/libraries/transport/http_server.cc
@@ -7,12 +7,15 @@
 #include <sys/socket.h>
 
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "transport/header_value.h"
 #include "transport/http_problems.h"
 #include "transport/http_routes.h"
 #include "transport/release_with.h"
+#include "transport/request_reader.h"
+#include "transport/shut_down.h"
 
 namespace lovagecleat::transport {
 
@@ -20,11 +23,17 @@
 
 constexpr std::size_t kSeparatorBytes = 4;  // ": " and CR LF
 constexpr int kListenBacklog = 1024;
-constexpr const char* kRetryAfterSeconds = "1";
-
-// Reads and discards up to this multiple of the limit of a body that is too
-// large, so that the client can read the 413; beyond it the connection is
-// closed.
+// While memory is bounded, the kernel holds at most about twice as much for a
+// connection that is not read.
+constexpr int kBoundedReceiveBytes = 32768;
+// How often waits for memory are checked.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(250);
+// A connection on which nothing has come for this long may be closed for a new
+// one.
+constexpr Duration kDisplaceableIdleTime = std::chrono::seconds(1);
+
+// A body announced with more than this multiple of its limit is not read and
+// discarded, so that the client may not get the 413.
 constexpr std::size_t kDiscardFactor = 16;
 
 template <typename Type>
@@ -54,74 +63,6 @@
   return total;
 }
 
-// Shuts down both directions. The client sees the end of the stream without the
-// last chunk, so it cannot take a partial response for a complete one. When
-// libsoup then closes the socket, the connection is reset: otherwise a client
-// that is still sending could wait on a closed receive window for a minute.
-void ShutDownConnection(SoupServerMessage* message) {
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket == nullptr || g_socket_is_closed(socket)) return;
-  const linger reset_at_close{1, 0};
-  setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset_at_close,
-             sizeof(reset_at_close));
-  g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-}
-
-// Writes to the socket directly, since libsoup would first wait for the whole
-// body.
-void RespondAndShutDown(SoupServerMessage* message,
-                        const BuiltInProblem& problem) {
-  const std::string text = ProblemResponse(problem);
-  GSocket* socket = soup_server_message_get_socket(message);
-  g_socket_send(socket, text.data(), text.size(), nullptr, nullptr);
-  ShutDownConnection(message);
-  soup_server_message_set_status(message, problem.status, nullptr);
-}
-
-// Counts the bytes of one request's body as they arrive, since the length of a
-// chunked body is not known beforehand.
-struct BodyCounter {
-  std::size_t limit = 0;
-  std::size_t received = 0;
-
-  bool IsOverLimit() const { return received > limit; }
-};
-constexpr const char* kBodyCounterKey = "lovagecleat-body-counter";
-
-void CountChunk(SoupServerMessage* message, GBytes* chunk, gpointer data) {
-  auto* counter = static_cast<BodyCounter*>(data);
-  counter->received += g_bytes_get_size(chunk);
-  if (!counter->IsOverLimit()) return;
-  auto* body = soup_server_message_get_request_body(message);
-  soup_message_body_set_accumulate(body, FALSE);
-  if (counter->received > counter->limit * kDiscardFactor)
-    ShutDownConnection(message);
-}
-
-void AttachBodyCounter(SoupServerMessage* message, std::size_t limit) {
-  auto* counter = new BodyCounter{limit};
-  g_object_set_data_full(
-      G_OBJECT(message), kBodyCounterKey, counter,
-      [](gpointer data) { delete static_cast<BodyCounter*>(data); });
-  g_signal_connect(message, "got-chunk", G_CALLBACK(CountChunk), counter);
-}
-
-bool IsBodyTooLarge(SoupServerMessage* message) {
-  const auto* counter = static_cast<BodyCounter*>(
-      g_object_get_data(G_OBJECT(message), kBodyCounterKey));
-  return counter != nullptr && counter->IsOverLimit();
-}
-
-std::string RequestBody(SoupServerMessage* message) {
-  auto* body = soup_server_message_get_request_body(message);
-  GBytes* bytes = soup_message_body_flatten(body);
-  gsize size = 0;
-  const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
-  std::string text = data == nullptr ? std::string() : std::string(data, size);
-  g_bytes_unref(bytes);
-  return text;
-}
-
 constexpr const char* kConnectionNumberKey = "lovagecleat-connection";
 
 // Numbers connections from 1. The number is stored with the socket; 0 if there
@@ -145,7 +86,8 @@
       : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))),
         method_(soup_server_message_get_method(message)),
         path_(g_uri_get_path(soup_server_message_get_uri(message))),
-        body_(RequestBody(message)),
+        reader_(*RequestReader::Of(message)),
+        body_(reader_.TakeBody()),
         connection_(ConnectionNumber(message)) {
     SetNoDelay();
     WatchPeer();
@@ -188,6 +130,7 @@
     soup_server_message_set_response(
         message_.get(), type.empty() ? nullptr : type.c_str(), SOUP_MEMORY_COPY,
         body.data(), body.size());
+    reader_.AddUnsent(body.size());
     soup_server_message_unpause(message_.get());
   }
 
@@ -211,6 +154,7 @@
     const std::string text = FormatServerSentEvent(event);
     soup_message_body_append(ResponseBody(), SOUP_MEMORY_COPY, text.data(),
                              text.size());
+    reader_.AddUnsent(text.size());
     soup_server_message_unpause(message_.get());
   }
 
@@ -309,6 +253,8 @@
   ObjectPointer<SoupServerMessage> message_;
   std::string method_;
   std::string path_;
+  // Destroyed with the message.
+  RequestReader& reader_;
   std::string body_;
   std::uint64_t connection_ = 0;
   Progress progress_ = Progress::kWaiting;
@@ -320,9 +266,15 @@
 
 class HttpServer::State {
  public:
-  explicit State(const HttpServerLimits& limits)
-      : limits_(limits),
+  State(Loop& loop, const HttpServerLimits& limits)
+      : loop_(loop),
+        limits_(limits),
+        account_([this] { RunAccountSoon(); }),
         server_(soup_server_new("server-header", "lovagecleat", nullptr)) {
+    account_.SetLimits(limits.memory);
+    if (account_.is_limited()) Sweep();
+    g_signal_connect(server_.get(), "request-started",
+                     G_CALLBACK(OnRequestStarted), this);
     soup_server_add_early_handler(server_.get(), nullptr, OnHeaders, this,
                                   nullptr);
     soup_server_add_handler(server_.get(), nullptr, OnRequest, this, nullptr);
@@ -334,7 +286,12 @@
       g_signal_handlers_disconnect_by_data(message, this);
       call->Abort();
     }
+    g_signal_handlers_disconnect_by_data(server_.get(), this);
+    for (const auto& [socket, connection] : connections_)
+      g_object_weak_unref(G_OBJECT(socket), OnSocketGone, this);
     soup_server_disconnect(server_.get());
+    loop_.Cancel(sweep_timer_);
+    loop_.Cancel(run_timer_);
   }
 
   void Route(std::string_view method, std::string_view path, Handler handler) {
@@ -356,6 +313,9 @@
                      G_SOCKET_PROTOCOL_TCP, &error));
     if (!socket) return Fail(error);
     g_socket_set_listen_backlog(socket.get(), kListenBacklog);
+    if (account_.is_limited())
+      g_socket_set_option(socket.get(), SOL_SOCKET, SO_RCVBUF,
+                          kBoundedReceiveBytes, nullptr);
     const bool is_listening =
         g_socket_bind(socket.get(), socket_address.get(), TRUE, &error) &&
         g_socket_listen(socket.get(), &error) &&
@@ -402,24 +362,29 @@
   static void OnHeaders(SoupServer* /*server*/, SoupServerMessage* message,
                         const char* /*path*/, GHashTable* /*query*/,
                         gpointer data) {
-    const auto* state = static_cast<State*>(data);
+    auto* state = static_cast<State*>(data);
     const HttpServerLimits& limits = state->limits_;
+    state->Touch(message);
     auto* headers = soup_server_message_get_request_headers(message);
     const auto length = soup_message_headers_get_content_length(headers);
-    AttachBodyCounter(message, limits.maximum_body_bytes);
+    RequestReader::Attach(message, state->account_, state->loop_.clock(),
+                          limits.maximum_body_bytes);
+    g_signal_connect(message, "got-chunk", G_CALLBACK(OnChunk), state);
     if (HeaderBytes(message) > limits.maximum_header_bytes)
       return RespondProblem(message, kHeadersTooLarge);
     if (std::cmp_greater(length, limits.maximum_body_bytes * kDiscardFactor))
       return RespondAndShutDown(message, kBodyTooLarge);
     if (std::cmp_greater(length, limits.maximum_body_bytes))
       return RespondProblem(message, kBodyTooLarge);
+    RequestReader::Of(message)->Start();
   }
 
   static void OnRequest(SoupServer* /*server*/, SoupServerMessage* message,
                         const char* path, GHashTable* /*query*/,
                         gpointer data) {
     auto* state = static_cast<State*>(data);
-    if (IsBodyTooLarge(message)) return RespondProblem(message, kBodyTooLarge);
+    if (RequestReader::Of(message)->is_too_large())
+      return RespondProblem(message, kBodyTooLarge);
     if (state->calls_.size() >= state->limits_.maximum_open_calls)
       return RespondProblem(message, kTooManyCalls);
     state->Dispatch(message, path);
@@ -449,15 +414,99 @@
     call->Finish();
   }
 
+  // --- Connections and memory
+  // -------------------------------------------------
+
+  struct Connection {
+    TimePoint progress_at{};
+    bool is_closing = false;
+  };
+
+  // libsoup begins a message when it accepts a connection, and after each
+  // message on it.
+  static void OnRequestStarted(SoupServer* /*server*/,
+                               SoupServerMessage* message, gpointer data) {
+    auto* state = static_cast<State*>(data);
+    GSocket* socket = soup_server_message_get_socket(message);
+    if (socket == nullptr) return;
+    if (!state->connections_.contains(socket)) {
+      g_object_weak_ref(G_OBJECT(socket), OnSocketGone, state);
+      state->connections_[socket] = {state->loop_.clock().Now()};
+      state->LimitConnections(socket);
+    }
+    state->Touch(message);
+  }
+
+  static void OnChunk(SoupServerMessage* message, GBytes* /*chunk*/,
+                      gpointer data) {
+    static_cast<State*>(data)->Touch(message);
+  }
+
+  static void OnSocketGone(gpointer data, GObject* socket) {
+    auto* state = static_cast<State*>(data);
+    const auto found =
+        state->connections_.find(reinterpret_cast<GSocket*>(socket));
+    if (found == state->connections_.end()) return;
+    if (found->second.is_closing) --state->closing_connections_;
+    state->connections_.erase(found);
+  }
+
+  void Touch(SoupServerMessage* message) {
+    const auto found =
+        connections_.find(soup_server_message_get_socket(message));
+    if (found != connections_.end())
+      found->second.progress_at = loop_.clock().Now();
+  }
+
+  // Beyond the limit, closes the connection on which nothing has come for
+  // longest, or the new one.
+  void LimitConnections(GSocket* added) {
+    const std::size_t limit = limits_.maximum_connections;
+    if (limit == 0 || connections_.size() - closing_connections_ <= limit)
+      return;
+    std::unordered_set<GSocket*> serving;
+    for (const auto& [message, call] : calls_)
+      serving.insert(soup_server_message_get_socket(message));
+    const TimePoint now = loop_.clock().Now();
+    GSocket* closed = added;
+    TimePoint since = now - kDisplaceableIdleTime;
+    for (const auto& [socket, connection] : connections_) {
+      if (connection.is_closing || connection.progress_at > since ||
+          serving.contains(socket))
+        continue;
+      closed = socket;
+      since = connection.progress_at;
+    }
+    connections_[closed].is_closing = true;
+    ++closing_connections_;
+    ShutDownSocket(closed);
+  }
+
+  void RunAccountSoon() {
+    run_timer_ = loop_.After(Duration::zero(),
+                             [this] { account_.Run(loop_.clock().Now()); });
+  }
+
+  void Sweep() {
+    account_.Run(loop_.clock().Now());
+    sweep_timer_ = loop_.After(kSweepPeriod, [this] { Sweep(); });
+  }
+
+  Loop& loop_;
   HttpServerLimits limits_;
+  memory::ByteAccount account_;
+  TimerId run_timer_;
+  TimerId sweep_timer_;
+  std::unordered_map<GSocket*, Connection> connections_;
+  std::size_t closing_connections_ = 0;
   ListenError last_error_ = ListenError::kNone;
   ObjectPointer<SoupServer> server_;
   HttpRoutes routes_;
   std::unordered_map<SoupServerMessage*, std::shared_ptr<SoupCall>> calls_;
 };
 
-HttpServer::HttpServer(Loop& /*loop*/, const HttpServerLimits& limits)
-    : state_(std::make_unique<State>(limits)) {}
+HttpServer::HttpServer(Loop& loop, const HttpServerLimits& limits)
+    : state_(std::make_unique<State>(loop, limits)) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/libraries/transport/http_server.h
+++ b/libraries/transport/http_server.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "base/base.h"
+#include "memory/memory.h"
 #include "transport/loop.h"
 #include "transport/server_sent_events.h"
 
@@ -52,6 +53,9 @@
   std::size_t maximum_body_bytes = std::size_t{256} * 1024;   // more: 413
   std::size_t maximum_header_bytes = std::size_t{16} * 1024;  // more: 431
   std::size_t maximum_open_calls = 4000;  // more: 503 with Retry-After
+  // Beyond this, one without a call is closed; 0: no limit.
+  std::size_t maximum_connections = 0;
+  memory::AccountLimits memory = {};  // of all requests together
 };
 
 enum class ListenError { kNone, kNotAnIpAddress, kAddressInUse, kOther };
--- a/services/entry/entry_process.cc
+++ b/services/entry/entry_process.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "memory/memory.h"
+
 namespace lovagecleat::entry {
 
 namespace {
@@ -9,6 +11,13 @@
 // Interval at which a stopping process checks for unfinished HTTP calls.
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(20);
 
+// Descriptors of a machine that are not for sockets.
+constexpr std::size_t kFileDescriptors = 200;
+// Part of the sockets for connections of callers. The rest is for servers,
+// other hosts and the platform.
+constexpr std::size_t kCallerSocketsNumerator = 3;
+constexpr std::size_t kCallerSocketsDenominator = 4;
+
 policy::PlacementKind PlacementFromName(std::string_view name) {
   if (name == "round_robin") return policy::PlacementKind::kRoundRobin;
   if (name == "least_outstanding") {
@@ -43,6 +52,15 @@
   transport::HttpServerLimits limits;
   limits.maximum_body_bytes = settings.maximum_body_bytes;
   limits.maximum_open_calls = settings.maximum_calls;
+  if (!settings.memory) return limits;
+  memory::ReturnFreedBlocks();
+  limits.memory =
+      memory::LimitsFor(settings.memory->bytes, settings.memory->address_share);
+  if (settings.memory->descriptors > kFileDescriptors) {
+    const std::size_t sockets = settings.memory->descriptors - kFileDescriptors;
+    limits.maximum_connections =
+        sockets / kCallerSocketsDenominator * kCallerSocketsNumerator;
+  }
   return limits;
 }
 
