--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -71,6 +71,10 @@
   // Returns whether the peer has acknowledged all bytes written. Valid until
   // Close, also after the end of the connection.
   bool IsAllAcknowledged() const;
+  // Returns what the buffer for unsent bytes occupies.
+  std::size_t buffered_bytes() const { return send_buffer_.capacity(); }
+  // Returns how many bytes were passed to the kernel.
+  std::uint64_t sent_bytes() const { return sent_bytes_; }
   // Returns whether bytes of the peer, or its end of the connection, wait to be
   // read.
   bool HasUnreadBytes() const;
@@ -88,6 +92,8 @@
   // Passes bytes to the kernel and returns how many it took.
   std::size_t Send(std::string_view bytes);
   StreamEnd TakeEndOfFile();
+  void AppendUnsent(std::string_view bytes);
+  void ReleaseBuffer();
   void CountSent(std::size_t bytes);
   void CheckPeerLater();
   void SetKernelLimit(bool is_on);
@@ -106,6 +112,7 @@
   // Set once a write has failed, which takes the error from the socket: the
   // reads after that find the connection ended in order.
   std::optional<StreamEnd> write_failure_;
+  std::uint64_t sent_bytes_ = 0;
   // Bytes passed to the kernel since the peer was last known to have
   // acknowledged all.
   std::size_t unconfirmed_bytes_ = 0;
@@ -135,11 +142,14 @@
   void OnDescriptorEvents(std::uint32_t events) override;
 
  private:
+  void PauseAccepting();
+
   TcpListener(Poller& poller, int descriptor, AcceptCallback callback);
 
   Poller& poller_;
   int descriptor_;
   AcceptCallback callback_;
+  TimerId resume_timer_;
 };
 
 }  // namespace lovagecleat::http
