Stream origins: Keep a new origin of another host in place of the oldest

At 50,000 origins a host acknowledged copies of others and dropped them, so the senders counted as known what no host of the zone knew. Its own origins counted towards the bound as well. The bound now holds for those of other hosts only, and the one that expires first leaves for a new one.

The new case uses AddFromOther, which did not exist before, so there is no run of it that failed. It passes, with the other cases of origin_copies_test.

--- a/libraries/routing/stream_origins.cc
+++ b/libraries/routing/stream_origins.cc
@@ -15,9 +15,26 @@
                         TimePoint expires_at) {
   const auto [entry, is_new] =
       entries_.try_emplace(stream, KnownOrigin{origin, expires_at});
+  if (is_new) return;
   // The first origin is the true one; a later one repeats it.
-  if (!is_new)
-    entry->second.expires_at = std::max(entry->second.expires_at, expires_at);
+  from_others_.erase({entry->second.expires_at, stream});
+  entry->second.expires_at = std::max(entry->second.expires_at, expires_at);
+}
+
+bool StreamOrigins::AddFromOther(const std::string& stream,
+                                 const StreamOrigin& origin,
+                                 TimePoint expires_at, std::size_t limit) {
+  const auto known = entries_.find(stream);
+  const bool is_from_other =
+      known == entries_.end() ||
+      from_others_.contains({known->second.expires_at, stream});
+  Add(stream, origin, expires_at);
+  if (!is_from_other) return true;
+  from_others_.emplace(entries_.at(stream).expires_at, stream);
+  if (from_others_.size() <= limit) return true;
+  entries_.erase(from_others_.begin()->second);
+  from_others_.erase(from_others_.begin());
+  return false;
 }
 
 const KnownOrigin* StreamOrigins::Find(const std::string& stream,
@@ -32,6 +49,8 @@
   std::erase_if(entries_, [now](const auto& entry) {
     return entry.second.expires_at <= now;
   });
+  while (!from_others_.empty() && from_others_.begin()->first <= now)
+    from_others_.erase(from_others_.begin());
 }
 
 std::vector<std::string_view> OriginHolders(std::string_view stream,
--- a/libraries/routing/stream_origins.h
+++ b/libraries/routing/stream_origins.h
@@ -2,9 +2,11 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -32,6 +34,10 @@
   // Keeps the origin until `expires_at`, or longer if it is known already.
   void Add(const std::string& stream, const StreamOrigin& origin,
            TimePoint expires_at);
+  // As Add, for a stream that began at another host. At most `limit` of these
+  // are kept: returns false if the one that expires first had to leave.
+  bool AddFromOther(const std::string& stream, const StreamOrigin& origin,
+                    TimePoint expires_at, std::size_t limit);
   // Returns null if the stream is not known.
   const KnownOrigin* Find(const std::string& stream, TimePoint now) const;
   void RemoveExpired(TimePoint now);
@@ -43,6 +49,8 @@
 
  private:
   std::map<std::string, KnownOrigin> entries_;
+  // Of streams that began at other hosts, by expiry.
+  std::set<std::pair<TimePoint, std::string>> from_others_;
 };
 
 // A host that may keep the origins of streams for the others.
--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -214,12 +214,10 @@
                                        added.software_version()};
     const Duration lifetime =
         std::min(Duration(added.remaining_us()), kMaximumLifetime);
-    if (origins_.size() < kMaximumOrigins) {
-      origins_.Add(added.stream(), origin, now + lifetime);
-      rows_.OnOriginAdded(origin.service);
-    } else {
-      ++left_out_;
-    }
+    const bool has_room = origins_.AddFromOther(
+        added.stream(), origin, now + lifetime, kMaximumOrigins);
+    if (!has_room) ++left_out_;
+    rows_.OnOriginAdded(origin.service);
     FinishQuery(added.stream(), origin);
   }
   for (const messages::StreamOriginQuery& asked : traffic.queries()) {
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -537,5 +537,33 @@
   REQUIRE(copies.size() == 10);
 }
 
+// Guards against new origins from other hosts that were acknowledged and
+// dropped once there was no room, though these hosts counted them as known.
+TEST_CASE("A new origin from another host displaces what expires first") {
+  constexpr std::size_t kLimit = 5;
+  const StreamOrigin origin{ServiceId("service"), "1"};
+  const TimePoint now = TimePoint() + seconds(1);
+  StreamOrigins origins;
+  for (int i = 0; i < 10; ++i)
+    origins.Add("own" + std::to_string(i), origin, now + seconds(1));
+  for (int i = 0; i < 5; ++i)
+    REQUIRE(origins.AddFromOther("other" + std::to_string(i), origin,
+                                 now + seconds(10 + i), kLimit));
+  // A repeated origin takes no more room and is kept longer.
+  REQUIRE(origins.AddFromOther("other0", origin, now + seconds(30), kLimit));
+  REQUIRE_FALSE(origins.AddFromOther("new", origin, now + seconds(20), kLimit));
+  REQUIRE(origins.Find("new", now) != nullptr);
+  REQUIRE(origins.Find("other0", now) != nullptr);
+  REQUIRE(origins.Find("other1", now) == nullptr);
+  // Those that began here don't count, even if other hosts repeat them.
+  REQUIRE(origins.AddFromOther("own0", origin, now + seconds(2), kLimit));
+  REQUIRE(origins.size() == 15);
+  // There is room again for what has expired.
+  origins.RemoveExpired(now + seconds(12));
+  REQUIRE(origins.size() == 4);
+  REQUIRE(origins.AddFromOther("later", origin, now + seconds(40), kLimit));
+  REQUIRE(origins.size() == 5);
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
