Origin copies: Share the budget for waiting copies between zones

Waiting copies were offered zone by zone in the order of names, and each took a token of the budget even if its holder was full and it went back. A zone behind another got none while the first had many. The zones now take turns by what expires first, and only a copy that is queued takes a token; at most 500 copies of a zone are looked at in one flush.

--- a/libraries/routing/origin_copies.cc
+++ b/libraries/routing/origin_copies.cc
@@ -35,6 +35,8 @@
 // Waiting copies and probes that are held back by a budget are tried again
 // after this time.
 constexpr Duration kBudgetDelay = milliseconds(100);
+// Waiting copies of a zone that are looked at in one flush.
+constexpr std::size_t kMaximumOffers = 500;
 
 double Seconds(Duration time) {
   return std::chrono::duration<double>(time).count();
@@ -399,24 +401,42 @@
   return !failed.empty();
 }
 
+// The zones take turns by what expires first. A copy whose holder is full goes
+// back and costs none of the budget.
 void OriginCopies::OfferWaiting(TimePoint now) {
   UpdateUsable(now);
+  std::map<Zone*, std::size_t> left;  // copies to be offered
   for (auto& [name, zone] : zones_) {
     while (!zone.waiting.empty() &&
            zone.waiting.front().stream->second.expires_at <= now) {
       Discard(zone.waiting.front());
       zone.waiting.pop_front();
     }
-    if (zone.usable.empty()) continue;
-    for (std::size_t left = zone.waiting.size(); left > 0; --left) {
-      if (!repeats_.Take(now)) return;
-      const Copy copy = zone.waiting.front();
-      zone.waiting.pop_front();
-      if (copy.stream->second.expires_at <= now)
-        Discard(copy);
-      else
-        Place(zone, copy);
+    if (!zone.usable.empty() && !zone.waiting.empty())
+      left[&zone] = std::min(zone.waiting.size(), kMaximumOffers);
+  }
+  const auto expires_sooner = [](const auto& a, const auto& b) {
+    return a.first->waiting.front().stream->second.expires_at <
+           b.first->waiting.front().stream->second.expires_at;
+  };
+  while (!left.empty() && repeats_.Has(now)) {
+    const auto next =
+        std::min_element(left.begin(), left.end(), expires_sooner);
+    Zone& zone = *next->first;
+    const Copy copy = zone.waiting.front();
+    zone.waiting.pop_front();
+    if (--next->second == 0) left.erase(next);
+    if (copy.stream->second.expires_at <= now) {
+      Discard(copy);
+      continue;
+    }
+    Host* holder = HolderIn(zone, StableHash(copy.stream->first));
+    if (holder == nullptr || holder->held.size() >= limits_.copies_per_host) {
+      zone.waiting.push_back(copy);
+      continue;
     }
+    repeats_.Take(now);
+    Queue(*holder, copy);
   }
 }
 
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -565,5 +565,32 @@
   REQUIRE(origins.size() == 5);
 }
 
+// Guards against a zone that got none of its waiting copies since those of
+// another took the budget, also for copies that had to wait on.
+TEST_CASE("Zones share the budget for waiting copies") {
+  OriginCopyLimits limits;
+  limits.repeats_per_second = 0;
+  limits.repeat_burst = 4;
+  limits.copies_per_host = GENERATE(2, 1000);
+  CAPTURE(limits.copies_per_host);
+  OriginCopies copies("a", limits);
+  const TimePoint now = TimePoint() + seconds(1);
+  const std::vector<CopyHost> lost = {{"b0", "b", false}, {"c0", "c", false}};
+  copies.SetHosts(lost, now);
+  for (int i = 0; i < 6; ++i)
+    copies.Add(std::to_string(i), now + kLifetime + milliseconds(i), now);
+  REQUIRE(copies.waiting() == 12);
+  const std::vector<CopyHost> found = {{"b0", "b", true}, {"c0", "c", true}};
+  copies.SetHosts(found, now);
+  std::map<std::string, std::size_t> sent;
+  copies.Flush(now, [&sent](const OriginCopies::Batch& batch) {
+    sent[batch.host] += batch.streams.size();
+    return true;
+  });
+  REQUIRE(sent["b0"] == 2);
+  REQUIRE(sent["c0"] == 2);
+  REQUIRE(copies.waiting() == 8);
+}
+
 }  // namespace
 }  // namespace lovagecleat::routing
