Routing: Bound a server's own figure where it corrects observations

Bounding it when it is recorded made "Times and figures that make no sense are ignored" fail: a server with a steady slowness of 1.56 that reported 0.000001 had a slowness of 0.39 instead of the lowest. The figure is recorded as it was again, and bounded where it is taken away from an observation. The case passes again as it was.

--- a/libraries/routing/server_speed.cc
+++ b/libraries/routing/server_speed.cc
@@ -163,6 +163,14 @@
   AddDeviation(reference, residual);
 }
 
+// What a server says may be absurd, so it explains no more of a time than the
+// range of slowness.
+double ServerSpeeds::ReportedPart(const ServerState& server, TimePoint now) {
+  return std::clamp(
+      Faded(server.reported, server.reported_at, now, kReportedHalfLife),
+      std::log(kLowestSlowness), std::log(kHighestSlowness));
+}
+
 void ServerSpeeds::Observe(const ServiceId& service,
                            const ServerIncarnation& server, WorkKind kind,
                            Duration taken, Duration expected, TimePoint now) {
@@ -173,8 +181,7 @@
   const double log_ratio =
       std::clamp(std::log(static_cast<double>(taken.count()) /
                           static_cast<double>(expected.count())) -
-                     Faded(observed.reported, observed.reported_at, now,
-                           kReportedHalfLife),
+                     ReportedPart(observed, now),
                  -kMaximumLogRatio, kMaximumLogRatio);
   Estimate& estimate = observed.kinds[index];
   ServiceState& state = services_[service];
@@ -213,8 +220,7 @@
                                TimePoint now) {
   if (!std::isfinite(slowdown) || slowdown <= 0) return;
   ServerState& state = StateOf(service, server, now);
-  state.reported =
-      std::log(std::clamp(slowdown, kLowestSlowness, kHighestSlowness));
+  state.reported = std::log(slowdown);
   state.reported_at = now;
 }
 
--- a/libraries/routing/server_speed.h
+++ b/libraries/routing/server_speed.h
@@ -151,6 +151,7 @@
   void RemoveOldest();
   static void Add(Estimate& estimate, Reference& reference, double log_ratio,
                   double count, TimePoint now);
+  static double ReportedPart(const ServerState& server, TimePoint now);
   static double MedianOfFirst(const Estimate& estimate);
   static void AddDeviation(Reference& reference, double residual);
   static double WeightNow(const Estimate& estimate, TimePoint now);
