Routing: Ignore older incarnations in estimates of speed

A late stream of a server's old incarnation, or another host's sample of it, reset the estimate of the new one.

--- a/libraries/routing/server_speed.cc
+++ b/libraries/routing/server_speed.cc
@@ -77,7 +77,10 @@
   return gaps_[1];
 }
 
-ServerSpeeds::ServerState& ServerSpeeds::StateOf(
+// Returns nothing for an older incarnation than the known one, whose late
+// streams say nothing of the new one. One that hasn't been seen for long is no
+// longer trusted: the clock of the machine may have been set back.
+ServerSpeeds::ServerState* ServerSpeeds::StateOf(
     const ServiceId& service, const ServerIncarnation& server, TimePoint now) {
   auto& servers = services_[service].servers;
   auto found = servers.find(server.id);
@@ -87,11 +90,14 @@
     found->second.incarnation = server;
     ++size_;
   } else if (found->second.incarnation != server) {
+    if (server.started_unix_ms < found->second.incarnation.started_unix_ms &&
+        now - found->second.seen_at < kMemory)
+      return nullptr;
     found->second = ServerState{};
     found->second.incarnation = server;
   }
   found->second.seen_at = now;
-  return found->second;
+  return &found->second;
 }
 
 void ServerSpeeds::RemoveOldest() {
@@ -176,14 +182,15 @@
                            Duration taken, Duration expected, TimePoint now) {
   if (taken <= Duration::zero() || expected <= Duration::zero()) return;
   const auto index = static_cast<std::size_t>(kind);
-  ServerState& observed = StateOf(service, server, now);
+  ServerState* observed = StateOf(service, server, now);
+  if (observed == nullptr) return;
   // What the server says of the moment is no part of the steady slowness.
   const double log_ratio =
       std::clamp(std::log(static_cast<double>(taken.count()) /
                           static_cast<double>(expected.count())) -
-                     ReportedPart(observed, now),
+                     ReportedPart(*observed, now),
                  -kMaximumLogRatio, kMaximumLogRatio);
-  Estimate& estimate = observed.kinds[index];
+  Estimate& estimate = observed->kinds[index];
   ServiceState& state = services_[service];
   Reference& reference = state.references[index];
   MeasuredReference(state, index, now);
@@ -207,7 +214,9 @@
   if (index >= kWorkKinds || sample.count == 0 || sample.server.id.empty() ||
       !(std::abs(sample.log_ratio) <= kErroneousLogRatio))
     return;
-  Estimate& estimate = StateOf(sample.service, sample.server, now).kinds[index];
+  ServerState* server = StateOf(sample.service, sample.server, now);
+  if (server == nullptr) return;
+  Estimate& estimate = server->kinds[index];
   ServiceState& state = services_[sample.service];
   MeasuredReference(state, index, now);
   Add(estimate, state.references[index],
@@ -219,9 +228,10 @@
                                const ServerIncarnation& server, double slowdown,
                                TimePoint now) {
   if (!std::isfinite(slowdown) || slowdown <= 0) return;
-  ServerState& state = StateOf(service, server, now);
-  state.reported = std::log(slowdown);
-  state.reported_at = now;
+  ServerState* state = StateOf(service, server, now);
+  if (state == nullptr) return;
+  state->reported = std::log(slowdown);
+  state->reported_at = now;
 }
 
 // Measures the median again if it is old. The mean of a server whose weight has
--- a/libraries/routing/server_speed.h
+++ b/libraries/routing/server_speed.h
@@ -146,7 +146,7 @@
     mutable std::array<Reference, kWorkKinds> references;
   };
 
-  ServerState& StateOf(const ServiceId& service,
+  ServerState* StateOf(const ServiceId& service,
                        const ServerIncarnation& server, TimePoint now);
   void RemoveOldest();
   static void Add(Estimate& estimate, Reference& reference, double log_ratio,
--- a/tests/routing/server_speed_test.cc
+++ b/tests/routing/server_speed_test.cc
@@ -321,6 +321,31 @@
   REQUIRE(found == milliseconds(30));
 }
 
+// Guards against a late stream of a server that has restarted since.
+TEST_CASE("An older incarnation doesn't reset a newer one's estimate") {
+  Observed observed;
+  for (int i = 0; i < 20; ++i) {
+    observed.now += milliseconds(500);
+    for (int server = 0; server < 12; ++server)
+      observed.speeds.Observe(
+          kService, MakeServer(server, 2), WorkKind::kDecodeStep,
+          kExpected * (server == 2 ? 2 : 1), kExpected, observed.now);
+  }
+  const double before = observed.Slowness(2);
+  REQUIRE(before > 1.3);
+  observed.Add(2, 1.0);
+  REQUIRE(observed.Slowness(2) == before);
+  observed.speeds.Merge({kService, MakeServer(2), WorkKind::kDecodeStep, 0, 8},
+                        observed.now);
+  REQUIRE(observed.Slowness(2) == before);
+  observed.speeds.SetReported(kService, MakeServer(2), 4, observed.now);
+  REQUIRE(observed.Slowness(2) == before);
+  // A clock that was set back isn't held against the server for long.
+  observed.now += 2 * ServerSpeeds::kMemory;
+  observed.speeds.SetReported(kService, MakeServer(2), 4, observed.now);
+  REQUIRE(observed.Slowness(2) == Approx(4.0));
+}
+
 TEST_CASE("The number of servers that are kept is bounded") {
   ServerSpeeds speeds;
   const TimePoint now{seconds(1)};
