Gateway: Take waits cut short only for slow ones

Waiting for a first event that was given up was recorded as if the work had taken that time, so that short waits made a server look fast, and short prompts counted too.

The test failed when such waits were recorded as others are.

--- a/libraries/routing/server_speed.cc
+++ b/libraries/routing/server_speed.cc
@@ -57,7 +57,7 @@
   return value * std::exp2(-age / static_cast<double>(half_life.count()));
 }
 
-double Median(std::vector<double>& values) {
+double Median(std::vector<double> &values) {
   const auto middle =
       values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
   std::nth_element(values.begin(), middle, values.end());
@@ -80,9 +80,9 @@
 // Returns nothing for an older incarnation than the known one, whose late
 // streams say nothing of the new one. One that hasn't been seen for long is no
 // longer trusted: the clock of the machine may have been set back.
-ServerSpeeds::ServerState* ServerSpeeds::StateOf(
-    const ServiceId& service, const ServerIncarnation& server, TimePoint now) {
-  auto& servers = services_[service].servers;
+ServerSpeeds::ServerState *ServerSpeeds::StateOf(
+    const ServiceId &service, const ServerIncarnation &server, TimePoint now) {
+  auto &servers = services_[service].servers;
   auto found = servers.find(server.id);
   if (found == servers.end()) {
     if (size_ >= kMaximumServers) RemoveOldest();
@@ -101,10 +101,10 @@
 }
 
 void ServerSpeeds::RemoveOldest() {
-  ServiceState* oldest_service = nullptr;
+  ServiceState *oldest_service = nullptr;
   std::optional<std::pair<TimePoint, ServerId>> oldest;
-  for (auto& [id, service] : services_)
-    for (const auto& [server, state] : service.servers)
+  for (auto &[id, service] : services_)
+    for (const auto &[server, state] : service.servers)
       if (!oldest || state.seen_at < oldest->first) {
         oldest = {state.seen_at, server};
         oldest_service = &service;
@@ -113,15 +113,15 @@
   oldest_service->servers.erase(oldest->second);
   --size_;
   std::erase_if(services_,
-                [](const auto& item) { return item.second.servers.empty(); });
+                [](const auto &item) { return item.second.servers.empty(); });
 }
 
-double ServerSpeeds::WeightNow(const Estimate& estimate, TimePoint now) {
+double ServerSpeeds::WeightNow(const Estimate &estimate, TimePoint now) {
   return Faded(estimate.weight, estimate.at, now, kMemory);
 }
 
 // Returns the mean of two, since neither is known to be the outlier.
-double ServerSpeeds::MedianOfFirst(const Estimate& estimate) {
+double ServerSpeeds::MedianOfFirst(const Estimate &estimate) {
   std::vector<double> values(
       estimate.first.begin(),
       estimate.first.begin() +
@@ -130,14 +130,14 @@
   return Median(values);
 }
 
-void ServerSpeeds::AddDeviation(Reference& reference, double residual) {
+void ServerSpeeds::AddDeviation(Reference &reference, double residual) {
   const double deviation = std::min(std::abs(residual), kMaximumExcess);
   reference.spread_weight += 1;
   reference.spread += std::max(1.0 / reference.spread_weight, kSpreadGain) *
                       (deviation - reference.spread);
 }
 
-void ServerSpeeds::Add(Estimate& estimate, Reference& reference,
+void ServerSpeeds::Add(Estimate &estimate, Reference &reference,
                        double log_ratio, double count, TimePoint now) {
   const double weight = WeightNow(estimate, now);
   if (weight < kForgottenWeight) {
@@ -171,18 +171,18 @@
 
 // What a server says may be absurd, so it explains no more of a time than the
 // range of slowness.
-double ServerSpeeds::ReportedPart(const ServerState& server, TimePoint now) {
+double ServerSpeeds::ReportedPart(const ServerState &server, TimePoint now) {
   return std::clamp(
       Faded(server.reported, server.reported_at, now, kReportedHalfLife),
       std::log(kLowestSlowness), std::log(kHighestSlowness));
 }
 
-void ServerSpeeds::Observe(const ServiceId& service,
-                           const ServerIncarnation& server, WorkKind kind,
+void ServerSpeeds::Observe(const ServiceId &service,
+                           const ServerIncarnation &server, WorkKind kind,
                            Duration taken, Duration expected, TimePoint now) {
   if (taken <= Duration::zero() || expected <= Duration::zero()) return;
   const auto index = static_cast<std::size_t>(kind);
-  ServerState* observed = StateOf(service, server, now);
+  ServerState *observed = StateOf(service, server, now);
   if (observed == nullptr) return;
   // What the server says of the moment is no part of the steady slowness.
   const double log_ratio =
@@ -190,9 +190,9 @@
                           static_cast<double>(expected.count())) -
                      ReportedPart(*observed, now),
                  -kMaximumLogRatio, kMaximumLogRatio);
-  Estimate& estimate = observed->kinds[index];
-  ServiceState& state = services_[service];
-  Reference& reference = state.references[index];
+  Estimate &estimate = observed->kinds[index];
+  ServiceState &state = services_[service];
+  Reference &reference = state.references[index];
   MeasuredReference(state, index, now);
   if (WeightNow(estimate, now) >= kMinimumWeight) {
     // What is usual for single observations is no moment of slow work.
@@ -209,26 +209,54 @@
   ++estimate.new_count;
 }
 
-void ServerSpeeds::Merge(const SpeedSample& sample, TimePoint now) {
+// Returns the logarithm of the ratio that is usual at the server by now.
+double ServerSpeeds::UsualOf(const ServiceId &service,
+                             const ServerIncarnation &server, std::size_t kind,
+                             TimePoint now) const {
+  const auto known = services_.find(service);
+  if (known == services_.end()) return 0;
+  const Reference &reference = MeasuredReference(known->second, kind, now);
+  const double median = reference.median.value_or(0);
+  const ServerState *state = Find(service, server.id);
+  if (state == nullptr || state->incarnation != server) return median;
+  const Estimate &estimate = state->kinds[kind];
+  const double steady = WeightNow(estimate, now) >= kMinimumWeight
+                            ? estimate.mean
+                            : median + Steady(known->second, *state, kind, now);
+  return steady + Moment(*state, now);
+}
+
+void ServerSpeeds::ObserveMissing(const ServiceId &service,
+                                  const ServerIncarnation &server,
+                                  WorkKind kind, Duration taken,
+                                  Duration expected, TimePoint now) {
+  if (taken <= Duration::zero() || expected <= Duration::zero()) return;
+  const double log_ratio = std::log(static_cast<double>(taken.count()) /
+                                    static_cast<double>(expected.count()));
+  if (log_ratio > UsualOf(service, server, static_cast<std::size_t>(kind), now))
+    Observe(service, server, kind, taken, expected, now);
+}
+
+void ServerSpeeds::Merge(const SpeedSample &sample, TimePoint now) {
   const auto index = static_cast<std::size_t>(sample.kind);
   if (index >= kWorkKinds || sample.count == 0 || sample.server.id.empty() ||
       !(std::abs(sample.log_ratio) <= kErroneousLogRatio))
     return;
-  ServerState* server = StateOf(sample.service, sample.server, now);
+  ServerState *server = StateOf(sample.service, sample.server, now);
   if (server == nullptr) return;
-  Estimate& estimate = server->kinds[index];
-  ServiceState& state = services_[sample.service];
+  Estimate &estimate = server->kinds[index];
+  ServiceState &state = services_[sample.service];
   MeasuredReference(state, index, now);
   Add(estimate, state.references[index],
       std::clamp(sample.log_ratio, -kMaximumLogRatio, kMaximumLogRatio),
       std::min<double>(sample.count, kMaximumMergedCount), now);
 }
 
-void ServerSpeeds::SetReported(const ServiceId& service,
-                               const ServerIncarnation& server, double slowdown,
+void ServerSpeeds::SetReported(const ServiceId &service,
+                               const ServerIncarnation &server, double slowdown,
                                TimePoint now) {
   if (!std::isfinite(slowdown) || slowdown <= 0) return;
-  ServerState* state = StateOf(service, server, now);
+  ServerState *state = StateOf(service, server, now);
   if (state == nullptr) return;
   state->reported = std::log(slowdown);
   state->reported_at = now;
@@ -236,13 +264,13 @@
 
 // Measures the median again if it is old. The mean of a server whose weight has
 // faded still counts: it is the best known.
-const ServerSpeeds::Reference& ServerSpeeds::MeasuredReference(
-    const ServiceState& service, std::size_t kind, TimePoint now) {
-  Reference& reference = service.references[kind];
+const ServerSpeeds::Reference &ServerSpeeds::MeasuredReference(
+    const ServiceState &service, std::size_t kind, TimePoint now) {
+  Reference &reference = service.references[kind];
   if (now - reference.measured_at < kReferencePeriod) return reference;
   std::vector<double> means;
-  for (const auto& [id, server] : service.servers) {
-    const Estimate& estimate = server.kinds[kind];
+  for (const auto &[id, server] : service.servers) {
+    const Estimate &estimate = server.kinds[kind];
     if (WeightNow(estimate, now) >= kMinimumWeight)
       means.push_back(estimate.mean);
   }
@@ -253,8 +281,8 @@
 }
 
 // Returns the logarithm of the steady slowness, or nothing if it is unknown.
-std::optional<double> ServerSpeeds::SteadyOf(const Estimate& estimate,
-                                             const Reference& reference,
+std::optional<double> ServerSpeeds::SteadyOf(const Estimate &estimate,
+                                             const Reference &reference,
                                              TimePoint now) {
   const double weight = WeightNow(estimate, now);
   if (!reference.median || weight < kMinimumWeight) return std::nullopt;
@@ -267,14 +295,14 @@
 }
 
 // A machine is slow as a whole, so a kind that is known better tells more.
-double ServerSpeeds::Steady(const ServiceState& service,
-                            const ServerState& server, std::size_t kind,
+double ServerSpeeds::Steady(const ServiceState &service,
+                            const ServerState &server, std::size_t kind,
                             TimePoint now) {
   double least_error = std::numeric_limits<double>::infinity();
   double steady = 0;
   for (std::size_t i = 0; i < kWorkKinds; ++i) {
-    const Estimate& estimate = server.kinds[i];
-    const Reference& reference = MeasuredReference(service, i, now);
+    const Estimate &estimate = server.kinds[i];
+    const Reference &reference = MeasuredReference(service, i, now);
     const auto distance = SteadyOf(estimate, reference, now);
     if (!distance) continue;
     const double error = (reference.spread + kLeastSpread) /
@@ -287,9 +315,9 @@
   return steady;
 }
 
-double ServerSpeeds::Moment(const ServerState& server, TimePoint now) {
+double ServerSpeeds::Moment(const ServerState &server, TimePoint now) {
   double excess = 0;
-  for (const Estimate& estimate : server.kinds)
+  for (const Estimate &estimate : server.kinds)
     excess = std::max(excess,
                       Faded(estimate.excess, estimate.excess_at, now, kMoment));
   const double reported =
@@ -298,18 +326,18 @@
   return std::abs(moment) <= std::log(kMomentDeadBand) ? 0.0 : moment;
 }
 
-const ServerSpeeds::ServerState* ServerSpeeds::Find(
-    const ServiceId& service, const ServerId& server) const {
+const ServerSpeeds::ServerState *ServerSpeeds::Find(
+    const ServiceId &service, const ServerId &server) const {
   const auto known = services_.find(service);
   if (known == services_.end()) return nullptr;
   const auto state = known->second.servers.find(server);
   return state == known->second.servers.end() ? nullptr : &state->second;
 }
 
-double ServerSpeeds::SlownessOf(const ServiceId& service,
-                                const ServerId& server, WorkKind kind,
+double ServerSpeeds::SlownessOf(const ServiceId &service,
+                                const ServerId &server, WorkKind kind,
                                 TimePoint now) const {
-  const ServerState* state = Find(service, server);
+  const ServerState *state = Find(service, server);
   if (state == nullptr) return 1.0;
   return std::clamp(std::exp(Steady(services_.find(service)->second, *state,
                                     static_cast<std::size_t>(kind), now) +
@@ -317,10 +345,10 @@
                     kLowestSlowness, kHighestSlowness);
 }
 
-double ServerSpeeds::SteadySlownessOf(const ServiceId& service,
-                                      const ServerId& server, WorkKind kind,
+double ServerSpeeds::SteadySlownessOf(const ServiceId &service,
+                                      const ServerId &server, WorkKind kind,
                                       TimePoint now) const {
-  const ServerState* state = Find(service, server);
+  const ServerState *state = Find(service, server);
   if (state == nullptr) return 1.0;
   return std::clamp(std::exp(Steady(services_.find(service)->second, *state,
                                     static_cast<std::size_t>(kind), now)),
@@ -329,10 +357,10 @@
 
 std::vector<SpeedSample> ServerSpeeds::TakeObserved() {
   std::vector<SpeedSample> samples;
-  for (auto& [service, state] : services_)
-    for (auto& [id, server] : state.servers)
+  for (auto &[service, state] : services_)
+    for (auto &[id, server] : state.servers)
       for (std::size_t kind = 0; kind < kWorkKinds; ++kind) {
-        Estimate& estimate = server.kinds[kind];
+        Estimate &estimate = server.kinds[kind];
         if (estimate.new_count == 0) continue;
         samples.push_back(
             {service, server.incarnation, static_cast<WorkKind>(kind),
@@ -345,9 +373,9 @@
 
 std::vector<SpeedSummary> ServerSpeeds::Summaries(TimePoint now) const {
   std::vector<SpeedSummary> summaries;
-  for (const auto& [id, service] : services_) {
+  for (const auto &[id, service] : services_) {
     std::vector<double> values;
-    for (const auto& [server, state] : service.servers) {
+    for (const auto &[server, state] : service.servers) {
       double weight = 0;
       std::size_t best = 0;
       for (std::size_t kind = 0; kind < kWorkKinds; ++kind) {
--- a/libraries/routing/server_speed.h
+++ b/libraries/routing/server_speed.h
@@ -88,6 +88,12 @@
   void Observe(const ServiceId& service, const ServerIncarnation& server,
                WorkKind kind, Duration taken, Duration expected, TimePoint now);
 
+  // Records that work isn't done after `taken`. It tells nothing unless that is
+  // longer than work takes there as a rule.
+  void ObserveMissing(const ServiceId& service, const ServerIncarnation& server,
+                      WorkKind kind, Duration taken, Duration expected,
+                      TimePoint now);
+
   // Records what another host saw within about the last second.
   void Merge(const SpeedSample& sample, TimePoint now);
 
@@ -151,6 +157,8 @@
   void RemoveOldest();
   static void Add(Estimate& estimate, Reference& reference, double log_ratio,
                   double count, TimePoint now);
+  double UsualOf(const ServiceId& service, const ServerIncarnation& server,
+                 std::size_t kind, TimePoint now) const;
   static double ReportedPart(const ServerState& server, TimePoint now);
   static double MedianOfFirst(const Estimate& estimate);
   static void AddDeviation(Reference& reference, double residual);
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -171,10 +171,10 @@
 }
 
 void RequestFlow::ObserveMissingEvent() {
-  if (IsStream() && !event_at_ && pending_tokens_ > 0)
-    ObserveSpeed(
-        routing::WorkKind::kPrefill, Now() - sent_at_,
-        PrefillTime(pending_tokens_ + tokens_ahead_) + kFirstEventTime);
+  if (IsStream() && !event_at_ && pending_tokens_ >= kMinimumPrefillTokens)
+    context_.speeds.ObserveMissing(
+        service_, incarnation_, routing::WorkKind::kPrefill, Now() - sent_at_,
+        PrefillTime(pending_tokens_ + tokens_ahead_) + kFirstEventTime, Now());
 }
 
 // Called before the first event is forwarded, since callers may resume the
--- a/tests/routing/server_speed_test.cc
+++ b/tests/routing/server_speed_test.cc
@@ -346,6 +346,28 @@
   REQUIRE(observed.Slowness(2) == Approx(4.0));
 }
 
+// Guards against waits that were cut short and make a server look fast.
+TEST_CASE("Work that isn't done counts only if it takes longer than usual") {
+  Observed observed;
+  observed.Observe(
+      12, 20, milliseconds(500),
+      [](int server) { return server == 5 ? 2.0 : 1.0; }, WorkKind::kPrefill);
+  observed.now += seconds(2);
+  const double before = observed.Slowness(5, WorkKind::kPrefill);
+  observed.speeds.TakeObserved();
+  const auto miss = [&](Duration taken) {
+    observed.speeds.ObserveMissing(kService, MakeServer(5), WorkKind::kPrefill,
+                                   taken, kExpected, observed.now);
+  };
+  miss(kExpected / 10);
+  miss(kExpected * 3 / 2);
+  REQUIRE(observed.speeds.TakeObserved().empty());
+  REQUIRE(observed.Slowness(5, WorkKind::kPrefill) == before);
+  miss(kExpected * 6);
+  REQUIRE(observed.speeds.TakeObserved().size() == 1);
+  REQUIRE(observed.Slowness(5, WorkKind::kPrefill) > before);
+}
+
 TEST_CASE("The number of servers that are kept is bounded") {
   ServerSpeeds speeds;
   const TimePoint now{seconds(1)};
