Poller: Keep at most one timer for the memory account

A second notice before the first had run replaced the id of its timer, which could then not be cancelled by the destructor. Found by review; no test.

--- a/libraries/http/poller.cc
+++ b/libraries/http/poller.cc
@@ -29,6 +29,7 @@
     : loop_(loop),
       // Holders are evicted from the loop, since one of them may be the caller.
       account_([this] {
+        loop_.Cancel(account_timer_);
         account_timer_ = loop_.After(
             Duration::zero(), [this] { account_.Run(loop_.clock().Now()); });
       }),
