Memory account: Evict nobody who acts, and no request that may have run

A review of the account found, among others: - After a pause of the process, connections whose bytes lay in the kernel unread were displaced or taken for stalled. The stream is now asked first. - A displaced connection with unsent bytes was closed, so that a response until the close looked complete. It is reset, and sent bytes count as progress. - A dispatched request could be evicted above the limit. It is not before its response has begun, and the turn needs the room of the whole request. - The time of a reader ran from before its response had been made. - Waiting requests filled the pool with what was unread for them. - Stalled clients within their share kept the pool full. - The turn had no end while its client sent a few bytes at a time. - A refusal after a wait left the request among those that wait. - Requests that waited when the limits were removed never went on. - A growing body could be allocated twice what was asked for.

--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -68,11 +68,15 @@
   if (!poller_.account().is_limited()) return false;
   if (now < displace_after_) return false;
   ServerConnection* longest = nullptr;
+  TimePoint longest_since;
   for (auto& [key, connection] : connections_) {
     const std::optional<TimePoint> since = connection->WaitsForClientSince();
     if (!since || now - *since < kDisplaceableIdleTime) continue;
-    if (longest == nullptr || *since < *longest->WaitsForClientSince())
-      longest = key;
+    if (longest != nullptr && *since >= longest_since) continue;
+    // A request may have arrived while the process did not run.
+    if (connection->HasUnhandledProgress()) continue;
+    longest = key;
+    longest_since = *since;
   }
   if (longest == nullptr) {
     displace_after_ = now + kDisplacePeriod;
--- a/libraries/http/server_connection.cc
+++ b/libraries/http/server_connection.cc
@@ -193,14 +193,27 @@
           ? needed
           : std::max(needed, std::min(2 * body_.capacity(), limit));
   if (!AskForRoom(kBodyCopies * (capacity - body_.capacity()))) return false;
-  body_.reserve(capacity);
+  if (!server_.poller_.account().is_limited()) return true;
+  // body_.reserve might allocate twice what it holds.
+  std::string larger;
+  larger.reserve(capacity);
+  larger.append(body_);
+  body_.swap(larger);
   return true;
 }
 
 // If there is no room, the connection is not read, or refuses the request.
 bool ServerConnection::AskForRoom(std::size_t bytes) {
   UpdateHeld();
-  switch (holder_.Ask(bytes, kUnreadBytes, Now())) {
+  const std::size_t body_limit =
+      std::min(announced_bytes_.value_or(server_.limits_.message.body_bytes),
+               server_.limits_.message.body_bytes);
+  const std::size_t most =
+      reader_->is_complete()
+          ? 0
+          : kBodyCopies *
+                (std::max(body_limit, body_.capacity()) - body_.capacity());
+  switch (holder_.Ask(bytes, most, kUnreadBytes, Now())) {
     case memory::Answer::kGranted:
       has_room_ = true;
       return true;
@@ -231,9 +244,19 @@
   OnStreamEnd(StreamEnd::kReset);
 }
 
-std::optional<TimePoint> ServerConnection::WaitsForClientSince() const {
+std::optional<TimePoint> ServerConnection::WaitsForClientSince() {
   if (phase_ == Phase::kServing || waits_for_room_) return std::nullopt;
-  return progress_at_;
+  NoteSentBytes();
+  return std::max(progress_at_, sent_at_);
+}
+
+bool ServerConnection::HasUnhandledProgress() const {
+  return stream_->HasPendingEvents();
+}
+
+void ServerConnection::Displace() {
+  if (stream_->unsent_bytes() > 0) stream_->ResetOnClose();
+  CloseAndRemove();
 }
 
 void ServerConnection::ReleaseRequest() {
@@ -252,8 +275,11 @@
   holder_.Hold(memory::Kind::kHeads, head_bytes_ + AllocatedBytes(unparsed_));
   holder_.Hold(memory::Kind::kBodies, kBodyCopies * body_bytes_);
   holder_.Hold(memory::Kind::kResponses, stream_->buffered_bytes());
-  holder_.SetWaitsForPeer(phase_ != Phase::kServing ||
-                          stream_->unsent_bytes() > 0);
+  NoteSentBytes();
+  holder_.SetWaitsForPeer(
+      phase_ != Phase::kServing || stream_->unsent_bytes() > 0, Now());
+  holder_.SetEvictable(phase_ != Phase::kServing || exchange_ == nullptr ||
+                       exchange_->has_begun_);
 }
 
 void ServerConnection::OnRequestHead(RequestHead&& head) {
@@ -304,7 +330,8 @@
 void ServerConnection::NoteSentBytes() {
   if (stream_->sent_bytes() == sent_bytes_seen_) return;
   sent_bytes_seen_ = stream_->sent_bytes();
-  holder_.OnProgress(Now());
+  sent_at_ = Now();
+  holder_.OnProgress(sent_at_);
 }
 
 // The client can act on the response from now on.
--- a/libraries/http/server_connection.h
+++ b/libraries/http/server_connection.h
@@ -27,12 +27,14 @@
 
   void OnRoom() override;
   void OnEvicted(memory::Eviction eviction) override;
+  bool HasUnhandledProgress() const override;
 
   // Returns since when the client has sent or taken nothing although it is its
   // turn; nothing while its request is served or waits for room.
-  std::optional<TimePoint> WaitsForClientSince() const;
-  // Closes at once, so that another connection can be accepted.
-  void Displace() { CloseAndRemove(); }
+  std::optional<TimePoint> WaitsForClientSince();
+  // Closes at once, so that another connection can be accepted. A client cannot
+  // take a response that is not sent completely for a complete one.
+  void Displace();
 
   // Enforces the time limits and the limit on unsent bytes.
   void CheckTimeouts(TimePoint now);
@@ -90,6 +92,7 @@
   bool waits_for_drain_ = false;
   std::size_t dropped_bytes_ = 0;      // read after a refusal
   std::uint64_t sent_bytes_seen_ = 0;  // by the last check
+  TimePoint sent_at_;                  // when it saw more of them
   memory::Holder holder_;
 };
 
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -199,6 +199,14 @@
   return poll(&readable, 1, 0) > 0 && (readable.revents & POLLIN) != 0;
 }
 
+bool TcpStream::HasPendingEvents() const {
+  if (descriptor_ < 0) return false;
+  const auto events =
+      static_cast<short>(watched_events_ & (EPOLLIN | EPOLLOUT));
+  pollfd pending{descriptor_, events, 0};
+  return poll(&pending, 1, 0) > 0 && (pending.revents & events) != 0;
+}
+
 void TcpStream::SetReading(bool is_reading) {
   if (is_reading_ == is_reading) return;
   is_reading_ = is_reading;
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -75,6 +75,8 @@
   // Returns whether bytes of the peer, or its end of the connection, wait to be
   // read.
   bool HasUnreadBytes() const;
+  // Returns whether the stream can be read or written as it waits to be.
+  bool HasPendingEvents() const;
   bool is_connected() const { return state_ == State::kOpen; }
 
   void OnDescriptorEvents(std::uint32_t events) override;
--- a/libraries/memory/byte_account.h
+++ b/libraries/memory/byte_account.h
@@ -30,8 +30,9 @@
   kWaitedTooLong,  // no room was found for its request
   kNoRoom,         // there was no room to let it wait
   kOverLimit,      // the account exceeded its limit
+  kSlow,           // its turn took too long while others waited
 };
-constexpr std::size_t kEvictionCount = 4;
+constexpr std::size_t kEvictionCount = 5;
 std::string_view ToString(Eviction eviction);
 
 struct AccountLimits {
@@ -45,11 +46,17 @@
   // A peer that does nothing for this long may lose what is held for it.
   Duration stall_time = std::chrono::seconds(1);
   Duration maximum_wait = std::chrono::seconds(2);
+  // A request may exceed the pool for this long while others wait.
+  Duration maximum_turn = std::chrono::milliseconds(1500);
 };
 
 // Returns the limits of a process on a machine with that much memory.
 AccountLimits LimitsFor(std::uint64_t machine_bytes, double address_share);
 
+// Returns how many connections a process may accept that has that many sockets
+// for them.
+std::size_t ConnectionsFor(const AccountLimits& limits, std::size_t sockets);
+
 enum class Answer { kGranted, kWait, kRefused };
 
 class ByteAccount;
@@ -62,6 +69,9 @@
   virtual void OnRoom() = 0;
   // Must free what is held.
   virtual void OnEvicted(Eviction eviction) = 0;
+  // Whether the peer has done something that was not handled yet, such as after
+  // a pause of the process.
+  virtual bool HasUnhandledProgress() const { return false; }
 };
 
 // What one connection holds.
@@ -80,9 +90,14 @@
   }
   std::size_t total() const { return total_; }
 
-  // Asks whether `bytes` more may be held. After kWait, the observer is told
-  // when to ask again; `unread` are held meanwhile.
-  Answer Ask(std::size_t bytes, std::size_t unread, TimePoint now);
+  // Asks whether `bytes` more may be held; the request may come to need `most`
+  // more, including these. After kWait, the observer is told when to ask again;
+  // `unread` are held meanwhile.
+  Answer Ask(std::size_t bytes, std::size_t most, std::size_t unread,
+             TimePoint now);
+  Answer Ask(std::size_t bytes, std::size_t unread, TimePoint now) {
+    return Ask(bytes, bytes, unread, now);
+  }
 
   // A request begins; requests that began earlier go first.
   void BeginRequest();
@@ -94,7 +109,13 @@
   // The peer has sent or taken bytes.
   void OnProgress(TimePoint now) { progress_at_ = now; }
   // Whether the peer has to do something next.
-  void SetWaitsForPeer(bool waits) { waits_for_peer_ = waits; }
+  void SetWaitsForPeer(bool waits, TimePoint now) {
+    if (waits && !waits_for_peer_) progress_at_ = now;
+    waits_for_peer_ = waits;
+  }
+  // A request that was passed on must not be evicted before its response has
+  // begun, since it may have run.
+  void SetEvictable(bool is_evictable) { is_evictable_ = is_evictable; }
 
  private:
   friend class ByteAccount;
@@ -105,9 +126,12 @@
   std::size_t total_ = 0;
   TimePoint progress_at_;
   bool waits_for_peer_ = true;
+  bool is_evictable_ = true;
   std::uint64_t request_ = 0;  // number of the request being read; 0: none
   std::optional<TimePoint> asked_at_;
+  std::uint64_t waiting_number_ = 0;  // key among those that wait
   std::size_t asked_bytes_ = 0;
+  std::size_t asked_most_ = 0;
 };
 
 // Bounds the memory that a process holds for its clients. Without limits it
@@ -119,7 +143,7 @@
   ByteAccount(const ByteAccount&) = delete;
   ByteAccount& operator=(const ByteAccount&) = delete;
 
-  void SetLimits(const AccountLimits& limits) { limits_ = limits; }
+  void SetLimits(const AccountLimits& limits);
   const AccountLimits& limits() const { return limits_; }
   bool is_limited() const { return limits_.total > 0; }
 
@@ -142,19 +166,21 @@
 
  private:
   friend class Holder;
-  enum class Order { kStalled, kAtPeer, kAny };
+  enum class Order { kStalled, kStalledSmall, kAtPeer, kAny };
 
   void Change(Holder& holder, Kind kind, std::size_t bytes);
-  Answer Ask(Holder& holder, std::size_t bytes, std::size_t unread,
-             TimePoint now);
-  bool FitsPool(const Holder& holder, std::size_t bytes) const;
-  bool MayTakeTurn(const Holder& holder, std::size_t bytes) const;
+  Answer Ask(Holder& holder, std::size_t bytes, std::size_t most,
+             std::size_t unread, TimePoint now);
+  bool FitsPool(std::size_t bytes) const;
+  bool MayTakeTurn(std::size_t most) const;
   bool IsStalled(const Holder& holder, TimePoint now) const;
   Holder* Largest(Order order, TimePoint now) const;
   void Evict(Holder& holder, Eviction eviction);
   void StopWaiting(Holder& holder);
   void RelieveLimit(TimePoint now);
   void ServeWaiting(TimePoint now);
+  Holder* FindInTheWay(TimePoint now) const;
+  void LetAllGoOn();
   void EndLongWaits(TimePoint now);
   void NotifyWork();
 
@@ -168,6 +194,7 @@
   std::map<std::uint32_t, std::size_t> by_address_;
   // The holder that may exceed the pool.
   Holder* turn_ = nullptr;
+  TimePoint turn_since_;
   std::uint64_t last_request_ = 0;
   bool is_notified_ = false;
 };
--- a/libraries/transport/request_reader.cc
+++ b/libraries/transport/request_reader.cc
@@ -115,7 +115,12 @@
 bool RequestReader::MakeRoom(std::size_t capacity) {
   const std::size_t before = holder_.held(memory::Kind::kBodies);
   const std::size_t after = std::max(kBodyCopies * capacity, before);
-  switch (holder_.Ask(after - before, kUnreadBytes, clock_.Now())) {
+  const std::size_t whole =
+      kBodyCopies * std::max(capacity, announced_bytes_ > 0
+                                           ? announced_bytes_
+                                           : maximum_body_bytes_);
+  switch (holder_.Ask(after - before, std::max(whole, before) - before,
+                      kUnreadBytes, clock_.Now())) {
     case memory::Answer::kGranted:
       body_.reserve(capacity);
       holder_.Hold(memory::Kind::kBodies, after);
@@ -140,21 +145,23 @@
 std::string RequestReader::TakeBody() {
   is_reading_ = false;
   holder_.EndRequest();
-  holder_.SetWaitsForPeer(false);
+  holder_.SetWaitsForPeer(false, clock_.Now());
+  holder_.SetEvictable(false);
   return std::exchange(body_, {});
 }
 
 void RequestReader::AddUnsent(std::size_t bytes) {
   unsent_bytes_ += bytes;
   holder_.Hold(memory::Kind::kResponses, unsent_bytes_);
-  holder_.SetWaitsForPeer(unsent_bytes_ > 0);
+  holder_.SetWaitsForPeer(unsent_bytes_ > 0, clock_.Now());
+  holder_.SetEvictable(true);
 }
 
 void RequestReader::RemoveUnsent(std::size_t bytes) {
   holder_.OnProgress(clock_.Now());
   unsent_bytes_ -= std::min(bytes, unsent_bytes_);
   holder_.Hold(memory::Kind::kResponses, unsent_bytes_);
-  if (!is_reading_) holder_.SetWaitsForPeer(unsent_bytes_ > 0);
+  if (!is_reading_) holder_.SetWaitsForPeer(unsent_bytes_ > 0, clock_.Now());
 }
 
 void RequestReader::OnRoom() {
--- a/tests/memory/byte_account_test.cc
+++ b/tests/memory/byte_account_test.cc
@@ -65,7 +65,7 @@
  private:
   void Grow() {
     const std::size_t step = std::min(kStepBytes, stops_at_ - sent_);
-    switch (holder_.Ask(step, kUnreadBytes, now_)) {
+    switch (holder_.Ask(step, kBodyBytes - sent_, kUnreadBytes, now_)) {
       case Answer::kGranted:
         sent_ += step;
         holder_.Hold(Kind::kBodies, sent_);
@@ -201,7 +201,7 @@
   for (int i = 0; i < 4; ++i) {
     Client& client = crowd.Add(0);
     client.holder().EndRequest();
-    client.holder().SetWaitsForPeer(false);
+    client.holder().SetWaitsForPeer(false, crowd.now());
     client.holder().Hold(Kind::kBodies, 99'000);
   }
   Client& late = crowd.Add(kBodyBytes);
@@ -218,7 +218,7 @@
   Crowd crowd;
   Client& served = crowd.Add(0);
   served.holder().EndRequest();
-  served.holder().SetWaitsForPeer(false);
+  served.holder().SetWaitsForPeer(false, crowd.now());
   served.holder().Hold(Kind::kBodies, 250'000);
   Client& slow = crowd.Add(0);
   slow.holder().Hold(Kind::kResponses, 200'000);
@@ -247,6 +247,142 @@
   REQUIRE(crowd.account().evictions(Eviction::kNoRoom) == 1);
 }
 
+// Guards against eviction of a request that a server may have run.
+TEST_CASE("A request that was passed on is not evicted") {
+  Crowd crowd;
+  Client& served = crowd.Add(0);
+  served.holder().Hold(Kind::kBodies, 390'000);
+  served.holder().SetEvictable(false);
+  Client& small = crowd.Add(0);
+  small.holder().Hold(Kind::kResponses, 20'000);
+  crowd.account().Run(crowd.now());
+  REQUIRE(small.eviction() == Eviction::kOverLimit);
+  small.holder().Hold(Kind::kConnections, 20'000);
+  crowd.account().Run(crowd.now() + std::chrono::seconds(5));
+  REQUIRE_FALSE(served.is_over());
+}
+
+// Guards against a turn that is taken for the next step only.
+TEST_CASE("The turn needs room for the whole request") {
+  Crowd crowd;
+  Client& served = crowd.Add(0);
+  served.holder().Hold(Kind::kBodies, 250'000);
+  Client& next = crowd.Add(0);
+  REQUIRE(next.holder().Ask(10'000, 150'000, kUnreadBytes, crowd.now()) ==
+          Answer::kWait);
+  REQUIRE(next.holder().Ask(10'000, 120'000, kUnreadBytes, crowd.now()) ==
+          Answer::kGranted);
+}
+
+// Guards against a reader that is taken for stalled since before its response.
+TEST_CASE("A response that took long restarts the time of its reader") {
+  Crowd crowd;
+  Client& reader = crowd.Add(0);
+  reader.holder().SetWaitsForPeer(false, crowd.now());
+  reader.holder().Hold(Kind::kBodies, 199'000);
+  crowd.Run(std::chrono::seconds(3));
+  reader.holder().SetWaitsForPeer(true, crowd.now());
+  Client& other = crowd.Add(0);
+  other.holder().SetWaitsForPeer(false, crowd.now());
+  other.holder().Hold(Kind::kBodies, 190'000);
+  Client& waiting = crowd.Add(kBodyBytes);
+  crowd.Run(milliseconds(900));
+  REQUIRE(waiting.is_waiting());
+  REQUIRE_FALSE(reader.is_over());
+  crowd.Run(milliseconds(200));
+  REQUIRE(reader.eviction() == Eviction::kStalled);
+}
+
+// Guards against a request that keeps the turn by sending a few bytes at a
+// time.
+TEST_CASE("A turn ends while others wait, although its client sends on") {
+  Crowd crowd;
+  Client& served = crowd.Add(0);
+  served.holder().SetEvictable(false);
+  served.holder().Hold(Kind::kBodies, 195'000);
+  Client& slow = crowd.Add(0);
+  REQUIRE(slow.holder().Ask(90'000, kUnreadBytes, crowd.now()) ==
+          Answer::kGranted);
+  slow.holder().Hold(Kind::kBodies, 90'000);
+  Client& sound = crowd.Add(kBodyBytes);
+  for (int i = 0; i < 17; ++i) {
+    slow.holder().OnProgress(crowd.now());
+    crowd.Run(milliseconds(100));
+  }
+  REQUIRE(slow.eviction() == Eviction::kSlow);
+  REQUIRE(sound.is_served());
+}
+
+// Guards against many stalled clients within their shares that fill the pool.
+TEST_CASE("Stalled clients within their share make room for others") {
+  Crowd crowd;
+  for (int i = 0; i < 390; ++i) crowd.Add(0).holder().Hold(Kind::kHeads, 1'000);
+  Client& idle = crowd.Add(0);
+  idle.holder().Hold(Kind::kConnections, 1'000);
+  Client& sound = crowd.Add(kBodyBytes);
+  crowd.Run(milliseconds(1'500));
+  REQUIRE(sound.is_served());
+  REQUIRE_FALSE(idle.is_over());
+}
+
+// Guards against those that wait keeping each other waiting.
+TEST_CASE("What is unread for those that wait does not fill the pool") {
+  Crowd crowd;
+  Client& served = crowd.Add(0);
+  served.holder().SetEvictable(false);
+  served.holder().Hold(Kind::kBodies, 330'000);
+  for (int i = 0; i < 60; ++i) crowd.Add(kBodyBytes);
+  crowd.Run(milliseconds(100));
+  REQUIRE(crowd.account().waiting() == 60);
+  served.holder().Hold(Kind::kBodies, 150'000);
+  crowd.Run(milliseconds(10));
+  // One more step each, which fits the pool, rather than one with the turn.
+  REQUIRE(crowd.account().waiting() <= 55);
+}
+
+// Guards against requests that wait for good after a reload.
+TEST_CASE("Those that wait go on when the limits are removed") {
+  Crowd crowd;
+  Client& served = crowd.Add(0);
+  served.holder().SetEvictable(false);
+  served.holder().Hold(Kind::kBodies, 390'000);
+  Client& sound = crowd.Add(kBodyBytes);
+  crowd.Run(milliseconds(100));
+  REQUIRE(sound.is_waiting());
+  crowd.account().SetLimits({});
+  crowd.Run(milliseconds(200));
+  REQUIRE(sound.is_served());
+}
+
+// Guards against a refused request that stays among those that wait.
+TEST_CASE("A request that is refused after a wait waits no more") {
+  Crowd crowd;
+  AccountLimits limits = TestLimits();
+  limits.address_share = 50'000;
+  crowd.account().SetLimits(limits);
+  Client& served = crowd.Add(0);
+  served.holder().SetEvictable(false);
+  served.holder().Hold(Kind::kBodies, 390'000);
+  Client refused(crowd.account(), crowd.now(), kBodyBytes, 7);
+  refused.Send(crowd.now());
+  REQUIRE(refused.is_waiting());
+  Client neighbour(crowd.account(), crowd.now(), 0, 7);
+  neighbour.holder().Hold(Kind::kHeads, 45'000);
+  served.holder().Hold(Kind::kBodies, 10'000);
+  crowd.account().Run(crowd.now());
+  REQUIRE(refused.is_over());
+  REQUIRE(crowd.account().waiting() == 0);
+}
+
+// Guards against more idle connections than the memory holds, and against none.
+TEST_CASE("Connections are bound by memory and have a minimum") {
+  const AccountLimits limits = LimitsFor(120ULL * 1024 * 1024, 1.0);
+  REQUIRE(ConnectionsFor(limits, 49'002) == 3000);
+  REQUIRE(ConnectionsFor(limits, 500) == 500);
+  REQUIRE(ConnectionsFor(limits, 0) == 64);
+  REQUIRE(ConnectionsFor(LimitsFor(8ULL << 30, 1.0), 49'002) == 49'002);
+}
+
 TEST_CASE("The limits follow from the memory of the machine") {
   const AccountLimits limits = LimitsFor(120ULL * 1024 * 1024, 1.0);
   REQUIRE(limits.total == 40 * 1024 * 1024);
