--- a/services/entry/entry_process.cc
+++ b/services/entry/entry_process.cc
@@ -1,5 +1,6 @@
 #include "services/entry/entry_process.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "memory/memory.h"
@@ -56,11 +57,12 @@
   memory::ReturnFreedBlocks();
   limits.memory =
       memory::LimitsFor(settings.memory->bytes, settings.memory->address_share);
-  if (settings.memory->descriptors > kFileDescriptors) {
-    const std::size_t sockets = settings.memory->descriptors - kFileDescriptors;
-    limits.maximum_connections =
-        sockets / kCallerSocketsDenominator * kCallerSocketsNumerator;
-  }
+  const std::size_t sockets =
+      std::max<std::size_t>(settings.memory->descriptors, kFileDescriptors) -
+      kFileDescriptors;
+  limits.maximum_connections = memory::ConnectionsFor(
+      limits.memory,
+      sockets / kCallerSocketsDenominator * kCallerSocketsNumerator);
   return limits;
 }
 
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -55,6 +55,7 @@
 constexpr std::size_t kCallerSocketsNumerator = 3;
 constexpr std::size_t kCallerSocketsDenominator = 4;
 constexpr std::size_t kStatusSocketsPart = 16;
+constexpr std::size_t kMinStatusConnections = 16;
 constexpr std::size_t kMaxStatusConnections = 256;
 // Requests for the state or metrics of the process have no body.
 constexpr std::uint64_t kMaxStatusBodyBytes = 4096;
@@ -248,13 +249,15 @@
     memory::ReturnFreedBlocks();
     account.SetLimits(memory::LimitsFor(memory->bytes, memory->address_share));
     status_limits.message.body_bytes = kMaxStatusBodyBytes;
-    if (memory->descriptors > kFileDescriptors) {
-      const std::size_t sockets = memory->descriptors - kFileDescriptors;
-      caller_connections_ =
-          sockets / kCallerSocketsDenominator * kCallerSocketsNumerator;
-      status_limits.connections =
-          std::min(kMaxStatusConnections, sockets / kStatusSocketsPart);
-    }
+    const std::size_t sockets =
+        std::max<std::size_t>(memory->descriptors, kFileDescriptors) -
+        kFileDescriptors;
+    caller_connections_ = memory::ConnectionsFor(
+        account.limits(),
+        sockets / kCallerSocketsDenominator * kCallerSocketsNumerator);
+    status_limits.connections =
+        std::clamp(sockets / kStatusSocketsPart, kMinStatusConnections,
+                   kMaxStatusConnections);
   }
   readiness_.SetLimits(status_limits);
   metrics_server_.SetLimits(status_limits);
