--- a/tests/routing/server_speed_test.cc
+++ b/tests/routing/server_speed_test.cc
@@ -368,6 +368,26 @@
   REQUIRE(observed.Slowness(5, WorkKind::kPrefill) > before);
 }
 
+// Guards against homes that move back and forth.
+TEST_CASE("Noise at a boundary of two classes doesn't change the class often") {
+  Observed observed;
+  // Halfway between no difference and the first class.
+  const auto halfway = [](int server) {
+    return server == 5 ? ServerSpeeds::kDeadBand * 1.04 : 1.0;
+  };
+  observed.Observe(12, 40, milliseconds(100), halfway);
+  int changes = 0;
+  double last = 0;
+  for (int i = 0; i < 1000; ++i) {
+    observed.Observe(12, 1, milliseconds(100), halfway);
+    const double slowness = observed.speeds.SteadySlownessOf(
+        kService, MakeServer(5).id, WorkKind::kDecodeStep, observed.now);
+    if (i > 0 && slowness != last) ++changes;
+    last = slowness;
+  }
+  REQUIRE(changes <= 10);
+}
+
 TEST_CASE("The number of servers that are kept is bounded") {
   ServerSpeeds speeds;
   const TimePoint now{seconds(1)};
