--- a/tests/configuration/gateway_settings_test.cc
+++ b/tests/configuration/gateway_settings_test.cc
@@ -31,9 +31,9 @@
 
 TEST_CASE("The limits on versions that are rolled out are read") {
   std::string text(kValidSettings);
-  text.replace(text.find(R"("stop_ms")"), 9,
+  text.replace(text.find(R"("stop_s")"), 8,
                R"("exposure_share":0.2,"exposure_slack":30,
-                  "rollback_ms":4000,"stop_ms")");
+                  "rollback_ms":4000,"stop_s")");
   GatewaySettingsReader reader;
   const auto settings = reader.Read(text);
   REQUIRE(settings);
@@ -61,6 +61,11 @@
       {"ip", "10.0.0.1"},
       {"seedNodes|json", "[]"},
       {"platform.address", "10.0.0.2:1"},
+      {"limits.ramMb", "260"},
+      {"limits.maxFds", "4100"},
+      {"#sloBounds.exposeShare", ""},
+      {"sloBounds.exposeShare", "0.1"},
+      {"/sloBounds.exposeShare", ""},
       {"sloBounds.graceS", "7.5"}};
   const std::string other_number = "2";
   for (auto start = text.find("{{"); start != std::string::npos;
