--- a/libraries/routing/rollouts.cc
+++ b/libraries/routing/rollouts.cc
@@ -129,8 +129,7 @@
     return !state.listed.contains(version);
   };
   const std::string* to = state.rollout ? &state.rollout->order().to : nullptr;
-  // Until the state is known, other versions may have come after the order.
-  if (to != nullptr && state.rollout->phase() != RolloutPhase::kUnknown) {
+  if (to != nullptr) {
     if (state.rollout->phase() != RolloutPhase::kCompleted) {
       for (const std::string& version : state.listed)
         if (version != *to && !state.given_up.contains(version))
