--- a/libraries/configuration/gateway_settings.cc
+++ b/libraries/configuration/gateway_settings.cc
@@ -59,19 +59,19 @@
 // The limits apply if one of them is set.
 void ReadExposure(ObjectReader& object, std::optional<ExposureLimits>& exposure,
                   std::vector<Problem>& problems) {
-  constexpr double kUnset = -1;
-  constexpr Duration kUnsetTime{-1000};
-  double share = kUnset;
-  double slack = kUnset;
-  Duration rollback_time = kUnsetTime;
+  constexpr double unset = -1;
+  constexpr Duration unset_time{-1000};
+  double share = unset;
+  double slack = unset;
+  Duration rollback_time = unset_time;
   ReadNumber(object, "exposure_share", share, problems);
   ReadNumber(object, "exposure_slack", slack, problems);
   ReadDuration(object, "rollback_ms", kMillisecond, rollback_time, problems);
-  if (share == kUnset && slack == kUnset && rollback_time == kUnsetTime) return;
+  if (share == unset && slack == unset && rollback_time == unset_time) return;
   exposure.emplace();
-  if (share != kUnset) exposure->share = share;
-  if (slack != kUnset) exposure->slack = slack;
-  if (rollback_time != kUnsetTime) exposure->rollback_time = rollback_time;
+  if (share != unset) exposure->share = share;
+  if (slack != unset) exposure->slack = slack;
+  if (rollback_time != unset_time) exposure->rollback_time = rollback_time;
 }
 
 void ReadLimits(ObjectReader& parent, GatewayLimits& limits,
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -229,8 +229,8 @@
 
 bool TcpStream::HasPendingEvents() const {
   if (descriptor_ < 0) return false;
-  const auto events =
-      static_cast<short>(watched_events_ & (EPOLLIN | EPOLLOUT));
+  const auto events = static_cast<decltype(pollfd::events)>(
+      watched_events_ & (EPOLLIN | EPOLLOUT));
   pollfd pending{descriptor_, events, 0};
   return poll(&pending, 1, 0) > 0 && (pending.revents & events) != 0;
 }
@@ -284,8 +284,8 @@
 
 void TcpStream::FlushUnsent() {
   while (unsent_bytes() > 0) {
-    const std::size_t taken =
-        Send(std::string_view(send_buffer_).substr(send_offset_));
+    const std::string_view unsent = send_buffer_;
+    const std::size_t taken = Send(unsent.substr(send_offset_));
     if (taken == 0) break;
     send_offset_ += taken;
   }
--- a/libraries/routing/rollouts.cc
+++ b/libraries/routing/rollouts.cc
@@ -250,17 +250,15 @@
         break;
     }
   }
-  if (takes_new && !on_trial.empty())
+  // In the moving phase, the servers before may be stopped at any moment.
+  const bool has_only_new = open.empty() && last_resort.empty() && rollout &&
+                            rollout->phase() == RolloutPhase::kMoving;
+  if ((takes_new && !on_trial.empty()) || has_only_new)
     servers = std::move(on_trial);
   else if (!open.empty())
     servers = std::move(open);
-  else if (!last_resort.empty())
-    servers = std::move(last_resort);
-  else if (rollout && rollout->phase() == RolloutPhase::kMoving)
-    // The servers before may be stopped at any moment.
-    servers = std::move(on_trial);
   else
-    servers.clear();
+    servers = std::move(last_resort);
 }
 
 std::size_t FocusSize(double share, std::size_t servers_before) {
--- a/libraries/transport/peer_link.cc
+++ b/libraries/transport/peer_link.cc
@@ -179,7 +179,7 @@
       return false;
     peer.queue->bytes += size;
     queue_->bytes += size;
-    queued.release();
+    static_cast<void>(queued.release());  // ReleaseQueued deletes it
     if (zmq_msg_send(&frame, peer.socket.get(), ZMQ_DONTWAIT) >= 0) return true;
     zmq_msg_close(&frame);
     return false;
--- a/tests/memory/byte_account_test.cc
+++ b/tests/memory/byte_account_test.cc
@@ -385,8 +385,8 @@
 
 TEST_CASE("The limits follow from the memory of the machine") {
   const AccountLimits limits = LimitsFor(120ULL * 1024 * 1024, 1.0);
-  REQUIRE(limits.total == 40 * 1024 * 1024);
-  REQUIRE(limits.pool == 20 * 1024 * 1024);
+  REQUIRE(limits.total == 40ULL * 1024 * 1024);
+  REQUIRE(limits.pool == 20ULL * 1024 * 1024);
   REQUIRE(limits.address_share >= limits.total);
 }
 
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -442,11 +442,12 @@
 // Guards against copies that were moved from one failed host to another that
 // failed at the same time.
 TEST_CASE("Copies of hosts that fail together move to a host that answers") {
-  constexpr int kHosts = 10;
-  constexpr int kStreams = 60;
+  constexpr int host_count = 10;
+  constexpr int stream_count = 60;
   OriginCopies copies("a");
   std::vector<CopyHost> hosts;
-  for (int i = 0; i < kHosts; ++i)
+  hosts.reserve(host_count);
+  for (int i = 0; i < host_count; ++i)
     hosts.push_back({"b" + std::to_string(i), "b", true});
   const std::string answering = hosts.back().address;
   TimePoint now = TimePoint() + seconds(1);
@@ -456,7 +457,7 @@
     sent.push_back(batch);
     return true;
   };
-  for (int i = 0; i < kStreams; ++i)
+  for (int i = 0; i < stream_count; ++i)
     copies.Add(std::to_string(i), now + kLifetime, now);
   copies.Flush(now, send);
   for (const auto& batch : sent)
@@ -540,7 +541,7 @@
 // Guards against new origins from other hosts that were acknowledged and
 // dropped once there was no room, though these hosts counted them as known.
 TEST_CASE("A new origin from another host displaces what expires first") {
-  constexpr std::size_t kLimit = 5;
+  constexpr std::size_t limit = 5;
   const StreamOrigin origin{ServiceId("service"), "1"};
   const TimePoint now = TimePoint() + seconds(1);
   StreamOrigins origins;
@@ -548,20 +549,20 @@
     origins.Add("own" + std::to_string(i), origin, now + seconds(1));
   for (int i = 0; i < 5; ++i)
     REQUIRE(origins.AddFromOther("other" + std::to_string(i), origin,
-                                 now + seconds(10 + i), kLimit));
+                                 now + seconds(10 + i), limit));
   // A repeated origin takes no more room and is kept longer.
-  REQUIRE(origins.AddFromOther("other0", origin, now + seconds(30), kLimit));
-  REQUIRE_FALSE(origins.AddFromOther("new", origin, now + seconds(20), kLimit));
+  REQUIRE(origins.AddFromOther("other0", origin, now + seconds(30), limit));
+  REQUIRE_FALSE(origins.AddFromOther("new", origin, now + seconds(20), limit));
   REQUIRE(origins.Find("new", now) != nullptr);
   REQUIRE(origins.Find("other0", now) != nullptr);
   REQUIRE(origins.Find("other1", now) == nullptr);
   // Those that began here don't count, even if other hosts repeat them.
-  REQUIRE(origins.AddFromOther("own0", origin, now + seconds(2), kLimit));
+  REQUIRE(origins.AddFromOther("own0", origin, now + seconds(2), limit));
   REQUIRE(origins.size() == 15);
   // There is room again for what has expired.
   origins.RemoveExpired(now + seconds(12));
   REQUIRE(origins.size() == 4);
-  REQUIRE(origins.AddFromOther("later", origin, now + seconds(40), kLimit));
+  REQUIRE(origins.AddFromOther("later", origin, now + seconds(40), limit));
   REQUIRE(origins.size() == 5);
 }
 
--- a/tests/routing/rollout_simulation.cc
+++ b/tests/routing/rollout_simulation.cc
@@ -271,6 +271,7 @@
     records.push_back(record);
   }
   std::vector<ServerRecord*> servers;
+  servers.reserve(records.size());
   for (ServerRecord& record : records) servers.push_back(&record);
   host.rollouts().Filter(kService, takes_new, servers, now_);
   if (rollout != nullptr) rollout->CountRequests(1);
--- a/tests/routing/rollout_simulation_test.cc
+++ b/tests/routing/rollout_simulation_test.cc
@@ -393,7 +393,7 @@
   simulation.Run(kTime + seconds(5));
   CAPTURE(simulation.messages(), simulation.store_calls(), simulation.writes());
   // Three reports and answers in 625 ms from each host, more while moving.
-  CHECK(simulation.messages() <= 80 * 65 * 14);
+  CHECK(simulation.messages() <= 80ULL * 65 * 14);
   CHECK(simulation.store_calls() <= 40);
   CHECK(simulation.writes() <= 3);
 }
--- a/tests/routing/rollout_test.cc
+++ b/tests/routing/rollout_test.cc
@@ -354,11 +354,13 @@
   CHECK(FocusSize(0.05, 140) == 7);
   CHECK(FocusSize(0.05, 3) == 2);
   std::vector<ServerRecord> records;
+  records.reserve(10);
   for (int i = 0; i < 10; ++i)
     records.push_back(MakeServer("s" + std::to_string(i), "v2"));
   std::set<ServerId> used;
   for (std::uint64_t rotation = 0; rotation < 40; ++rotation) {
     std::vector<ServerRecord*> servers;
+    servers.reserve(records.size());
     for (ServerRecord& record : records) servers.push_back(&record);
     KeepFocus(2, rotation, servers);
     REQUIRE(servers.size() == 2);
--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -109,7 +109,7 @@
 void RawConnection::Reset() {
   sockaddr unspecified{};
   unspecified.sa_family = AF_UNSPEC;
-  connect(descriptor_, &unspecified, sizeof(unspecified));
+  static_cast<void>(connect(descriptor_, &unspecified, sizeof(unspecified)));
 }
 
 void RawConnection::DropIncoming() { transport::DropIncoming(descriptor_); }
