Peer link: Let the kernel find lost peers instead of ZeroMQ's pings

ZeroMQ stops reading a connection whose receive queue is full. If that connection is then lost and its next ping is due, or the answer to a ping, the library ends the process. The receive queue has held 32 messages since the memory of hosts is bounded, so a short delay of the loop fills it.

TCP_USER_TIMEOUT and keep-alive probes give connections up after the same 3 s. A frozen peer stays connected now: its kernel takes what its buffers hold, and the bound on queued bytes the rest.

Test: "A peer lost while the receive queue is full ends nothing" ended with SIGABRT before and passes.

--- a/libraries/transport/peer_link.cc
+++ b/libraries/transport/peer_link.cc
@@ -26,8 +26,12 @@
 constexpr int kReceiveHighWaterMark = 32;
 // Memory for a queued message beside its bytes.
 constexpr std::size_t kMessageOverheadBytes = 256;
-constexpr milliseconds kHeartbeatInterval{1000};
-constexpr milliseconds kHeartbeatTimeout{3000};
+// A connection is given up if the peer's kernel has acknowledged nothing for
+// this long, with data on the way or, after the idle time, without.
+constexpr milliseconds kAcknowledgementTimeout{3000};
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
 constexpr milliseconds kReconnectInterval{100};
 constexpr milliseconds kMaximumReconnectInterval{1000};
 constexpr milliseconds kConnectTimeout{2000};
@@ -51,8 +55,14 @@
   SetOption(socket, ZMQ_LINGER, 0);
   SetOption(socket, ZMQ_SNDHWM, kSendHighWaterMark);
   SetOption(socket, ZMQ_RCVHWM, kReceiveHighWaterMark);
-  SetOption(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatInterval);
-  SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeout);
+  // ZeroMQ's own heartbeats (ZMQ_HEARTBEAT_IVL) end the process by an
+  // assertion if a connection is lost while the receive queue is full, so the
+  // kernel finds out whether peers can be reached.
+  SetOption(socket, ZMQ_TCP_MAXRT, kAcknowledgementTimeout);
+  SetOption(socket, ZMQ_TCP_KEEPALIVE, 1);
+  SetOption(socket, ZMQ_TCP_KEEPALIVE_IDLE, kKeepAliveIdleSeconds);
+  SetOption(socket, ZMQ_TCP_KEEPALIVE_INTVL, kKeepAliveIntervalSeconds);
+  SetOption(socket, ZMQ_TCP_KEEPALIVE_CNT, kKeepAliveProbes);
   const auto maximum_bytes =
       static_cast<std::int64_t>(PeerLink::kMaximumMessageBytes);
   zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &maximum_bytes, sizeof(maximum_bytes));
--- a/tests/transport/peer_link_test.cc
+++ b/tests/transport/peer_link_test.cc
@@ -1,6 +1,13 @@
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <zmq.h>
 
+#include <array>
+#include <chrono>
 #include <deque>
+#include <string>
+#include <thread>
 
 #include "tests/transport/loop_fixture.h"
 #include "tests/transport/raw_server.h"
@@ -197,6 +204,93 @@
   RunUntil([&] { return sender.queued_bytes() == 0; });
 }
 
+// Appends a frame of ZMTP 3.0 with a body of at most 255 bytes.
+void AppendFrame(std::string& bytes, char flags, std::string_view body) {
+  bytes += flags;
+  bytes += static_cast<char>(body.size());
+  bytes += body;
+}
+
+constexpr std::size_t kGreetingBytes = 64;
+
+std::string Greeting() {
+  using namespace std::string_literals;
+  std::string bytes = "\xff\0\0\0\0\0\0\0\1\x7f\3\0NULL"s;
+  bytes.resize(kGreetingBytes);
+  return bytes;
+}
+
+// What a DEALER sends after its greeting: messages and pings.
+std::string DealerFrames(int messages, int pings) {
+  using namespace std::string_view_literals;
+  constexpr char message_flags = 0;
+  constexpr char command_flags = 4;
+  std::string bytes;
+  AppendFrame(bytes, command_flags, "\5READY\13Socket-Type\0\0\0\6DEALER"sv);
+  const std::string message = Message("a", 1).SerializeAsString();
+  for (int i = 0; i < messages; ++i) AppendFrame(bytes, message_flags, message);
+  for (int i = 0; i < pings; ++i)
+    AppendFrame(bytes, command_flags, "\4PING\0\x1e"sv);
+  return bytes;
+}
+
+void SendAll(int descriptor, std::string_view bytes) {
+  REQUIRE(send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(bytes.size()));
+}
+
+// Connects as a DEALER does, sends the frames and resets the connection once
+// they are with ZeroMQ.
+void SendAndReset(std::uint16_t port, std::string_view frames) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  SendAll(descriptor, Greeting());
+  std::array<char, kGreetingBytes> greeting{};
+  REQUIRE(recv(descriptor, greeting.data(), greeting.size(), MSG_WAITALL) ==
+          static_cast<ssize_t>(greeting.size()));
+  SendAll(descriptor, frames);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const linger reset{1, 0};
+  setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  close(descriptor);
+}
+
+// A peer is lost while the process reads nothing and its receive queue is full.
+// The process then reads on, with another peer.
+void LosePeerWhileQueueIsFull(LoopFixture& fixture, int pings) {
+  const std::uint16_t port = UnusedPort();
+  Receiver receiver(fixture.loop(), port);
+  // The loop does not run, so the receiver reads nothing.
+  SendAndReset(port, DealerFrames(100, pings));
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  PeerLink sender(fixture.loop(), HostId("a"));
+  sender.SetPeers(std::vector{AddressOf("b", port)});
+  fixture.RunUntil([&] {
+    sender.Send(HostId("b"), Message("a", 2));
+    return !receiver.sequences().empty() && receiver.sequences().back() == 2;
+  });
+}
+
+// Guards against an assertion of ZeroMQ that ended the process when its own
+// ping was due on the connection that was lost.
+TEST_CASE_METHOD(LoopFixture,
+                 "A peer lost while the receive queue is full ends nothing") {
+  LosePeerWhileQueueIsFull(*this, 0);
+}
+
+// Guards against the same assertion at the answer to a ping that is found
+// behind the messages.
+TEST_CASE_METHOD(LoopFixture,
+                 "A pinging peer lost while the receive queue is full ends "
+                 "nothing") {
+  LosePeerWhileQueueIsFull(*this, 2);
+}
+
 TEST_CASE_METHOD(LoopFixture, "A failed Bind reports its reason") {
   const std::uint16_t port = UnusedPort();
   const Receiver receiver(loop(), port);
