Stage scheduler: Forget a forwarded stage whose caller left

Cancelling a stage that runs at a host of another zone erased its attempt but left it in the list of remote attempts, where the next dispatch looks each one up. Any caller that left while its work was forwarded ended the process.

--- a/libraries/policy/stage_scheduler.cc
+++ b/libraries/policy/stage_scheduler.cc
@@ -68,6 +68,7 @@
     SendPeerMessage cancel{remote->host, {}};
     cancel.message.mutable_stage_cancel()->set_attempt(remote->attempt.value());
     commands_.emplace_back(std::move(cancel));
+    remote_attempts_.erase(remote->attempt);
     attempts_.erase(remote->attempt);
   } else {
     QueueOf(job.work.service).Remove(id);
--- a/tests/policy/core_test.cc
+++ b/tests/policy/core_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -357,6 +358,39 @@
   REQUIRE(refusals[0].trace.at(0).zone == ZoneId("z2"));
 }
 
+// Guards against the end of the process (std::out_of_range): a caller left
+// while another zone ran its stage, and the next dispatch looked for the stage.
+TEST_CASE("A caller that leaves while its work is forwarded ends nothing") {
+  EntryHostHarness host({.own_zone_state = "out"});
+  messages::PeerMessage message;
+  message.set_sender("z2-a");
+  message.set_incarnation(7);
+  message.set_sequence(1);
+  messages::ServiceSummary* summary =
+      message.mutable_heartbeat()->add_services();
+  summary->set_service("encoder");
+  summary->set_servers(2);
+  summary->set_free_credits(2);
+  host.Deliver(message);
+  const CallId call = host.SubmitRequest("lookup");
+  const auto count = [&host](const auto& is_kind) {
+    const auto sent = host.Take<SendPeerMessage>();
+    return std::count_if(
+        sent.begin(), sent.end(),
+        [&](const SendPeerMessage& send) { return is_kind(send.message); });
+  };
+  REQUIRE(count([](const auto& sent) { return sent.has_stage_request(); }) ==
+          1);
+  host.Send(CallerDisconnected{call});
+  REQUIRE(count([](const auto& sent) { return sent.has_stage_cancel(); }) == 1);
+  host.Advance(milliseconds(100));
+  message.set_sequence(2);
+  host.Deliver(message);
+  host.SubmitRequest("lookup");
+  REQUIRE(count([](const auto& sent) { return sent.has_stage_request(); }) ==
+          1);
+}
+
 TEST_CASE(
     "Queued forwarded work is refused when this zone's servers are removed") {
   EntryHostHarness host({.servers = 1, .limit = 1});
