Gateway: Go on with a stream only at a process whose version is known

Callers got texts that were joined from two software versions, answered 200: a server started again under its id with newer software, and until its new entry was read (up to 0.5 s) streams that had lost another server went on at it, by the version in the old entry. Streams that began there were recorded with the old version and went on at servers of that one.

The version was taken from what was last read. Now it is bound to the process that a call reaches: a process ends all its connections when it ends, so a connection without a gap before it reaches the same process, and that is the listed one once entries are known as of a moment after the first of these connections (routing::ServerProcesses). Streams go on at such servers first. Elsewhere the events are held back until one read of the entries from the store decides, and dropped if another process is listed. The version that began a stream is decided the same way (routing::StreamVersion).

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -72,7 +72,10 @@
     });
   }
 
-  ~Connection() override { loop().Cancel(connect_timer_); }
+  ~Connection() override {
+    loop().Cancel(connect_timer_);
+    ReportClose(ConnectionClose::kHere);
+  }
 
   const IdleKey& key() const { return key_; }
   const std::string& server() const { return key_.first; }
@@ -99,11 +102,22 @@
   }
 
   std::optional<TimePoint> connected_at() const { return connected_at_; }
+  std::optional<TimePoint> process_since() const { return process_since_; }
+
+  // Tells the pool's observer of the end of the connection, once.
+  void ReportClose(ConnectionClose close) {
+    if (!connected_at_ || is_close_reported_) return;
+    is_close_reported_ = true;
+    if (pool_.connection_observer_ != nullptr)
+      pool_.connection_observer_->OnConnectionClosed(server(), *process_since_,
+                                                     close);
+  }
 
   // The loop destroys this object later; until then it must not send the
   // bytes that are still buffered.
   void CloseNow() {
     *alive_ = false;
+    ReportClose(ConnectionClose::kHere);
     loop().Cancel(connect_timer_);
     stream_->ResetOnClose();
     stream_->Close();
@@ -112,6 +126,10 @@
   void OnConnected() override {
     connected_at_ = loop().clock().Now();
     loop().Cancel(connect_timer_);
+    process_since_ =
+        pool_.connection_observer_ != nullptr
+            ? pool_.connection_observer_->OnConnectionOpened(server())
+            : connected_at_;
     if (pool_.observer_ != nullptr) pool_.observer_->OnServerConnected();
   }
 
@@ -157,6 +175,8 @@
   bool is_head_delivered_ = false;
   bool is_skipping_ = false;
   std::optional<TimePoint> connected_at_;
+  std::optional<TimePoint> process_since_;
+  bool is_close_reported_ = false;
   bool was_reused_ = false;
   bool has_response_bytes_ = false;
   bool is_head_request_ = false;
@@ -193,6 +213,10 @@
     return connection_ && connection_->is_reused();
   }
 
+  std::optional<TimePoint> process_since() const override {
+    return connection_ ? connection_->process_since() : std::nullopt;
+  }
+
   std::unique_ptr<Connection> Release() { return std::move(connection_); }
 
  private:
@@ -280,7 +304,11 @@
 }
 
 void ConnectionPool::Connection::OnStreamEnd(StreamEnd end) {
+  const ConnectionClose close = end == StreamEnd::kPeerLost
+                                    ? ConnectionClose::kLost
+                                    : ConnectionClose::kServer;
   if (observer_ == nullptr) {
+    ReportClose(close);
     pool_.RemoveIdle(this);
     return;
   }
@@ -293,6 +321,7 @@
     if (!DeliverProgress() || !*alive) return;
     return Complete();
   }
+  ReportClose(close);
   Fail(CallFailure::kConnectionLost, end == StreamEnd::kPeerLost);
 }
 
@@ -308,6 +337,9 @@
   loop().DestroyLater(std::move(self));
   if (failure == CallFailure::kNotConnected && pool_.observer_ != nullptr)
     pool_.observer_->OnServerNotConnected(server());
+  if (failure == CallFailure::kNotConnected &&
+      pool_.connection_observer_ != nullptr)
+    pool_.connection_observer_->OnConnectionFailed(server());
   observer->OnCallFailed(end);
 }
 
@@ -351,7 +383,10 @@
     taken = std::move(connections.back().connection);
     connections.pop_back();
     // What waits to be read belongs to no call.
-    if (taken->HasUnreadBytes()) taken.reset();
+    if (taken->HasUnreadBytes()) {
+      taken->ReportClose(ConnectionClose::kServer);
+      taken.reset();
+    }
   }
   if (connections.empty()) idle_.erase(found);
   return taken;
--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -75,6 +75,9 @@
   // Returns whether the connection has carried earlier calls; false once the
   // response is complete.
   virtual bool is_reused() const = 0;
+  // Returns what the pool's ConnectionObserver returned for the connection;
+  // nothing before it was established, and once the response is complete.
+  virtual std::optional<TimePoint> process_since() const = 0;
 };
 
 enum class Reuse {
@@ -101,6 +104,24 @@
   virtual void OnServerBytes() = 0;
 };
 
+// How a connection to a server ended.
+enum class ConnectionClose {
+  kHere,    // by this host, or as the server had announced
+  kServer,  // by the server, unannounced
+  kLost,    // without a sign of the server
+};
+
+// Learns of all connections of a pool to servers.
+class ConnectionObserver {
+ public:
+  virtual ~ConnectionObserver() = default;
+  // Returns what the calls on the connection tell as `process_since`.
+  virtual TimePoint OnConnectionOpened(const std::string& server) = 0;
+  virtual void OnConnectionClosed(const std::string& server, TimePoint since,
+                                  ConnectionClose close) = 0;
+  virtual void OnConnectionFailed(const std::string& server) = 0;
+};
+
 // Makes calls to servers over persistent connections, one request at a time on
 // each.
 class ConnectionPool {
@@ -123,6 +144,9 @@
 
   // Null for none; otherwise the observer outlives the pool or is reset.
   void SetObserver(PoolObserver* observer) { observer_ = observer; }
+  void SetConnectionObserver(ConnectionObserver* observer) {
+    connection_observer_ = observer;
+  }
 
   // Number of calls in progress.
   std::size_t active_calls() const { return active_calls_; }
@@ -149,6 +173,7 @@
 
   Poller& poller_;
   PoolObserver* observer_ = nullptr;
+  ConnectionObserver* connection_observer_ = nullptr;
   std::size_t active_calls_ = 0;
   std::uint64_t opened_connections_ = 0;
   std::map<IdleKey, std::vector<IdleConnection>> idle_;
--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -17,8 +17,10 @@
 #include "routing/send_limiter.h"         // IWYU pragma: export
 #include "routing/server_directory.h"     // IWYU pragma: export
 #include "routing/server_limits.h"        // IWYU pragma: export
+#include "routing/server_processes.h"     // IWYU pragma: export
 #include "routing/server_speed.h"         // IWYU pragma: export
 #include "routing/stage_plan.h"           // IWYU pragma: export
 #include "routing/stage_zones.h"          // IWYU pragma: export
 #include "routing/stream_origins.h"       // IWYU pragma: export
+#include "routing/stream_version.h"       // IWYU pragma: export
 #include "routing/version_history.h"      // IWYU pragma: export
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -39,6 +39,7 @@
   bool is_store_available = false;
   routing::ServerSpeeds speeds{};
   routing::Rollouts rollouts{HostId(), 0, TimePoint{}};
+  routing::ServerProcesses processes{settings.limits.maximum_change_delay};
 
   TimePoint Now() const { return loop.clock().Now(); }
   routing::SpeedView SpeedsNow() const { return {speeds, Now()}; }
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -179,6 +179,10 @@
             return SendPeerMessage(peer, std::move(message));
           }),
       path_(context_, [this] { OnPathChange(); }),
+      checks_(context_, rows,
+              [this](std::span<const routing::Row> changed) {
+                follower_.MergeFromPeer(changed);
+              }),
       relays_(context_,
               [this](const std::string& peer) {
                 return stages_.IsReachable(peer) && stages_.HasPath(peer);
@@ -358,7 +362,7 @@
   auto flow = std::make_unique<RequestFlow>(
       context_,
       RequestServices{stages_, origins_, notices_, content_blocks_, path_,
-                      relays_},
+                      relays_, checks_},
       exchange, [this](RequestFlow* ended) {
         const auto found = flows_.find(ended);
         if (found == flows_.end()) return;
@@ -387,6 +391,7 @@
                           {"store_era", row.version.era()}});
       return;
     case RowSubject::Kind::kServer:
+      checks_.SetTable(row.table);
       return ApplyServer(subject.name, row, origin);
     case RowSubject::Kind::kHost:
       return ApplyHost(subject.name, row);
@@ -454,6 +459,7 @@
       case RowOrigin::kStore:
         context_.directory.Remove(id, now);
         context_.server_limits.Remove(id);
+        context_.processes.Remove(before.incarnation().Key());
         context_.pool.CloseIdleConnections(before.incarnation().Key());
         break;
       case RowOrigin::kStoreAfterOutage:
@@ -486,6 +492,7 @@
     content_blocks_.OnHeartbeat(entry->incarnation());
   origins_.OnServersChanged();
   if (is_new_instance) {
+    context_.processes.Remove(before.incarnation().Key());
     context_.pool.CloseIdleConnections(before.incarnation().Key());
     if (!before.id.empty()) context_.server_limits.Remove(id);
   }
@@ -798,6 +805,8 @@
   context_.directory.RemoveExpired(context_.Now());
   origins_.RemoveExpired();
   context_.is_store_available = !follower_.is_store_unavailable();
+  checks_.SetKnownVersion(follower_.known_version());
+  checks_.Update();
   origins_.UpdateWriter(follower_.hosts_era());
   UpdateReaderRank();
   CheckOwnRow();
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "services/gateway/request_relays.h"
 #include "services/gateway/rollout_control.h"
 #include "services/gateway/row_follower.h"
+#include "services/gateway/server_checks.h"
 #include "services/gateway/server_notices.h"
 #include "services/gateway/server_path.h"
 #include "services/gateway/speed_exchange.h"
@@ -109,6 +110,7 @@
   StageRouter stages_;
   StreamOriginExchange origins_;
   ServerPath path_;
+  ServerChecks checks_;
   RequestRelays relays_;
   RolloutControl rollouts_;
   RowFollower follower_;
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -58,6 +58,7 @@
       notices_(services.notices),
       path_(services.path),
       relays_(services.relays),
+      checks_(services.checks),
       content_blocks_(services.content_blocks),
       content_watch_(context, services.content_blocks),
       exchange_(&exchange),
@@ -71,6 +72,7 @@
   context_.loop.Cancel(deadline_timer_);
   context_.loop.Cancel(response_timer_);
   context_.loop.Cancel(wait_timer_);
+  context_.loop.Cancel(check_timer_);
 }
 
 // --- Arrival ----------------------------------------------------------------
@@ -144,7 +146,7 @@
   if (!origin) return Refuse("unknown_origin");
   if (!route_->Allows(origin->service)) return Refuse("service_moved");
   service_ = origin->service;
-  required_version_ = origin->software_version;
+  version_.Set(origin->software_version);
   const std::vector<routing::ServerRecord*> servers =
       context_.directory.InService(service_);
   if (std::none_of(servers.begin(), servers.end(),
@@ -362,6 +364,7 @@
   context_.loop.Cancel(deadline_timer_);
   context_.loop.Cancel(response_timer_);
   context_.loop.Cancel(wait_timer_);
+  context_.loop.Cancel(check_timer_);
   origins_.Cancel(this);
   const std::size_t open_items = open_items_.size();
   DropStageWork();
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -13,6 +13,7 @@
 #include "services/gateway/context.h"
 #include "services/gateway/request_relays.h"
 #include "services/gateway/rollout_control.h"
+#include "services/gateway/server_checks.h"
 #include "services/gateway/server_notices.h"
 #include "services/gateway/server_path.h"
 #include "services/gateway/stage_router.h"
@@ -37,6 +38,7 @@
   ContentBlocks& content_blocks;
   ServerPath& path;
   RequestRelays& relays;
+  ServerChecks& checks;
 };
 
 // Handles one request from its arrival to the end of its response: finds the
@@ -167,6 +169,25 @@
   // Something came from the server.
   void OnHeard();
 
+  // Versions of streams.
+  bool IsResumableStream() const;
+  routing::ServerView View() const;
+  const routing::ServerEntry* ListedEntry(const ServerId& id) const;
+  std::vector<routing::ServerRecord*> WithKnownProcess(
+      std::vector<routing::ServerRecord*> servers) const;
+  void SetProcess();
+  void RememberOrigin();
+  // Decides which version began the stream, as soon as that is known, and tells
+  // other hosts.
+  void UpdateOrigin();
+  void OnOriginCheck();
+  bool IsOriginKnown();
+  bool HoldEvents(std::string_view bytes);
+  void CheckProcess();
+  void OnOtherVersion();
+  void EndProcessCheck();
+  void StartCheckTimer(std::function<void()> callback);
+
   // Response.
   void ForwardStreamBytes(std::string_view bytes);
   // Records how long the server took for `events` more events of the stream.
@@ -174,7 +195,6 @@
   void ObserveSpeed(routing::WorkKind kind, Duration taken, Duration expected);
   // Records that the server has not sent the first event until now.
   void ObserveMissingEvent();
-  void RememberOrigin();
   bool IsNextOrSeenEvent(const http::RawEvent& event);
   void BeginResponse(std::optional<std::uint64_t> length);
   void RespondWithBuffered();
@@ -217,6 +237,7 @@
   ServerNotices& notices_;
   ServerPath& path_;
   RequestRelays& relays_;
+  ServerChecks& checks_;
   ContentBlocks& content_blocks_;
   ContentWatch content_watch_;
   http::Exchange* exchange_;
@@ -249,9 +270,15 @@
   ServerId server_;
   routing::ServerIncarnation incarnation_;  // of the server of the last send
   std::string software_version_;            // of the server of the last send
-  // Set for a stream that has begun: only servers of this version may continue
-  // it.
-  std::optional<std::string> required_version_;
+  // Set once a stream has begun: only servers of this version may continue it.
+  routing::StreamVersion version_;
+  bool has_told_origin_ = false;
+  routing::ServerProcess process_;  // of the last send with a response
+  // The last send goes on with a stream; what it brings is held back until its
+  // process is known.
+  bool must_check_process_ = false;
+  bool is_held_complete_ = false;
+  std::string held_;
   // The request goes to the version that is rolled out.
   bool takes_new_ = false;
   bool has_chosen_version_ = false;
@@ -296,6 +323,7 @@
   TimerId deadline_timer_;
   TimerId response_timer_;
   TimerId wait_timer_;
+  TimerId check_timer_;
   bool has_ended_ = false;
 };
 
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -13,9 +13,6 @@
 // A stream is resumed at another server after a gap between events of this many
 // times the route's target for gaps, but of at least kSilenceTimeout.
 constexpr int kGapTimeoutFactor = 3;
-// The origin of a stream is kept for this long after its caller stops waiting,
-// since hosts may be slow.
-constexpr Duration kOriginMargin = milliseconds(5000);
 // A server that had closed a kept connection resets it within a round trip of
 // the request; hosts may be slow. Later, it may have run the request.
 constexpr Duration kStaleConnectionTime = milliseconds(20);
@@ -90,6 +87,7 @@
   // The server that now has the address says nothing of the one before.
   if (response_metadata_.is_wrong_server) return;
   OnHeard();
+  SetProcess();
   content_watch_.OnResponseHead();
   // Without an id, it may be a late copy of an earlier response.
   if (!response_metadata_.request_id.empty())
@@ -112,7 +110,10 @@
                           response_metadata_.is_sealed &&
                           !response_metadata_.is_encoded;
   if (is_success) content_watch_.OnContent();
-  if (is_success && IsStream()) return ForwardStreamBytes(bytes);
+  if (is_success && IsStream()) {
+    if (HoldEvents(bytes)) return;
+    return ForwardStreamBytes(bytes);
+  }
   if (has_begun_response_) return exchange_->SendBody(bytes);
   body_.append(bytes);
   if (!is_success && body_.size() > kMaximumFailureBytes)
@@ -146,6 +147,8 @@
   if (!first_event_at_) {
     first_event_at_ = Now();
     RememberOrigin();
+  } else if (!version_.is_known()) {
+    UpdateOrigin();
   }
   CountStreamBegin();
   if (counts_pending_tokens_) {
@@ -198,17 +201,6 @@
         PrefillTime(pending_tokens_ + tokens_ahead_) + kFirstEventTime, Now());
 }
 
-// Called before the first event is forwarded, since callers may resume the
-// stream from then on.
-void RequestFlow::RememberOrigin() {
-  if (!route_->MayRepeat()) return;
-  if (!required_version_) required_version_ = software_version_;
-  const Duration remaining =
-      arrived_at_ + request_.timeout.value_or(route_->timeout) - Now();
-  origins_.Add(StreamId(), {service_, *required_version_},
-               std::max(remaining, Duration::zero()) + kOriginMargin);
-}
-
 // Returns false if an event between the last one and this one is missing.
 bool RequestFlow::IsNextOrSeenEvent(const http::RawEvent& event) {
   const std::optional<std::uint64_t> previous =
@@ -245,6 +237,10 @@
     }
     return Retry("servers_full");
   }
+  if (must_check_process_ && !held_.empty()) {
+    is_held_complete_ = true;
+    return CheckProcess();
+  }
   ++runs_;
   send_state_ = SendState::kRun;
   if (head_.status < 200 || head_.status >= 300) return OnFailureStatus();
--- a/services/gateway/request_flow_rollouts.cc
+++ b/services/gateway/request_flow_rollouts.cc
@@ -20,7 +20,7 @@
   if (rollout == nullptr) return true;
   // It is the last resort when the other servers may be stopped.
   if (rollout->phase() == routing::RolloutPhase::kMoving) return true;
-  return (takes_new_ || required_version_ == version) &&
+  return (takes_new_ || version_.version() == version) &&
          rollout->MaySendNew(1, Now());
 }
 
@@ -31,8 +31,8 @@
     takes_new_ = false;
     return;
   }
-  if (required_version_) {
-    takes_new_ = *required_version_ == rollout->order().to &&
+  if (version_.version()) {
+    takes_new_ = *version_.version() == rollout->order().to &&
                  rollout->MaySendNew(1, Now());
     return;
   }
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -43,7 +43,7 @@
   if (HasReleasedInputs()) return RecomputeStages(plan_->stage_count());
   // OnStagesDone sends the request.
   if (!plan_->IsDone()) return;
-  if (RefuseBlockedContent()) return;
+  if (RefuseBlockedContent() || !IsOriginKnown()) return;
   const routing::PromptServerChoice choice = ChooseServer();
   if (choice.server == nullptr) return WaitForServer();
   // The budget counts what servers receive, so a send that could not connect
@@ -57,7 +57,8 @@
 
 // Returns whether the request may be sent to the server, apart from its state.
 bool RequestFlow::IsCandidate(const routing::ServerRecord& server) const {
-  if (required_version_ && server.entry.software_version != *required_version_)
+  if (version_.version() &&
+      server.entry.software_version != *version_.version())
     return false;
   if (!MayUseVersion(server)) return false;
   return std::find(tried_.begin(), tried_.end(), server.entry.id) ==
@@ -90,6 +91,7 @@
     usable = WithoutUnavailable(
         context_.directory.UsableOrSuspended(service_, Now()));
   if (usable.empty()) return {};
+  usable = WithKnownProcess(std::move(usable));
   if (route_->uses_prompts)
     return context_.placement.Choose(usable, request_.prompt,
                                      context_.host_count, context_.SpeedsNow());
@@ -131,9 +133,9 @@
     const ServiceId& service) const {
   std::vector<routing::ServerRecord*> servers =
       context_.directory.InService(service);
-  if (required_version_ && service == service_)
+  if (version_.version() && service == service_)
     std::erase_if(servers, [this](const routing::ServerRecord* server) {
-      return server->entry.software_version != *required_version_;
+      return server->entry.software_version != *version_.version();
     });
   context_.rollouts.Filter(service, service == service_ && takes_new_, servers,
                            Now());
@@ -323,6 +325,7 @@
 void RequestFlow::EndSend(routing::CallResult result,
                           std::string_view outcome) {
   context_.loop.Cancel(response_timer_);
+  EndProcessCheck();
   call_.reset();
   CountVersionAnswer(result);
   routing::ServerRecord* server = context_.directory.Find(server_);
--- a/tests/gateway/stream_versions_test.cc
+++ b/tests/gateway/stream_versions_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -56,6 +57,8 @@
 constexpr auto kLongerThanStreams = milliseconds(4000);
 // Changes of the store's tables have taken effect after this time.
 constexpr auto kChangeDelay = milliseconds(1000);
+// A stream that goes on waits at most for so long.
+constexpr auto kLongestWait = milliseconds(250);
 // Repetitions of a choice between versions, so that no chance passes a test:
 // new fixtures, and streams at one fixture.
 constexpr int kRounds = 10;
@@ -287,6 +290,63 @@
   REQUIRE(next.requests() == 0);
 }
 
+// Guards against responses with events of two versions: a stream went on at a
+// server that had started again under its id with another version, and wrote
+// its entry a moment later.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A response goes on at no server that has just changed") {
+  const int round = GENERATE(range(0, kRounds));
+  CAPTURE(round);
+  // Events of servers that are listed as v1.
+  VersionServer& begins = Add("v1", After::kBreak);
+  std::deque<VersionServer> others;
+  for (const char* version : {"v2", "v2", "v1"}) {
+    VersionServer& server =
+        others.emplace_back(version, After::kBreak, After::kContinue);
+    AddServer("other" + std::to_string(others.size()), "plain",
+              server.address(), "v1");
+  }
+  const auto list_changes = [&] {
+    for (std::size_t i = 0; i < 2; ++i)
+      if (others[i].requests() > 0)
+        AddServer("other" + std::to_string(i + 1), "plain", others[i].address(),
+                  "v2");
+  };
+  std::string routing = kRouting;
+  const std::string stream = R"("attempts":2,"service":"plain",
+  "resumable")";
+  REQUIRE(routing.find(stream) != std::string::npos);
+  routing.replace(routing.find(stream) + 11, 1, "6");
+  StartWith(1, routing.c_str());
+  TimerId timer;
+  std::function<void()> watch = [&] {
+    list_changes();
+    timer = loop().After(milliseconds(5), watch);
+  };
+  watch();
+  const std::string response = Send(MakeRequest("/r/", "a1"));
+  loop().Cancel(timer);
+  INFO(response);
+  REQUIRE(response.starts_with("HTTP/1.1 200"));
+  const bool has_v1 = response.find("data: v1") != std::string::npos;
+  const bool has_v2 = response.find("data: v2") != std::string::npos;
+  CHECK_FALSE((has_v1 && has_v2));
+  if (begins.begun() > 0) CHECK(has_v1);
+}
+
+// Guards against sound streams that wait: this host has no connection to the
+// server where the stream goes on.
+TEST_CASE_METHOD(StreamVersionsFixture,
+                 "A response goes on at once at a server without connections") {
+  const int round = GENERATE(range(0, kRounds));
+  CAPTURE(round);
+  for (int i = 0; i < 4; ++i) Add("v1", After::kBreak);
+  StartWith(1, kRouting);
+  const TimePoint sent_at = loop().clock().Now();
+  CheckWholeStream(Send(MakeRequest("/r/", "a1")), "v1");
+  CHECK(loop().clock().Now() - sent_at < kLongestWait);
+}
+
 // Guards against streams with events of two versions: a stream of a split route
 // was taken up at the service that was drawn anew.
 TEST_CASE_METHOD(StreamVersionsFixture,
