Review: Fill in the settings template as it stands now

The five scripts ended with a KeyError at the first gateway: the template names ramMb and maxFds, and has sections, since the account of memory and the roll-outs. The error gave exit code 1, which means that the rule was broken; an error of the script now gives 2, "could not run".

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -16,6 +16,7 @@
 import subprocess
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -25,6 +26,7 @@
 BOUNDS = {"seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackMs": 4000, "syncS": 4, "drainMs": 2000, "graceS": 8,
           "lossSlackMs": 200, "convergeMs": 2000, "rollbackSlackMs": 250, "outerMs": 5000, "retryRatio": 0.2,
           "retryWindowS": 10, "retrySlack": 52, "coldOver": 1.5, "coldSlack": 5, "evacMs": 5000, "recoverS": 12}
+LIMITS = {"cpuShare": 0.25, "ramMb": 260, "maxFds": 4100}
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -290,13 +292,24 @@
 
 
 def fill(template, values):
-    """Fills in {{a.b}} and {{a|json}} of the deploy file's settings template."""
-    def value_of(match):
-        name, _, form = match.group(1).partition("|")
+    """Fills in {{a.b}}, {{a|json}} and {{#a.b}}...{{/a.b}} of the deploy file's settings template."""
+    def find(name):
         value = values
         for step in name.split("."):
             value = value[step]
+        return value
+
+    def section(match):
+        try:
+            return match.group(2) if find(match.group(1)) else ""
+        except KeyError:
+            return ""
+
+    def value_of(match):
+        name, _, form = match.group(1).partition("|")
+        value = find(name)
         return json.dumps(value) if form == "json" or not isinstance(value, (str, int, float)) else str(value)
+    template = re.sub(r"{{#([A-Za-z.]+)}}(.*?){{/\1}}", section, template, flags=re.S)
     return re.sub(r"{{([A-Za-z.|]+)}}", value_of, template)
 
 
@@ -332,7 +345,7 @@
         settings = fill(self.template, {
             "nodeName": self.name, "zone": self.zone, "ip": self.ip, "seedNodes": seeds,
             "listen": {interface: f"{self.ip}:{port}" for interface, port in self.ports.items()},
-            "platform": {"address": self.store_address}, "limits": {"cpuShare": 0.25}, "sloBounds": BOUNDS})
+            "platform": {"address": self.store_address}, "limits": LIMITS, "sloBounds": BOUNDS})
         path = self.folder / f"{self.name}.json"
         path.write_text(settings)
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -383,3 +396,6 @@
     except (CannotRun, asyncio.TimeoutError) as error:
         print(f"the case could not run: {error!r}")
         return NOT_RUN
+    except Exception:
+        traceback.print_exc()
+        return NOT_RUN
