Stream origins: End a pass of many origins to the writer

With more than 1,000 origins of services with several versions, a host sent all of them to the zone's writer again every second for as long as streams began: the pass filled what the writer may hold, new streams had no room, the writer counted as behind, and the next pass began.

A pass leaves room for 200 copies; streams that begin ahead of it are left to it; a host that is no longer the writer no longer gets all streams.

Failed before: gateway_test "A pass of many origins to the writer ends", 3,000 known origins and 100 new streams a second for 4 s: origins came up to 5 times to the writer.

--- a/libraries/routing/origin_copies.cc
+++ b/libraries/routing/origin_copies.cc
@@ -245,11 +245,19 @@
     if (MakeRoom()) Place(*zone, {EntryFor(stream, expires_at)});
 }
 
-bool OriginCopies::HasRoom(const std::string& host, TimePoint now) {
+bool OriginCopies::HasRoom(const std::string& host, TimePoint now,
+                           std::size_t reserve) {
   const Host* found = Find(host);
   return found != nullptr && found->IsUsable(now) &&
-         found->held.size() < limits_.copies_per_host &&
-         (copies_ < limits_.copies || waiting() > 0);
+         found->held.size() + reserve < limits_.copies_per_host &&
+         (copies_ + reserve < limits_.copies || waiting() > reserve);
+}
+
+void OriginCopies::StopAll(const std::string& host) {
+  Host* found = Find(host);
+  if (found == nullptr) return;
+  found->gets_all = false;
+  found->is_behind = false;
 }
 
 bool OriginCopies::AddFor(const std::string& host, const std::string& stream,
--- a/libraries/routing/origin_copies.h
+++ b/libraries/routing/origin_copies.h
@@ -79,7 +79,11 @@
   // is behind then.
   bool AddFor(const std::string& host, const std::string& stream,
               TimePoint expires_at, TimePoint now);
-  bool HasRoom(const std::string& host, TimePoint now);
+  // Returns whether the host is usable and has room for more than `reserve`
+  // copies.
+  bool HasRoom(const std::string& host, TimePoint now, std::size_t reserve = 0);
+  // The host does not get all streams any more.
+  void StopAll(const std::string& host);
 
   // Returns whether a host that gets all streams has missed some and may be
   // sent them now. It is no longer behind then.
--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -21,6 +21,9 @@
 constexpr Duration kReachableAge = std::chrono::milliseconds(50);
 // Least time between two passes over all origins for the writer.
 constexpr Duration kWriterPassPeriod = std::chrono::milliseconds(1000);
+// Copies for the writer that a pass leaves room for: streams that begin
+// meanwhile.
+constexpr std::size_t kWriterPassReserve = 200;
 // Questions, answers and acknowledgements that wait for one host.
 constexpr std::size_t kMaximumEntries = 1000;
 // Origins that are kept for other hosts; those that began here always are.
@@ -101,7 +104,10 @@
   origins_.Add(stream, origin, expires_at);
   UpdateReachable();
   copies_.Add(stream, expires_at, now);
-  if (writer_ != context_.settings.peers && rows_.NeedsOrigins(origin.service))
+  // A pass that has not come to the stream yet brings it.
+  const bool is_ahead = writer_pass_at_ && stream > *writer_pass_at_;
+  if (writer_ != context_.settings.peers && !is_ahead &&
+      rows_.NeedsOrigins(origin.service))
     copies_.AddFor(writer_, stream, expires_at, now);
   rows_.OnOriginAdded(origin.service);
   ScheduleFlush();
@@ -262,6 +268,7 @@
   const std::uint64_t revision = context_.directory.versions().revision();
   const bool may_lack_origins =
       writer != writer_ || revision != writer_revision_;
+  if (writer != writer_) copies_.StopAll(writer_);
   writer_ = std::move(writer);
   writer_revision_ = revision;
   rows_.SetWriter(writer_ == context_.settings.peers, era);
@@ -291,8 +298,8 @@
     const auto& [stream, known] = *next;
     if (known.expires_at <= now || !rows_.NeedsOrigins(known.origin.service))
       continue;
-    const bool is_full =
-        copies_.IsUsable(writer_, now) && !copies_.HasRoom(writer_, now);
+    const bool is_full = copies_.IsUsable(writer_, now) &&
+                         !copies_.HasRoom(writer_, now, kWriterPassReserve);
     // The pass goes on here when the writer has acknowledged.
     if (is_full) return;
     // The pass begins again once an unusable writer answers.
