Stream origins: Bound the bytes of questions to a host

Questions, answers and acknowledgements that wait for a host had a bound of 1,000 entries, but ids are chosen by callers: 500 streams resumed with ids of 2,000 bytes made a message of 1,010,390 bytes. They now hold at most 100,000 bytes, as messages of copies do; a host without room is not asked.

Failed before: gateway_test "Questions to a host have a bound in bytes".

--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -26,6 +26,9 @@
 constexpr std::size_t kWriterPassReserve = 200;
 // Questions, answers and acknowledgements that wait for one host.
 constexpr std::size_t kMaximumEntries = 1000;
+constexpr std::size_t kMaximumEntryBytes = 100'000;
+// Of an entry beside its texts.
+constexpr std::size_t kEntryOverheadBytes = 32;
 // Origins that are kept for other hosts; those that began here always are.
 constexpr std::size_t kMaximumOrigins = 50'000;
 // Longest time for which an origin from another host is kept.
@@ -129,7 +132,8 @@
     return;
   }
   for (const std::string& holder : HostsToAsk(stream.id)) {
-    messages::StreamOriginTraffic* message = MessageTo(holder);
+    messages::StreamOriginTraffic* message =
+        MessageTo(holder, stream.id.size() + stream.service.value().size());
     if (message == nullptr) continue;
     messages::StreamOriginQuery& asked = *message->add_queries();
     asked.set_stream(stream.id);
@@ -213,7 +217,7 @@
   for (const std::uint64_t batch : traffic.acknowledged())
     copies_.OnAcknowledged(from, batch, now);
   if (traffic.batch() != 0)
-    if (auto* message = MessageTo(from))
+    if (auto* message = MessageTo(from, 0))
       message->add_acknowledged(traffic.batch());
   for (const messages::StreamOrigin& added : traffic.origins()) {
     const routing::StreamOrigin origin{ServiceId(added.service()),
@@ -227,7 +231,8 @@
     FinishQuery(added.stream(), origin);
   }
   for (const messages::StreamOriginQuery& asked : traffic.queries()) {
-    messages::StreamOriginTraffic* answer = MessageTo(from);
+    messages::StreamOriginTraffic* answer =
+        MessageTo(from, asked.stream().size() + asked.service().size());
     if (answer == nullptr) break;
     if (const auto* known = origins_.Find(asked.stream(), now)) {
       WriteOrigin(asked.stream(), known->origin, known->expires_at - now,
@@ -310,10 +315,13 @@
 }
 
 messages::StreamOriginTraffic* StreamOriginExchange::MessageTo(
-    const std::string& peer) {
+    const std::string& peer, std::size_t text_bytes) {
   Outgoing& outgoing = outgoing_[peer];
-  if (outgoing.entries < kMaximumEntries) {
+  const std::size_t bytes = kEntryOverheadBytes + text_bytes;
+  if (outgoing.entries < kMaximumEntries &&
+      outgoing.bytes + bytes <= kMaximumEntryBytes) {
     ++outgoing.entries;
+    outgoing.bytes += bytes;
     return &outgoing.traffic;
   }
   ++left_out_;
--- a/services/gateway/stream_origin_exchange.h
+++ b/services/gateway/stream_origin_exchange.h
@@ -95,9 +95,10 @@
   void StartWriterPass();
   void ContinueWriterPass();
   void UpdateReachable();
-  // Returns the message to a host, for one more entry; null if it holds as many
-  // entries as it may.
-  messages::StreamOriginTraffic* MessageTo(const std::string& peer);
+  // Returns the message to a host, for one more entry with texts of that size;
+  // null if it holds as many entries, or bytes, as it may.
+  messages::StreamOriginTraffic* MessageTo(const std::string& peer,
+                                           std::size_t text_bytes);
   void ScheduleFlush(Duration delay = Duration::zero());
   void Flush();
   bool SendBatch(const routing::OriginCopies::Batch& batch);
@@ -125,6 +126,7 @@
   struct Outgoing {
     messages::StreamOriginTraffic traffic;
     std::size_t entries = 0;
+    std::size_t bytes = 0;
     std::optional<TimePoint> failing_since;
   };
   std::map<std::string, Outgoing> outgoing_;  // by host
--- a/tests/gateway/stream_origin_exchange_test.cc
+++ b/tests/gateway/stream_origin_exchange_test.cc
@@ -16,6 +16,9 @@
 using std::chrono::seconds;
 
 const ServiceId kService("plain");
+// Of everything that waits for one host, as docs/design/peer-bounds.md has it,
+// and the fields of a message.
+constexpr std::size_t kMaximumMessageBytes = 100'000 + 1000;
 
 // Runs the exchange of one host with two others of its zone, one of which
 // stores for the zone.
@@ -105,5 +108,19 @@
   }
 }
 
+// Guards against memory that grows with the ids of resumed streams, which
+// callers choose.
+TEST_CASE_METHOD(ExchangeFixture, "Questions to a host have a bound in bytes") {
+  is_connected = GENERATE(false, true);
+  for (int i = 0; i < 500; ++i) {
+    const std::string id = std::to_string(i) + std::string(2000, 'x');
+    exchange->Find({id, kService, seconds(5)}, this, [](const auto&) {});
+  }
+  RunFor(milliseconds(50));
+  CHECK(largest > kMaximumMessageBytes / 2);
+  CHECK(largest <= kMaximumMessageBytes);
+  exchange->Cancel(this);
+}
+
 }  // namespace
 }  // namespace lovagecleat::gateway
