Peer bounds: Test them as the design states them

The bounds in origin_copies_test.cc were sums over one second with twice the budget of repeats, and StageRouter's bound had no test. They now follow docs/design/peer-bounds.md: over every span of seconds, one copy for each zone and stream and what is sent again within its budget, probes within theirs, one acknowledgement for each message received; a host that does not answer gets probes only, with the period that doubles; batches by copies, bytes and number. The checks before are implied by these.

--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -2,8 +2,10 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "routing/routing.h"
@@ -24,6 +26,9 @@
 // A host that could be used again has its copies within this time: the longest
 // avoidance, a probe and the budget.
 constexpr Duration kRecoveryTime = seconds(18);
+// A host that has not acknowledged a batch for this time, and a second look at
+// it, gets no more copies.
+constexpr Duration kGivenUpTime = milliseconds(200 + 20) + 2 * kStep;
 // A stream that began this long ago is known in each zone with a usable host.
 constexpr Duration kSpreadTime = milliseconds(1500);
 
@@ -39,8 +44,22 @@
   std::size_t messages = 0;
   std::size_t bytes = 0;
   std::size_t copies = 0;
+  std::size_t batches = 0;  // with copies
+  std::size_t probes = 0;
+  std::size_t acknowledgements = 0;
   std::size_t received = 0;  // messages
   std::size_t begun = 0;     // streams
+
+  void Add(const Sent& other) {
+    messages += other.messages;
+    bytes += other.bytes;
+    copies += other.copies;
+    batches += other.batches;
+    probes += other.probes;
+    acknowledgements += other.acknowledgements;
+    received += other.received;
+    begun += other.begun;
+  }
 };
 
 // Hosts that exchange messages with a delay under virtual time. Messages to or
@@ -121,28 +140,25 @@
     REQUIRE(missing == 0);
   }
 
-  // No host has sent more in any second than it has begun and received, and the
-  // budgets for what is sent again.
+  // The bounds of docs/design/peer-bounds.md over every span of seconds: one
+  // copy for each zone and stream, and what is sent again within its budget,
+  // probes within theirs, one acknowledgement for each message.
   void RequireBounded() {
-    const OriginCopyLimits limits;
-    const auto again = static_cast<std::size_t>(2 * limits.repeats_per_second +
-                                                limits.repeat_burst);
-    const auto probes =
-        static_cast<std::size_t>(limits.probes_per_second + limits.probe_burst);
     for (std::size_t i = 0; i < size(); ++i) {
       Host& host = hosts_[i];
-      for (const auto& [second, sent] : host.by_second) {
-        const auto before = host.by_second.find(second - 1);
-        std::size_t begun = sent.begun;
-        if (before != host.by_second.end()) begun += before->second.begun;
-        const std::size_t copies = kZones * begun + again;
-        const std::size_t messages = copies + probes + sent.received;
-        CAPTURE(i, second, sent.begun, sent.copies, sent.messages);
-        REQUIRE(sent.copies <= copies);
-        REQUIRE(sent.messages <= messages);
-        REQUIRE(sent.bytes <= messages * kMessageBytes + copies * kCopyBytes);
-      }
       REQUIRE(host.copies->size() <= kMaximumCopies);
+      for (auto first = host.by_second.begin(); first != host.by_second.end();
+           ++first) {
+        Sent sum;
+        // Copies may be queued in one second and sent in the next.
+        const auto before = host.by_second.find(first->first - 1);
+        if (before != host.by_second.end()) sum.begun = before->second.begun;
+        for (auto last = first; last != host.by_second.end(); ++last) {
+          sum.Add(last->second);
+          RequireBounded(i, sum,
+                         static_cast<double>(last->first - first->first + 1));
+        }
+      }
     }
   }
 
@@ -168,6 +184,69 @@
     TimePoint at;
   };
 
+  // What one host has sent another since it had an answer.
+  struct Unanswered {
+    std::optional<TimePoint> streams_since;
+    std::optional<TimePoint> probed_since;
+    std::size_t probes = 0;
+    std::size_t batches = 0;
+    std::size_t copies = 0;
+  };
+
+  static void RequireBounded(std::size_t host, const Sent& sum,
+                             double length_s) {
+    const OriginCopyLimits limits;
+    const double copies = static_cast<double>(kZones * sum.begun) +
+                          limits.repeats_per_second * length_s +
+                          limits.repeat_burst;
+    const double probes =
+        limits.probes_per_second * length_s + limits.probe_burst;
+    const double acknowledgements = static_cast<double>(sum.received);
+    const double messages = copies + probes + acknowledgements;
+    const bool is_bounded =
+        static_cast<double>(sum.copies) <= copies &&
+        static_cast<double>(sum.probes) <= probes &&
+        static_cast<double>(sum.acknowledgements) <= acknowledgements &&
+        static_cast<double>(sum.messages) <= messages &&
+        static_cast<double>(sum.bytes) <=
+            messages * kMessageBytes + copies * kCopyBytes;
+    if (is_bounded) return;
+    CAPTURE(host, length_s, sum.begun, sum.copies, sum.probes,
+            sum.acknowledgements, sum.received);
+    FAIL("a host sent more than its bounds");
+  }
+
+  // A host that does not answer gets only probes, with a period that doubles
+  // up to 4 s, and one more for a look at its zone every 5 s.
+  void CheckUnanswered(std::size_t from, std::size_t to,
+                       const OriginCopies::Batch& batch) {
+    const OriginCopyLimits limits;
+    Unanswered& before = unanswered_[{from, to}];
+    CAPTURE(from, to, batch.streams.size());
+    if (batch.streams.size() > limits.copies_per_batch)
+      FAIL("a batch has too many copies");
+    if (!batch.streams.empty()) {
+      if (before.streams_since && now_ - *before.streams_since > kGivenUpTime)
+        FAIL("a host that does not answer was sent copies");
+      if (!before.streams_since) before.streams_since = now_;
+      before.copies += batch.streams.size();
+      if (++before.batches > limits.batches_per_host)
+        FAIL("too many batches are unacknowledged");
+      if (before.copies > limits.copies_per_host)
+        FAIL("too many copies are unacknowledged");
+      return;
+    }
+    if (!before.probed_since) before.probed_since = now_;
+    const auto time = now_ - *before.probed_since;
+    ++before.probes;
+    const auto most =
+        static_cast<std::size_t>(4 + time / seconds(4) + 1 + time / seconds(5));
+    if (before.probes > most) {
+      CAPTURE(before.probes, time.count());
+      FAIL("a host that does not answer was probed too often");
+    }
+  }
+
   Sent& Now(Host& host) {
     return host.by_second[now_.time_since_epoch() / seconds(1)];
   }
@@ -188,6 +267,7 @@
   bool Send(std::size_t from, const OriginCopies::Batch& batch) {
     const std::size_t to = std::stoul(batch.host);
     if (!hosts_[to].is_connected) return false;
+    CheckUnanswered(from, to, batch);
     Post({to, from, batch.number, false, batch.streams});
     return true;
   }
@@ -196,6 +276,9 @@
     Sent& sent = Now(hosts_[message.from]);
     ++sent.messages;
     sent.copies += message.streams.size();
+    ++(message.is_acknowledgement ? sent.acknowledgements
+       : message.streams.empty()  ? sent.probes
+                                  : sent.batches);
     sent.bytes += kMessageBytes + kCopyBytes * message.streams.size();
     const TimePoint at = now_ + hosts_[message.to].delay;
     in_flight_.emplace(at, std::move(message));
@@ -209,6 +292,7 @@
       if (host.is_lost || IsCutOff(message.from, message.to)) continue;
       active_.insert(message.to);
       ++Now(host).received;
+      unanswered_.erase({message.to, message.from});
       const std::string from = std::to_string(message.from);
       if (message.is_acknowledgement) {
         host.copies->OnAcknowledged(from, message.batch, now_);
@@ -224,6 +308,8 @@
   TimePoint now_ = TimePoint() + seconds(100);
   std::vector<Host> hosts_;
   std::multimap<TimePoint, Message> in_flight_;
+  // By sender and receiver.
+  std::map<std::pair<std::size_t, std::size_t>, Unanswered> unanswered_;
   std::map<std::string, Begun> streams_;
   std::set<std::size_t> active_;
   double due_streams_ = 0;
@@ -417,6 +503,67 @@
   REQUIRE_FALSE(copies.TakeBehind("a0", now));
 }
 
+TEST_CASE("A message has no more copies, and bytes of ids, than its bounds") {
+  const std::size_t id_bytes = GENERATE(10, 1000, 150'000);
+  CAPTURE(id_bytes);
+  const OriginCopyLimits limits;
+  OriginCopies copies("a");
+  const std::vector<CopyHost> hosts = {{"a0", "a", true}};
+  const TimePoint now = TimePoint() + seconds(1);
+  copies.SetHosts(hosts, now);
+  constexpr std::size_t kStreams = 450;
+  for (std::size_t i = 0; i < kStreams; ++i)
+    copies.Add(std::to_string(i) + std::string(id_bytes, 'x'), now + kLifetime,
+               now);
+  std::size_t batches = 0;
+  copies.Flush(now, [&](const OriginCopies::Batch& batch) {
+    ++batches;
+    std::size_t bytes = 0;
+    for (const std::string& stream : batch.streams) bytes += stream.size();
+    CHECK(batch.streams.size() <= limits.copies_per_batch);
+    CHECK((batch.streams.size() == 1 || bytes <= limits.id_bytes_per_batch));
+    return true;
+  });
+  CHECK(batches <= limits.batches_per_host);
+}
+
+// Guards against copies that are late again and again: a host that answers too
+// late was used as soon as it had answered.
+TEST_CASE("A host that answers late is used ever more rarely") {
+  constexpr Duration kLate = milliseconds(400);
+  OriginCopies copies("a");
+  const std::vector<CopyHost> hosts = {{"b0", "b", true}};
+  TimePoint now = TimePoint() + seconds(1);
+  copies.SetHosts(hosts, now);
+  std::vector<TimePoint> used_at;
+  std::multimap<TimePoint, std::uint64_t> acknowledgements;
+  const auto send = [&](const OriginCopies::Batch& batch) {
+    if (!batch.streams.empty()) used_at.push_back(now);
+    acknowledgements.emplace(now + kLate, batch.number);
+    return true;
+  };
+  for (int i = 0; i < 40'000 / 20; ++i) {
+    if (i % 5 == 0) copies.Add(std::to_string(i), now + kLifetime, now);
+    while (!acknowledgements.empty() &&
+           acknowledgements.begin()->first <= now) {
+      copies.OnAcknowledged("b0", acknowledgements.begin()->second, now);
+      acknowledgements.erase(acknowledgements.begin());
+    }
+    copies.Flush(now, send);
+    now += milliseconds(20);
+  }
+  // Avoided for 1, 2, 4, 8 and 8 s, each after it has failed.
+  std::size_t times = 0;
+  std::optional<TimePoint> last;
+  for (const TimePoint at : used_at) {
+    if (!last || at - *last > seconds(1)) ++times;
+    last = at;
+  }
+  CAPTURE(times);
+  CHECK(times >= 3);
+  CHECK(times <= 8);
+}
+
 TEST_CASE("The oldest waiting copies leave when there is no room") {
   OriginCopyLimits limits;
   limits.copies = 10;
