Content blocks: Lift a block at all hosts after a trial

A block was lifted at one host only, and the others refused its requests on: a host that tries a blocked content tells the others of the trial and then of its success. Ages in a message were as of the moments at which they were added, and counted from its arrival. With both in one message, which waits 10 ms and up to 2 s, the block looked newer than the served request, as it did when the first of two messages took longer.

Each entry now has the time at which it was added, on the clock of the message, so that ages are as of the message. What one host reports of a block and of its success is ordered by that host's own clock. Entries of older versions are read as before.

Failed before: gateway_reports_test "A block is lifted at all hosts after a trial", under virtual time, 11 of 12 combinations of delays.

--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -27,6 +27,15 @@
                                             : (now - at).count();
 }
 
+// Returns how long before the arrival of a message something was, that was
+// `age_us` old when it was added to it.
+std::int64_t AgeAtArrival(std::int64_t age_us, std::int64_t added_us,
+                          std::int64_t clock_us) {
+  if (added_us <= 0 || clock_us <= added_us) return age_us;
+  return std::clamp<std::int64_t>(age_us, 0, kMaximumAgeUs) +
+         std::min(clock_us - added_us, kMaximumAgeUs);
+}
+
 // Crashes in one message have the distances at which they were noticed: a
 // request that was sent again after a crash has caused the next one by itself.
 routing::ServerCrash ReadCrash(const messages::ContentCrash& crash,
@@ -174,6 +183,7 @@
     copy.set_incarnation(incarnation);
     copy.set_connected_age_us(AgeUs(now, life.from));
     copy.set_alive_age_us(AgeUs(now, life.to));
+    copy.set_added_us(now.time_since_epoch().count());
   });
   Withdraw(*released);
   return true;
@@ -212,6 +222,7 @@
       messages::ServedContent& copy = *reports.add_served();
       copy.set_content(content.value());
       copy.set_sent_age_us(AgeUs(now, sent_at));
+      copy.set_added_us(now.time_since_epoch().count());
     }
   });
 }
@@ -266,6 +277,8 @@
   copy.set_crash_age_us((now - block->crashed_at).count());
   copy.set_remaining_us((block->until - now).count());
   copy.set_trials(static_cast<std::uint32_t>(block->trials));
+  copy.set_added_us(now.time_since_epoch().count());
+  reports.set_clock_us(now.time_since_epoch().count());
 }
 
 void ContentBlocks::OnMessage(const std::string& from,
@@ -280,14 +293,18 @@
     const routing::ContentKey content(copy.content());
     const bool was_blocked = suspects_.Find(content) != nullptr;
     const routing::BlockedContent block{
-        Before(now, copy.crash_age_us()),
+        Before(now, AgeAtArrival(copy.crash_age_us(), copy.added_us(),
+                                 reports.clock_us())),
         now + Duration(std::clamp<std::int64_t>(copy.remaining_us(), 0,
                                                 kMaximumAgeUs)),
         static_cast<int>(std::min(copy.trials(), kMaximumReportedTrials))};
-    if (suspects_.Block(content, block) && !was_blocked)
-      OnBlocked(std::span(&content, 1), "peer");
+    if (!suspects_.Block(content, block)) continue;
+    if (copy.added_us() > 0)
+      reported_blocks_[content] = {from, copy.added_us() - copy.crash_age_us(),
+                                   block.crashed_at};
+    if (!was_blocked) OnBlocked(std::span(&content, 1), "peer");
   }
-  ReadServed(reports);
+  ReadServed(from, reports);
   ReadRefutations(reports);
   messages::ContentReports all;
   if (!reports.requests_blocks() || !WriteAll(all)) return;
@@ -303,13 +320,31 @@
   return !suspects_.blocked().empty();
 }
 
-void ContentBlocks::ReadServed(const messages::ContentReports& reports) {
+// Messages take different times, so what one host has reported is ordered by
+// its own clock.
+TimePoint ContentBlocks::ServedAt(const std::string& from,
+                                  const messages::ServedContent& served,
+                                  std::int64_t clock_us) const {
+  const TimePoint at =
+      Before(context_.Now(),
+             AgeAtArrival(served.sent_age_us(), served.added_us(), clock_us));
+  const routing::ContentKey content(served.content());
+  const auto reported = reported_blocks_.find(content);
+  if (served.added_us() <= 0 || reported == reported_blocks_.end() ||
+      reported->second.from != from ||
+      reported->second.crashed_us > served.added_us() - served.sent_age_us())
+    return at;
+  return std::max(at, reported->second.crashed_at);
+}
+
+void ContentBlocks::ReadServed(const std::string& from,
+                               const messages::ContentReports& reports) {
   const TimePoint now = context_.Now();
   for (const messages::ServedContent& copy : reports.served()) {
     if (!routing::IsContentKey(copy.content())) continue;
     const routing::ContentKey content(copy.content());
     LogCleared(suspects_.AddServed(std::span(&content, 1),
-                                   Before(now, copy.sent_age_us())),
+                                   ServedAt(from, copy, reports.clock_us())),
                "served", "peer");
   }
   // An older version may have cleared contents that no server has served.
@@ -322,8 +357,12 @@
 void ContentBlocks::ReadRefutations(const messages::ContentReports& reports) {
   const TimePoint now = context_.Now();
   for (const messages::LivingServer& copy : reports.living()) {
-    const routing::LifeSpan life{Before(now, copy.connected_age_us()),
-                                 Before(now, copy.alive_age_us())};
+    const auto before = [&](std::int64_t age_us) {
+      return Before(now,
+                    AgeAtArrival(age_us, copy.added_us(), reports.clock_us()));
+    };
+    const routing::LifeSpan life{before(copy.connected_age_us()),
+                                 before(copy.alive_age_us())};
     const auto released = suspects_.RefuteCrash(copy.incarnation(), life);
     if (!released) continue;
     context_.log.Write(
@@ -348,6 +387,9 @@
 
 void ContentBlocks::Update(std::optional<std::uint64_t> era) {
   suspects_.RemoveExpired(context_.Now());
+  std::erase_if(reported_blocks_, [this](const auto& item) {
+    return suspects_.Find(item.first) == nullptr;
+  });
   JudgeCrashes();
   rows_.Update(era);
   context_.metrics.SetGauge("lovagecleat_blocked_contents", {},
--- a/services/gateway/content_blocks.h
+++ b/services/gateway/content_blocks.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -104,7 +106,13 @@
   void Withdraw(std::span<const routing::ContentKey> contents);
   // Adds all blocks that are known. Returns false if there are none.
   bool WriteAll(messages::ContentReports& reports) const;
-  void ReadServed(const messages::ContentReports& reports);
+  // Returns when the served request was sent, not before the last crash that
+  // its host has reported before.
+  TimePoint ServedAt(const std::string& from,
+                     const messages::ServedContent& served,
+                     std::int64_t clock_us) const;
+  void ReadServed(const std::string& from,
+                  const messages::ContentReports& reports);
   void ReadRefutations(const messages::ContentReports& reports);
   void LogCleared(std::span<const routing::ContentKey> contents,
                   std::string_view reason, std::string_view source);
@@ -119,6 +127,13 @@
   Outbox outbox_;
   routing::CrashSuspects suspects_;
   ContentBlockRows rows_;
+  // The last crash of a blocked content that another host has reported.
+  struct ReportedBlock {
+    std::string from;
+    std::int64_t crashed_us = 0;  // on that host's clock
+    TimePoint crashed_at{};       // as it is known here
+  };
+  std::map<routing::ContentKey, ReportedBlock> reported_blocks_;
   std::vector<std::string> hosts_;  // addresses, without this one
   bool has_asked_ = false;
   TimerId ask_timer_;
