TCP: Keep a slow reader whose window stays below a segment

A sound client that reads slowly through a small receive window lost its connection after 2.4 s. Once the window was full the kernel's time limit (TCP_USER_TIMEOUT) is lifted, but it was set again as soon as bytes were on their way. The kernel counts the limit from its first probe, and goes on while the window opens for less than a segment: at the next probe the limit was over.

The limit is now set again once the peer has acknowledged everything; until then OnCheck also looks at bytes on their way, so that a peer that acknowledges nothing for the limit is lost as before.

"A lost peer is found while it reads slowly" guards the other side.

--- a/libraries/http/peer_progress.cc
+++ b/libraries/http/peer_progress.cc
@@ -19,7 +19,7 @@
 
 bool PeerProgress::IsLost(PeerState state, Duration since_last_acknowledgement,
                           TimePoint now) {
-  if (state != PeerState::kNotAnswering) {
+  if (state != PeerState::kNotAnswering && state != PeerState::kReceiving) {
     unanswered_since_.reset();
     return false;
   }
--- a/libraries/http/peer_progress.h
+++ b/libraries/http/peer_progress.h
@@ -28,7 +28,7 @@
   explicit PeerProgress(Duration limit) : limit_(limit) {}
 
   // Returns whether the peer is lost: no acknowledgement has arrived since it
-  // was first seen not answering, and that was `limit` ago.
+  // was first seen receiving or not answering, and that was `limit` ago.
   bool IsLost(PeerState state, Duration since_last_acknowledgement,
               TimePoint now);
 
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -325,7 +325,9 @@
       SetKernelLimit(true);
       return;
     case PeerState::kReceiving:
-      SetKernelLimit(true);
+      // The kernel counts its limit from the first probe of a full window also
+      // while the window opens for less than a segment, so it stays off until
+      // the peer has caught up.
       break;
     case PeerState::kNotReading:
     case PeerState::kNotAnswering:
--- a/tests/http/lost_peer_test.cc
+++ b/tests/http/lost_peer_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <optional>
 
@@ -18,6 +19,7 @@
 using std::chrono::milliseconds;
 using transport::DropIncoming;
 
+constexpr int kSegmentBytes = 1400;
 constexpr std::size_t kMoreThanFits = std::size_t{8} * 1024 * 1024;
 
 struct EndRecorder final : StreamObserver {
@@ -31,12 +33,20 @@
 // Connects a stream to a socket that the test holds and does not read.
 class LostPeerFixture : public transport::LoopFixture {
  public:
-  LostPeerFixture() {
+  LostPeerFixture() : LostPeerFixture(0) {}
+
+  // The peer's receive buffer has that size, and its segments that of an
+  // Ethernet, unless it is zero.
+  explicit LostPeerFixture(int receive_bytes) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (receive_bytes > 0) {
+      SetOption(SOL_SOCKET, SO_RCVBUF, receive_bytes);
+      SetOption(IPPROTO_TCP, TCP_MAXSEG, kSegmentBytes);
+    }
     REQUIRE(bind(listener_, generic, size) == 0);
     REQUIRE(listen(listener_, 1) == 0);
     getsockname(listener_, generic, &size);
@@ -71,6 +81,10 @@
   int peer_ = -1;
 
  private:
+  void SetOption(int level, int name, int value) {
+    REQUIRE(setsockopt(listener_, level, name, &value, sizeof(value)) == 0);
+  }
+
   int listener_ = socket(AF_INET, SOCK_STREAM, 0);
 };
 
@@ -124,6 +138,43 @@
   REQUIRE(recorder_.end == StreamEnd::kPeerLost);
 }
 
+// Reads through a window that is hardly larger than a segment.
+class SmallWindowFixture : public LostPeerFixture {
+ public:
+  SmallWindowFixture() : LostPeerFixture(2304) {}
+
+  void ReadSlowly(Duration time) {
+    std::array<char, 300> buffer{};
+    const TimePoint end = loop().clock().Now() + time;
+    while (loop().clock().Now() < end && !recorder_.end) {
+      RunFor(milliseconds(100));
+      recv(peer_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    }
+  }
+};
+
+// Guards against ended connections: the window of a peer that reads slowly
+// closed and opened for less than a segment, and the kernel's limit counted
+// from its first probe.
+TEST_CASE_METHOD(SmallWindowFixture,
+                 "A peer may read slowly through a small window") {
+  stream_->Write(std::string(1'000'000, 'x'));
+  ReadSlowly(milliseconds(8000));
+  REQUIRE_FALSE(recorder_.end);
+}
+
+// Guards against connections that never end: the kernel's limit is off while
+// the window of a slow peer is small.
+TEST_CASE_METHOD(SmallWindowFixture,
+                 "A lost peer is found while it reads slowly") {
+  stream_->Write(std::string(1'000'000, 'x'));
+  ReadSlowly(milliseconds(3000));
+  REQUIRE_FALSE(recorder_.end);
+  REQUIRE(DropIncoming(peer_));
+  REQUIRE(TimeToEnd() < milliseconds(6000));
+  REQUIRE(recorder_.end == StreamEnd::kPeerLost);
+}
+
 tcp_info MakeInfo(std::uint32_t unacknowledged, std::uint32_t unsent,
                   std::uint8_t probes) {
   tcp_info info{};
@@ -159,6 +210,8 @@
   // An answer came between two unanswered probes.
   REQUIRE_FALSE(is_lost(PeerState::kNotAnswering, 2100, 2500));
   REQUIRE_FALSE(is_lost(PeerState::kNotAnswering, 2100, 3500));
+  // So it counts from then, also for bytes that were on their way.
+  REQUIRE_FALSE(is_lost(PeerState::kReceiving, 2100, 3599));
   // Every probe is answered, in growing intervals.
   REQUIRE_FALSE(is_lost(PeerState::kNotReading, 3600, 9000));
   REQUIRE_FALSE(is_lost(PeerState::kNotAnswering, 3600, 9500));
