--- a/tests/gateway/stream_origin_exchange_test.cc
+++ b/tests/gateway/stream_origin_exchange_test.cc
@@ -80,9 +80,9 @@
 // Guards against messages without end: while all origins were passed to the
 // zone's writer, new ones had no room, so that all were passed again.
 TEST_CASE_METHOD(ExchangeFixture, "A pass of many origins to the writer ends") {
-  constexpr int kKnown = 3000;
+  constexpr int known_count = 3000;
   messages::StreamOriginTraffic known;
-  for (int i = 0; i < kKnown; ++i) {
+  for (int i = 0; i < known_count; ++i) {
     messages::StreamOrigin& origin = *known.add_origins();
     origin.set_stream("k" + std::to_string(i));
     origin.set_service(kService.value());
@@ -91,8 +91,8 @@
   }
   exchange->OnTraffic("other", known);
   exchange->UpdateWriter(std::nullopt);
-  constexpr int kNew = 400;
-  for (int i = 0; i < kNew; ++i) {
+  constexpr int new_count = 400;
+  for (int i = 0; i < new_count; ++i) {
     // New ids come before and after the known ones.
     exchange->Add((i % 2 == 0 ? "a" : "z") + std::to_string(i),
                   {kService, "v1"}, seconds(60));
@@ -100,7 +100,7 @@
     exchange->RemoveExpired();
   }
   RunFor(milliseconds(500));
-  CHECK(sent_to_writer.size() == kKnown + kNew);
+  CHECK(sent_to_writer.size() == known_count + new_count);
   // A new stream may come in two roles: as the zone's copy and as one of all.
   for (const auto& [stream, times] : sent_to_writer) {
     INFO(stream);
--- a/tests/routing/origin_copies_test.cc
+++ b/tests/routing/origin_copies_test.cc
@@ -511,8 +511,8 @@
   const std::vector<CopyHost> hosts = {{"a0", "a", true}};
   const TimePoint now = TimePoint() + seconds(1);
   copies.SetHosts(hosts, now);
-  constexpr std::size_t kStreams = 450;
-  for (std::size_t i = 0; i < kStreams; ++i)
+  constexpr std::size_t stream_count = 450;
+  for (std::size_t i = 0; i < stream_count; ++i)
     copies.Add(std::to_string(i) + std::string(id_bytes, 'x'), now + kLifetime,
                now);
   std::size_t batches = 0;
@@ -530,7 +530,7 @@
 // Guards against copies that are late again and again: a host that answers too
 // late was used as soon as it had answered.
 TEST_CASE("A host that answers late is used ever more rarely") {
-  constexpr Duration kLate = milliseconds(400);
+  constexpr Duration lateness = milliseconds(400);
   OriginCopies copies("a");
   const std::vector<CopyHost> hosts = {{"b0", "b", true}};
   TimePoint now = TimePoint() + seconds(1);
@@ -539,7 +539,7 @@
   std::multimap<TimePoint, std::uint64_t> acknowledgements;
   const auto send = [&](const OriginCopies::Batch& batch) {
     if (!batch.streams.empty()) used_at.push_back(now);
-    acknowledgements.emplace(now + kLate, batch.number);
+    acknowledgements.emplace(now + lateness, batch.number);
     return true;
   };
   for (int i = 0; i < 40'000 / 20; ++i) {
