--- a/services/gateway/stream_origin_exchange.cc
+++ b/services/gateway/stream_origin_exchange.cc
@@ -21,8 +21,14 @@
 constexpr Duration kReachableAge = std::chrono::milliseconds(50);
 // Least time between two passes over all origins for the writer.
 constexpr Duration kWriterPassPeriod = std::chrono::milliseconds(1000);
+// Copies for the writer that a pass leaves room for: streams that begin
+// meanwhile.
+constexpr std::size_t kWriterPassReserve = 200;
 // Questions, answers and acknowledgements that wait for one host.
 constexpr std::size_t kMaximumEntries = 1000;
+constexpr std::size_t kMaximumEntryBytes = 100'000;
+// Of an entry beside its texts.
+constexpr std::size_t kEntryOverheadBytes = 32;
 // Origins that are kept for other hosts; those that began here always are.
 constexpr std::size_t kMaximumOrigins = 50'000;
 // Longest time for which an origin from another host is kept.
@@ -101,7 +107,10 @@
   origins_.Add(stream, origin, expires_at);
   UpdateReachable();
   copies_.Add(stream, expires_at, now);
-  if (writer_ != context_.settings.peers && rows_.NeedsOrigins(origin.service))
+  // A pass that has not come to the stream yet brings it.
+  const bool is_ahead = writer_pass_at_ && stream > *writer_pass_at_;
+  if (writer_ != context_.settings.peers && !is_ahead &&
+      rows_.NeedsOrigins(origin.service))
     copies_.AddFor(writer_, stream, expires_at, now);
   rows_.OnOriginAdded(origin.service);
   ScheduleFlush();
@@ -123,7 +132,8 @@
     return;
   }
   for (const std::string& holder : HostsToAsk(stream.id)) {
-    messages::StreamOriginTraffic* message = MessageTo(holder);
+    messages::StreamOriginTraffic* message =
+        MessageTo(holder, stream.id.size() + stream.service.value().size());
     if (message == nullptr) continue;
     messages::StreamOriginQuery& asked = *message->add_queries();
     asked.set_stream(stream.id);
@@ -207,7 +217,7 @@
   for (const std::uint64_t batch : traffic.acknowledged())
     copies_.OnAcknowledged(from, batch, now);
   if (traffic.batch() != 0)
-    if (auto* message = MessageTo(from))
+    if (auto* message = MessageTo(from, 0))
       message->add_acknowledged(traffic.batch());
   for (const messages::StreamOrigin& added : traffic.origins()) {
     const routing::StreamOrigin origin{ServiceId(added.service()),
@@ -221,7 +231,8 @@
     FinishQuery(added.stream(), origin);
   }
   for (const messages::StreamOriginQuery& asked : traffic.queries()) {
-    messages::StreamOriginTraffic* answer = MessageTo(from);
+    messages::StreamOriginTraffic* answer =
+        MessageTo(from, asked.stream().size() + asked.service().size());
     if (answer == nullptr) break;
     if (const auto* known = origins_.Find(asked.stream(), now)) {
       WriteOrigin(asked.stream(), known->origin, known->expires_at - now,
@@ -262,6 +273,7 @@
   const std::uint64_t revision = context_.directory.versions().revision();
   const bool may_lack_origins =
       writer != writer_ || revision != writer_revision_;
+  if (writer != writer_) copies_.StopAll(writer_);
   writer_ = std::move(writer);
   writer_revision_ = revision;
   rows_.SetWriter(writer_ == context_.settings.peers, era);
@@ -291,8 +303,8 @@
     const auto& [stream, known] = *next;
     if (known.expires_at <= now || !rows_.NeedsOrigins(known.origin.service))
       continue;
-    const bool is_full =
-        copies_.IsUsable(writer_, now) && !copies_.HasRoom(writer_, now);
+    const bool is_full = copies_.IsUsable(writer_, now) &&
+                         !copies_.HasRoom(writer_, now, kWriterPassReserve);
     // The pass goes on here when the writer has acknowledged.
     if (is_full) return;
     // The pass begins again once an unusable writer answers.
@@ -303,10 +315,13 @@
 }
 
 messages::StreamOriginTraffic* StreamOriginExchange::MessageTo(
-    const std::string& peer) {
+    const std::string& peer, std::size_t text_bytes) {
   Outgoing& outgoing = outgoing_[peer];
-  if (outgoing.entries < kMaximumEntries) {
+  const std::size_t bytes = kEntryOverheadBytes + text_bytes;
+  if (outgoing.entries < kMaximumEntries &&
+      outgoing.bytes + bytes <= kMaximumEntryBytes) {
     ++outgoing.entries;
+    outgoing.bytes += bytes;
     return &outgoing.traffic;
   }
   ++left_out_;
