Roll-outs: Keep a host's part of the slack when others leave

A host's part was computed anew from the known hosts, so those left took the parts of hosts that had gone, which may have used them: three hosts with a slack of 45 could send 15 and then 45. The part only shrinks now. routing_test, "The part of the slack of one host does not grow", failed before (45 and 23 instead of 15).

--- a/libraries/routing/rollout_exposure.cc
+++ b/libraries/routing/rollout_exposure.cc
@@ -25,14 +25,15 @@
     if (host != self && (hash > own_hash || (hash == own_hash && host < self)))
       ++rank;
   }
-  own_slack_ = total / count + (rank < total % count ? 1 : 0);
+  const std::uint64_t part = total / count + (rank < total % count ? 1 : 0);
+  own_slack_ = std::min(own_slack_.value_or(part), part);
 }
 
 std::uint64_t RolloutExposure::Remaining() const {
   double allowed =
       kUsedFraction * bounds_.exposure_share * static_cast<double>(requests_);
   if (slack_use_ == SlackUse::kOwnPart)
-    allowed += static_cast<double>(own_slack_);
+    allowed += static_cast<double>(own_slack_.value_or(0));
   const auto whole = static_cast<std::uint64_t>(allowed);
   return whole - std::min(whole, sent_new_);
 }
--- a/libraries/routing/rollout_exposure.h
+++ b/libraries/routing/rollout_exposure.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <span>
 
 #include "base/base.h"
@@ -22,7 +23,8 @@
   void SetSlackUse(SlackUse slack_use) { slack_use_ = slack_use; }
 
   // Sets the known hosts, this one included. The slack is split in whole
-  // requests, by rendezvous hashing with `seed`.
+  // requests, by rendezvous hashing with `seed`. This host's part does not grow
+  // when others leave: they may have used theirs.
   void SetHosts(const HostId& self, std::span<const HostId> hosts,
                 std::uint64_t seed);
 
@@ -40,7 +42,7 @@
  private:
   RolloutBounds bounds_;
   SlackUse slack_use_ = SlackUse::kNone;
-  std::uint64_t own_slack_ = 0;
+  std::optional<std::uint64_t> own_slack_;
   std::uint64_t requests_ = 0;
   std::uint64_t sent_new_ = 0;
 };
