Roll-outs: Use later versions at a host that starts after a completion

A host that found an order completed took all other versions for replaced ones and barred them, also one that had come since by a release without an order; with the completed version gone it had no server. Versions that it saw only before it knew how the order stood are the last resort now; those that it saw while the order was in progress, or knew when the order appeared, stay barred ("After a completed order, a later version is used" holds). routing_test, "A host that starts after a completion uses later versions", failed before (no server).

--- a/libraries/routing/rollout.h
+++ b/libraries/routing/rollout.h
@@ -100,6 +100,7 @@
   bool is_stored() const { return is_stored_; }
   bool is_written() const { return is_written_; }
   bool is_established() const { return start_.is_established; }
+  OrderSight sight() const { return start_.sight; }
   // Why the phase was entered, for the log.
   std::string_view cause() const { return cause_; }
   double share() const { return share_; }
--- a/libraries/routing/rollouts.cc
+++ b/libraries/routing/rollouts.cc
@@ -131,8 +131,11 @@
   const std::string* to = state.rollout ? &state.rollout->order().to : nullptr;
   if (to != nullptr) {
     if (state.rollout->phase() != RolloutPhase::kCompleted) {
+      // An order that is found may be completed, with versions that came later.
+      const bool is_known = state.rollout->phase() != RolloutPhase::kUnknown ||
+                            state.rollout->sight() == OrderSight::kAppeared;
       for (const std::string& version : state.listed)
-        if (version != *to && !state.given_up.contains(version))
+        if (is_known && version != *to && !state.given_up.contains(version))
           state.before.insert(version);
     } else if (!state.has_completed) {
       state.has_completed = true;
