Roll-outs: Forget the versions that were registered longest ago

256 versions of a service were remembered for ever; the next ones were not, and got requests before their order was read. The version whose servers were registered longest ago goes now. routing_test, "A version waits for its order after many others", failed before at the 256th.

--- a/libraries/routing/rollouts.cc
+++ b/libraries/routing/rollouts.cc
@@ -92,22 +92,23 @@
                         TimePoint now) {
   if (!bounds_ && !services_.contains(service)) return;
   ServiceState& state = services_[service];
-  if (state.first_seen.size() >= kMaximumVersions) return;
-  // The versions that a host finds when it starts are not new.
-  const bool is_first = state.first_seen.empty();
-  const auto oldest =
-      is_first
-          ? now - new_version_delay_
-          : std::min_element(state.first_seen.begin(), state.first_seen.end(),
-                             [](const auto& a, const auto& b) {
-                               return a.second < b.second;
-                             })
-                ->second;
-  // Entries of one read are applied at nearly the same time.
-  const bool is_found = now - oldest < 2 * new_version_delay_;
+  const auto known = state.seen.find(version);
+  if (known != state.seen.end()) {
+    known->second.last = now;
+    return;
+  }
+  // The versions that a host finds when it starts are not new. Entries of one
+  // read are applied at nearly the same time.
+  if (!state.first_seen) state.first_seen = now;
+  const bool is_found = now - *state.first_seen < new_version_delay_;
   const TimePoint seen_at = is_found ? now - new_version_delay_ : now;
-  if (state.first_seen.try_emplace(version, seen_at).second)
-    state.newest_seen = std::max(state.newest_seen, seen_at);
+  if (state.seen.size() >= kMaximumVersions)
+    state.seen.erase(std::min_element(state.seen.begin(), state.seen.end(),
+                                      [](const auto& a, const auto& b) {
+                                        return a.second.last < b.second.last;
+                                      }));
+  state.seen.emplace(version, SeenVersion{seen_at, now});
+  state.newest_seen = std::max(state.newest_seen, seen_at);
 }
 
 bool Rollouts::IsPlain(const ServiceState& state, TimePoint now) const {
@@ -222,9 +223,9 @@
   if (state.given_up.contains(version))
     return state.rollout ? VersionAccess::kBarred : VersionAccess::kLastResort;
   if (state.lingering.contains(version)) return VersionAccess::kLastResort;
-  const auto seen = state.first_seen.find(version);
-  if (bounds_ && seen != state.first_seen.end() &&
-      now - seen->second < new_version_delay_)
+  const auto seen = state.seen.find(version);
+  if (bounds_ && seen != state.seen.end() &&
+      now - seen->second.first < new_version_delay_)
     return VersionAccess::kLastResort;
   return VersionAccess::kOpen;
 }
--- a/libraries/routing/rollouts.h
+++ b/libraries/routing/rollouts.h
@@ -77,6 +77,11 @@
               std::vector<ServerRecord*>& servers, TimePoint now) const;
 
  private:
+  // When servers of a version were registered.
+  struct SeenVersion {
+    TimePoint first;
+    TimePoint last;
+  };
   struct ServiceState {
     std::optional<Rollout> rollout;
     // Versions that servers had before the one that is ordered.
@@ -88,8 +93,9 @@
     std::set<std::string> replaced;
     std::set<std::string> lingering;
     std::set<std::string> listed;
-    std::map<std::string, TimePoint> first_seen;
-    TimePoint newest_seen{};  // of first_seen
+    std::map<std::string, SeenVersion> seen;  // by version
+    std::optional<TimePoint> first_seen;      // of all versions
+    TimePoint newest_seen{};
     bool has_completed = false;
   };
 
