Roll-outs: Keep to the bounds while the old servers cannot be used

In the moving phase a request for which no old server could be used went to the version on trial whatever it had got, since the old servers may have been stopped. They are stopped only once the order is completed, so until 500 ms before that can be, such requests keep to the bound too (Rollout::MayBeCompleted).

--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -1,6 +1,7 @@
 #include "routing/rollout.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lovagecleat::routing {
 
@@ -26,6 +27,8 @@
 constexpr Duration kMinimumLead = milliseconds(1000);
 constexpr Duration kMaximumLead = milliseconds(2000);
 constexpr int kMaximumLeadDivisor = 4;
+// Hosts know the time since the order with at most this difference.
+constexpr Duration kElapsedDifference = milliseconds(500);
 constexpr Duration kMinimumMovingTime = milliseconds(300);
 constexpr Duration kMaximumMovingTime = milliseconds(10000);
 constexpr int kMaximumMovingDivisor = 4;
@@ -154,28 +157,39 @@
   return Age(now) <= Scaled(start_.bounds.rollback_time, kFreshPart);
 }
 
-bool Rollout::MaySendNew(std::uint64_t count, TimePoint now) const {
+std::uint64_t Rollout::RemainingNew(TimePoint now) const {
+  if (phase_ == RolloutPhase::kCompleted)
+    return std::numeric_limits<std::uint64_t>::max();
+  if (!IsFresh(now)) return 0;
   switch (phase_) {
     case RolloutPhase::kUnknown:
     case RolloutPhase::kRolledBack:
-      return false;
     case RolloutPhase::kCompleted:
-      return true;
+      return 0;
     case RolloutPhase::kCanary:
-      return IsFresh(now) && exposure_.Remaining() >= count;
+      return exposure_.Remaining();
     case RolloutPhase::kMoving: {
       // After completion all requests go to the version until the deadline.
-      const double per_second =
-          static_cast<double>(exposure_.requests()) /
-          std::max(Seconds(Elapsed(now)), Seconds(kMinimumLead));
       const auto reserve = static_cast<std::uint64_t>(
-          per_second *
+          OwnRequestRate(now) *
           Seconds(std::max(order_.time - std::max(Elapsed(now), CompleteAt()),
                            Duration::zero())));
-      return IsFresh(now) && exposure_.Remaining() >= count + reserve;
+      return exposure_.Remaining() - std::min(exposure_.Remaining(), reserve);
     }
   }
-  return false;
+  return 0;
+}
+
+double Rollout::OwnRequestRate(TimePoint now) const {
+  return static_cast<double>(exposure_.requests()) /
+         std::max(Seconds(Elapsed(now)), Seconds(kMinimumLead));
+}
+
+bool Rollout::MayBeCompleted(TimePoint now) const {
+  return phase_ == RolloutPhase::kCompleted ||
+         (phase_ == RolloutPhase::kMoving &&
+          (start_.is_established ||
+           Elapsed(now) + kElapsedDifference >= CompleteAt()));
 }
 
 bool Rollout::TakesNewCall(std::uint64_t items, TimePoint now) const {
--- a/libraries/routing/rollout.h
+++ b/libraries/routing/rollout.h
@@ -120,8 +120,14 @@
   bool TakesNew(TimePoint now);
   // Decides the same for a call with up to that many stage items.
   bool TakesNewCall(std::uint64_t items, TimePoint now) const;
-  // Returns whether that many requests may be sent to it.
-  bool MaySendNew(std::uint64_t count, TimePoint now) const;
+  // Returns how many requests may be sent to it now.
+  std::uint64_t RemainingNew(TimePoint now) const;
+  bool MaySendNew(std::uint64_t count, TimePoint now) const {
+    return RemainingNew(now) >= count;
+  }
+  // Returns whether the order may be completed already, so that the servers
+  // before may have been stopped.
+  bool MayBeCompleted(TimePoint now) const;
   void CountRequests(std::uint64_t count) { exposure_.CountRequests(count); }
   void CountNew(std::uint64_t count) { exposure_.CountNew(count); }
   bool CountAnswer(const VersionAnswer& answer) {
@@ -166,6 +172,7 @@
   Duration CompleteAt() const { return order_.time - CompletionLead(); }
   Duration MovingAt(TimePoint now) const;
   double RequestRate(TimePoint now) const;
+  double OwnRequestRate(TimePoint now) const;
   double TargetShare(TimePoint now) const;
   bool HasEnoughServers(const RolloutSurroundings& surroundings,
                         TimePoint now) const;
--- a/libraries/routing/rollouts.cc
+++ b/libraries/routing/rollouts.cc
@@ -254,9 +254,8 @@
         break;
     }
   }
-  // In the moving phase, the servers before may be stopped at any moment.
   const bool has_only_new = open.empty() && last_resort.empty() && rollout &&
-                            rollout->phase() == RolloutPhase::kMoving;
+                            rollout->MayBeCompleted(now);
   if ((takes_new && !on_trial.empty()) || has_only_new)
     servers = std::move(on_trial);
   else if (!open.empty())
--- a/services/gateway/request_flow_rollouts.cc
+++ b/services/gateway/request_flow_rollouts.cc
@@ -19,7 +19,7 @@
   const routing::Rollout* rollout = context_.rollouts.Find(service_);
   if (rollout == nullptr) return true;
   // It is the last resort when the other servers may be stopped.
-  if (rollout->phase() == routing::RolloutPhase::kMoving) return true;
+  if (rollout->MayBeCompleted(Now())) return true;
   return (takes_new_ || required_version_ == version) &&
          rollout->MaySendNew(1, Now());
 }
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -494,7 +494,7 @@
   const std::size_t calls =
       rollout->phase() == routing::RolloutPhase::kCanary
           ? 1
-          : static_cast<std::size_t>(rollout->exposure().Remaining()) / items;
+          : static_cast<std::size_t>(rollout->RemainingNew(now)) / items;
   routing::KeepFocus(calls, context_.random.Below(1U << 20U), servers);
   return servers;
 }
