--- a/services/gateway/rollout_messages.cc
+++ b/services/gateway/rollout_messages.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// No order lasts longer; sums of longer times could overflow.
+constexpr Duration kMaximumTime = std::chrono::hours(24 * 365);
+
 void WriteEvidence(const routing::HostEvidence& evidence,
                    messages::RolloutEvidence& message) {
   message.set_host(evidence.host);
@@ -80,7 +83,8 @@
   report.is_stored = message.is_stored();
   report.is_written = message.is_written();
   report.is_established = message.is_established();
-  report.elapsed = Duration(std::max<std::int64_t>(message.elapsed_us(), 0));
+  report.elapsed = std::clamp(Duration(message.elapsed_us()), Duration::zero(),
+                              kMaximumTime);
   report.share = std::clamp(message.share(), 0.0, 1.0);
   if (message.has_evidence())
     report.evidence = ReadEvidence(message.evidence());
