Roll-outs: Tell the state of an earlier order by its time

A host that found an order with an older state of the same version took that state for its answer, since the operator may have repeated the order; if the order had been written with another time, it adopted the verdict on the order before. The row of the state gives the order's time (`rolloutMs`, in milliseconds); a state of another time is none, and the slack counts as used. Without the field, as before.

--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -67,6 +67,11 @@
   return static_cast<double>(time.count()) / 1e6;
 }
 
+// The row of the state gives the time in milliseconds.
+bool IsSameTime(Duration a, Duration b) {
+  return std::chrono::abs(a - b) <= milliseconds(1);
+}
+
 // Returns the state that operators are told; nothing if it is not known.
 std::optional<RolloutState> StateOf(RolloutPhase phase) {
   switch (phase) {
@@ -284,9 +289,16 @@
                        TimePoint now) {
   status_read_at_ = now;
   // A state older than an order that has appeared since is that of another one.
+  // So is one of another time that a host finds with the order; the slack may
+  // have been used for it.
+  const bool is_same_version = status && status->to == order_.to;
+  const bool is_found =
+      is_same_version && start_.sight == OrderSight::kFound &&
+      IsSameTime(status->time.value_or(order_.time), order_.time);
   const bool is_answer =
-      status && status->to == order_.to &&
-      (status_version > first_version_ || start_.sight == OrderSight::kFound);
+      is_same_version && (status_version > first_version_ || is_found);
+  if (is_same_version && !is_answer && start_.sight == OrderSight::kFound)
+    start_.has_used_slack = true;
   if (!is_answer) {
     if (phase_ != RolloutPhase::kUnknown) return;
     start_.is_established |= is_only_version;
--- a/libraries/routing/rollout_coordinator.cc
+++ b/libraries/routing/rollout_coordinator.cc
@@ -129,7 +129,8 @@
   const auto to_write = rollout.StateToWrite(surroundings.rank, now);
   if (to_write && state.has_read_status && !state.must_read &&
       now >= state.next_write_at) {
-    RolloutStatus status{rollout.order().to, *to_write, std::nullopt};
+    RolloutStatus status{rollout.order().to, *to_write, std::nullopt,
+                         rollout.order().time};
     if (store_time)
       status.started =
           std::max(*store_time - rollout.Elapsed(now), Duration::zero());
--- a/libraries/routing/rollout_order.h
+++ b/libraries/routing/rollout_order.h
@@ -70,6 +70,8 @@
   RolloutState state = RolloutState::kRunning;
   // When the order was learned of, on the store's clock.
   std::optional<Duration> started;
+  // The time that the order gives.
+  std::optional<Duration> time = std::nullopt;
 
   friend bool operator==(const RolloutStatus&, const RolloutStatus&) = default;
 };
--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -244,7 +244,8 @@
     result.reset();
     client.WriteRolloutStatus(
         {ServiceId("plain"),
-         {"v2", routing::RolloutState::kRolledBack, milliseconds(5)},
+         {"v2", routing::RolloutState::kRolledBack, milliseconds(5),
+          milliseconds(12500)},
          RowVersion(0, 7),
          known},
         [&](const gateway::RolloutStatusResult& written) { result = written; });
@@ -269,8 +270,10 @@
   guchar* value = g_base64_decode(
       body.at("writes").at(0).at("value").get<std::string>().c_str(), &size);
   CHECK(nlohmann::json::parse(value, value + size) ==
-        nlohmann::json(
-            {{"state", "rolled_back"}, {"to", "v2"}, {"startedMs", 5}}));
+        nlohmann::json({{"state", "rolled_back"},
+                        {"to", "v2"},
+                        {"startedMs", 5},
+                        {"rolloutMs", 12500}}));
   g_free(value);
   write(RowVersion(0, 8), "HTTP/1.1 412 X\r\nContent-Length: 2\r\n\r\n{}");
   CHECK(result->result == StatusWriteResult::kConflict);
@@ -304,6 +307,28 @@
   CHECK(row->status == routing::RolloutStatus{"v2",
                                               routing::RolloutState::kCompleted,
                                               std::nullopt});
+  // {"state":"running","to":"v2","startedMs":7,"rolloutMs":12500}
+  row = read("rollout/plain",
+             "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjo3LCJyb2xsb"
+             "3V0TXMiOjEyNTAwfQ==");
+  REQUIRE(row);
+  CHECK(row->status ==
+        routing::RolloutStatus{"v2", routing::RolloutState::kRunning,
+                               milliseconds(7), milliseconds(12500)});
+  // Times that are none: 18446744073709551615, 1e300, -5, "soon", null.
+  for (const char* value :
+       {"eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjoxODQ0Njc0NDA3Mz"
+        "cwOTU1MTYxNX0=",
+        "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjoxZTMwMH0=",
+        "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjotNX0=",
+        "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjoic29vbiJ9",
+        "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjpudWxsfQ=="}) {
+    row = read("rollout/plain", value);
+    REQUIRE(row);
+    CHECK(row->status == routing::RolloutStatus{"v2",
+                                                routing::RolloutState::kRunning,
+                                                std::nullopt});
+  }
   // Another service, and no JSON.
   row = read("rollout/plainer", "e30=");
   REQUIRE(row);
