Roll-outs: Write the answer to a newer row of an order at once

After conflicts, writes of the state wait up to 9.3 s. The operator's next row of the order was answered only after that wait, though the conflicts were with the row before. routing_test, "Failed writes do not delay the answer to a newer row", failed before (no write within 1 s).

--- a/libraries/routing/rollout_coordinator.cc
+++ b/libraries/routing/rollout_coordinator.cc
@@ -58,6 +58,12 @@
     state.must_read = is_calling;
     state.is_calling = is_calling;
   }
+  // Failures before say nothing of a write for the new row.
+  if (state.order_version != rollout.order_version()) {
+    state.order_version = rollout.order_version();
+    state.failed_writes = 0;
+    state.next_write_at = TimePoint{};
+  }
   RolloutSurroundings surroundings;
   surroundings.rank = RankOf(service, peers);
   surroundings.reaches_all_hosts = peers.reaches_all;
--- a/libraries/routing/rollout_coordinator.h
+++ b/libraries/routing/rollout_coordinator.h
@@ -87,6 +87,7 @@
  private:
   struct OrderState {
     RolloutOrder order;
+    RowVersion order_version;
     std::optional<TimePoint> reported_at;
     RolloutPhase announced = RolloutPhase::kUnknown;
     bool announced_written = false;
