Roll-outs: List a service's servers only for versions that are new

Each server's heartbeat listed all servers of its service while the service had an order: the square of their number in each period. A version that is listed already changes nothing there; Step finds those that are gone.

--- a/libraries/routing/rollouts.cc
+++ b/libraries/routing/rollouts.cc
@@ -125,6 +125,12 @@
   UpdateState(found->second);
 }
 
+bool Rollouts::IsListed(const ServiceId& service,
+                        const std::string& version) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.listed.contains(version);
+}
+
 void Rollouts::UpdateState(ServiceState& state) const {
   const auto is_gone = [&state](const std::string& version) {
     return !state.listed.contains(version);
--- a/libraries/routing/rollouts.h
+++ b/libraries/routing/rollouts.h
@@ -53,6 +53,8 @@
   // Records the versions that servers of a service have now.
   void SetVersions(const ServiceId& service,
                    const std::set<std::string>& versions);
+  // Returns whether SetVersions has named the version.
+  bool IsListed(const ServiceId& service, const std::string& version) const;
 
   // Records what the row of the state says (see Rollout::OnStatus).
   void OnStatus(const ServiceId& service,
--- a/services/gateway/rollout_control.cc
+++ b/services/gateway/rollout_control.cc
@@ -128,7 +128,9 @@
   if (context_.table && !configured_at_) configured_at_ = context_.Now();
   context_.rollouts.OnServer(entry.service, entry.software_version,
                              context_.Now());
-  if (context_.rollouts.Find(entry.service) != nullptr)
+  // Step finds the versions that are gone.
+  if (context_.rollouts.Find(entry.service) != nullptr &&
+      !context_.rollouts.IsListed(entry.service, entry.software_version))
     ServersOf(entry.service);
 }
 
