Roll-outs: Allow for few times in what counts as slow

Of ten times, the 0.9 quantile often misses a kind that is a quarter of all; the answers of the new version of that kind then counted as slow.

--- a/libraries/routing/rollout_evidence.cc
+++ b/libraries/routing/rollout_evidence.cc
@@ -1,6 +1,7 @@
 #include "routing/rollout_evidence.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lovagecleat::routing {
 
@@ -9,6 +10,9 @@
 constexpr double kSlowMedians = 2.5;
 constexpr double kSlowHighQuantiles = 1.2;
 constexpr double kHighQuantile = 0.9;
+// Of few times, the quantile is that of an interval's upper end: times of two
+// kinds, one of which is rare so far, would all count as slow later.
+constexpr double kQuantileDeviations = 1.5;
 // Shorter delays come from connections and hosts.
 constexpr Duration kMinimumDelay = std::chrono::milliseconds(10);
 // Times are compared with a limit that is at most this many times old.
@@ -45,8 +49,13 @@
       times_.begin(), times_.begin() + static_cast<std::ptrdiff_t>(count_));
   std::sort(sorted.begin(), sorted.end());
   const Duration median = sorted[count_ / 2];
-  const Duration high = sorted[static_cast<std::size_t>(
-      kHighQuantile * static_cast<double>(count_ - 1))];
+  const auto count = static_cast<double>(count_);
+  const double high_rank =
+      kHighQuantile * (count - 1) +
+      kQuantileDeviations *
+          std::sqrt(kHighQuantile * (1 - kHighQuantile) * count);
+  const Duration high =
+      sorted[static_cast<std::size_t>(std::min(high_rank, count - 1))];
   limit_ = std::max({Scaled(median, kSlowMedians),
                      Scaled(high, kSlowHighQuantiles), median + kMinimumDelay});
 }
