Roll-outs: Move so late that what is left lasts until completion

The bound at that moment counts now, with a tenth for uneven hosts. Hosts with much more than their part of the traffic, and those that restarted, still use theirs up earlier.

--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -35,7 +35,11 @@
 // Time for which the canary leaves enough of the bound for moving.
 constexpr Duration kMovingGoal = milliseconds(3000);
 constexpr double kUsedFraction = 0.9;
-constexpr double kMinimumCanaryFraction = 0.3;  // of the bound's share
+// Part of what is left that moving may need: if it were used up before the
+// order is completed, requests would go to servers that are stopped then. Hosts
+// have uneven traffic, and some have no part of the slack.
+constexpr double kMovedFraction = 0.9;
+constexpr double kMinimumCanaryFraction = 0.3;  // of the bound
 constexpr double kMaximumCanaryShare = 0.5;
 
 // Steps of the canary's share, by the part of the order's time.
@@ -374,11 +378,13 @@
 Duration Rollout::MovingAt(TimePoint now) const {
   const double rate = std::max(RequestRate(now), 1e-3);
   const double allowed = kUsedFraction * (start_.bounds.exposure_share * rate *
-                                              Seconds(order_.time) +
+                                              std::min(Seconds(Elapsed(now)),
+                                                       Seconds(order_.time)) +
                                           start_.bounds.exposure_slack);
   const double left =
       std::max(allowed - static_cast<double>(total_sent_new()), 0.0);
-  const double seconds = std::min(left / rate, Seconds(order_.time));
+  const double seconds =
+      std::min(kMovedFraction * left / rate, Seconds(order_.time));
   const Duration most = std::max(
       std::min(order_.time / kMaximumMovingDivisor, kMaximumMovingTime),
       kMinimumMovingTime);
