Roll-outs: Give the canary its part of the slack too

The least share of the canary was a part of the share alone. It is a part of the whole bound now. Calls of stages begin at a random point, as requests do, so hosts with few items send some too.

--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -205,7 +205,8 @@
   if (!MaySendNew(items, now)) return false;
   return phase_ != RolloutPhase::kCanary ||
          static_cast<double>(exposure_.sent_new() + items) <=
-             share_ * static_cast<double>(exposure_.requests());
+             share_ * static_cast<double>(exposure_.requests()) +
+                 start_.initial_part * static_cast<double>(items);
 }
 
 bool Rollout::TakesNew(TimePoint now) {
@@ -400,9 +401,12 @@
   const double allowed = kUsedFraction * (start_.bounds.exposure_share * total +
                                           start_.bounds.exposure_slack);
   const double kept = rate * Seconds(CompletionLead() + kMovingGoal);
-  const double least = kMinimumCanaryFraction * start_.bounds.exposure_share;
+  // Where the slack is most of the bound it is the only way to evidence.
+  const double least =
+      std::min(kMinimumCanaryFraction * allowed / std::max(total, 1.0),
+               kMaximumCanaryShare);
   return std::clamp((allowed - kept) / std::max(total, 1.0), least,
-                    std::max(least, kMaximumCanaryShare));
+                    kMaximumCanaryShare);
 }
 
 void Rollout::UpdateShare(TimePoint now) {
