--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -50,6 +50,8 @@
 constexpr std::array kShareSteps = {ShareStep{0, 0.125}, ShareStep{0.08, 0.25},
                                     ShareStep{0.16, 0.5}, ShareStep{0.28, 1.0}};
 
+// Periods of reports before completion in which doubt ends a roll-out.
+constexpr int kDoubtReports = 2;
 // Answers of the version that a restarted system needs before it moves, unless
 // they do not come for some time.
 constexpr std::uint64_t kAnswersToMove = 20;
@@ -455,7 +457,9 @@
   if (phase_ == RolloutPhase::kMoving) {
     if (!may_complete_ && Elapsed(now) >= order_.time + kMaximumServerWait)
       return Enter(RolloutPhase::kRolledBack, false, "no_servers");
-    if (is_doubtful && Elapsed(now) >= CompleteAt())
+    // So early that those who would complete the order are told.
+    if (is_doubtful &&
+        Elapsed(now) + kDoubtReports * ReportPeriod() >= CompleteAt())
       Enter(RolloutPhase::kRolledBack, false, "doubtful");
     return;
   }
