--- a/tests/routing/rollout_simulation_test.cc
+++ b/tests/routing/rollout_simulation_test.cc
@@ -87,6 +87,30 @@
   RequireBounds(simulation, options.bounds);
 }
 
+// Guards against versions that get all requests long before they must, so that
+// a late fault costs more and is found under full load only for a short time.
+TEST_CASE("Requests are moved as late as the deadline allows") {
+  RolloutSimulation::Options options;
+  options.hosts = GENERATE(1U, 6U, 80U);
+  options.requests_per_second = GENERATE(5.0, 100.0);
+  CAPTURE(options.hosts, options.requests_per_second);
+  RolloutSimulation simulation(options);
+  simulation.Order("v2", kTime);
+  const auto count = [&](RolloutPhase phase) {
+    std::size_t found = 0;
+    for (std::size_t i = 0; i < options.hosts; ++i) {
+      const Rollout* rollout = simulation.rollouts(i).Find(ServiceId("orders"));
+      if (rollout != nullptr && rollout->phase() == phase) ++found;
+    }
+    return found;
+  };
+  // At most 10 s of moving end 1.2 s before the deadline.
+  simulation.Run(seconds(48));
+  CHECK(count(RolloutPhase::kCanary) == options.hosts);
+  simulation.Run(milliseconds(10500));
+  CHECK(count(RolloutPhase::kMoving) == options.hosts);
+}
+
 // Guards against bad versions that get more than they may, or are completed.
 TEST_CASE("A bad version is rolled back within the bounds") {
   RolloutSimulation::Options options;
--- a/tests/routing/rollout_test.cc
+++ b/tests/routing/rollout_test.cc
@@ -90,6 +90,71 @@
   CHECK(exposure.Remaining() == 1);
 }
 
+constexpr TimePoint kNow{seconds(100)};
+// On the store's clock at kNow.
+constexpr Duration kStoreTime = std::chrono::hours(5);
+
+RolloutStart MakeStart(OrderSight sight = OrderSight::kAppeared) {
+  RolloutStart start;
+  start.host = HostId("a");
+  start.incarnation = 1;
+  start.process_started_at = kNow - seconds(50);
+  start.sight = sight;
+  return start;
+}
+
+RolloutStatus RunningFor(Duration time) {
+  return {"v2", RolloutState::kRunning, kStoreTime - time};
+}
+
+// Guards against a process that uses the slack that an earlier one of its host,
+// or an earlier order for the version, may have used.
+TEST_CASE("Only a process that saw the order begin has a part of the slack") {
+  const RolloutOrder order{kService, "v2", seconds(60)};
+  const auto may_send = [&order](const RolloutStart& start, Duration elapsed,
+                                 bool is_told) {
+    Rollout rollout(order, RowVersion(0, 5), start, kNow);
+    rollout.SetHosts(std::vector{start.host});
+    if (is_told) {
+      RolloutReport report;
+      report.order = order;
+      report.order_version = RowVersion(0, 5);
+      report.phase = RolloutPhase::kCanary;
+      report.elapsed = elapsed;
+      rollout.OnReport(report, kNow);
+    } else {
+      rollout.OnStatus(RunningFor(elapsed), RowVersion(0, 6), kStoreTime, false,
+                       kNow);
+    }
+    REQUIRE(rollout.phase() == RolloutPhase::kCanary);
+    rollout.CountRequests(9);
+    return rollout.MaySendNew(1, kNow);
+  };
+  for (const bool is_told : {false, true}) {
+    CAPTURE(is_told);
+    const RolloutStart found = MakeStart(OrderSight::kFound);
+    CHECK(may_send(found, seconds(20), is_told));
+    CHECK_FALSE(may_send(found, seconds(51), is_told));
+    RolloutStart changed = MakeStart();
+    changed.has_used_slack = true;
+    CHECK_FALSE(may_send(changed, seconds(20), is_told));
+  }
+}
+
+// Guards against hosts that take the parts of those that have left, which may
+// have used them.
+TEST_CASE("The part of the slack of one host does not grow") {
+  const std::vector<HostId> hosts = {HostId("a"), HostId("b"), HostId("c")};
+  RolloutExposure exposure((RolloutBounds()));
+  exposure.SetSlackUse(SlackUse::kOwnPart);
+  exposure.SetHosts(HostId("a"), hosts, 7);
+  CHECK(exposure.Remaining() == 15);
+  exposure.SetHosts(HostId("a"), std::vector{HostId("a")}, 7);
+  CHECK(exposure.Remaining() == 15);
+  exposure.SetHosts(HostId("a"), std::span(hosts).first(2), 7);
+  CHECK(exposure.Remaining() == 15);
+}
+
 RouteEvidenceMap MakeEvidence(std::uint64_t before, std::uint64_t bad_before,
                               std::uint64_t on_trial,
                               std::map<ServerId, std::uint64_t> bad) {
@@ -182,6 +247,28 @@
   CHECK(only.Evidence() >= RolloutTest::kRollBackEvidence);
 }
 
+// Guards against sound versions that are rolled back because a host has seen
+// few of the longer times that are usual.
+TEST_CASE("Times that are usual and rare are seldom slow") {
+  const int known = GENERATE(12, 20, 40, 64);
+  CAPTURE(known);
+  Random random(3);
+  const auto draw = [&random] {
+    return milliseconds(random.Unit() < 0.25 ? 150 : 30);
+  };
+  int slow = 0;
+  constexpr int hosts = 500;
+  constexpr int answers = 20;
+  for (int host = 0; host < hosts; ++host) {
+    RecentTimes times;
+    for (int i = 0; i < known; ++i) times.Add(draw());
+    for (int i = 0; i < answers; ++i)
+      if (times.IsSlow(draw())) ++slow;
+    CHECK(times.IsSlow(milliseconds(400)));
+  }
+  CHECK(slow <= hosts * answers / 50);
+}
+
 // Guards against a fault on one route that answers of the others hide.
 TEST_CASE("A fault on one route is found among many answers of others") {
   RolloutTest test;
@@ -254,6 +341,65 @@
   CHECK(found.phase() == RolloutPhase::kRolledBack);
 }
 
+// Guards against a verdict on an earlier order for the same version that a host
+// takes for that of the order which it finds when it starts.
+TEST_CASE("A state of another time is not the answer to an order") {
+  const RolloutOrder order{kService, "v2", seconds(60)};
+  const auto phase_with = [&order](std::optional<Duration> time) {
+    Rollout rollout(order, RowVersion(0, 5), MakeStart(OrderSight::kFound),
+                    kNow);
+    rollout.SetHosts(std::vector{HostId("a")});
+    rollout.OnStatus(
+        RolloutStatus{"v2", RolloutState::kRolledBack, std::nullopt, time},
+        RowVersion(0, 4), std::nullopt, false, kNow);
+    rollout.CountRequests(9);
+    CHECK_FALSE(rollout.MaySendNew(1, kNow));
+    return rollout.phase();
+  };
+  CHECK(phase_with(seconds(30)) == RolloutPhase::kCanary);
+  CHECK(phase_with(seconds(60)) == RolloutPhase::kRolledBack);
+  CHECK(phase_with(std::nullopt) == RolloutPhase::kRolledBack);
+}
+
+// Guards against a state that is written seconds after the operator has
+// repeated the order, because writes for the row before failed.
+TEST_CASE("Failed writes do not delay the answer to a newer row") {
+  Rollouts rollouts(HostId("a"), 1, kNow - seconds(500));
+  Random random(1);
+  rollouts.SetHosts({HostId("a")});
+  RolloutCoordinator coordinator(rollouts);
+  const RolloutOrder order{kService, "v2", seconds(600)};
+  rollouts.PutOrder(order, RowVersion(0, 5), OrderSight::kAppeared, random,
+                    kNow);
+  TimePoint now = kNow;
+  int writes = 0;
+  const auto step_for = [&](Duration time, StatusWriteResult result) {
+    for (const TimePoint end = now + time; now < end; now += milliseconds(50)) {
+      const RolloutActions actions = coordinator.Step(
+          {"a", {}, true},
+          [](const ServiceId&) {
+            return ServersByVersion{{"v1", 2}, {"v2", 2}};
+          },
+          std::nullopt, now);
+      for (const ServiceId& service : actions.status_reads)
+        coordinator.OnStatusRead(service, true, std::nullopt, std::nullopt,
+                                 std::nullopt, now);
+      for (const RolloutStatusWrite& write : actions.status_writes) {
+        ++writes;
+        coordinator.OnStatusWritten(write, result, RowVersion(0, 9), now);
+      }
+    }
+  };
+  step_for(seconds(40), StatusWriteResult::kConflict);
+  CHECK(writes >= 6);
+  CHECK(writes <= 12);
+  writes = 0;
+  rollouts.PutOrder(order, RowVersion(0, 8), OrderSight::kAppeared, random,
+                    now);
+  step_for(seconds(1), StatusWriteResult::kWritten);
+  CHECK(writes == 1);
+}
+
 ServerRecord MakeServer(const std::string& id, const std::string& version) {
   ServerRecord record;
   record.entry.id = ServerId(id);
@@ -315,6 +461,138 @@
   CHECK(rollouts.Access(kService, "v1", now) == VersionAccess::kOpen);
 }
 
+// Guards against a service without servers at a host that started after a
+// completion: it took all versions but the completed one for replaced ones.
+TEST_CASE("A host that starts after a completion uses later versions") {
+  Rollouts rollouts(HostId("a"), 1, TimePoint{});
+  Random random(1);
+  rollouts.PutOrder({kService, "v2", seconds(60)}, RowVersion(0, 5),
+                    OrderSight::kFound, random, kNow);
+  rollouts.SetVersions(kService, {"v2", "v3"});
+  const RolloutStatus completed{"v2", RolloutState::kCompleted, std::nullopt};
+  rollouts.OnStatus(kService, completed, RowVersion(0, 6), std::nullopt, kNow);
+  rollouts.SetVersions(kService, {"v2", "v3"});
+  ServerRecord second = MakeServer("s2", "v2");
+  ServerRecord third = MakeServer("s3", "v3");
+  // It cannot know whether v3 was there before.
+  std::vector<ServerRecord*> servers = {&second, &third};
+  rollouts.Filter(kService, false, servers, kNow);
+  CHECK(servers == std::vector{&second});
+  rollouts.SetVersions(kService, {"v3"});
+  servers = {&third};
+  rollouts.Filter(kService, false, servers, kNow);
+  CHECK(servers == std::vector{&third});
+}
+
+// Guards against versions that a host saw before the completion and uses again.
+TEST_CASE("A host that started before a completion bars what it replaced") {
+  Rollouts rollouts(HostId("a"), 1, TimePoint{});
+  Random random(1);
+  rollouts.PutOrder({kService, "v2", seconds(60)}, RowVersion(0, 5),
+                    OrderSight::kFound, random, kNow);
+  rollouts.SetVersions(kService, {"v1", "v2"});
+  rollouts.OnStatus(kService, RunningFor(seconds(5)), RowVersion(0, 6),
+                    kStoreTime, kNow);
+  rollouts.SetVersions(kService, {"v1", "v2"});
+  const RolloutStatus completed{"v2", RolloutState::kCompleted, std::nullopt};
+  rollouts.OnStatus(kService, completed, RowVersion(0, 7), std::nullopt, kNow);
+  CHECK(rollouts.Access(kService, "v1", kNow) == VersionAccess::kBarred);
+}
+
+// Guards against versions that are not held back any more because many others
+// have come and gone.
+TEST_CASE("A version waits for its order after many others") {
+  Rollouts rollouts(HostId("a"), 1, TimePoint{});
+  rollouts.SetBounds(RolloutBounds(), seconds(3));
+  TimePoint now = kNow;
+  const auto put = [&](const std::string& version) {
+    rollouts.OnServer(kService, version, now);
+    rollouts.OnServer(kService, "v0", now);  // stays
+  };
+  put("v0");
+  for (int i = 1; i <= 1000; ++i) {
+    now += seconds(20);
+    const std::string version = "v" + std::to_string(i);
+    CAPTURE(version);
+    put(version);
+    REQUIRE(rollouts.Access(kService, version, now) ==
+            VersionAccess::kLastResort);
+    REQUIRE(rollouts.Access(kService, "v0", now) == VersionAccess::kOpen);
+  }
+}
+
+// Returns the orders of a host that has moved the service towards v2 for
+// `elapsed` and seen `requests`.
+Rollouts MakeMoving(Duration elapsed, std::uint64_t requests) {
+  Rollouts rollouts(HostId("a"), 1, kNow - seconds(500));
+  Random random(1);
+  rollouts.SetHosts({HostId("a")});
+  const RolloutOrder order{kService, "v2", seconds(60)};
+  rollouts.PutOrder(order, RowVersion(0, 5), OrderSight::kAppeared, random,
+                    kNow);
+  rollouts.SetVersions(kService, {"v1", "v2"});
+  RolloutReport report;
+  report.order = order;
+  report.order_version = RowVersion(0, 5);
+  report.phase = RolloutPhase::kMoving;
+  report.elapsed = elapsed;
+  rollouts.OnReport(report, kNow);
+  rollouts.Find(kService)->CountRequests(requests);
+  return rollouts;
+}
+
+// Guards against a bad version that gets all requests, beyond its bounds, when
+// the servers before cannot be used for a moment.
+TEST_CASE("Until it may be completed a version gets what it may have") {
+  ServerRecord on_trial = MakeServer("s2", "v2");
+  const auto is_used = [&on_trial](Rollouts& rollouts) {
+    std::vector<ServerRecord*> servers = {&on_trial};
+    const bool takes_new = rollouts.Find(kService)->TakesNew(kNow);
+    rollouts.Filter(kService, takes_new, servers, kNow);
+    return !servers.empty();
+  };
+  Rollouts rollouts = MakeMoving(seconds(55), 600);
+  CHECK(is_used(rollouts));
+  rollouts.Find(kService)->CountNew(99);
+  CHECK_FALSE(is_used(rollouts));
+  // The servers before may have been stopped.
+  Rollouts late = MakeMoving(seconds(59), 600);
+  late.Find(kService)->CountNew(99);
+  CHECK(is_used(late));
+}
+
+// Guards against calls of stages that take what is kept for the time between
+// completion and deadline.
+TEST_CASE("What remains for a version leaves a reserve while it is moved") {
+  // 10 requests a second; 1.2 s are between completion and deadline.
+  Rollouts rollouts = MakeMoving(seconds(50), 500);
+  const Rollout& rollout = *rollouts.Find(kService);
+  const std::uint64_t remaining = rollout.RemainingNew(kNow);
+  CHECK(remaining + 12 == rollout.exposure().Remaining());
+  CHECK(rollout.MaySendNew(remaining, kNow));
+  CHECK_FALSE(rollout.MaySendNew(remaining + 1, kNow));
+}
+
+// Guards against a completion that is not written because the hosts that decide
+// are cut off from the store.
+TEST_CASE("A host that does not decide writes the completion in turn") {
+  Rollouts rollouts = MakeMoving(seconds(59), 600);
+  Rollout& rollout = *rollouts.Find(kService);
+  RolloutSurroundings surroundings;
+  surroundings.rank = Rollout::kDeciders + 1;
+  surroundings.servers_before = 4;
+  surroundings.servers_on_trial = 1;
+  const auto written = [&](TimePoint now) {
+    rollouts.Update(kService, surroundings, now);
+    return rollout.StateToWrite(surroundings.rank, now);
+  };
+  CHECK_FALSE(written(kNow));
+  CHECK(written(kNow + seconds(2)) == RolloutState::kCompleted);
+  // Not with too few servers.
+  surroundings.servers_on_trial = 0;
+  CHECK(written(kNow + seconds(4)) != RolloutState::kCompleted);
+}
+
 // Guards against a service that gets a small part of its requests because an
 // order names the version that all its servers have.
 TEST_CASE("An order for the only version leaves its traffic") {
