Roll-outs: Take a new order that is the first row of a store era

After a restore, the first row of an order with other content was taken for the earlier one that the restore had brought back, and dropped. If the operator had already written a new order, that one was lost, and states were written on the condition of a row that did not exist any more: 412 each time. A row counts as brought back only if the host knew that content earlier, under no lower version. gateway_test, "An order written right after a restore is carried out" and "An earlier order that a restore brings back has no effect"; the first failed before.

--- a/services/gateway/kept_rows.cc
+++ b/services/gateway/kept_rows.cc
@@ -4,6 +4,13 @@
 
 namespace lovagecleat::gateway {
 
+namespace {
+
+// Orders of one service that are remembered.
+constexpr std::size_t kMaximumEarlierOrders = 64;
+
+}  // namespace
+
 bool KeptRows::Keep(const routing::Row& known, const routing::Row& row) {
   const Key key(row.table, row.key);
   const RowSubject::Kind kind = source_.SubjectOf(row).kind;
@@ -17,10 +24,7 @@
                  IsOlderServerEntry(known, row, kept_.contains(key));
       break;
     case RowSubject::Kind::kRollout:
-      // Operators write again what the store has lost.
-      is_older = row.version.era() != known.version.era() &&
-                 !known.is_removed && !row.is_removed &&
-                 row.value != known.value;
+      is_older = IsEarlierOrder(known, row);
       break;
     case RowSubject::Kind::kEvacuation:
     case RowSubject::Kind::kHost:
@@ -36,6 +40,23 @@
   return is_older;
 }
 
+// Operators write again what the store has lost. An order that was not there
+// before is a new one, also if it is the first row of an era.
+bool KeptRows::IsEarlierOrder(const routing::Row& known,
+                              const routing::Row& row) {
+  if (known.is_removed || row.is_removed || row.value == known.value)
+    return false;
+  std::map<std::string, std::uint64_t>& earlier =
+      earlier_orders_[{row.table, row.key}];
+  const auto found = earlier.find(row.value);
+  if (row.version.era() != known.version.era() && found != earlier.end() &&
+      row.version.number() <= found->second)
+    return true;
+  if (earlier.size() >= kMaximumEarlierOrders) earlier.clear();
+  earlier[known.value] = known.version.number();
+  return false;
+}
+
 bool KeptRows::IsOlderTable(const routing::Row& known,
                             const routing::Row& row) const {
   const auto before = codec_.ReadRouting(known.value);
--- a/services/gateway/kept_rows.h
+++ b/services/gateway/kept_rows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -29,6 +30,7 @@
  private:
   using Key = std::pair<std::string, std::string>;  // table and key
 
+  bool IsEarlierOrder(const routing::Row& known, const routing::Row& row);
   bool IsOlderTable(const routing::Row& known, const routing::Row& row) const;
   bool IsOlderServerEntry(const routing::Row& known, const routing::Row& row,
                           bool is_kept) const;
@@ -36,6 +38,9 @@
   const MessageCodec& codec_;
   const RowSource& source_;
   std::map<Key, RowSubject::Kind> kept_;
+  // Orders to roll a version out that others have replaced, with the number of
+  // the row's version.
+  std::map<Key, std::map<std::string, std::uint64_t>> earlier_orders_;
 };
 
 }  // namespace lovagecleat::gateway
--- a/tests/gateway/rollout_test.cc
+++ b/tests/gateway/rollout_test.cc
@@ -284,6 +284,39 @@
   CHECK(rows.rollout_writes.empty());
 }
 
+// Guards against an order that is dropped, and whose state is never written,
+// because it is the first row of a restored store that differs.
+TEST_CASE_METHOD(RolloutFixture,
+                 "An order written right after a restore is carried out") {
+  StartWithServers();
+  RunFor(kChangeDelay);
+  const FakeRowSource::Copy copy = rows.Save();
+  Order(R"({"service":"plain","to":"v2","rolloutS":300})");
+  rows.Restore(copy);
+  Order(R"({"service":"plain","to":"v2","rolloutS":8})");
+  CHECK(SendFor(seconds(9)) == 0);
+  CHECK(State() == RolloutState::kCompleted);
+}
+
+// Guards against an order that a restore of the store brings back in place of a
+// newer one.
+TEST_CASE_METHOD(RolloutFixture,
+                 "An earlier order that a restore brings back has no effect") {
+  StartWithServers();
+  RunFor(kChangeDelay);
+  Order(R"({"service":"plain","to":"v9","rolloutS":300})");
+  const FakeRowSource::Copy copy = rows.Save();
+  const char* const newest = R"({"service":"plain","to":"v2","rolloutS":9})";
+  Order(newest);
+  rows.Restore(copy);
+  CHECK(SendFor(seconds(3)) == 0);
+  // Operators write again what the store has lost.
+  Order(newest);
+  CHECK(SendFor(seconds(6)) == 0);
+  CHECK(State() == RolloutState::kCompleted);
+  CHECK(rows.rollout_statuses[kService].status->to == "v2");
+}
+
 // Guards against a version that is used before its order is read.
 TEST_CASE_METHOD(RolloutFixture, "A version that appears waits for its order") {
   StartHosts(1);
