--- a/tests/routing/rollout_test.cc
+++ b/tests/routing/rollout_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <limits>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -593,6 +595,118 @@
   CHECK(written(kNow + seconds(4)) != RolloutState::kCompleted);
 }
 
+// Guards against old servers that get nothing any more although the operator,
+// who has not been told of the completion, runs them on.
+TEST_CASE("A version is completed only once that is written") {
+  Rollouts rollouts = MakeMoving(seconds(59), 600);
+  Rollout& rollout = *rollouts.Find(kService);
+  RolloutSurroundings surroundings;
+  surroundings.servers_before = 4;
+  surroundings.servers_on_trial = 4;
+  rollouts.Update(kService, surroundings, kNow);
+  CHECK(rollout.StateToWrite(0, kNow) == RolloutState::kCompleted);
+  CHECK(rollout.phase() == RolloutPhase::kMoving);
+  CHECK(rollouts.Access(kService, "v1", kNow) == VersionAccess::kOpen);
+  const RolloutStatus completed{"v2", RolloutState::kCompleted, std::nullopt};
+  rollouts.OnStatus(kService, completed, RowVersion(0, 7), std::nullopt, kNow);
+  CHECK(rollout.phase() == RolloutPhase::kCompleted);
+}
+
+// Guards against a host that goes on sending to a version although it cannot
+// know whether that was stopped, with too little traffic to see it itself.
+TEST_CASE("A host that hears nothing for half the roll-back time stops") {
+  Rollouts rollouts = MakeMoving(seconds(50), 500);
+  const Rollout& rollout = *rollouts.Find(kService);
+  const Duration half = RolloutBounds().rollback_time / 2;
+  CHECK(rollout.MaySendNew(1, kNow + half));
+  CHECK_FALSE(rollout.MaySendNew(1, kNow + half + milliseconds(1)));
+}
+
+// Guards against a bad version that gets its whole share from the first moment.
+TEST_CASE("The share of a version grows in steps") {
+  Rollouts rollouts(HostId("a"), 1, kNow - seconds(500));
+  Random random(1);
+  rollouts.SetHosts({HostId("a")});
+  rollouts.PutOrder({kService, "v2", seconds(100)}, RowVersion(0, 5),
+                    OrderSight::kAppeared, random, kNow);
+  rollouts.SetVersions(kService, {"v1", "v2"});
+  rollouts.OnStatus(kService, std::nullopt, RowVersion(), std::nullopt, kNow);
+  Rollout& rollout = *rollouts.Find(kService);
+  RolloutSurroundings surroundings;
+  surroundings.servers_before = 4;
+  surroundings.servers_on_trial = 4;
+  std::vector<double> shares;
+  for (int second = 1; second <= 40; ++second) {
+    rollout.CountRequests(100);
+    rollouts.Update(kService, surroundings, kNow + seconds(second));
+    if (second == 4 || second == 12 || second == 20 || second == 40)
+      shares.push_back(rollout.share());
+  }
+  REQUIRE(shares.size() == 4);
+  for (std::size_t i = 0; i + 1 < shares.size(); ++i)
+    CHECK(shares[i + 1] > 1.5 * shares[i]);
+}
+
+// Guards against hosts that learn of a decision late, and a state that counts
+// as written although the store may not have taken it.
+TEST_CASE("A decision is told to all and its state read if in doubt") {
+  Rollouts rollouts = MakeMoving(seconds(50), 500);
+  RolloutCoordinator coordinator(rollouts);
+  const RolloutPeers peers{"a", {"b", "c", "d", "e", "f"}, true};
+  const auto step = [&](TimePoint now) {
+    return coordinator.Step(
+        peers,
+        [](const ServiceId&) {
+          return ServersByVersion{{"v1", 4}, {"v2", 4}};
+        },
+        std::nullopt, now);
+  };
+  step(kNow);
+  Rollout& rollout = *rollouts.Find(kService);
+  for (int i = 0; i < 30; ++i) {
+    VersionAnswer answer;
+    answer.route = "route";
+    answer.side = VersionSide::kBefore;
+    rollout.CountAnswer(answer);
+    answer.side = VersionSide::kOnTrial;
+    answer.server = ServerId(std::to_string(i % 4));
+    answer.has_failed = true;
+    rollout.CountAnswer(answer);
+  }
+  std::set<std::string> told;
+  std::optional<RolloutStatusWrite> write;
+  TimePoint now = kNow;
+  int reads = 0;
+  const auto run_for = [&](Duration time) {
+    for (const TimePoint end = now + time; now < end; now += milliseconds(50)) {
+      const RolloutActions actions = step(now);
+      for (const RolloutMessage& message : actions.messages)
+        if (message.report.phase == RolloutPhase::kRolledBack)
+          told.insert(message.to);
+      reads += static_cast<int>(actions.status_reads.size());
+      for (const ServiceId& service : actions.status_reads)
+        coordinator.OnStatusRead(service, true, std::nullopt, std::nullopt,
+                                 std::nullopt, now);
+      if (!actions.status_writes.empty()) {
+        write = actions.status_writes.front();
+        return;
+      }
+    }
+  };
+  run_for(seconds(5));
+  CHECK(rollout.phase() == RolloutPhase::kRolledBack);
+  CHECK(told.size() == peers.reachable.size());
+  REQUIRE(write);
+  CHECK(write->status.state == RolloutState::kRolledBack);
+  coordinator.OnStatusWritten(*write, StatusWriteResult::kNoResponse,
+                              RowVersion(), now);
+  CHECK_FALSE(rollout.is_written());
+  reads = 0;
+  now += milliseconds(50);
+  run_for(seconds(2));
+  CHECK(reads >= 1);
+}
+
 // Guards against a service that gets a small part of its requests because an
 // order names the version that all its servers have.
 TEST_CASE("An order for the only version leaves its traffic") {
