--- a/libraries/routing/rollout.cc
+++ b/libraries/routing/rollout.cc
@@ -1,6 +1,7 @@
 #include "routing/rollout.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lovagecleat::routing {
 
@@ -26,13 +27,19 @@
 constexpr Duration kMinimumLead = milliseconds(1000);
 constexpr Duration kMaximumLead = milliseconds(2000);
 constexpr int kMaximumLeadDivisor = 4;
+// Hosts know the time since the order with at most this difference.
+constexpr Duration kElapsedDifference = milliseconds(500);
 constexpr Duration kMinimumMovingTime = milliseconds(300);
 constexpr Duration kMaximumMovingTime = milliseconds(10000);
 constexpr int kMaximumMovingDivisor = 4;
 // Time for which the canary leaves enough of the bound for moving.
 constexpr Duration kMovingGoal = milliseconds(3000);
 constexpr double kUsedFraction = 0.9;
-constexpr double kMinimumCanaryFraction = 0.3;  // of the bound's share
+// Part of what is left that moving may need: if it were used up before the
+// order is completed, requests would go to servers that are stopped then. Hosts
+// have uneven traffic, and some have no part of the slack.
+constexpr double kMovedFraction = 0.9;
+constexpr double kMinimumCanaryFraction = 0.3;  // of the bound
 constexpr double kMaximumCanaryShare = 0.5;
 
 // Steps of the canary's share, by the part of the order's time.
@@ -43,6 +50,8 @@
 constexpr std::array kShareSteps = {ShareStep{0, 0.125}, ShareStep{0.08, 0.25},
                                     ShareStep{0.16, 0.5}, ShareStep{0.28, 1.0}};
 
+// Periods of reports before completion in which doubt ends a roll-out.
+constexpr int kDoubtReports = 2;
 // Answers of the version that a restarted system needs before it moves, unless
 // they do not come for some time.
 constexpr std::uint64_t kAnswersToMove = 20;
@@ -64,6 +73,11 @@
   return static_cast<double>(time.count()) / 1e6;
 }
 
+// The row of the state gives the time in milliseconds.
+bool IsSameTime(Duration a, Duration b) {
+  return std::chrono::abs(a - b) <= milliseconds(1);
+}
+
 // Returns the state that operators are told; nothing if it is not known.
 std::optional<RolloutState> StateOf(RolloutPhase phase) {
   switch (phase) {
@@ -154,35 +168,47 @@
   return Age(now) <= Scaled(start_.bounds.rollback_time, kFreshPart);
 }
 
-bool Rollout::MaySendNew(std::uint64_t count, TimePoint now) const {
+std::uint64_t Rollout::RemainingNew(TimePoint now) const {
+  if (phase_ == RolloutPhase::kCompleted)
+    return std::numeric_limits<std::uint64_t>::max();
+  if (!IsFresh(now)) return 0;
   switch (phase_) {
     case RolloutPhase::kUnknown:
     case RolloutPhase::kRolledBack:
-      return false;
     case RolloutPhase::kCompleted:
-      return true;
+      return 0;
     case RolloutPhase::kCanary:
-      return IsFresh(now) && exposure_.Remaining() >= count;
+      return exposure_.Remaining();
     case RolloutPhase::kMoving: {
       // After completion all requests go to the version until the deadline.
-      const double per_second =
-          static_cast<double>(exposure_.requests()) /
-          std::max(Seconds(Elapsed(now)), Seconds(kMinimumLead));
       const auto reserve = static_cast<std::uint64_t>(
-          per_second *
+          OwnRequestRate(now) *
           Seconds(std::max(order_.time - std::max(Elapsed(now), CompleteAt()),
                            Duration::zero())));
-      return IsFresh(now) && exposure_.Remaining() >= count + reserve;
+      return exposure_.Remaining() - std::min(exposure_.Remaining(), reserve);
     }
   }
-  return false;
+  return 0;
+}
+
+double Rollout::OwnRequestRate(TimePoint now) const {
+  return static_cast<double>(exposure_.requests()) /
+         std::max(Seconds(Elapsed(now)), Seconds(kMinimumLead));
+}
+
+bool Rollout::MayBeCompleted(TimePoint now) const {
+  return phase_ == RolloutPhase::kCompleted ||
+         (phase_ == RolloutPhase::kMoving &&
+          (start_.is_established ||
+           Elapsed(now) + kElapsedDifference >= CompleteAt()));
 }
 
 bool Rollout::TakesNewCall(std::uint64_t items, TimePoint now) const {
   if (!MaySendNew(items, now)) return false;
   return phase_ != RolloutPhase::kCanary ||
          static_cast<double>(exposure_.sent_new() + items) <=
-             share_ * static_cast<double>(exposure_.requests());
+             share_ * static_cast<double>(exposure_.requests()) +
+                 start_.initial_part * static_cast<double>(items);
 }
 
 bool Rollout::TakesNew(TimePoint now) {
@@ -270,9 +296,16 @@
                        TimePoint now) {
   status_read_at_ = now;
   // A state older than an order that has appeared since is that of another one.
+  // So is one of another time that a host finds with the order; the slack may
+  // have been used for it.
+  const bool is_same_version = status && status->to == order_.to;
+  const bool is_found =
+      is_same_version && start_.sight == OrderSight::kFound &&
+      IsSameTime(status->time.value_or(order_.time), order_.time);
   const bool is_answer =
-      status && status->to == order_.to &&
-      (status_version > first_version_ || start_.sight == OrderSight::kFound);
+      is_same_version && (status_version > first_version_ || is_found);
+  if (is_same_version && !is_answer && start_.sight == OrderSight::kFound)
+    start_.has_used_slack = true;
   if (!is_answer) {
     if (phase_ != RolloutPhase::kUnknown) return;
     start_.is_established |= is_only_version;
@@ -348,11 +381,13 @@
 Duration Rollout::MovingAt(TimePoint now) const {
   const double rate = std::max(RequestRate(now), 1e-3);
   const double allowed = kUsedFraction * (start_.bounds.exposure_share * rate *
-                                              Seconds(order_.time) +
+                                              std::min(Seconds(Elapsed(now)),
+                                                       Seconds(order_.time)) +
                                           start_.bounds.exposure_slack);
   const double left =
       std::max(allowed - static_cast<double>(total_sent_new()), 0.0);
-  const double seconds = std::min(left / rate, Seconds(order_.time));
+  const double seconds =
+      std::min(kMovedFraction * left / rate, Seconds(order_.time));
   const Duration most = std::max(
       std::min(order_.time / kMaximumMovingDivisor, kMaximumMovingTime),
       kMinimumMovingTime);
@@ -368,9 +403,12 @@
   const double allowed = kUsedFraction * (start_.bounds.exposure_share * total +
                                           start_.bounds.exposure_slack);
   const double kept = rate * Seconds(CompletionLead() + kMovingGoal);
-  const double least = kMinimumCanaryFraction * start_.bounds.exposure_share;
+  // Where the slack is most of the bound it is the only way to evidence.
+  const double least =
+      std::min(kMinimumCanaryFraction * allowed / std::max(total, 1.0),
+               kMaximumCanaryShare);
   return std::clamp((allowed - kept) / std::max(total, 1.0), least,
-                    std::max(least, kMaximumCanaryShare));
+                    kMaximumCanaryShare);
 }
 
 void Rollout::UpdateShare(TimePoint now) {
@@ -419,7 +457,9 @@
   if (phase_ == RolloutPhase::kMoving) {
     if (!may_complete_ && Elapsed(now) >= order_.time + kMaximumServerWait)
       return Enter(RolloutPhase::kRolledBack, false, "no_servers");
-    if (is_doubtful && Elapsed(now) >= CompleteAt())
+    // So early that those who would complete the order are told.
+    if (is_doubtful &&
+        Elapsed(now) + kDoubtReports * ReportPeriod() >= CompleteAt())
       Enter(RolloutPhase::kRolledBack, false, "doubtful");
     return;
   }
--- a/libraries/routing/rollout_coordinator.cc
+++ b/libraries/routing/rollout_coordinator.cc
@@ -58,6 +58,12 @@
     state.must_read = is_calling;
     state.is_calling = is_calling;
   }
+  // Failures before say nothing of a write for the new row.
+  if (state.order_version != rollout.order_version()) {
+    state.order_version = rollout.order_version();
+    state.failed_writes = 0;
+    state.next_write_at = TimePoint{};
+  }
   RolloutSurroundings surroundings;
   surroundings.rank = RankOf(service, peers);
   surroundings.reaches_all_hosts = peers.reaches_all;
@@ -129,7 +135,8 @@
   const auto to_write = rollout.StateToWrite(surroundings.rank, now);
   if (to_write && state.has_read_status && !state.must_read &&
       now >= state.next_write_at) {
-    RolloutStatus status{rollout.order().to, *to_write, std::nullopt};
+    RolloutStatus status{rollout.order().to, *to_write, std::nullopt,
+                         rollout.order().time};
     if (store_time)
       status.started =
           std::max(*store_time - rollout.Elapsed(now), Duration::zero());
--- a/libraries/routing/rollouts.h
+++ b/libraries/routing/rollouts.h
@@ -53,6 +53,8 @@
   // Records the versions that servers of a service have now.
   void SetVersions(const ServiceId& service,
                    const std::set<std::string>& versions);
+  // Returns whether SetVersions has named the version.
+  bool IsListed(const ServiceId& service, const std::string& version) const;
 
   // Records what the row of the state says (see Rollout::OnStatus).
   void OnStatus(const ServiceId& service,
@@ -77,6 +79,11 @@
               std::vector<ServerRecord*>& servers, TimePoint now) const;
 
  private:
+  // When servers of a version were registered.
+  struct SeenVersion {
+    TimePoint first;
+    TimePoint last;
+  };
   struct ServiceState {
     std::optional<Rollout> rollout;
     // Versions that servers had before the one that is ordered.
@@ -88,8 +95,9 @@
     std::set<std::string> replaced;
     std::set<std::string> lingering;
     std::set<std::string> listed;
-    std::map<std::string, TimePoint> first_seen;
-    TimePoint newest_seen{};  // of first_seen
+    std::map<std::string, SeenVersion> seen;  // by version
+    std::optional<TimePoint> first_seen;      // of all versions
+    TimePoint newest_seen{};
     bool has_completed = false;
   };
 
