--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -36,6 +36,12 @@
 constexpr double kExternalHalfLifeSeconds = 1.0;
 // Fraction of a server's result memory that this host's calls may use.
 constexpr double kResultMemoryFraction = 1.0;
+// Weight of the newest result in the mean time for which results are held, and
+// the number after which that mean is used.
+constexpr double kHoldGain = 0.05;
+constexpr std::size_t kMinimumHolds = 8;
+// Time over which the share of in-time work is measured.
+constexpr double kInTimeWindowSeconds = 1.0;
 
 }  // namespace
 
@@ -89,8 +95,18 @@
   return infeasible;
 }
 
+// Orders by what AllotRoom decided, and by soft deadline.
+void BatchScheduler::SortQueueByRoom() {
+  std::stable_sort(queue_.begin(), queue_.end(),
+                   [](const QueuedItem& a, const QueuedItem& b) {
+                     if (a.verdict != b.verdict) return a.verdict < b.verdict;
+                     return a.soft_deadline < b.soft_deadline;
+                   });
+}
+
 // Orders by whether the soft deadline can be met, priority, and soft deadline.
 void BatchScheduler::SortQueue(TimePoint now) {
+  if (allots_room_) return SortQueueByRoom();
   const Duration typical = CallTime((limits_.items + 1) / 2);
   std::stable_sort(queue_.begin(), queue_.end(),
                    [&](const QueuedItem& a, const QueuedItem& b) {
@@ -103,6 +119,133 @@
                    });
 }
 
+std::vector<RefusedItem> BatchScheduler::AllotRoom(
+    std::span<const RoomSupply, kRoomKinds> supplies,
+    const RoomWeights& weights, TimePoint now) {
+  allots_room_ = true;
+  // Copies of items that run already are not asked about again.
+  using Group = std::pair<std::string_view, std::size_t>;
+  std::map<Group, std::size_t> index;
+  std::vector<RoomClaim> claims;
+  std::vector<std::size_t> claim_of(queue_.size());
+  for (std::size_t i = 0; i < queue_.size(); ++i) {
+    const QueuedItem& item = queue_[i];
+    const auto [found, is_new] =
+        index.try_emplace({item.request, item.position.stage}, claims.size());
+    claim_of[i] = found->second;
+    if (is_new) {
+      RoomClaim claim;
+      claim.rank = item.rank;
+      claim.team = item.team;
+      const Duration call = CallTime(1);
+      claim.objective = item.soft_deadline - now - call;
+      claim.deadline = item.deadline - now - call;
+      claims.push_back(std::move(claim));
+    }
+    RoomClaim& claim = claims[found->second];
+    claim.work[static_cast<std::size_t>(RoomKind::kCalls)] += 1;
+    claim.work[static_cast<std::size_t>(RoomKind::kResults)] +=
+        static_cast<double>(item.result_bytes);
+  }
+  const RoomAllotment allotment = routing::AllotRoom(claims, supplies, weights);
+  std::vector<RefusedItem> refused;
+  std::size_t kept = 0;
+  for (std::size_t i = 0; i < queue_.size(); ++i) {
+    const RoomVerdict verdict = allotment.verdicts[claim_of[i]];
+    if (verdict == RoomVerdict::kNone) {
+      const Duration until_late =
+          std::max(claims[claim_of[i]].objective, Duration::zero());
+      refused.push_back(
+          {std::move(queue_[i]),
+           std::max(allotment.drained_after - until_late, Duration::zero())});
+      continue;
+    }
+    queue_[i].verdict = verdict;
+    if (kept != i) queue_[kept] = std::move(queue_[i]);
+    ++kept;
+  }
+  queue_.resize(kept);
+  return refused;
+}
+
+std::array<RoomSupply, kRoomKinds> BatchScheduler::Supplies(
+    std::span<ServerRecord* const> servers, TimePoint now,
+    const SpeedView& speeds) const {
+  RoomSupply calls;
+  RoomSupply results;
+  const auto full_call_seconds =
+      static_cast<double>(CallTime(limits_.items).count()) / 1e6;
+  const double memory =
+      kResultMemoryFraction * static_cast<double>(limits_.result_bytes);
+  for (const ServerRecord* server : servers) {
+    const double speed = 1.0 / std::max(1.0, SlownessNow(*server, now, speeds));
+    calls.per_second +=
+        speed * static_cast<double>(limits_.items) / full_call_seconds;
+    const auto found = states_.find(server->entry.id);
+    if (found == states_.end()) {
+      calls.at_once += static_cast<double>(limits_.items);
+      results.at_once += memory;
+      continue;
+    }
+    const ServerState& state = found->second;
+    if (state.calls.empty() && state.deferred_until <= now)
+      calls.at_once += static_cast<double>(limits_.items);
+    results.at_once +=
+        std::max(0.0, memory - static_cast<double>(state.ReservedBytes() +
+                                                   ExternalBytes(state, now)));
+  }
+  if (holds_ >= kMinimumHolds)
+    results.per_second = memory * static_cast<double>(servers.size()) /
+                         (held_seconds_ + full_call_seconds);
+  std::array<RoomSupply, kRoomKinds> supplies{calls, results};
+  for (std::size_t kind = 0; kind < kRoomKinds; ++kind) {
+    const double age =
+        std::chrono::duration<double>(now - in_time_[kind].at).count();
+    supplies[kind].in_time_share =
+        std::min(1.0, in_time_[kind].seconds / kInTimeWindowSeconds *
+                          std::exp(-age / kInTimeWindowSeconds));
+  }
+  return supplies;
+}
+
+void BatchScheduler::AppendQueued(const RoomResource& resource,
+                                  std::vector<RoomWork>& work) const {
+  for (const QueuedItem& item : queue_) {
+    RoomRank rank = item.rank;
+    rank.is_late = item.verdict != RoomVerdict::kInObjective;
+    work.push_back({resource, rank, item.team,
+                    resource.kind == RoomKind::kCalls
+                        ? 1.0
+                        : static_cast<double>(item.result_bytes)});
+  }
+}
+
+void BatchScheduler::ObserveHold(Duration held) {
+  const double seconds = std::chrono::duration<double>(held).count();
+  held_seconds_ += (holds_ == 0 ? 1.0 : kHoldGain) * (seconds - held_seconds_);
+  ++holds_;
+}
+
+void BatchScheduler::CountInTime(
+    std::span<const QueuedItem> items,
+    std::span<const RoomSupply, kRoomKinds> supplies, TimePoint now) {
+  std::array<double, kRoomKinds> work{};
+  for (const QueuedItem& item : items) {
+    if (item.verdict != RoomVerdict::kInObjective) continue;
+    work[static_cast<std::size_t>(RoomKind::kCalls)] += 1;
+    work[static_cast<std::size_t>(RoomKind::kResults)] +=
+        static_cast<double>(item.result_bytes);
+  }
+  for (std::size_t kind = 0; kind < kRoomKinds; ++kind) {
+    if (supplies[kind].per_second <= 0) continue;
+    InTimeWork& taken = in_time_[kind];
+    const double age = std::chrono::duration<double>(now - taken.at).count();
+    taken.seconds = taken.seconds * std::exp(-age / kInTimeWindowSeconds) +
+                    work[kind] / supplies[kind].per_second;
+    taken.at = now;
+  }
+}
+
 double BatchScheduler::SlownessNow(const ServerState& state,
                                    TimePoint now) const {
   const double age =
@@ -172,6 +315,8 @@
   std::vector<BatchCall> calls;
   if (queue_.empty()) return calls;
   SortQueue(now);
+  std::array<RoomSupply, kRoomKinds> supplies;
+  if (allots_room_) supplies = Supplies(servers, now, speeds);
   std::vector<ServerRecord*> free;
   bool has_fast_server = false;
   for (ServerRecord* server : servers) {
@@ -202,6 +347,7 @@
     RunningCall call{now, items.size()};
     for (const QueuedItem& item : items)
       call.result_bytes += static_cast<std::int64_t>(item.result_bytes);
+    if (allots_room_) CountInTime(items, supplies, now);
     state.calls.push_back(call);
     calls.push_back({server->entry.id, std::move(items)});
   }
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -13,6 +14,8 @@
 
 #include "base/base.h"
 #include "routing/model.h"
+#include "routing/room.h"
+#include "routing/room_allotment.h"
 #include "routing/server_directory.h"
 #include "routing/server_speed.h"
 #include "routing/stage_plan.h"
@@ -33,6 +36,15 @@
   TimePoint soft_deadline;  // later results miss the latency target
   TimePoint deadline;       // hard deadline: later results are useless
   TimePoint queued_at;
+  TeamId team;
+  RoomRank rank;
+  RoomVerdict verdict = RoomVerdict::kInObjective;  // of AllotRoom
+};
+
+// An item for which there is no room.
+struct RefusedItem {
+  QueuedItem item;
+  Duration room_after{};  // time until there is
 };
 
 // One call to one server.
@@ -63,6 +75,27 @@
   // Their requests can then fail at once instead of at the deadline.
   std::vector<QueuedItem> TakeInfeasible(double capacity, TimePoint now);
 
+  // Decides which of the queued stages get room, of which from then on those
+  // that can meet their objectives go first, the others of them after these.
+  // Removes and returns the items that get none. Needs a fresh estimate of
+  // `supplies`, indexed by RoomKind.
+  std::vector<RefusedItem> AllotRoom(
+      std::span<const RoomSupply, kRoomKinds> supplies,
+      const RoomWeights& weights, TimePoint now);
+
+  // Returns what the servers can do, by RoomKind.
+  // Results count as unlimited until some were held.
+  std::array<RoomSupply, kRoomKinds> Supplies(
+      std::span<ServerRecord* const> servers, TimePoint now,
+      const SpeedView& speeds = {}) const;
+
+  // Appends the queued work of that kind.
+  void AppendQueued(const RoomResource& resource,
+                    std::vector<RoomWork>& work) const;
+
+  // Records for how long a result was held until its memory was free again.
+  void ObserveHold(Duration held);
+
   // Returns whether TakeCalls could choose a call for one of the servers now.
   // Cheap enough to be called on every event.
   bool HasFreeServer(std::span<ServerRecord* const> servers,
@@ -158,7 +191,17 @@
     }
   };
 
+  // Work that in-time requests brought of late, in seconds of the resource.
+  struct InTimeWork {
+    double seconds = 0;  // decays
+    TimePoint at{};
+  };
+
   void SortQueue(TimePoint now);
+  void SortQueueByRoom();
+  void CountInTime(std::span<const QueuedItem> items,
+                   std::span<const RoomSupply, kRoomKinds> supplies,
+                   TimePoint now);
   bool IsFree(const ServerState& state, TimePoint now) const;
   TimePoint PipelinedCallAt(const ServerState& state) const;
   double SlownessNow(const ServerState& state, TimePoint now) const;
@@ -170,6 +213,10 @@
   BatchLimits limits_;
   std::vector<QueuedItem> queue_;
   std::map<ServerId, ServerState> states_;
+  bool allots_room_ = false;  // AllotRoom is in use
+  std::array<InTimeWork, kRoomKinds> in_time_{};
+  double held_seconds_ = 0;  // mean
+  std::size_t holds_ = 0;    // observed
 };
 
 }  // namespace lovagecleat::routing
--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -13,6 +13,9 @@
 #include "routing/received_results.h"     // IWYU pragma: export
 #include "routing/rollout_coordinator.h"  // IWYU pragma: export
 #include "routing/rollouts.h"             // IWYU pragma: export
+#include "routing/room.h"                 // IWYU pragma: export
+#include "routing/room_allotment.h"       // IWYU pragma: export
+#include "routing/room_plans.h"           // IWYU pragma: export
 #include "routing/row_replica.h"          // IWYU pragma: export
 #include "routing/send_limiter.h"         // IWYU pragma: export
 #include "routing/server_directory.h"     // IWYU pragma: export
