--- a/libraries/configuration/configuration.h
+++ b/libraries/configuration/configuration.h
@@ -6,5 +6,6 @@
 #include "configuration/indexed.h"           // IWYU pragma: export
 #include "configuration/json.h"              // IWYU pragma: export
 #include "configuration/memory_settings.h"   // IWYU pragma: export
+#include "configuration/room_settings.h"     // IWYU pragma: export
 #include "configuration/settings.h"          // IWYU pragma: export
 #include "configuration/types.h"             // IWYU pragma: export
--- a/libraries/configuration/gateway_settings.cc
+++ b/libraries/configuration/gateway_settings.cc
@@ -126,6 +126,7 @@
   ReadNumber(object, "processor", settings.processor_cores, problems_);
   ReadLimits(object, settings.limits, problems_);
   settings.memory = ReadMemorySettings(object, problems_);
+  settings.room = ReadRoomSettings(object, problems_);
   const auto level = object.ReadString("log_level", Presence::kOptional);
   if (level) settings.log_level = *level;
   if (!problems_.empty()) return std::nullopt;
--- a/libraries/configuration/gateway_settings.h
+++ b/libraries/configuration/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "base/base.h"
 #include "configuration/json.h"
 #include "configuration/memory_settings.h"
+#include "configuration/room_settings.h"
 #include "configuration/settings.h"
 
 namespace lovagecleat::configuration {
@@ -52,6 +53,8 @@
   GatewayLimits limits;
   // Nothing bounds the memory for all clients together if absent.
   std::optional<MemorySettings> memory;
+  // Requests do not compete for room if absent.
+  std::optional<RoomSettings> room;
 
   std::string log_level = "info";
 };
--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -40,11 +40,20 @@
 // the number after which that mean is used.
 constexpr double kHoldGain = 0.05;
 constexpr std::size_t kMinimumHolds = 8;
-// Time over which the share of in-time work is measured.
-constexpr double kInTimeWindowSeconds = 1.0;
+// Time over which arrivals are measured.
+constexpr double kArrivalWindowSeconds = 1.0;
+
+RoomRank RankOf(const QueuedItem& item) {
+  return item.rank.value_or(MakeRoomRank(item.priority, 0));
+}
 
 }  // namespace
 
+void BatchScheduler::Add(QueuedItem item, TimePoint now) {
+  if (allots_room_) CountArrival(item, now);
+  Add(std::move(item));
+}
+
 void BatchScheduler::Add(QueuedItem item) { queue_.push_back(std::move(item)); }
 
 void BatchScheduler::Remove(std::span<const ItemId> items) {
@@ -95,11 +104,14 @@
   return infeasible;
 }
 
-// Orders by what AllotRoom decided, and by soft deadline.
+// Orders by what AllotRoom decided, priority, and soft deadline. Priority goes
+// first, since more urgent work may still come.
 void BatchScheduler::SortQueueByRoom() {
   std::stable_sort(queue_.begin(), queue_.end(),
                    [](const QueuedItem& a, const QueuedItem& b) {
                      if (a.verdict != b.verdict) return a.verdict < b.verdict;
+                     if (a.priority != b.priority)
+                       return a.priority < b.priority;
                      return a.soft_deadline < b.soft_deadline;
                    });
 }
@@ -122,7 +134,6 @@
 std::vector<RefusedItem> BatchScheduler::AllotRoom(
     std::span<const RoomSupply, kRoomKinds> supplies,
     const RoomWeights& weights, TimePoint now) {
-  allots_room_ = true;
   // Copies of items that run already are not asked about again.
   using Group = std::pair<std::string_view, std::size_t>;
   std::map<Group, std::size_t> index;
@@ -135,7 +146,9 @@
     claim_of[i] = found->second;
     if (is_new) {
       RoomClaim claim;
-      claim.rank = item.rank;
+      claim.rank = RankOf(item);
+      // The queue knows better than the host that the request came to.
+      claim.rank.is_late = false;
       claim.team = item.team;
       const Duration call = CallTime(1);
       claim.objective = item.soft_deadline - now - call;
@@ -153,11 +166,8 @@
   for (std::size_t i = 0; i < queue_.size(); ++i) {
     const RoomVerdict verdict = allotment.verdicts[claim_of[i]];
     if (verdict == RoomVerdict::kNone) {
-      const Duration until_late =
-          std::max(claims[claim_of[i]].objective, Duration::zero());
       refused.push_back(
-          {std::move(queue_[i]),
-           std::max(allotment.drained_after - until_late, Duration::zero())});
+          {std::move(queue_[i]), allotment.room_after[claim_of[i]]});
       continue;
     }
     queue_[i].verdict = verdict;
@@ -198,25 +208,33 @@
     results.per_second = memory * static_cast<double>(servers.size()) /
                          (held_seconds_ + full_call_seconds);
   std::array<RoomSupply, kRoomKinds> supplies{calls, results};
+  const double age = std::chrono::duration<double>(now - arrivals_at_).count();
+  const double decay = std::exp(-age / kArrivalWindowSeconds);
   for (std::size_t kind = 0; kind < kRoomKinds; ++kind) {
-    const double age =
-        std::chrono::duration<double>(now - in_time_[kind].at).count();
-    supplies[kind].in_time_share =
-        std::min(1.0, in_time_[kind].seconds / kInTimeWindowSeconds *
-                          std::exp(-age / kInTimeWindowSeconds));
+    if (supplies[kind].per_second <= 0) continue;
+    for (std::size_t i = 0; i < arrivals_[kind].size(); ++i)
+      supplies[kind].taken[i] = arrivals_[kind][i] * decay /
+                                kArrivalWindowSeconds /
+                                supplies[kind].per_second;
   }
   return supplies;
 }
 
 void BatchScheduler::AppendQueued(const RoomResource& resource,
                                   std::vector<RoomWork>& work) const {
+  using Group = std::pair<std::string_view, std::size_t>;
+  std::map<Group, std::size_t> index;
   for (const QueuedItem& item : queue_) {
-    RoomRank rank = item.rank;
-    rank.is_late = item.verdict != RoomVerdict::kInObjective;
-    work.push_back({resource, rank, item.team,
-                    resource.kind == RoomKind::kCalls
-                        ? 1.0
-                        : static_cast<double>(item.result_bytes)});
+    const auto [found, is_new] =
+        index.try_emplace({item.request, item.position.stage}, work.size());
+    if (is_new) {
+      RoomRank rank = RankOf(item);
+      rank.is_late = item.verdict != RoomVerdict::kInObjective;
+      work.push_back({resource, rank, item.team, 0});
+    }
+    work[found->second].work += resource.kind == RoomKind::kCalls
+                                    ? 1.0
+                                    : static_cast<double>(item.result_bytes);
   }
 }
 
@@ -226,24 +244,21 @@
   ++holds_;
 }
 
-void BatchScheduler::CountInTime(
-    std::span<const QueuedItem> items,
-    std::span<const RoomSupply, kRoomKinds> supplies, TimePoint now) {
-  std::array<double, kRoomKinds> work{};
-  for (const QueuedItem& item : items) {
-    if (item.verdict != RoomVerdict::kInObjective) continue;
-    work[static_cast<std::size_t>(RoomKind::kCalls)] += 1;
-    work[static_cast<std::size_t>(RoomKind::kResults)] +=
-        static_cast<double>(item.result_bytes);
-  }
-  for (std::size_t kind = 0; kind < kRoomKinds; ++kind) {
-    if (supplies[kind].per_second <= 0) continue;
-    InTimeWork& taken = in_time_[kind];
-    const double age = std::chrono::duration<double>(now - taken.at).count();
-    taken.seconds = taken.seconds * std::exp(-age / kInTimeWindowSeconds) +
-                    work[kind] / supplies[kind].per_second;
-    taken.at = now;
-  }
+void BatchScheduler::CountArrival(const QueuedItem& item, TimePoint now) {
+  if (RankOf(item).is_late) return;
+  const double age = std::chrono::duration<double>(now - arrivals_at_).count();
+  const double decay = std::exp(-age / kArrivalWindowSeconds);
+  arrivals_at_ = now;
+  const auto priority = static_cast<std::size_t>(RankOf(item).priority);
+  for (std::size_t kind = 0; kind < kRoomKinds; ++kind)
+    for (std::size_t i = 0; i < arrivals_[kind].size(); ++i) {
+      arrivals_[kind][i] *= decay;
+      // Goes before all less urgent work.
+      if (i > priority)
+        arrivals_[kind][i] += static_cast<RoomKind>(kind) == RoomKind::kCalls
+                                  ? 1.0
+                                  : static_cast<double>(item.result_bytes);
+    }
 }
 
 double BatchScheduler::SlownessNow(const ServerState& state,
@@ -315,8 +330,6 @@
   std::vector<BatchCall> calls;
   if (queue_.empty()) return calls;
   SortQueue(now);
-  std::array<RoomSupply, kRoomKinds> supplies;
-  if (allots_room_) supplies = Supplies(servers, now, speeds);
   std::vector<ServerRecord*> free;
   bool has_fast_server = false;
   for (ServerRecord* server : servers) {
@@ -347,7 +360,6 @@
     RunningCall call{now, items.size()};
     for (const QueuedItem& item : items)
       call.result_bytes += static_cast<std::int64_t>(item.result_bytes);
-    if (allots_room_) CountInTime(items, supplies, now);
     state.calls.push_back(call);
     calls.push_back({server->entry.id, std::move(items)});
   }
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -37,7 +37,7 @@
   TimePoint deadline;       // hard deadline: later results are useless
   TimePoint queued_at;
   TeamId team;
-  RoomRank rank;
+  std::optional<RoomRank> rank;  // missing: by the priority alone
   RoomVerdict verdict = RoomVerdict::kInObjective;  // of AllotRoom
 };
 
@@ -65,7 +65,12 @@
   explicit BatchScheduler(const BatchLimits& limits) : limits_(limits) {}
 
   void SetLimits(const BatchLimits& limits) { limits_ = limits; }
+  // Whether calls are chosen by what AllotRoom decided.
+  void SetAllotsRoom(bool allots_room) { allots_room_ = allots_room; }
+  // Queues a copy of an item that was queued before.
   void Add(QueuedItem item);
+  // Queues a new item.
+  void Add(QueuedItem item, TimePoint now);
 
   // Removes those of `items` that have not been sent.
   void Remove(std::span<const ItemId> items);
@@ -191,17 +196,9 @@
     }
   };
 
-  // Work that in-time requests brought of late, in seconds of the resource.
-  struct InTimeWork {
-    double seconds = 0;  // decays
-    TimePoint at{};
-  };
-
   void SortQueue(TimePoint now);
   void SortQueueByRoom();
-  void CountInTime(std::span<const QueuedItem> items,
-                   std::span<const RoomSupply, kRoomKinds> supplies,
-                   TimePoint now);
+  void CountArrival(const QueuedItem& item, TimePoint now);
   bool IsFree(const ServerState& state, TimePoint now) const;
   TimePoint PipelinedCallAt(const ServerState& state) const;
   double SlownessNow(const ServerState& state, TimePoint now) const;
@@ -213,8 +210,12 @@
   BatchLimits limits_;
   std::vector<QueuedItem> queue_;
   std::map<ServerId, ServerState> states_;
-  bool allots_room_ = false;  // AllotRoom is in use
-  std::array<InTimeWork, kRoomKinds> in_time_{};
+  bool allots_room_ = false;
+  // Work of the last while that goes before each priority, as
+  // RoomSupply::taken; decays.
+  std::array<std::array<double, RoomRank::kPriorities + 1>, kRoomKinds>
+      arrivals_{};
+  TimePoint arrivals_at_{};
   double held_seconds_ = 0;  // mean
   std::size_t holds_ = 0;    // observed
 };
--- a/libraries/routing/room.cc
+++ b/libraries/routing/room.cc
@@ -12,7 +12,7 @@
 // step 1.
 constexpr int kTopWorthExponent = 10;
 // Teams that a load tells of by name.
-constexpr std::size_t kMaximumCrowdedTeams = 6;
+constexpr std::size_t kMaximumCrowdedTeams = 24;
 // Least part of a resource that late work is expected to get, so that its wait
 // stays finite.
 constexpr double kLeastLateShare = 0.02;
@@ -73,6 +73,13 @@
   return rank;
 }
 
+double RoomSupply::ShareOf(const RoomRank& rank) const {
+  const std::size_t index =
+      rank.is_late ? taken.size() - 1 : static_cast<std::size_t>(rank.priority);
+  const double least = rank.is_late ? kLeastLateShare : kLeastRoomShare;
+  return std::clamp(1.0 - taken[index], least, 1.0);
+}
+
 Duration RoomLoad::WaitFor(const RoomRank& rank, const TeamId& team,
                            double work) const {
   if (supply.per_second <= 0) return Duration::zero();
@@ -92,11 +99,9 @@
     for (const RoomTeam& crowded : load.crowded)
       if (crowded.team == team) within = crowded.ahead;
   }
-  const double rate =
-      supply.per_second *
-      (rank.is_late ? std::max(kLeastLateShare, 1.0 - supply.in_time_share)
-                    : 1.0);
-  double seconds = (before + within + work - supply.at_once) / rate;
+  const double share = supply.ShareOf(rank);
+  double seconds =
+      (before + within + work - supply.at_once) / (supply.per_second * share);
   // The most urgent priority needs no least share.
   if (!rank.is_late && rank.priority > 0)
     seconds = std::min(seconds, (before_in_priority + within + work) /
--- a/libraries/routing/room.h
+++ b/libraries/routing/room.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -59,12 +60,19 @@
   double work = 0;
 };
 
+// Part of each resource that is left to each priority but the most urgent.
+inline constexpr double kLeastRoomShare = 0.05;
+
 // What a resource can do.
 struct RoomSupply {
   double per_second = 0;  // 0: not known, taken for unlimited
   double at_once = 0;     // free now
-  // Part of the rate that work within its objective has taken of late.
-  double in_time_share = 0;
+  // Part of the rate that the work brings which came of late and goes before
+  // each priority; the last is that before late work.
+  std::array<double, RoomRank::kPriorities + 1> taken{};
+
+  // Returns the part of the rate that is left to a rank while such work comes.
+  double ShareOf(const RoomRank& rank) const;
 };
 
 // A team with more work at a rank than most.
@@ -94,9 +102,6 @@
   void Add(const RoomRank& rank, double work);
 };
 
-// Part of each resource that is left to each priority but the most urgent.
-inline constexpr double kLeastRoomShare = 0.05;
-
 // Measures a load from the work that waits for the resource.
 RoomLoad MeasureRoom(std::span<const RoomWork> waiting,
                      const RoomSupply& supply, const RoomWeights& weights);
--- a/libraries/routing/room_allotment.cc
+++ b/libraries/routing/room_allotment.cc
@@ -27,27 +27,32 @@
     if (!IsInTime(before + work, latest, share)) return false;
     for (auto it = at; it != entries_.end(); ++it) {
       before += it->work;
-      if (!IsInTime(before + work, it->latest, 1.0)) return false;
+      // What is left to less urgent work allows for more urgent work to come,
+      // such as this.
+      const double entry_share = it->share < share ? 1.0 : it->share;
+      if (!IsInTime(before + work, it->latest, entry_share)) return false;
     }
     return true;
   }
 
-  void Add(double latest, double work) {
+  void Add(double latest, double work, double share) {
     if (supply_.per_second <= 0 || work <= 0) return;
     const auto at = PlaceOf(latest) - entries_.begin();
-    entries_.insert(entries_.begin() + at, {latest, work});
+    entries_.insert(entries_.begin() + at, {latest, work, share});
     total_ += work;
   }
 
-  double SecondsToDrain() const {
-    if (supply_.per_second <= 0) return 0;
-    return std::max(0.0, total_ - supply_.at_once) / supply_.per_second;
+  // Returns the seconds until that much more work could begin.
+  double SecondsUntil(double work) const {
+    if (supply_.per_second <= 0 || work <= 0) return 0;
+    return std::max(0.0, total_ + work - supply_.at_once) / supply_.per_second;
   }
 
  private:
   struct Entry {
     double latest = 0;  // seconds from now
     double work = 0;
+    double share = 1;  // of the rate that is left to it
   };
 
   std::vector<Entry>::const_iterator PlaceOf(double latest) const {
@@ -117,13 +122,15 @@
     const bool is_late = verdict == RoomVerdict::kInDeadline;
     const double latest = InSeconds(is_late ? claim.deadline : claim.objective);
     if (latest <= 0) return;
-    for (std::size_t kind = 0; kind < kRoomKinds; ++kind) {
-      const double share =
-          is_late ? std::max(0.0, 1.0 - supplies[kind].in_time_share) : 1.0;
-      if (!schedules[kind].Fits(latest, claim.work[kind], share)) return;
-    }
+    RoomRank rank = claim.rank;
+    rank.is_late = is_late;
+    for (std::size_t kind = 0; kind < kRoomKinds; ++kind)
+      if (!schedules[kind].Fits(latest, claim.work[kind],
+                                supplies[kind].ShareOf(rank)))
+        return;
     for (std::size_t kind = 0; kind < kRoomKinds; ++kind)
-      schedules[kind].Add(latest, claim.work[kind]);
+      schedules[kind].Add(latest, claim.work[kind],
+                          supplies[kind].ShareOf(rank));
     allotment.verdicts[i] = verdict;
   };
   // First the least share of the priorities that are not the most urgent.
@@ -139,11 +146,27 @@
   }
   for (const std::size_t i : order)
     if (!claims[i].rank.is_late) try_add(i, RoomVerdict::kInObjective);
-  for (const Schedule& schedule : schedules)
-    allotment.drained_after = std::max(
-        allotment.drained_after,
-        Duration(static_cast<std::int64_t>(schedule.SecondsToDrain() * 1e6)));
+  // More work may come before then; when it ends is not known.
+  allotment.room_after.assign(claims.size(), Duration::zero());
+  for (std::size_t i = 0; i < claims.size(); ++i) {
+    double wait = 0;
+    for (std::size_t kind = 0; kind < kRoomKinds; ++kind)
+      wait = std::max(wait, schedules[kind].SecondsUntil(claims[i].work[kind]));
+    allotment.room_after[i] = std::max(
+        Duration::zero(), Duration(static_cast<std::int64_t>(wait * 1e6)) -
+                              std::max(claims[i].objective, Duration::zero()));
+  }
   for (const std::size_t i : order) try_add(i, RoomVerdict::kInDeadline);
+  // A claim that waits alone is not refused for its own size.
+  const bool has_room = std::any_of(
+      allotment.verdicts.begin(), allotment.verdicts.end(),
+      [](RoomVerdict verdict) { return verdict != RoomVerdict::kNone; });
+  for (const std::size_t i : order) {
+    if (has_room) break;
+    if (claims[i].deadline <= Duration::zero()) continue;
+    allotment.verdicts[i] = RoomVerdict::kInDeadline;
+    break;
+  }
   return allotment;
 }
 
--- a/libraries/routing/room_allotment.h
+++ b/libraries/routing/room_allotment.h
@@ -22,9 +22,11 @@
 };
 
 struct RoomAllotment {
-  std::vector<RoomVerdict> verdicts;  // one for each claim
-  // Time after which the resources are through with what was allotted.
-  Duration drained_after{};
+  // One for each claim.
+  std::vector<RoomVerdict> verdicts;
+  // Time after which a claim like each could meet its objective if no more work
+  // came.
+  std::vector<Duration> room_after;
 };
 
 // Chooses the claims that get room: as many as the supplies carry within their
--- a/libraries/routing/stage_zones.cc
+++ b/libraries/routing/stage_zones.cc
@@ -15,9 +15,7 @@
 constexpr Duration kMissingServersCost = std::chrono::seconds(2);
 
 Duration Cost(const ZoneCandidate& candidate) {
-  Duration cost = Duration(static_cast<std::int64_t>(
-      kDelayPerMegabyteUs * static_cast<double>(candidate.crossing_bytes) /
-      1e6));
+  Duration cost = CrossingCost(candidate.crossing_bytes);
   for (const StageWait& stage : candidate.stages)
     cost += stage.has_servers ? stage.wait : kMissingServersCost;
   return cost;
@@ -25,6 +23,11 @@
 
 }  // namespace
 
+Duration CrossingCost(std::uint64_t bytes) {
+  return Duration(static_cast<std::int64_t>(kDelayPerMegabyteUs *
+                                            static_cast<double>(bytes) / 1e6));
+}
+
 Duration ExpectedWait(const BatchLimits& limits, double capacity,
                       std::size_t waiting) {
   if (capacity <= 0) return kMissingServersCost;
--- a/libraries/routing/stage_zones.h
+++ b/libraries/routing/stage_zones.h
@@ -28,6 +28,9 @@
 Duration ExpectedWait(const BatchLimits& limits, double capacity,
                       std::size_t waiting);
 
+// Returns the delay with the same cost as that many bytes between zones.
+Duration CrossingCost(std::uint64_t bytes);
+
 // Returns the zone with the lowest cost for a request's stages, or null if
 // `zones` is empty. The cost combines waiting time with the price and bandwidth
 // of results that cross zones. Handles the load patterns "slow stage server"
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -20,9 +20,6 @@
 // Least Retry-After of a refused request, before that limit and the jitter.
 constexpr Duration kMinimumRetryAfter = milliseconds(400);
 constexpr double kRetryAfterJitter = 0.5;
-// If it is known when the request could be served, Retry-After is at most this
-// fraction later, so that callers do not return all at once.
-constexpr double kReturnSpreadFraction = 0.25;
 // Resolution of Retry-After.
 constexpr Duration kRetryAfterStep = milliseconds(10);
 // Maximum wait for the first configuration, which takes a few milliseconds to
@@ -209,10 +206,14 @@
   if (Now() + MinimumStageTime() >= event_deadline_) return Refuse("too_late");
   if (const auto first_return = TooLateReturn())
     return RefuseUntil(*first_return);
-  const Duration wait = ChooseZone();
-  // The request could not finish in time, so it is refused at once.
-  if (Now() + MinimumStageTime() + wait >= event_deadline_)
-    return Refuse("overloaded", wait);
+  if (stages_.room().is_enabled()) {
+    if (!AdmitByRoom()) return;
+  } else {
+    const Duration wait = ChooseZone();
+    // The request could not finish in time, so it is refused at once.
+    if (Now() + MinimumStageTime() + wait >= event_deadline_)
+      return Refuse("overloaded", wait);
+  }
   SubmitReadyItems();
   stages_.Flush();
 }
@@ -245,11 +246,12 @@
                   Duration::zero());
 }
 
-// Rounded up, since an earlier retry would be refused again.
-Duration RequestFlow::TimeUntilReturn(Duration first_return) {
-  const auto spread = std::chrono::duration_cast<Duration>(
-      first_return * (kReturnSpreadFraction * context_.random.Unit()));
-  const Duration wait = first_return + spread;
+// Rounded up, since an earlier retry would be refused again. Spread, so that
+// callers do not return all at once.
+Duration RequestFlow::TimeUntilReturn(Duration first_return, double spread) {
+  const auto later = std::chrono::duration_cast<Duration>(
+      first_return * (spread * context_.random.Unit()));
+  const Duration wait = first_return + later;
   return (wait / kRetryAfterStep + 1) * kRetryAfterStep;
 }
 
@@ -314,9 +316,10 @@
   }
   http::HeaderFields fields;
   if (failure.status == 503) {
-    const Duration wait = failure.is_return_known
-                              ? TimeUntilReturn(failure.retry_after)
-                              : TimeUntilRetry(failure.retry_after);
+    const Duration wait =
+        failure.is_return_known
+            ? TimeUntilReturn(failure.retry_after, failure.return_spread)
+            : TimeUntilRetry(failure.retry_after);
     char text[16];
     std::snprintf(text, sizeof(text), "%.2f", Milliseconds(wait) / 1000.0);
     fields.push_back({"Retry-After", text});
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -90,6 +90,8 @@
     Duration retry_after{};
     // The request cannot be served before `retry_after`.
     bool is_return_known = false;
+    // Returns are spread over that fraction of `retry_after` more.
+    double return_spread = 0.25;
   };
 
   // Arrival.
@@ -115,6 +117,15 @@
   // Returns the expected queueing time of all stages in the chosen zone.
   Duration ChooseZone();
 
+  // Chooses the zone with room for the stages. Refuses the request if there is
+  // none. Returns whether there is.
+  bool AdmitByRoom();
+  // Asks for room for the stages in that zone.
+  routing::RoomAnswer AskForRoom(const ZoneId& zone);
+  StageLocation LocationIn(const ZoneId& zone, const routing::Stage& stage);
+  void PlanStages();
+  void RefuseForRoom(Duration room_after);
+
   // Passes the request on to another host, if there is one, this host has not
   // got it from one, and it may still be sent there. Returns whether it was.
   bool PassOn();
@@ -199,7 +210,7 @@
   bool RefuseBlockedContent();
   void Fail(Failure failure);
   Duration TimeUntilRetry(Duration least);
-  Duration TimeUntilReturn(Duration first_return);
+  Duration TimeUntilReturn(Duration first_return, double spread);
   void OnDeadline();
   void End(int status, std::string_view cause);
   int StatusWithoutResponse() const;
@@ -244,6 +255,7 @@
   std::set<ZoneId> failed_zones_;
   ZoneId stage_zone_;
   bool has_released_results_ = false;
+  std::optional<routing::RoomRank> room_rank_;  // set if admitted by room
 
   std::unique_ptr<http::Call> call_;
   ServerId server_;
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -12,6 +12,12 @@
 // Items that fail on the servers of the chosen zone are resubmitted to another
 // zone at most this often per request, over all stages.
 constexpr int kMaximumStageFailures = 12;
+// Delay with the same cost as a zone without servers of a stage.
+constexpr Duration kMissingServersCost = std::chrono::seconds(2);
+// Least time after which a request that was refused for room may return, and
+// the fraction of that time over which the returns are spread.
+constexpr Duration kLeastRoomAfter = std::chrono::milliseconds(200);
+constexpr double kRoomReturnSpread = 1.0;
 
 Duration PrefillTime(const routing::Prompt& prompt, double slowness) {
   return std::chrono::duration_cast<Duration>(
@@ -68,6 +74,145 @@
   return wait;
 }
 
+// Stages without servers in the zone run in another one.
+StageLocation RequestFlow::LocationIn(const ZoneId& zone,
+                                      const routing::Stage& stage) {
+  const std::set<ZoneId> zones = stages_.ZonesWithServers(stage.service);
+  if (zones.empty() || zones.contains(zone)) return {stage.service, zone};
+  return {stage.service, *zones.begin()};
+}
+
+routing::RoomAnswer RequestFlow::AskForRoom(const ZoneId& zone) {
+  routing::RoomQuestion question;
+  std::vector<std::optional<std::size_t>> steps(plan_->stage_count());
+  for (std::size_t i = 0; i < plan_->stage_count(); ++i) {
+    const routing::Stage& stage = plan_->stage(i);
+    const std::size_t open = plan_->item_count(i);
+    if (open == 0) continue;
+    const StageLocation location = LocationIn(zone, stage);
+    const auto items = static_cast<double>(open);
+    const double usual =
+        stages_.room().usual_items().Get(route_->name, i, items);
+    const auto bytes = static_cast<double>(stage.result_bytes);
+    routing::RoomStep step;
+    step.time = stages_.TypicalCallTime(stage.service);
+    step.needs = {
+        {&stages_.RoomAt(location, routing::RoomKind::kCalls), items, usual},
+        {&stages_.RoomAt(location, routing::RoomKind::kResults), items * bytes,
+         usual * bytes}};
+    for (const std::size_t before : stage.dependencies)
+      if (before < steps.size() && steps[before])
+        step.dependencies.push_back(*steps[before]);
+    steps[i] = question.steps.size();
+    question.steps.push_back(std::move(step));
+  }
+  question.rest = PrefillTime(request_.prompt, expected_slowness_);
+  question.priority = priority_;
+  const auto& worth = context_.settings.room->worth;
+  const auto found = worth.find(route_->name);
+  if (found != worth.end()) question.worth = found->second;
+  question.team = TeamId(team_);
+  question.objective = latency_target_at_ - Now();
+  question.deadline = event_deadline_ - Now();
+  return routing::DecideRoom(question);
+}
+
+bool RequestFlow::AdmitByRoom() {
+  std::set<ZoneId> zones;
+  std::uint64_t final_bytes = 0;
+  for (std::size_t i = 0; i < plan_->stage_count(); ++i) {
+    if (plan_->item_count(i) == 0) continue;
+    stages_.room().usual_items().Observe(
+        route_->name, i, static_cast<double>(plan_->item_count(i)));
+    zones.merge(stages_.ZonesWithServers(plan_->stage(i).service));
+    if (plan_->IsFinal(i))
+      final_bytes += plan_->item_count(i) * plan_->stage(i).result_bytes;
+  }
+  const routing::PromptServerChoice choice = context_.placement.Choose(
+      ServersByRollout(context_, service_, false,
+                       context_.directory.Usable(service_, Now())),
+      request_.prompt, context_.host_count, context_.SpeedsNow());
+  expected_slowness_ = choice.slowness;
+  std::optional<routing::RoomAnswer> best;
+  Duration best_cost{};
+  // The random order spreads requests over equally good zones.
+  std::vector<ZoneId> order(zones.begin(), zones.end());
+  if (!order.empty())
+    std::rotate(order.begin(),
+                order.begin() + static_cast<std::ptrdiff_t>(
+                                    context_.random.Below(order.size())),
+                order.end());
+  for (const ZoneId& zone : order) {
+    const routing::RoomAnswer answer = AskForRoom(zone);
+    Duration cost = answer.finish;
+    if (choice.server != nullptr && choice.server->entry.zone != zone)
+      cost += routing::CrossingCost(final_bytes);
+    for (std::size_t i = 0; i < plan_->stage_count(); ++i)
+      if (plan_->item_count(i) > 0 &&
+          stages_.CapacityAt({plan_->stage(i).service, zone}) <= 0)
+        cost += kMissingServersCost;
+    const bool is_better =
+        !best || answer.verdict < best->verdict ||
+        (answer.verdict == best->verdict && cost < best_cost);
+    if (!is_better) continue;
+    best = answer;
+    best_cost = cost;
+    stage_zone_ = zone;
+  }
+  // Without servers the items wait, as without this decision.
+  if (!best) return true;
+  stages_.room().CountDecision(route_->name, *best);
+  if (best->verdict != routing::RoomVerdict::kInObjective) {
+    const bool has_step = best->step.has_value();
+    context_.log.Write(
+        "room", request_.id,
+        {{"route", route_->name},
+         {"verdict", best->verdict == routing::RoomVerdict::kNone
+                         ? std::string_view("none")
+                         : std::string_view("in_deadline")},
+         {"zone", stage_zone_.value()},
+         {"scarce_step", has_step ? static_cast<int>(*best->step) : -1},
+         {"rank", best->rank.Encode()},
+         {"finish_ms", static_cast<double>(best->finish.count()) / 1000.0},
+         {"room_after_ms",
+          static_cast<double>(best->room_after.count()) / 1000.0}});
+  }
+  if (best->verdict == routing::RoomVerdict::kNone) {
+    RefuseForRoom(best->room_after);
+    return false;
+  }
+  room_rank_ = best->rank;
+  PlanStages();
+  return true;
+}
+
+void RequestFlow::PlanStages() {
+  for (std::size_t i = 0; i < plan_->stage_count(); ++i) {
+    const routing::Stage& stage = plan_->stage(i);
+    if (plan_->item_count(i) == 0) continue;
+    const StageLocation location = LocationIn(stage_zone_, stage);
+    const auto items = static_cast<double>(plan_->item_count(i));
+    for (const routing::RoomKind kind :
+         {routing::RoomKind::kCalls, routing::RoomKind::kResults}) {
+      const double work = kind == routing::RoomKind::kCalls
+                              ? items
+                              : items * static_cast<double>(stage.result_bytes);
+      stages_.room().Plan(request_.id, i,
+                          {{location.service, location.zone, kind},
+                           *room_rank_,
+                           TeamId(team_),
+                           work});
+    }
+  }
+}
+
+void RequestFlow::RefuseForRoom(Duration room_after) {
+  Failure failure{StatusWithoutResponse(), "no_room",
+                  std::max(room_after, kLeastRoomAfter), true};
+  failure.return_spread = kRoomReturnSpread;
+  Fail(failure);
+}
+
 // Returns the time of the longest chain of stages that follow `stage`, each as
 // `time_of` gives it, plus the prompt's prefill.
 Duration RequestFlow::TimeAfter(
@@ -156,6 +301,7 @@
 
 // Also ends the computation of stage results that nothing waits for any more.
 void RequestFlow::DropStageWork() {
+  if (room_rank_) stages_.room().Remove(request_.id);
   if (!open_items_.empty()) {
     const std::vector<routing::ItemId> items(open_items_.begin(),
                                              open_items_.end());
@@ -168,6 +314,7 @@
 void RequestFlow::SubmitReadyItems() {
   for (const routing::ItemPosition& position : plan_->TakeReady()) {
     const routing::Stage& stage = plan_->stage(position.stage);
+    if (room_rank_) stages_.room().RemoveStage(request_.id, position.stage);
     routing::QueuedItem item;
     item.request = request_.id;
     item.position = position;
@@ -178,6 +325,8 @@
     }
     item.result_bytes = stage.result_bytes;
     item.priority = priority_;
+    item.team = TeamId(team_);
+    item.rank = room_rank_;
     item.soft_deadline = latency_target_at_ - ExpectedTimeAfter(position.stage);
     item.deadline = std::min(event_deadline_ - MinimumTimeAfter(position.stage),
                              InputsExpireAt(position.stage));
@@ -209,6 +358,8 @@
       plan_->Requeue(position);
       return OnInputsLost(position.stage);
     case ItemOutcome::kDeadlinePassed:
+      if (room_rank_ && !call_ && item_result.room_after > Duration::zero())
+        return RefuseForRoom(item_result.room_after);
       return GiveUpStages("stage_late");
     case ItemOutcome::kNoResultMemory:
     case ItemOutcome::kFailed:
--- a/services/gateway/stage_router.cc
+++ b/services/gateway/stage_router.cc
@@ -37,6 +37,8 @@
 constexpr Duration kMaxZoneCapacityAge = milliseconds(50);
 // Period of updates to the set of probed batching hosts.
 constexpr Duration kWatchedHostsPeriod = milliseconds(500);
+// Longest time until there is room that another host is believed.
+constexpr Duration kMaximumRoomAfter = std::chrono::seconds(60);
 constexpr Duration kSendRetryDelay = milliseconds(30);
 // A host for which more than this waits to be sent counts as lost.
 constexpr std::size_t kMaximumUnsentBytes = std::size_t{512} * 1024;
@@ -66,6 +68,10 @@
   added.set_priority(item.priority);
   added.set_useful_us((item.soft_deadline - now).count());
   added.set_remaining_us((item.deadline - now).count());
+  if (item.rank) {
+    added.set_team(item.team.value());
+    added.set_rank(item.rank->Encode());
+  }
   return added;
 }
 
@@ -77,7 +83,8 @@
       runner_(runner),
       send_(std::move(send)),
       // Item ids of an earlier process must not be mistaken for this one's.
-      last_item_(context.random.Below(kItemIdBases) << kItemIdBits) {
+      last_item_(context.random.Below(kItemIdBases) << kItemIdBits),
+      room_(context, runner) {
   Tick();
 }
 
@@ -361,6 +368,33 @@
                                waiting);
 }
 
+const routing::RoomLoad& StageRouter::RoomAt(const StageLocation& location,
+                                             routing::RoomKind kind) {
+  return room_.LoadOf({location.service, location.zone, kind},
+                      BatchingHostFor(location).empty());
+}
+
+void StageRouter::SendPlans() {
+  const auto plans = room_.TakeDuePlans();
+  if (!plans) return;
+  for (const std::string& host : std::exchange(told_plans_, {}))
+    *outgoing_[host].mutable_planned() = {};
+  for (const routing::RoomWork& work : *plans) {
+    const std::string& host =
+        BatchingHostFor({work.resource.service, work.resource.zone});
+    if (host.empty()) continue;
+    messages::StageTraffic& traffic = outgoing_[host];
+    if (told_plans_.insert(host).second) *traffic.mutable_planned() = {};
+    messages::RoomWork& entry = *traffic.mutable_planned()->add_work();
+    entry.set_service(work.resource.service.value());
+    entry.set_zone(work.resource.zone.value());
+    entry.set_kind(static_cast<std::uint32_t>(work.resource.kind));
+    entry.set_rank(work.rank.Encode());
+    entry.set_team(work.team.value());
+    entry.set_work(work.work);
+  }
+}
+
 Duration StageRouter::CallTime(const ServiceId& service,
                                std::size_t items) const {
   const routing::Service* found =
@@ -413,6 +447,7 @@
   }
   for (const messages::ItemEnding& ending : traffic.endings())
     HandleEnding(from, ending);
+  room_.OnTraffic(from, traffic);
   std::vector<routing::ResultHandle> releases;
   for (const messages::HeldResult& result : traffic.releases())
     releases.push_back({result.handle(), ServerId(result.maker())});
@@ -456,6 +491,7 @@
     for (const std::size_t waiting : load.waiting)
       entry.add_waiting(static_cast<std::uint32_t>(waiting));
   }
+  room_.AddLoads(traffic);
 }
 
 void StageRouter::HandleSubmission(const std::string& from,
@@ -474,6 +510,9 @@
     item.inputs.assign(submission.inputs().begin(), submission.inputs().end());
     item.result_bytes = submission.result_bytes();
     item.priority = submission.priority();
+    item.team = TeamId(submission.team());
+    if (submission.has_rank())
+      item.rank = routing::RoomRank::Decode(submission.rank());
     item.soft_deadline = now + Duration(submission.useful_us());
     item.deadline = now + Duration(submission.remaining_us());
     hosted_[key] = runner_.Submit(
@@ -485,6 +524,7 @@
           ending.set_handle(item_result.result.handle);
           ending.set_maker(item_result.result.server.value());
           ending.set_needs_retry(item_result.needs_retry);
+          ending.set_room_after_us(item_result.room_after.count());
           ScheduleFlush();
         });
   }
@@ -504,7 +544,9 @@
   }
   const Callback callback = std::move(found->second.callback);
   remote_.erase(found);
-  callback({outcome, result, ending.needs_retry()});
+  callback({outcome, result, ending.needs_retry(),
+            std::clamp(Duration(ending.room_after_us()), Duration::zero(),
+                       kMaximumRoomAfter)});
 }
 
 void StageRouter::ReassignItems(const std::string& host) {
@@ -542,6 +584,7 @@
 }
 
 void StageRouter::DropItemsFrom(const std::string& host) {
+  room_.RemoveHost(host);
   std::vector<ItemId> items;
   std::erase_if(hosted_, [&](const auto& hosted) {
     if (hosted.first.first != host) return false;
@@ -605,6 +648,7 @@
   }
   LoseHosts(lost);
   runner_.ExpireResults();
+  SendPlans();
   Flush();
   tick_timer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
 }
--- a/services/gateway/stage_router.h
+++ b/services/gateway/stage_router.h
@@ -11,6 +11,7 @@
 
 #include "messages/messages.h"
 #include "services/gateway/context.h"
+#include "services/gateway/room_exchange.h"
 #include "services/gateway/stage_runner.h"
 
 namespace lovagecleat::gateway {
@@ -75,6 +76,11 @@
   // load.
   Duration TypicalCallTime(const ServiceId& service) const;
 
+  // What the requests of this host know of room.
+  RoomExchange& room() { return room_; }
+  const routing::RoomLoad& RoomAt(const StageLocation& location,
+                                  routing::RoomKind kind);
+
   // Returns the zones with usable servers of the service, or with suspended
   // ones if none is usable.
   std::set<ZoneId> ZonesWithServers(const ServiceId& service) const;
@@ -150,6 +156,8 @@
   // Returns the batching hosts that this host uses, each with its probe period.
   std::map<std::string, Duration> WatchedHosts() const;
   void AddLoads(messages::StageTraffic& traffic);
+  // Tells the batching hosts what the requests of this host will submit.
+  void SendPlans();
 
   Context& context_;
   StageRunner& runner_;
@@ -168,6 +176,8 @@
   mutable std::map<StageLocation, std::string> batching_hosts_;
   std::map<std::string, Duration> watched_;
   TimePoint watched_updated_at_{};
+  RoomExchange room_;
+  std::set<std::string> told_plans_;  // hosts with plans of this one
   std::map<StageLocation, PeerLoad> loads_;
   std::vector<StageLoad> own_loads_;
   TimePoint loads_measured_at_{};
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -28,6 +28,8 @@
 constexpr Duration kLimitCheckPeriod = std::chrono::milliseconds(200);
 // Least time between two queries for a server's free memory.
 constexpr Duration kFreeMemoryQueryPeriod = std::chrono::milliseconds(400);
+// Least time after which refused items may return.
+constexpr Duration kLeastRoomTime = std::chrono::milliseconds(100);
 // Name under which the evidence of roll-outs counts stage calls.
 constexpr std::string_view kStageRoute = "stage calls";
 
@@ -514,7 +516,7 @@
     });
     return id;
   }
-  queue->scheduler.Add(std::move(item));
+  queue->scheduler.Add(std::move(item), context_.Now());
   return id;
 }
 
@@ -574,6 +576,8 @@
   queue.expiry_checked_at = now;
   const routing::SpeedView speeds = context_.SpeedsNow();
   const double capacity = queue.scheduler.Capacity(servers, now, speeds);
+  queue.scheduler.SetAllotsRoom(context_.settings.room.has_value());
+  if (context_.settings.room && !servers.empty()) AllotRoom(queue, servers);
   for (const routing::QueuedItem& item :
        queue.scheduler.TakeInfeasible(capacity, now))
     DropCopy(item, ItemOutcome::kDeadlinePassed, queue.location);
@@ -595,6 +599,20 @@
     StartCall(queue, std::move(call));
 }
 
+void StageRunner::AllotRoom(StageQueue& queue,
+                            std::span<routing::ServerRecord* const> servers) {
+  const TimePoint now = context_.Now();
+  const auto supplies =
+      queue.scheduler.Supplies(servers, now, context_.SpeedsNow());
+  for (const routing::RefusedItem& refused : queue.scheduler.AllotRoom(
+           supplies, context_.settings.room->team_weights, now)) {
+    context_.metrics.Count("lovagecleat_room_refused_items_total",
+                           {{"service", queue.location.service.value()}});
+    DropCopy(refused.item, ItemOutcome::kDeadlinePassed, queue.location,
+             std::max(refused.room_after, kLeastRoomTime));
+  }
+}
+
 void StageRunner::DeferLimitedServers(
     StageQueue& queue, std::span<routing::ServerRecord* const> servers) {
   const TimePoint now = context_.Now();
@@ -713,10 +731,11 @@
 // would submit it again, and servers would get it beyond the limit of sends and
 // the retry budget.
 void StageRunner::DropCopy(const routing::QueuedItem& item, ItemOutcome outcome,
-                           const StageLocation& location) {
+                           const StageLocation& location, Duration room_after) {
   const auto pending = pending_items_.find(item.id);
   if (pending == pending_items_.end()) return;
-  if (--pending->second.copies == 0) FinishItem(item, {outcome, {}}, location);
+  if (--pending->second.copies == 0)
+    FinishItem(item, {outcome, {}, false, room_after}, location);
 }
 
 void StageRunner::FinishItem(const routing::QueuedItem& item,
@@ -728,9 +747,9 @@
     const Duration lifetime = found != nullptr && found->batches
                                   ? found->batches->result_lifetime
                                   : Duration::zero();
-    held_results_[item_result.result.handle] = {location, item.result_bytes,
-                                                item_result.result.server,
-                                                context_.Now() + lifetime};
+    held_results_[item_result.result.handle] = {
+        location, item.result_bytes, item_result.result.server,
+        context_.Now() + lifetime, context_.Now()};
     if (StageQueue* queue = FindOrAddQueue(location))
       queue->scheduler.AddResultBytes(
           item_result.result.server,
@@ -770,9 +789,11 @@
 }
 
 void StageRunner::UncountResult(const HeldResult& held) {
-  if (StageQueue* queue = FindOrAddQueue(held.location))
-    queue->scheduler.AddResultBytes(held.server,
-                                    -static_cast<std::int64_t>(held.bytes));
+  StageQueue* queue = FindOrAddQueue(held.location);
+  if (queue == nullptr) return;
+  queue->scheduler.AddResultBytes(held.server,
+                                  -static_cast<std::int64_t>(held.bytes));
+  queue->scheduler.ObserveHold(context_.Now() - held.since);
 }
 
 void StageRunner::ExpireResults() {
@@ -934,6 +955,22 @@
   return loads;
 }
 
+std::vector<StageRunner::StageRoom> StageRunner::Rooms() {
+  std::vector<StageRoom> rooms;
+  for (const auto& [location, queue] : queues_) {
+    StageRoom room;
+    room.location = location;
+    room.supplies = queue->scheduler.Supplies(
+        ServersAt(location), context_.Now(), context_.SpeedsNow());
+    for (std::size_t kind = 0; kind < routing::kRoomKinds; ++kind)
+      queue->scheduler.AppendQueued({location.service, location.zone,
+                                     static_cast<routing::RoomKind>(kind)},
+                                    room.waiting[kind]);
+    rooms.push_back(std::move(room));
+  }
+  return rooms;
+}
+
 std::optional<StageLoad> StageRunner::LoadAt(const StageLocation& location) {
   const auto queue = queues_.find(location);
   if (queue == queues_.end()) return std::nullopt;
--- a/services/gateway/stage_runner.h
+++ b/services/gateway/stage_runner.h
@@ -44,6 +44,8 @@
   // Servers have received the item, and to run it again is a retry that the
   // retry budget has not counted yet.
   bool needs_retry = false;
+  // With kDeadlinePassed: time until there is room for it; zero if not known.
+  Duration room_after{};
 };
 
 // Executes stage items in calls that are batched over all requests submitted to
@@ -82,6 +84,15 @@
   // here.
   std::optional<StageLoad> LoadAt(const StageLocation& location);
 
+  // What the servers of one service and zone can do, by routing::RoomKind, and
+  // the work that waits for them here.
+  struct StageRoom {
+    StageLocation location;
+    std::array<routing::RoomSupply, routing::kRoomKinds> supplies{};
+    std::array<std::vector<routing::RoomWork>, routing::kRoomKinds> waiting;
+  };
+  std::vector<StageRoom> Rooms();
+
  private:
   class ActiveCall;
   class ControlCall;
@@ -95,6 +106,9 @@
       const StageLocation& location);
   std::optional<TimePoint> FirstReturnAt(const StageLocation& location);
   void DispatchQueue(StageQueue& queue);
+  // Refuses the items for which there is no room.
+  void AllotRoom(StageQueue& queue,
+                 std::span<routing::ServerRecord* const> servers);
   // Starts no call to a server before its limit allows one.
   void DeferLimitedServers(StageQueue& queue,
                            std::span<routing::ServerRecord* const> servers);
@@ -113,7 +127,8 @@
   // Drops one copy of the item. The item ends with `outcome` if that was its
   // last one.
   void DropCopy(const routing::QueuedItem& item, ItemOutcome outcome,
-                const StageLocation& location);
+                const StageLocation& location,
+                Duration room_after = Duration::zero());
   void HoldUntilReturn(StageQueue& queue, TimePoint first_return);
   void HandBackItems(StageQueue& queue);
   void FinishItem(const routing::QueuedItem& item, ItemResult item_result,
@@ -152,6 +167,7 @@
     std::uint64_t bytes = 0;
     ServerId server;
     TimePoint expires_at;
+    TimePoint since{};
   };
   void UncountResult(const HeldResult& held);
   void OnReleased(std::span<const std::string> handles);
--- a/tests/configuration/gateway_settings_test.cc
+++ b/tests/configuration/gateway_settings_test.cc
@@ -124,5 +124,27 @@
                                            "/memory/address_share"});
 }
 
+TEST_CASE("Room settings are read, and absent unless given") {
+  const std::string prefix =
+      R"({"host":"h","zone":"z","callers":"127.0.0.1:1",
+          "readiness":"127.0.0.1:2","peers":"127.0.0.1:3",
+          "store":"127.0.0.1:6")";
+  GatewaySettingsReader reader;
+  REQUIRE_FALSE(reader.Read(prefix + "}")->room);
+  REQUIRE(reader.Read(prefix + R"(,"room":{}})")->room);
+  const auto settings = reader.Read(
+      prefix +
+      R"(,"room":{"worth":{"drafts":4.7},"team_weights":{"north":2}}})");
+  REQUIRE(settings);
+  REQUIRE(settings->room->worth.at("drafts") == 4.7);
+  REQUIRE(settings->room->team_weights.at(TeamId("north")) == 2);
+  REQUIRE_FALSE(reader.Read(
+      prefix + R"(,"room":{"worth":{"a":0,"b":"x"},"team_weights":3}})"));
+  std::vector<std::string> keys;
+  for (const Problem& problem : reader.problems()) keys.push_back(problem.key);
+  REQUIRE(keys == std::vector<std::string>{"/room/worth/a", "/room/worth/b",
+                                           "/room/team_weights"});
+}
+
 }  // namespace
 }  // namespace lovagecleat::configuration
--- a/tests/routing/room_simulation.cc
+++ b/tests/routing/room_simulation.cc
@@ -242,7 +242,8 @@
   }
 
   bool IsAway(std::size_t zone) const {
-    return zone == kAwayZone && now_ >= kAwayFrom && now_ < kAwayUntil;
+    return settings_.is_zone_away && zone == kAwayZone && now_ >= kAwayFrom &&
+           now_ < kAwayUntil;
   }
 
   std::vector<ServerRecord*> ServersOf(const Queue& queue) const {
@@ -519,14 +520,6 @@
       const Location location{stage.service, request->zone};
       if (position.index == 0) {
         hosts_[request->host].plans.RemoveStage(request->id, position.stage);
-        if (UsesRoom() && !stage.dependencies.empty()) {
-          // Before a later stage the decision is made again.
-          const RoomAnswer answer =
-              DecideRoom(QuestionFor(*request, request->zone, position.stage));
-          if (answer.verdict == RoomVerdict::kNone)
-            return Fail(request, Spread(answer.room_after), true);
-          request->rank.is_late = answer.rank.is_late;
-        }
       }
       QueuedItem item;
       item.id = ItemId(++last_item_);
@@ -535,9 +528,10 @@
       item.result_bytes = stage.bytes;
       item.team = request->team;
       item.rank = request->rank;
-      item.priority = settings_.policy == CrowdPolicy::kPriorityAndSlack
-                          ? model.priority
-                          : 0;
+      item.priority =
+          settings_.policy == CrowdPolicy::kPriorityAndSlack || UsesRoom()
+              ? model.priority
+              : 0;
       const TimePoint objective = request->arrived_at + model.objective;
       const TimePoint slack_end =
           objective - UsualTimeFrom(*request, position.stage) - model.rest;
@@ -562,7 +556,7 @@
            if (request->has_ended || request->id != item.request) return;
            Queue& queue = queues_[index];
            queue.items[item.id] = {request, item.position};
-           queue.scheduler->Add(item);
+           queue.scheduler->Add(item, now_);
            queue.allotted_at = TimePoint{Duration(-1'000'000)};
            At(now_ + kMessageTime, [this, index] { Dispatch(queues_[index]); });
          });
@@ -574,6 +568,7 @@
     const bool is_free = queue.scheduler->HasFreeServer(servers, now_);
     if (!is_free && now_ - queue.allotted_at < kMeasurePeriod) return;
     queue.allotted_at = now_;
+    queue.scheduler->SetAllotsRoom(UsesRoom());
     if (UsesRoom() && !servers.empty()) {
       const auto supplies = queue.scheduler->Supplies(servers, now_);
       for (const RefusedItem& refused :
--- a/tests/routing/room_simulation.h
+++ b/tests/routing/room_simulation.h
@@ -31,6 +31,7 @@
   double message_loss = 0;  // of loads and plans
   // The servers take this many times as long as their limits say.
   double server_slowness = 1;
+  bool is_zone_away = true;
   // Requests of one team that come beside the others, as a factor of all.
   double flood = 0;
   // The batching hosts of the first stage's service restart then.
--- a/tests/routing/room_test.cc
+++ b/tests/routing/room_test.cc
@@ -41,6 +41,8 @@
   RoomQuestion question;
   question.steps.push_back({{}, milliseconds(200), {{&load, work, work}}});
   question.priority = priority;
+  // One for each second of a resource with a rate of 100.
+  question.worth = work / 100;
   question.team = TeamId("new");
   question.objective = seconds(1);
   question.deadline = seconds(4);
@@ -62,7 +64,7 @@
 }
 
 TEST_CASE("A request waits behind work of its rank and more urgent ones only") {
-  const RoomSupply supply{100, 0, 0};
+  const RoomSupply supply{100, 0, {}};
   const std::vector<RoomWork> waiting{Work("x", 0, 50), Work("x", 1, 100),
                                       Work("x", 2, 1000)};
   const RoomLoad load = MeasureRoom(waiting, supply, {});
@@ -74,7 +76,7 @@
 }
 
 TEST_CASE("A request that misses its objective is late, then refused") {
-  const RoomSupply supply{100, 0, 0};
+  const RoomSupply supply{100, 0, {}};
   const std::vector<RoomWork> some{Work("new", 0, 200)};
   const RoomLoad few = MeasureRoom(some, supply, {});
   const RoomAnswer late = DecideRoom(QuestionFor(few, 0, 10));
@@ -91,7 +93,7 @@
 // Guards against a service that refuses everything because its times, which
 // only served requests can correct, seem too long.
 TEST_CASE("Nothing is refused for times alone where nothing waits") {
-  const RoomLoad idle = MeasureRoom({}, {100, 0, 0}, {});
+  const RoomLoad idle = MeasureRoom({}, {100, 0, {}}, {});
   RoomQuestion question = QuestionFor(idle, 0, 10);
   question.steps.front().time = seconds(30);
   CHECK(DecideRoom(question).verdict == RoomVerdict::kInDeadline);
@@ -99,15 +101,15 @@
 
 TEST_CASE("A resource with an unknown rate refuses nothing") {
   const std::vector<RoomWork> waiting{Work("x", 0, 1e9)};
-  const RoomLoad load = MeasureRoom(waiting, {0, 0, 0}, {});
+  const RoomLoad load = MeasureRoom(waiting, {0, 0, {}}, {});
   CHECK(DecideRoom(QuestionFor(load, 2, 10)).verdict ==
         RoomVerdict::kInObjective);
 }
 
 TEST_CASE("The scarce resource is found among those that a request needs") {
   const std::vector<RoomWork> waiting{Work("x", 0, 40)};
-  const RoomLoad slots = MeasureRoom({}, {100, 50, 0}, {});
-  const RoomLoad memory = MeasureRoom(waiting, {10, 0, 0}, {});
+  const RoomLoad slots = MeasureRoom({}, {100, 50, {}}, {});
+  const RoomLoad memory = MeasureRoom(waiting, {10, 0, {}}, {});
   RoomQuestion question = QuestionFor(slots, 0, 10);
   question.steps.push_back({{0}, milliseconds(200), {{&memory, 1, 1}}});
   CHECK(DecideRoom(question).step == std::size_t{1});
@@ -120,11 +122,11 @@
 // later queues empty while earlier stages run.
 TEST_CASE("The waits at the stages of a request pass at the same time") {
   const std::vector<RoomWork> waiting{Work("new", 0, 50)};
-  const RoomLoad load = MeasureRoom(waiting, {100, 0, 0}, {});
-  RoomQuestion question = QuestionFor(load, 0, 0);
-  question.steps.push_back({{0}, milliseconds(200), {{&load, 0, 0}}});
+  const RoomLoad load = MeasureRoom(waiting, {100, 0, {}}, {});
+  RoomQuestion question = QuestionFor(load, 0, 10);
+  question.steps.push_back({{0}, milliseconds(200), {{&load, 10, 10}}});
   const RoomAnswer answer = DecideRoom(question);
-  CHECK(answer.finish == milliseconds(900));
+  CHECK(answer.finish == milliseconds(1000));
   CHECK(answer.verdict == RoomVerdict::kInObjective);
 }
 
@@ -132,7 +134,7 @@
   std::vector<RoomWork> waiting;
   for (int i = 0; i < 100; ++i) waiting.push_back(Work("flood", 0, 10));
   waiting.push_back(Work("calm", 0, 10));
-  const RoomLoad load = MeasureRoom(waiting, {100, 0, 0}, {});
+  const RoomLoad load = MeasureRoom(waiting, {100, 0, {}}, {});
   const RoomRank rank = MakeRoomRank(0, 1);
   CHECK(load.WaitFor(rank, TeamId("flood"), 10) > seconds(10));
   CHECK(load.WaitFor(rank, TeamId("calm"), 10) < milliseconds(500));
@@ -142,14 +144,14 @@
 TEST_CASE("The weight of a team counts") {
   std::vector<RoomWork> waiting{Work("heavy", 0, 300), Work("light", 0, 300)};
   const RoomWeights weights{{TeamId("heavy"), 3.0}};
-  const RoomLoad load = MeasureRoom(waiting, {100, 0, 0}, weights);
+  const RoomLoad load = MeasureRoom(waiting, {100, 0, {}}, weights);
   const RoomRank rank = MakeRoomRank(0, 1);
   CHECK(load.WaitFor(rank, TeamId("heavy"), 0) <
         load.WaitFor(rank, TeamId("light"), 0));
   std::vector<RoomClaim> claims;
   for (int i = 0; i < 40; ++i)
     claims.push_back(Claim(i % 2 == 0 ? "heavy" : "light", 0, 10, seconds(1)));
-  const Supplies supplies{RoomSupply{200, 0, 0}, RoomSupply{}};
+  const Supplies supplies{RoomSupply{200, 0, {}}, RoomSupply{}};
   const RoomAllotment allotment = AllotRoom(claims, supplies, weights);
   std::size_t heavy = 0;
   std::size_t light = 0;
@@ -166,7 +168,7 @@
     claims.push_back(Claim("x", 2, 1, seconds(1), seconds(1)));
   for (int i = 0; i < 200; ++i)
     claims.push_back(Claim("x", 0, 1, seconds(1), seconds(1)));
-  const Supplies supplies{RoomSupply{100, 0, 0}, RoomSupply{}};
+  const Supplies supplies{RoomSupply{100, 0, {}}, RoomSupply{}};
   const RoomAllotment allotment = AllotRoom(claims, supplies, {});
   CHECK(Count(allotment, RoomVerdict::kInObjective, 0, 100) == 5);
   CHECK(Count(allotment, RoomVerdict::kInObjective, 100, 300) == 95);
@@ -178,7 +180,7 @@
   for (int i = 0; i < 60; ++i)
     claims.push_back(
         Claim("x", 1, 2, seconds(1), seconds(1), i % 2 == 0 ? 1.0 : 8.0));
-  const Supplies supplies{RoomSupply{60, 0, 0}, RoomSupply{}};
+  const Supplies supplies{RoomSupply{60, 0, {}}, RoomSupply{}};
   const RoomAllotment allotment = AllotRoom(claims, supplies, {});
   for (std::size_t i = 0; i < claims.size(); ++i)
     CHECK((allotment.verdicts[i] == RoomVerdict::kInObjective) == (i % 2 == 1));
@@ -190,7 +192,7 @@
     claims.push_back(Claim("x", 0, 1, seconds(1), seconds(1)));
     claims.back().work = {1, i < 10 ? 100.0 : 0.0};
   }
-  const Supplies supplies{RoomSupply{1000, 0, 0}, RoomSupply{200, 100, 0}};
+  const Supplies supplies{RoomSupply{1000, 0, {}}, RoomSupply{100, 200, {}}};
   const RoomAllotment allotment = AllotRoom(claims, supplies, {});
   CHECK(Count(allotment, RoomVerdict::kInObjective, 0, 10) == 3);
   CHECK(Count(allotment, RoomVerdict::kInObjective, 10, 20) == 10);
@@ -200,12 +202,12 @@
   std::vector<RoomClaim> claims;
   for (int i = 0; i < 100; ++i)
     claims.push_back(Claim("x", 0, 1, milliseconds(-1), seconds(2)));
-  Supplies supplies{RoomSupply{100, 0, 0}, RoomSupply{}};
+  Supplies supplies{RoomSupply{100, 0, {}}, RoomSupply{}};
   CHECK(Count(AllotRoom(claims, supplies, {}), RoomVerdict::kInDeadline, 0,
               100) == 100);
-  supplies[0].in_time_share = 0.9;
+  supplies[0].taken.back() = 0.75;
   CHECK(Count(AllotRoom(claims, supplies, {}), RoomVerdict::kInDeadline, 0,
-              100) == 20);
+              100) == 50);
 }
 
 TEST_CASE("Plans are told as totals, and a stage leaves them once") {
