--- a/libraries/routing/room.h
+++ b/libraries/routing/room.h
@@ -43,6 +43,8 @@
   // Takes any number for the nearest rank.
   static RoomRank Decode(std::uint32_t number);
 
+  // NOTE: clang-tidy 14 reports a null pointer in the generated comparison.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const RoomRank&, const RoomRank&) = default;
 };
 
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -236,6 +236,13 @@
   }
 }
 
+void GatewayFixture::SetRoom(const configuration::RoomSettings& room) {
+  for (const auto& host : hosts_) {
+    host->settings.room = room;
+    host->gateway->Reload(host->settings);
+  }
+}
+
 void GatewayFixture::KillHost(std::size_t number) {
   if (number == 0) gateway = nullptr;
   hosts_.at(number).reset();
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -159,6 +159,9 @@
   // Sets the bounds on versions that are rolled out, for hosts that exist.
   void SetExposure(const configuration::ExposureLimits& exposure);
 
+  // Turns the decision on room on, for hosts that exist.
+  void SetRoom(const configuration::RoomSettings& room);
+
   // Destroys a gateway with its connections, as if its process were killed. Its
   // row in the hosts table stays.
   void KillHost(std::size_t number);
--- a/tests/routing/room_simulation_test.cc
+++ b/tests/routing/room_simulation_test.cc
@@ -76,11 +76,12 @@
   return best;
 }
 
-void CheckAgainstBaselines(const CrowdSettings& settings) {
+CrowdResult CheckAgainstBaselines(const CrowdSettings& settings) {
   const CrowdResult baseline = BestBaseline(settings);
   const CrowdResult room = Mean(settings);
   CHECK(1 - room.worth <= (1 - kSavedLoss) * (1 - baseline.worth));
   CHECK(room.wasted_seconds <= baseline.wasted_seconds);
+  return room;
 }
 
 }  // namespace
@@ -91,11 +92,9 @@
   for (const std::size_t hosts : {6U, 71U, 300U}) {
     CrowdSettings settings;
     settings.hosts = hosts;
-    CheckAgainstBaselines(settings);
+    const CrowdResult room = CheckAgainstBaselines(settings);
     settings.policy = CrowdPolicy::kPriorityAndSlack;
     const CrowdResult before = Mean(settings);
-    settings.policy = CrowdPolicy::kRoom;
-    const CrowdResult room = Mean(settings);
     CHECK(room.worth >= before.worth);
     // Of the objective of the most urgent class, for most refusals.
     CHECK(room.refusal_ms <= 1000);
