--- a/tests/routing/room_test.cc
+++ b/tests/routing/room_test.cc
@@ -132,6 +132,7 @@
 
 TEST_CASE("A team that floods waits behind itself") {
   std::vector<RoomWork> waiting;
+  waiting.reserve(101);
   for (int i = 0; i < 100; ++i) waiting.push_back(Work("flood", 0, 10));
   waiting.push_back(Work("calm", 0, 10));
   const RoomLoad load = MeasureRoom(waiting, {100, 0, {}}, {});
@@ -149,6 +150,7 @@
   CHECK(load.WaitFor(rank, TeamId("heavy"), 0) <
         load.WaitFor(rank, TeamId("light"), 0));
   std::vector<RoomClaim> claims;
+  claims.reserve(40);
   for (int i = 0; i < 40; ++i)
     claims.push_back(Claim(i % 2 == 0 ? "heavy" : "light", 0, 10, seconds(1)));
   const Supplies supplies{RoomSupply{200, 0, {}}, RoomSupply{}};
@@ -164,6 +166,7 @@
 
 TEST_CASE("Room goes by priority, and each priority has its least share") {
   std::vector<RoomClaim> claims;
+  claims.reserve(300);
   for (int i = 0; i < 100; ++i)
     claims.push_back(Claim("x", 2, 1, seconds(1), seconds(1)));
   for (int i = 0; i < 200; ++i)
@@ -177,6 +180,7 @@
 
 TEST_CASE("Within a priority, room goes by worth for the scarce resource") {
   std::vector<RoomClaim> claims;
+  claims.reserve(60);
   for (int i = 0; i < 60; ++i)
     claims.push_back(
         Claim("x", 1, 2, seconds(1), seconds(1), i % 2 == 0 ? 1.0 : 8.0));
@@ -188,6 +192,7 @@
 
 TEST_CASE("Memory for results can be what is scarce") {
   std::vector<RoomClaim> claims;
+  claims.reserve(20);
   for (int i = 0; i < 20; ++i) {
     claims.push_back(Claim("x", 0, 1, seconds(1), seconds(1)));
     claims.back().work = {1, i < 10 ? 100.0 : 0.0};
@@ -200,6 +205,7 @@
 
 TEST_CASE("Late work gets what in-time work leaves") {
   std::vector<RoomClaim> claims;
+  claims.reserve(300);
   for (int i = 0; i < 100; ++i)
     claims.push_back(Claim("x", 0, 1, milliseconds(-1), seconds(2)));
   Supplies supplies{RoomSupply{100, 0, {}}, RoomSupply{}};
