--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -13,6 +14,8 @@
 
 #include "base/base.h"
 #include "routing/model.h"
+#include "routing/room.h"
+#include "routing/room_allotment.h"
 #include "routing/server_directory.h"
 #include "routing/server_speed.h"
 #include "routing/stage_plan.h"
@@ -33,6 +36,15 @@
   TimePoint soft_deadline;  // later results miss the latency target
   TimePoint deadline;       // hard deadline: later results are useless
   TimePoint queued_at;
+  TeamId team;
+  std::optional<RoomRank> rank;  // missing: by the priority alone
+  RoomVerdict verdict = RoomVerdict::kInObjective;  // of AllotRoom
+};
+
+// An item for which there is no room.
+struct RefusedItem {
+  QueuedItem item;
+  Duration room_after{};  // time until there is
 };
 
 // One call to one server.
@@ -53,7 +65,12 @@
   explicit BatchScheduler(const BatchLimits& limits) : limits_(limits) {}
 
   void SetLimits(const BatchLimits& limits) { limits_ = limits; }
+  // Whether calls are chosen by what AllotRoom decided.
+  void SetAllotsRoom(bool allots_room) { allots_room_ = allots_room; }
+  // Queues a copy of an item that was queued before.
   void Add(QueuedItem item);
+  // Queues a new item.
+  void Add(QueuedItem item, TimePoint now);
 
   // Removes those of `items` that have not been sent.
   void Remove(std::span<const ItemId> items);
@@ -63,6 +80,27 @@
   // Their requests can then fail at once instead of at the deadline.
   std::vector<QueuedItem> TakeInfeasible(double capacity, TimePoint now);
 
+  // Decides which of the queued stages get room, of which from then on those
+  // that can meet their objectives go first, the others of them after these.
+  // Removes and returns the items that get none. Needs a fresh estimate of
+  // `supplies`, indexed by RoomKind.
+  std::vector<RefusedItem> AllotRoom(
+      std::span<const RoomSupply, kRoomKinds> supplies,
+      const RoomWeights& weights, TimePoint now);
+
+  // Returns what the servers can do, by RoomKind.
+  // Results count as unlimited until some were held.
+  std::array<RoomSupply, kRoomKinds> Supplies(
+      std::span<ServerRecord* const> servers, TimePoint now,
+      const SpeedView& speeds = {}) const;
+
+  // Appends the queued work of that kind.
+  void AppendQueued(const RoomResource& resource,
+                    std::vector<RoomWork>& work) const;
+
+  // Records for how long a result was held until its memory was free again.
+  void ObserveHold(Duration held);
+
   // Returns whether TakeCalls could choose a call for one of the servers now.
   // Cheap enough to be called on every event.
   bool HasFreeServer(std::span<ServerRecord* const> servers,
@@ -159,6 +197,8 @@
   };
 
   void SortQueue(TimePoint now);
+  void SortQueueByRoom();
+  void CountArrival(const QueuedItem& item, TimePoint now);
   bool IsFree(const ServerState& state, TimePoint now) const;
   TimePoint PipelinedCallAt(const ServerState& state) const;
   double SlownessNow(const ServerState& state, TimePoint now) const;
@@ -170,6 +210,14 @@
   BatchLimits limits_;
   std::vector<QueuedItem> queue_;
   std::map<ServerId, ServerState> states_;
+  bool allots_room_ = false;
+  // Work of the last while that goes before each priority, as
+  // RoomSupply::taken; decays.
+  std::array<std::array<double, RoomRank::kPriorities + 1>, kRoomKinds>
+      arrivals_{};
+  TimePoint arrivals_at_{};
+  double held_seconds_ = 0;  // mean
+  std::size_t holds_ = 0;    // observed
 };
 
 }  // namespace lovagecleat::routing
