Gateway: Refuse a prompt that no server reads in time, and no other

The deadline of stage items left room for the prompt to be read at the server that it would go to, slowed by what that server said of its machine at that moment. A request with a long prompt was refused although the moment would have been over before its stages were. A prompt that no server reads before the deadline was found only when its items were searched for late ones, after a zone and a batching host had been chosen.

The least time to read a prompt is now that of its own part at the fastest usable server, by the steady slowness. The deadline of the items leaves that room, and a request that can't finish with it is refused at arrival, where the wait for stages was already compared. The soft deadline still counts the likely server and its moment.

"A long prompt waits out a moment of slow work" (503 for a prompt of 1,000 ms beside a reported slowdown of 8, limit 3,000 ms) and "A prompt that no server reads in time is refused at once" (no too_late in the log) failed before and pass; "The least time to read a prompt is that of the fastest server" is new.

--- a/libraries/routing/prompt_placement.cc
+++ b/libraries/routing/prompt_placement.cc
@@ -1,7 +1,9 @@
 #include "routing/prompt_placement.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
+#include <optional>
 #include <string_view>
 
 namespace lovagecleat::routing {
@@ -87,6 +89,10 @@
   return tokens;
 }
 
+std::uint32_t Prompt::OwnTokens() const {
+  return prompt_tokens - std::min(prompt_tokens, SharedTokens());
+}
+
 namespace {
 
 // Servers by preference for a prompt. The first is expected to cache all shared
@@ -133,9 +139,7 @@
     std::span<ServerRecord* const> usable, const Prompt& prompt,
     std::size_t host_count, const SpeedView& speeds) const {
   const HomeOrder order = OrderHomes(usable, prompt, speeds);
-  const std::uint32_t own_tokens =
-      prompt.prompt_tokens -
-      std::min(prompt.prompt_tokens, prompt.SharedTokens());
+  const std::uint32_t own_tokens = prompt.OwnTokens();
   const double own_prefill_ms = own_tokens / kPrefillTokensPerMillisecond;
   PromptServerChoice best;
   double best_cost = 0;
@@ -164,4 +168,20 @@
   return best;
 }
 
+// A moment of slow work may have passed when the prompt is read.
+Duration PromptPlacement::LeastPrefillTime(
+    std::span<ServerRecord* const> servers, const Prompt& prompt,
+    const SpeedView& speeds) {
+  std::optional<double> least;
+  for (const ServerRecord* server : servers) {
+    const double slowness =
+        speeds.SteadySlownessOf(server->entry, WorkKind::kPrefill);
+    least = std::min(least.value_or(slowness), slowness);
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(least.value_or(0) *
+                                                prompt.OwnTokens() /
+                                                kPrefillTokensPerMillisecond));
+}
+
 }  // namespace lovagecleat::routing
--- a/libraries/routing/prompt_placement.h
+++ b/libraries/routing/prompt_placement.h
@@ -18,6 +18,8 @@
 
   // Returns the number of tokens in the parts shared with other requests.
   std::uint32_t SharedTokens() const;
+  // Returns the number of all other tokens.
+  std::uint32_t OwnTokens() const;
 };
 
 struct PromptServerChoice {
@@ -53,6 +55,13 @@
   PromptServerChoice Choose(std::span<ServerRecord* const> usable,
                             const Prompt& prompt, std::size_t host_count,
                             const SpeedView& speeds = {}) const;
+
+  // Returns the least time in which one of the servers would read the part of
+  // the prompt that no server caches, by their steady slowness; zero without
+  // servers.
+  static Duration LeastPrefillTime(std::span<ServerRecord* const> servers,
+                                   const Prompt& prompt,
+                                   const SpeedView& speeds);
 };
 
 }  // namespace lovagecleat::routing
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -211,7 +211,9 @@
     return RefuseUntil(*first_return);
   const Duration wait = ChooseZone();
   // The request could not finish in time, so it is refused at once.
-  if (Now() + MinimumStageTime() + wait >= event_deadline_)
+  const Duration least = MinimumStageTime() + least_prefill_time_;
+  if (Now() + least >= event_deadline_) return Refuse("too_late");
+  if (Now() + least + wait >= event_deadline_)
     return Refuse("overloaded", wait);
   SubmitReadyItems();
   stages_.Flush();
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -279,6 +279,9 @@
   routing::EventGaps event_gaps_;
   // Slowness of the server that would get the request, when its stages began.
   double expected_slowness_ = 1;
+  // Least time in which one of the servers would read the prompt, as estimated
+  // then.
+  Duration least_prefill_time_{};
 
   http::ResponseHead head_;
   ResponseMetadata response_metadata_;
--- a/services/gateway/request_flow_stages.cc
+++ b/services/gateway/request_flow_stages.cc
@@ -32,10 +32,13 @@
     if (plan_->IsFinal(i))
       final_bytes += plan_->item_count(i) * plan_->stage(i).result_bytes;
   }
+  const std::vector<routing::ServerRecord*> servers = ServersByRollout(
+      context_, service_, false, context_.directory.Usable(service_, Now()));
+  const routing::SpeedView speeds = context_.SpeedsNow();
   const routing::PromptServerChoice choice = context_.placement.Choose(
-      ServersByRollout(context_, service_, false,
-                       context_.directory.Usable(service_, Now())),
-      request_.prompt, context_.host_count, context_.SpeedsNow());
+      servers, request_.prompt, context_.host_count, speeds);
+  least_prefill_time_ = routing::PromptPlacement::LeastPrefillTime(
+      servers, request_.prompt, speeds);
   const routing::ServerRecord* likely = choice.server;
   expected_slowness_ = choice.slowness;
   std::vector<routing::ZoneCandidate> candidates;
@@ -69,7 +72,7 @@
 }
 
 // Returns the time of the longest chain of stages that follow `stage`, each as
-// `time_of` gives it, plus the prompt's prefill.
+// `time_of` gives it.
 Duration RequestFlow::TimeAfter(
     std::size_t stage,
     const std::function<Duration(const routing::Stage&)>& time_of) const {
@@ -83,22 +86,24 @@
     longest =
         std::max(longest, time_of(plan_->stage(i)) + TimeAfter(i, time_of));
   }
-  return longest > Duration::zero()
-             ? longest
-             : PrefillTime(request_.prompt, expected_slowness_);
+  return longest;
 }
 
 Duration RequestFlow::ExpectedTimeAfter(std::size_t stage) {
-  return TimeAfter(stage, [this](const routing::Stage& next) {
-    return stages_.ExpectedWait(LocationOf(next), priority_) +
-           stages_.TypicalCallTime(next.service);
-  });
+  return TimeAfter(stage,
+                   [this](const routing::Stage& next) {
+                     return stages_.ExpectedWait(LocationOf(next), priority_) +
+                            stages_.TypicalCallTime(next.service);
+                   }) +
+         PrefillTime(request_.prompt, expected_slowness_);
 }
 
 Duration RequestFlow::MinimumTimeAfter(std::size_t stage) const {
-  return TimeAfter(stage, [this](const routing::Stage& next) {
-    return stages_.CallTime(next.service, 1);
-  });
+  return TimeAfter(stage,
+                   [this](const routing::Stage& next) {
+                     return stages_.CallTime(next.service, 1);
+                   }) +
+         least_prefill_time_;
 }
 
 Duration RequestFlow::MinimumStageTime() const {
--- a/tests/routing/prompt_placement_test.cc
+++ b/tests/routing/prompt_placement_test.cc
@@ -148,6 +148,43 @@
   REQUIRE(slow_homes(50) < 330);
 }
 
+TEST_CASE("The least time to read a prompt is that of the fastest server") {
+  Pool pool(3);
+  ServerSpeeds speeds;
+  TimePoint now{std::chrono::seconds(100)};
+  for (int i = 0; i < 20; ++i) {
+    now += std::chrono::milliseconds(500);
+    for (std::size_t server = 0; server < 3; ++server)
+      speeds.Observe({}, pool.records_[server].entry.incarnation(),
+                     WorkKind::kPrefill,
+                     std::chrono::milliseconds(server == 0   ? 60
+                                               : server == 1 ? 100
+                                                             : 160),
+                     std::chrono::milliseconds(100), now);
+  }
+  now += std::chrono::seconds(2);
+  const SpeedView view(speeds, now);
+  Prompt prompt = MakePrompt("b", "d", "p");
+  const auto least_ms = [&](std::initializer_list<std::size_t> servers) {
+    std::vector<ServerRecord*> records;
+    for (const std::size_t server : servers)
+      records.push_back(&pool.records_[server]);
+    return static_cast<double>(
+               PromptPlacement::LeastPrefillTime(records, prompt, view)
+                   .count()) /
+           1000;
+  };
+  const double usual_ms = 2900 / PromptPlacement::kPrefillTokensPerMillisecond;
+  REQUIRE(least_ms({}) == 0);
+  REQUIRE(least_ms({1}) == Approx(usual_ms).epsilon(0.01));
+  REQUIRE(least_ms({2}) == Approx(1.6 * usual_ms).epsilon(0.1));
+  REQUIRE(least_ms({1, 2}) == Approx(usual_ms).epsilon(0.01));
+  REQUIRE(least_ms({2, 0, 1}) == Approx(0.6 * usual_ms).epsilon(0.1));
+  // A moment passes.
+  speeds.SetReported({}, pool.records_[1].entry.incarnation(), 5, now);
+  REQUIRE(least_ms({1}) == Approx(usual_ms).epsilon(0.01));
+}
+
 TEST_CASE(
     "Without servers none is chosen, without parts the least loaded one") {
   const PromptPlacement placement;
