--- a/libraries/routing/server_speed.cc
+++ b/libraries/routing/server_speed.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace lovagecleat::routing {
@@ -391,19 +392,39 @@
                     kLowestSlowness, kHighestSlowness);
 }
 
-std::vector<SpeedSample> ServerSpeeds::TakeObserved() {
-  std::vector<SpeedSample> samples;
+std::vector<SpeedSample> ServerSpeeds::TakeObserved(std::size_t maximum) {
+  struct Observed {
+    const ServiceId *service;
+    const ServerId *id;
+    ServerState *server;
+  };
+  std::vector<Observed> observed;
   for (auto &[service, state] : services_)
     for (auto &[id, server] : state.servers)
-      for (std::size_t kind = 0; kind < kWorkKinds; ++kind) {
-        Estimate &estimate = server.kinds[kind];
-        if (estimate.new_count == 0) continue;
-        samples.push_back(
-            {service, server.incarnation, static_cast<WorkKind>(kind),
-             estimate.new_sum / estimate.new_count, estimate.new_count});
-        estimate.new_sum = 0;
-        estimate.new_count = 0;
-      }
+      if (std::any_of(server.kinds.begin(), server.kinds.end(),
+                      [](const Estimate &kind) { return kind.new_count > 0; }))
+        observed.push_back({&service, &id, &server});
+  std::rotate(observed.begin(),
+              std::find_if(observed.begin(), observed.end(),
+                           [this](const Observed &item) {
+                             return std::tie(*item.service, *item.id) >
+                                    std::tie(taken_.first, taken_.second);
+                           }),
+              observed.end());
+  std::vector<SpeedSample> samples;
+  for (const Observed &item : observed) {
+    if (samples.size() + kWorkKinds > maximum) break;
+    for (std::size_t kind = 0; kind < kWorkKinds; ++kind) {
+      Estimate &estimate = item.server->kinds[kind];
+      if (estimate.new_count == 0) continue;
+      samples.push_back(
+          {*item.service, item.server->incarnation, static_cast<WorkKind>(kind),
+           estimate.new_sum / estimate.new_count, estimate.new_count});
+      estimate.new_sum = 0;
+      estimate.new_count = 0;
+    }
+    taken_ = {*item.service, *item.id};
+  }
   return samples;
 }
 
--- a/libraries/routing/server_speed.h
+++ b/libraries/routing/server_speed.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -113,8 +114,10 @@
   double SteadySlownessOf(const ServiceId& service, const ServerId& server,
                           WorkKind kind, TimePoint now) const;
 
-  // Returns what this host observed itself since the last call.
-  std::vector<SpeedSample> TakeObserved();
+  // Returns what this host observed itself and has not returned yet, of up to
+  // `maximum` samples. Servers that are left out come first in the next call.
+  std::vector<SpeedSample> TakeObserved(std::size_t maximum = kMaximumServers *
+                                                              kWorkKinds);
 
   std::vector<SpeedSummary> Summaries(TimePoint now) const;
 
@@ -183,6 +186,8 @@
 
   std::map<ServiceId, ServiceState> services_;
   std::size_t size_ = 0;
+  // The last server that TakeObserved returned.
+  std::pair<ServiceId, ServerId> taken_;
 };
 
 // The slowness of servers at one moment; 1 for all without estimates.
--- a/services/gateway/speed_exchange.cc
+++ b/services/gateway/speed_exchange.cc
@@ -10,8 +10,11 @@
 constexpr Duration kSendPeriod = std::chrono::seconds(1);
 // Hosts that one message goes to; a larger zone is reached over several.
 constexpr std::size_t kMaximumReceivers = 40;
-// Samples of one message, of this host or another.
-constexpr int kMaximumSamples = 256;
+// Samples that this host adds to a message in one period.
+constexpr std::size_t kMaximumSamples = 256;
+// Samples that are read of a message. The outbox keeps up to three periods for
+// a host that can't be sent to.
+constexpr int kMaximumReceivedSamples = 1024;
 // Period of the log lines, and of the metrics.
 constexpr Duration kShowPeriod = std::chrono::seconds(10);
 
@@ -43,10 +46,9 @@
 
 void SpeedExchange::Send() {
   const std::vector<routing::SpeedSample> samples =
-      context_.speeds.TakeObserved();
+      context_.speeds.TakeObserved(kMaximumSamples);
   messages::ServerSpeeds speeds;
   for (const routing::SpeedSample& sample : samples) {
-    if (speeds.samples_size() >= kMaximumSamples) break;
     messages::ServerSpeedSample& copy = *speeds.add_samples();
     copy.set_server(sample.server.id.value());
     copy.set_started_unix_ms(sample.server.started_unix_ms);
@@ -62,7 +64,7 @@
 }
 
 void SpeedExchange::OnMessage(const messages::ServerSpeeds& speeds) {
-  const int count = std::min(speeds.samples_size(), kMaximumSamples);
+  const int count = std::min(speeds.samples_size(), kMaximumReceivedSamples);
   for (int i = 0; i < count; ++i) {
     const messages::ServerSpeedSample& copy = speeds.samples(i);
     const routing::ServerRecord* server =
