Gateway: Suspend a server that begins no streams beside a live one

A stream that got no event within its limit said that its server was hung only if no stream there had events. With one live stream, a server that hung with all new ones never was suspended: each new request waited 1.5 s there and used up a retry.

A server that has begun no stream for 3 s, twice the limit, although streams were left unbegun, counts as hung for those that are left then, whatever the streams do that began before. A server that is only slow begins some streams in that time.

--- a/libraries/routing/server_directory.h
+++ b/libraries/routing/server_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -26,6 +27,31 @@
   TimePoint at;
 };
 
+// Whether a server begins the streams that this host sends to it. Streams that
+// have begun may go on while it takes no new work.
+class StreamStarts {
+ public:
+  // A server that has begun no stream for this time although streams waited
+  // takes no new work; one that is only slow begins some.
+  static constexpr Duration kStopTime = std::chrono::seconds(3);
+
+  // A stream that was sent at that time was left before its first event.
+  void OnLeft(TimePoint sent_at) {
+    if (!none_since_) none_since_ = std::max(sent_at, begun_at_);
+  }
+  void OnBegun(TimePoint now) {
+    begun_at_ = now;
+    none_since_.reset();
+  }
+  bool HasStopped(TimePoint now) const {
+    return none_since_ && now - *none_since_ >= kStopTime;
+  }
+
+ private:
+  TimePoint begun_at_{};
+  std::optional<TimePoint> none_since_;
+};
+
 // What this host knows about one backend server.
 struct ServerRecord {
   ServerEntry entry;
@@ -41,6 +67,7 @@
   int consecutive_hung_calls = 0;
   // When an event of a stream came last.
   TimePoint progressed_at{};
+  StreamStarts starts;
   // The server may be cold until this time.
   TimePoint cold_until{};
   // The same without regard to failed calls, after which it may have restarted.
@@ -64,7 +91,8 @@
   kSuccess,
   kNoEvidence,  // no evidence about its health, such as no free slot
   kSlow,        // left within its time limit, while the server worked on
-  kHung,        // no event of a stream within the time limit, from any stream
+  kHung,        // no event of a stream within the time limit, from any stream,
+                // or the server begins no streams
   kFailed,      // an error, a broken connection, or a timeout
   kUnreachable,
 };
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -179,6 +179,7 @@
   const TimePoint now = Now();
   routing::ServerRecord* server = context_.directory.Find(server_);
   if (server != nullptr) server->progressed_at = now;
+  if (server != nullptr && !event_at_) server->starts.OnBegun(now);
   if (!event_at_) {
     // Prompts ahead and the rest of the work hide the speed.
     if (tokens_ahead_ == 0 && pending_tokens_ >= kMinimumPrefillTokens)
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -274,18 +274,23 @@
 }
 
 // Returns what a server without a response shows. One that answers other calls
-// meanwhile is not silent, and one that works on other streams is only slow.
+// meanwhile is not silent, and one that works on other streams is only slow
+// unless it begins none.
 routing::CallResult RequestFlow::ResultOfSilence() const {
-  const routing::ServerRecord* server = context_.directory.Find(server_);
+  routing::ServerRecord* server = context_.directory.Find(server_);
   const bool is_silent = !heard_at_ && server != nullptr &&
                          server->silent_since &&
                          *server->silent_since <= sent_at_;
   if (is_silent && Now() - *server->silent_since < kSoundSilence)
     return routing::CallResult::kNoEvidence;
   if (!IsStream()) return routing::CallResult::kFailed;
+  if (server == nullptr) return routing::CallResult::kHung;
+  const bool has_waited = Now() - sent_at_ >= kSilenceTimeout;
+  if (!event_at_ && has_waited) server->starts.OnLeft(sent_at_);
+  if (!event_at_ && server->starts.HasStopped(Now()))
+    return routing::CallResult::kHung;
   // A long stream may reach its deadline at a sound server.
-  const bool has_progress =
-      server != nullptr && server->progressed_at > Now() - kSilenceTimeout;
+  const bool has_progress = server->progressed_at > Now() - kSilenceTimeout;
   return has_progress ? routing::CallResult::kSlow : routing::CallResult::kHung;
 }
 
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -416,6 +416,60 @@
   REQUIRE(other.requests() == (is_sound ? 0 : 1));
 }
 
+// Guards against a server that hangs with all new streams and gets them for
+// ever, since one that began before still has events.
+TEST_CASE_METHOD(
+    SilentServerFixture,
+    "A server that begins no streams is suspended beside a live one") {
+  std::atomic<bool> is_ended = false;
+  // Sends events until the end of the test, so that calls remain in flight.
+  const auto live = [&is_ended](RawConnection& connection) {
+    connection.Write(kStreamHead);
+    for (int id = 1; !is_ended; ++id) {
+      connection.Write(Chunk("id: " + std::to_string(id) + "\ndata: x\n\n"));
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    connection.Write(kStreamEnd);
+    return false;
+  };
+  std::atomic<int> streams = 0;
+  ScriptedServer hanging([&](RawConnection& connection, const std::string&) {
+    if (++streams == 1) return live(connection);
+    connection.WaitForClose();
+    return false;
+  });
+  ScriptedServer sound([&](RawConnection& connection, const std::string&) {
+    return live(connection);
+  });
+  StartWith({&hanging, &sound});
+  int sent_before = 0;
+  int sent_after = 0;
+  RunWithClient([&](transport::RawClient& first) {
+    std::vector<std::unique_ptr<transport::RawClient>> clients;
+    const auto send_several = [&](int count, std::chrono::milliseconds wait) {
+      for (int i = 0; i < count; ++i) {
+        clients.push_back(
+            std::make_unique<transport::RawClient>(callers_port()));
+        clients.back()->Write(MakeRequest("/r2/"));
+      }
+      std::this_thread::sleep_for(wait);
+    };
+    first.Write(MakeRequest("/r2/"));
+    // Those that are left go to the other server, which then has more in
+    // flight.
+    send_several(5, kTimeToLeave);
+    send_several(6, kTimeToLeave);
+    sent_before = hanging.requests();
+    send_several(3, std::chrono::milliseconds(300));
+    sent_after = hanging.requests();
+    is_ended = true;
+    for (const auto& client : clients) client->ReadToEnd();
+    return first.ReadToEnd();
+  });
+  REQUIRE(sent_before >= 7);
+  REQUIRE(sent_after == sent_before);
+}
+
 // A stage server that is silent on all its connections for a while after it has
 // received the first call.
 class PausingStageServer {
