Batch scheduler: Compare a slow server with what is usual for it

A stage server of 1.56 times the median's time in a small moment of 1.7 counted as 2.5 times slower, like a hung one, and got no calls; a server that is always that slow got none ever while another was there, although its capacity was counted, and a zone of such servers handed all items to another.

Whether a server is unusually slow is now asked against its own steady slowness. One that always is 2.5 times slower gets the items that the fast servers would not take before it is done with them.

"A slow server in a small moment gets the items that wait", "A much slower server gets items that wait longer for the others" and "Servers that are all slow all the time are no reason to leave them" failed before. "A slow server in a moment of slow work gets no calls" passed before as well.

--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -19,8 +19,9 @@
 constexpr double kSlownessGain = 0.4;
 // Half-life of a slowness observation, so that a slow server is tried again.
 constexpr double kSlownessHalfLifeSeconds = 2.0;
-// A server this many times slower than expected is used only if all others are
-// too.
+// A server this many times slower than usual for it is used only if all others
+// are too, one that is always that much slower than expected only for items
+// that wait longer for the others.
 constexpr double kSlowFactor = 2.5;
 // After this multiple of its expected time, a call's items are also sent to
 // another server. The first server goes on with the call and gets no other one
@@ -150,6 +151,17 @@
   return told > 1.0 ? std::max(observed, told) : observed;
 }
 
+// A server that is slow all the time is no worse than usual. Estimates show no
+// more than the highest slowness.
+bool BatchScheduler::IsUnusuallySlow(const ServerRecord& server, TimePoint now,
+                                     const SpeedView& speeds) const {
+  const double steady =
+      speeds.SteadySlownessOf(server.entry, WorkKind::kStageCall);
+  return SlownessNow(server, now, speeds) >=
+         std::min(kSlowFactor * std::max(1.0, steady),
+                  ServerSpeeds::kHighestSlowness);
+}
+
 double BatchScheduler::Capacity(std::span<ServerRecord* const> servers,
                                 TimePoint now, const SpeedView& speeds) const {
   double capacity = 0;
@@ -162,7 +174,7 @@
                                 TimePoint now, const SpeedView& speeds) const {
   return std::all_of(servers.begin(), servers.end(),
                      [&](const ServerRecord* server) {
-                       return SlownessNow(*server, now, speeds) >= kSlowFactor;
+                       return IsUnusuallySlow(*server, now, speeds);
                      });
 }
 
@@ -173,11 +185,14 @@
   if (queue_.empty()) return calls;
   SortQueue(now);
   std::vector<ServerRecord*> free;
-  bool has_fast_server = false;
+  bool has_usual_server = false;
+  double fast_capacity = 0;
   for (ServerRecord* server : servers) {
     const ServerState& state = states_[server->entry.id];
-    has_fast_server =
-        has_fast_server || SlownessNow(*server, now, speeds) < kSlowFactor;
+    const double slowness = SlownessNow(*server, now, speeds);
+    has_usual_server =
+        has_usual_server || !IsUnusuallySlow(*server, now, speeds);
+    if (slowness < kSlowFactor) fast_capacity += 1 / std::max(1.0, slowness);
     if (IsFree(state, now)) free.push_back(server);
   }
   std::sort(free.begin(), free.end(),
@@ -193,8 +208,13 @@
             });
   for (ServerRecord* server : free) {
     ServerState& state = states_[server->entry.id];
-    if (has_fast_server && SlownessNow(*server, now, speeds) >= kSlowFactor)
-      continue;
+    if (has_usual_server && IsUnusuallySlow(*server, now, speeds)) continue;
+    const double slowness = SlownessNow(*server, now, speeds);
+    // The others would take these items before this server is done with them.
+    const bool is_later =
+        static_cast<double>(queue_.size()) <=
+        (slowness - 1) * fast_capacity * static_cast<double>(limits_.items);
+    if (slowness >= kSlowFactor && is_later) continue;
     // The calls chosen above may have left less than a full batch.
     if (!IsFree(state, now)) continue;
     std::vector<QueuedItem> items = TakeItems(state, now);
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -123,7 +123,7 @@
   double Capacity(std::span<ServerRecord* const> servers, TimePoint now,
                   const SpeedView& speeds = {}) const;
 
-  // Returns whether every server is much slower than expected.
+  // Returns whether every server is much slower than usual for it.
   bool AreAllSlow(std::span<ServerRecord* const> servers, TimePoint now,
                   const SpeedView& speeds = {}) const;
 
@@ -164,6 +164,8 @@
   double SlownessNow(const ServerState& state, TimePoint now) const;
   double SlownessNow(const ServerRecord& server, TimePoint now,
                      const SpeedView& speeds) const;
+  bool IsUnusuallySlow(const ServerRecord& server, TimePoint now,
+                       const SpeedView& speeds) const;
   std::vector<QueuedItem> TakeItems(const ServerState& state, TimePoint now);
   static std::int64_t ExternalBytes(const ServerState& state, TimePoint now);
 
--- a/tests/routing/batch_scheduler_test.cc
+++ b/tests/routing/batch_scheduler_test.cc
@@ -169,6 +169,87 @@
 // Guards against a failure seen in incident inc-efac of the second site: calls
 // to a slow server were abandoned while it still ran them, and the calls
 // sent after them were queued at the server and abandoned in turn.
+// Estimates by which the first of several servers has the given slowness.
+class Speeds {
+ public:
+  explicit Speeds(double slowness) {
+    for (int i = 0; i < 20; ++i) {
+      now_ += milliseconds(500);
+      for (int server = 0; server < 4; ++server)
+        speeds_.Observe(kService, IncarnationOf(server), WorkKind::kStageCall,
+                        std::chrono::duration_cast<Duration>(
+                            milliseconds(100) * (server == 0 ? slowness : 1.0)),
+                        milliseconds(100), now_);
+    }
+    now_ += std::chrono::seconds(2);
+  }
+
+  // Lets the first server say that work takes that much longer now.
+  void SetReported(double slowdown) {
+    speeds_.SetReported(kService, IncarnationOf(0), slowdown, now_);
+  }
+
+  SpeedView view() const { return {speeds_, now_}; }
+
+ private:
+  static inline const ServiceId kService{};
+  static ServerIncarnation IncarnationOf(int server) {
+    return {ServerId("s" + std::to_string(server)), "", "", 0};
+  }
+  ServerSpeeds speeds_;
+  TimePoint now_{std::chrono::seconds(100)};
+};
+
+// Guards against a server that is left out although it is only a little slower
+// than usual: its steady slowness was counted as a moment of slow work.
+TEST_CASE("A slow server in a small moment gets the items that wait") {
+  BatchScheduler scheduler(MakeLimits(4));
+  Servers servers(2);
+  Speeds speeds(1.6);
+  speeds.SetReported(1.7);
+  for (std::uint64_t i = 0; i < 40; ++i)
+    scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i)));
+  REQUIRE(scheduler.TakeCalls(servers.all(), AtMs(0), speeds.view()).size() ==
+          2);
+}
+
+TEST_CASE("A slow server in a moment of slow work gets no calls") {
+  BatchScheduler scheduler(MakeLimits(4));
+  Servers servers(2);
+  Speeds speeds(1.6);
+  speeds.SetReported(3.0);
+  for (std::uint64_t i = 0; i < 40; ++i)
+    scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i)));
+  const auto calls = scheduler.TakeCalls(servers.all(), AtMs(0), speeds.view());
+  REQUIRE(calls.size() == 1);
+  REQUIRE(calls[0].server == ServerId("s1"));
+}
+
+// Guards against servers of a slow kind of machine that idle while items wait
+// for the others.
+TEST_CASE("A much slower server gets items that wait longer for the others") {
+  Speeds speeds(4.0);
+  const auto calls_for = [&speeds](std::uint64_t items) {
+    BatchScheduler scheduler(MakeLimits(4));
+    Servers servers(2);
+    for (std::uint64_t i = 0; i < items; ++i)
+      scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i)));
+    return scheduler.TakeCalls(servers.all(), AtMs(0), speeds.view()).size();
+  };
+  REQUIRE(calls_for(8) == 1);
+  REQUIRE(calls_for(40) == 2);
+}
+
+TEST_CASE(
+    "Servers that are all slow all the time are no reason to leave them") {
+  BatchScheduler scheduler(MakeLimits());
+  Servers servers(1);
+  Speeds speeds(4.0);
+  REQUIRE_FALSE(scheduler.AreAllSlow(servers.all(), AtMs(0), speeds.view()));
+  speeds.SetReported(3.0);
+  REQUIRE(scheduler.AreAllSlow(servers.all(), AtMs(0), speeds.view()));
+}
+
 TEST_CASE("A long-running call marks its server as slow before it ends") {
   BatchScheduler scheduler(MakeLimits(1));
   Servers servers(2);
