Batch scheduler: Take the limits of a call from its server's estimate

A server that always takes 2.7 times as long was asked whether it had lost the response, and its items were sent to another server too, after three times what a call takes at any server: at 1.1 times its own time. Items that no server of a slow zone could finish in time waited until their deadline was near.

Both limits of a call, 3 and 12 times its expected time, are now multiplied by the steady slowness of its server, no less than 1 and at most 3. Items are given up if even the fastest server's call would be late by its steady slowness.

"Limits of a call are those of its server, within bounds" and "An item that even the fastest server finishes late is dropped" are new and need the new arguments; without estimates all limits are as they were.

--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -1,6 +1,7 @@
 #include "routing/batch_scheduler.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <string_view>
 #include <utility>
@@ -37,6 +38,19 @@
 constexpr double kExternalHalfLifeSeconds = 1.0;
 // Fraction of a server's result memory that this host's calls may use.
 constexpr double kResultMemoryFraction = 1.0;
+// Limits of calls are at most this many times longer at a slow server, since a
+// server that hangs must be noticed there too; machines of one kind of server
+// differ by less.
+constexpr double kMaximumLimitFactor = 3.0;
+
+// Limits are never shorter than those of the expected time.
+double LimitFactor(double slowness) {
+  return std::clamp(slowness, 1.0, kMaximumLimitFactor);
+}
+
+Duration Times(Duration time, double factor) {
+  return std::chrono::duration_cast<Duration>(time * factor);
+}
 
 }  // namespace
 
@@ -53,12 +67,23 @@
          limits_.item_time * static_cast<std::int64_t>(items);
 }
 
-Duration BatchScheduler::HedgeDelay(std::size_t items) const {
-  return CallTime(items) * kHedgeFactor;
+Duration BatchScheduler::HedgeDelay(std::size_t items, double slowness) const {
+  return Times(CallTime(items) * kHedgeFactor, LimitFactor(slowness));
 }
 
-Duration BatchScheduler::CallTimeout(std::size_t items) const {
-  return CallTime(items) * kTimeoutFactor;
+Duration BatchScheduler::CallTimeout(std::size_t items, double slowness) const {
+  return Times(CallTime(items) * kTimeoutFactor, LimitFactor(slowness));
+}
+
+double BatchScheduler::LeastSlowness(std::span<ServerRecord* const> servers,
+                                     const SpeedView& speeds) {
+  std::optional<double> least;
+  for (const ServerRecord* server : servers) {
+    const double slowness =
+        speeds.SteadySlownessOf(server->entry, WorkKind::kStageCall);
+    least = std::min(least.value_or(slowness), slowness);
+  }
+  return std::max(1.0, least.value_or(1.0));
 }
 
 std::size_t BatchScheduler::ItemsAhead(int priority) const {
@@ -69,18 +94,20 @@
 }
 
 std::vector<QueuedItem> BatchScheduler::TakeInfeasible(double capacity,
-                                                       TimePoint now) {
+                                                       TimePoint now,
+                                                       double least_slowness) {
   std::vector<QueuedItem> infeasible;
   SortQueue(now);
   const double per_call =
       static_cast<double>(limits_.items) * std::max(capacity, kMinimumCapacity);
   const auto full_call_us =
       static_cast<double>(CallTime(limits_.items).count());
+  const Duration least_call_time = Times(CallTime(1), least_slowness);
   std::size_t ahead = 0;
   std::erase_if(queue_, [&](QueuedItem& item) {
     const Duration wait(static_cast<std::int64_t>(
         full_call_us * std::floor(static_cast<double>(ahead) / per_call)));
-    if (now + wait + CallTime(1) < item.deadline) {
+    if (now + wait + least_call_time < item.deadline) {
       ++ahead;
       return false;
     }
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -61,7 +61,14 @@
   // Removes and returns the items that cannot finish before their hard
   // deadline, estimated from the queue before them and the servers' capacity.
   // Their requests can then fail at once instead of at the deadline.
-  std::vector<QueuedItem> TakeInfeasible(double capacity, TimePoint now);
+  // `least_slowness` is the steady one of the fastest server.
+  std::vector<QueuedItem> TakeInfeasible(double capacity, TimePoint now,
+                                         double least_slowness = 1);
+
+  // Returns the steady slowness of the fastest server, at least 1; 1 without
+  // servers.
+  static double LeastSlowness(std::span<ServerRecord* const> servers,
+                              const SpeedView& speeds);
 
   // Returns whether TakeCalls could choose a call for one of the servers now.
   // Cheap enough to be called on every event.
@@ -112,11 +119,11 @@
   Duration CallTime(std::size_t items) const;
 
   // Returns after which time the items of a running call should be sent to
-  // another server as well.
-  Duration HedgeDelay(std::size_t items) const;
+  // another server as well. `slowness` is the steady one of its server.
+  Duration HedgeDelay(std::size_t items, double slowness = 1) const;
 
   // Returns after which time a call counts as failed.
-  Duration CallTimeout(std::size_t items) const;
+  Duration CallTimeout(std::size_t items, double slowness = 1) const;
 
   // Returns the servers' total speed, in units of one server of the expected
   // speed.
--- a/services/gateway/stage_runner.cc
+++ b/services/gateway/stage_runner.cc
@@ -66,14 +66,18 @@
     Context& context = runner_.context_;
     const ForwardedCall target = TargetOf(server);
     incarnation_ = server.entry.incarnation();
+    // In a moment of slow work the items may well go to another server too.
+    const double slowness = context.SpeedsNow().SteadySlownessOf(
+        server.entry, routing::WorkKind::kStageCall);
     timeout_timer_ = loop().After(
-        std::max(queue_.scheduler.CallTimeout(call_.items.size()),
+        std::max(queue_.scheduler.CallTimeout(call_.items.size(), slowness),
                  kSilenceTimeout),
         [this] {
           http_.reset();
           Finish("timeout", routing::CallResult::kFailed, std::nullopt, {});
         });
-    const Duration slow = queue_.scheduler.HedgeDelay(call_.items.size());
+    const Duration slow =
+        queue_.scheduler.HedgeDelay(call_.items.size(), slowness);
     slow_timer_ = loop().After(slow, [this] { CheckForLostResponse(); });
     hedge_timer_ = loop().After(
         std::max(slow,
@@ -574,8 +578,9 @@
   queue.expiry_checked_at = now;
   const routing::SpeedView speeds = context_.SpeedsNow();
   const double capacity = queue.scheduler.Capacity(servers, now, speeds);
-  for (const routing::QueuedItem& item :
-       queue.scheduler.TakeInfeasible(capacity, now))
+  for (const routing::QueuedItem& item : queue.scheduler.TakeInfeasible(
+           capacity, now,
+           routing::BatchScheduler::LeastSlowness(servers, speeds)))
     DropCopy(item, ItemOutcome::kDeadlinePassed, queue.location);
   const std::vector<routing::ServerRecord*> usable_anywhere =
       ServersByRollout(context_, queue.location.service, false,
--- a/tests/routing/batch_scheduler_test.cc
+++ b/tests/routing/batch_scheduler_test.cc
@@ -166,9 +166,6 @@
   REQUIRE(scheduler.TakeCalls(servers.all(), AtMs(7500)).size() == 1);
 }
 
-// Guards against a failure seen in incident inc-efac of the second site: calls
-// to a slow server were abandoned while it still ran them, and the calls
-// sent after them were queued at the server and abandoned in turn.
 // Estimates by which the first of several servers has the given slowness.
 class Speeds {
  public:
@@ -250,6 +247,42 @@
   REQUIRE(scheduler.AreAllSlow(servers.all(), AtMs(0), speeds.view()));
 }
 
+// Guards against calls that are sent a second time as a rule, only since their
+// server is of a slow kind of machine.
+TEST_CASE("Limits of a call are those of its server, within bounds") {
+  const BatchScheduler scheduler(MakeLimits());
+  const Duration usual = scheduler.HedgeDelay(3);
+  REQUIRE(scheduler.HedgeDelay(3, 2.0) == 2 * usual);
+  REQUIRE(scheduler.CallTimeout(3, 2.0) == 2 * scheduler.CallTimeout(3));
+  REQUIRE(scheduler.HedgeDelay(3, 0.3) == usual);
+  REQUIRE(scheduler.HedgeDelay(3, 8.0) == 3 * usual);
+  REQUIRE(scheduler.CallTimeout(3, 8.0) == 3 * scheduler.CallTimeout(3));
+}
+
+// Guards against items that wait although no server can finish them in time.
+TEST_CASE("An item that even the fastest server finishes late is dropped") {
+  Servers servers(2);
+  Speeds speeds(1.6);
+  std::vector<ServerRecord*> slow = servers.all();
+  slow.resize(1);
+  const double least_slow = BatchScheduler::LeastSlowness(slow, speeds.view());
+  REQUIRE(least_slow == Approx(1.6).epsilon(0.1));
+  REQUIRE(BatchScheduler::LeastSlowness(servers.all(), speeds.view()) == 1.0);
+  REQUIRE(BatchScheduler::LeastSlowness({}, speeds.view()) == 1.0);
+  const auto dropped = [](double slowness) {
+    BatchScheduler scheduler(MakeLimits());
+    QueuedItem item = MakeItem(1, "r");
+    item.deadline = AtMs(200);  // a call of one item takes 166 ms as a rule
+    scheduler.Add(std::move(item));
+    return scheduler.TakeInfeasible(1.0, AtMs(0), slowness).size();
+  };
+  REQUIRE(dropped(1.0) == 0);
+  REQUIRE(dropped(least_slow) == 1);
+}
+
+// Guards against a failure seen in incident inc-efac of the second site: calls
+// to a slow server were abandoned while it still ran them, and the calls
+// sent after them were queued at the server and abandoned in turn.
 TEST_CASE("A long-running call marks its server as slow before it ends") {
   BatchScheduler scheduler(MakeLimits(1));
   Servers servers(2);
