Routing: Decide which requests go to other zones when demand is uneven

Requests without prompts go to the least loaded server by this host's own calls, where another zone counts 0.9 calls more: with many hosts a full zone looks free, and a request crosses for one call whatever that costs.

ZoneSpill divides the demands of all zones by marginal time and the cost of the crossing, and moves the own shares by small steps with hysteresis.

Nothing calls it yet: the demands of zones, a setting and the wiring are not done.

--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -22,3 +22,4 @@
 #include "routing/stage_zones.h"          // IWYU pragma: export
 #include "routing/stream_origins.h"       // IWYU pragma: export
 #include "routing/version_history.h"      // IWYU pragma: export
+#include "routing/zone_spill.h"           // IWYU pragma: export
