--- a/tests/gateway/speed_exchange_test.cc
+++ b/tests/gateway/speed_exchange_test.cc
@@ -304,19 +304,19 @@
   const double before = SlownessAt(0, kSlowServer);
   const std::size_t known = hosts[0]->context.speeds.size();
   const std::string slow = IdOf(kSlowServer).value();
-  constexpr auto kDecode = static_cast<std::uint32_t>(WorkKind::kDecodeStep);
+  constexpr auto decode = static_cast<std::uint32_t>(WorkKind::kDecodeStep);
   const double infinity = std::numeric_limits<double>::infinity();
   for (int i = 0; i < 20; ++i) {
     for (const double log_ratio :
          {std::nan(""), infinity, -infinity, 1e300, -1e300, 14.0, -14.0})
-      Deliver(0, Message(log_ratio, 100, kDecode, slow));
-    Deliver(0, Message(0, 0, kDecode, slow));
+      Deliver(0, Message(log_ratio, 100, decode, slow));
+    Deliver(0, Message(0, 0, decode, slow));
     for (const std::uint32_t kind : {4U, 17U, 0xFFFFFFFFU})
       Deliver(0, Message(0, 100, kind, slow));
     for (const char* server : {"", "unknown", "s-1"})
-      Deliver(0, Message(0, 100, kDecode, server));
+      Deliver(0, Message(0, 100, decode, server));
     for (const std::uint64_t started : {0UL, kStarted + 1, ~0UL})
-      Deliver(0, Message(0, 100, kDecode, slow, started));
+      Deliver(0, Message(0, 100, decode, slow, started));
     Deliver(0, {});
   }
   RunFor(milliseconds(300));
@@ -329,9 +329,9 @@
                  "A sample of huge count and time is bounded") {
   AddHosts(1);
   Observe(0, 20, 1.0);
-  constexpr auto kDecode = static_cast<std::uint32_t>(WorkKind::kDecodeStep);
-  Deliver(0, Message(13.5, 0xFFFFFFFFU, kDecode, IdOf(0).value()));
-  Deliver(0, Message(-13.5, 0xFFFFFFFFU, kDecode, IdOf(1).value()));
+  constexpr auto decode = static_cast<std::uint32_t>(WorkKind::kDecodeStep);
+  Deliver(0, Message(13.5, 0xFFFFFFFFU, decode, IdOf(0).value()));
+  Deliver(0, Message(-13.5, 0xFFFFFFFFU, decode, IdOf(1).value()));
   Observe(0, 20, 1.0);
   RunFor(milliseconds(300));
   REQUIRE(SlownessAt(0, 0) == 1.0);
@@ -342,8 +342,8 @@
 // what didn't fit into a message was dropped.
 TEST_CASE_METHOD(ExchangeFixture,
                  "All servers are told of, also more than a message has room") {
-  constexpr int kMany = 400;
-  AddHosts(2, kMany);
+  constexpr int servers = 400;
+  AddHosts(2, servers);
   std::set<std::string> told;
   int largest = 0;
   network = [&](std::size_t, std::size_t to,
@@ -355,19 +355,19 @@
     return true;
   };
   for (int i = 0; i < 4; ++i) {
-    for (int server = 0; server < kMany; ++server) ObserveOne(0, server, 1.0);
+    for (int server = 0; server < servers; ++server) ObserveOne(0, server, 1.0);
     RunFor(milliseconds(1100));
   }
   REQUIRE(largest <= 256);
-  REQUIRE(told.size() == kMany);
-  REQUIRE(hosts[1]->context.speeds.size() == kMany);
+  REQUIRE(told.size() == servers);
+  REQUIRE(hosts[1]->context.speeds.size() == servers);
 }
 
 TEST_CASE_METHOD(ExchangeFixture, "A message without bounds is read in part") {
-  constexpr int kMany = 3000;
-  AddHosts(1, kMany);
+  constexpr int servers = 3000;
+  AddHosts(1, servers);
   messages::ServerSpeeds message;
-  for (int i = 0; i < kMany; ++i)
+  for (int i = 0; i < servers; ++i)
     message.MergeFrom(Message(0, 1, 0, IdOf(i).value()));
   Deliver(0, message);
   REQUIRE(hosts[0]->context.speeds.size() >= 256);
--- a/tests/routing/server_speed_test.cc
+++ b/tests/routing/server_speed_test.cc
@@ -417,7 +417,7 @@
 
 // Guards against hosts of which each takes another server for a prompt's home.
 TEST_CASE("Hosts that see the same servers agree on their classes") {
-  constexpr int kServers = 18;
+  constexpr int servers = 18;
   std::vector<Observed> hosts(3);
   for (std::size_t i = 0; i < hosts.size(); ++i)
     hosts[i].random = Random(i + 1);
@@ -432,13 +432,13 @@
   int compared = 0;
   for (int i = 0; i < 600; ++i) {
     for (Observed& host : hosts)
-      host.Observe(kServers, 1, milliseconds(1000), slowness_of);
+      host.Observe(servers, 1, milliseconds(1000), slowness_of);
     for (Observed& host : hosts)
       for (const SpeedSample& sample : host.speeds.TakeObserved())
         for (Observed& other : hosts)
           if (&other != &host) other.speeds.Merge(sample, other.now);
     if (i < 30) continue;
-    for (int server = 0; server < kServers; ++server) {
+    for (int server = 0; server < servers; ++server) {
       if (is_at_boundary(server)) ++compared;
       const auto class_at = [server](const Observed& host) {
         return host.speeds.SteadySlownessOf(kService, MakeServer(server).id,
--- a/tests/routing/zone_spill_test.cc
+++ b/tests/routing/zone_spill_test.cc
@@ -193,14 +193,14 @@
     spill.SetDemand(IdOf(2), At(0.5, now));
     spill.Step(now);
   }
-  constexpr int kRequests = 10000;
+  constexpr int requests = 10000;
   std::map<ZoneId, int> counts;
-  for (int i = 0; i < kRequests; ++i)
-    ++counts[spill.ZoneFor((i + 0.5) / kRequests)];
+  for (int i = 0; i < requests; ++i)
+    ++counts[spill.ZoneFor((i + 0.5) / requests)];
   for (std::size_t zone = 0; zone < 3; ++zone) {
     CAPTURE(zone);
     REQUIRE(counts[IdOf(zone)] > 0);
-    REQUIRE(counts[IdOf(zone)] / double{kRequests} ==
+    REQUIRE(counts[IdOf(zone)] / double{requests} ==
             Approx(spill.ShareOf(IdOf(zone))).margin(0.001));
   }
 }
