--- a/libraries/routing/batch_scheduler.cc
+++ b/libraries/routing/batch_scheduler.cc
@@ -1,6 +1,7 @@
 #include "routing/batch_scheduler.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <string_view>
 #include <utility>
@@ -19,8 +20,9 @@
 constexpr double kSlownessGain = 0.4;
 // Half-life of a slowness observation, so that a slow server is tried again.
 constexpr double kSlownessHalfLifeSeconds = 2.0;
-// A server this many times slower than expected is used only if all others are
-// too.
+// A server this many times slower than usual for it is used only if all others
+// are too, one that is always that much slower than expected only for items
+// that wait longer for the others.
 constexpr double kSlowFactor = 2.5;
 // After this multiple of its expected time, a call's items are also sent to
 // another server. The first server goes on with the call and gets no other one
@@ -36,6 +38,11 @@
 constexpr double kExternalHalfLifeSeconds = 1.0;
 // Fraction of a server's result memory that this host's calls may use.
 constexpr double kResultMemoryFraction = 1.0;
+// Limits of calls are at most this many times longer at a slow server, since a
+// server that hangs must be noticed there too; machines of one kind of server
+// differ by less.
+constexpr double kMaximumLimitFactor = 3.0;
+
 // Weight of the newest result in the mean time for which results are held, and
 // the number after which that mean is used.
 constexpr double kHoldGain = 0.05;
@@ -47,6 +54,15 @@
   return item.rank.value_or(MakeRoomRank(item.priority, 0));
 }
 
+// Limits are never shorter than those of the expected time.
+double LimitFactor(double slowness) {
+  return std::clamp(slowness, 1.0, kMaximumLimitFactor);
+}
+
+Duration Times(Duration time, double factor) {
+  return std::chrono::duration_cast<Duration>(time * factor);
+}
+
 }  // namespace
 
 void BatchScheduler::Add(QueuedItem item, TimePoint now) {
@@ -67,12 +83,23 @@
          limits_.item_time * static_cast<std::int64_t>(items);
 }
 
-Duration BatchScheduler::HedgeDelay(std::size_t items) const {
-  return CallTime(items) * kHedgeFactor;
+Duration BatchScheduler::HedgeDelay(std::size_t items, double slowness) const {
+  return Times(CallTime(items) * kHedgeFactor, LimitFactor(slowness));
+}
+
+Duration BatchScheduler::CallTimeout(std::size_t items, double slowness) const {
+  return Times(CallTime(items) * kTimeoutFactor, LimitFactor(slowness));
 }
 
-Duration BatchScheduler::CallTimeout(std::size_t items) const {
-  return CallTime(items) * kTimeoutFactor;
+double BatchScheduler::LeastSlowness(std::span<ServerRecord* const> servers,
+                                     const SpeedView& speeds) {
+  std::optional<double> least;
+  for (const ServerRecord* server : servers) {
+    const double slowness =
+        speeds.SteadySlownessOf(server->entry, WorkKind::kStageCall);
+    least = std::min(least.value_or(slowness), slowness);
+  }
+  return std::max(1.0, least.value_or(1.0));
 }
 
 std::size_t BatchScheduler::ItemsAhead(int priority) const {
@@ -83,18 +110,20 @@
 }
 
 std::vector<QueuedItem> BatchScheduler::TakeInfeasible(double capacity,
-                                                       TimePoint now) {
+                                                       TimePoint now,
+                                                       double least_slowness) {
   std::vector<QueuedItem> infeasible;
   SortQueue(now);
   const double per_call =
       static_cast<double>(limits_.items) * std::max(capacity, kMinimumCapacity);
   const auto full_call_us =
       static_cast<double>(CallTime(limits_.items).count());
+  const Duration least_call_time = Times(CallTime(1), least_slowness);
   std::size_t ahead = 0;
   std::erase_if(queue_, [&](QueuedItem& item) {
     const Duration wait(static_cast<std::int64_t>(
         full_call_us * std::floor(static_cast<double>(ahead) / per_call)));
-    if (now + wait + CallTime(1) < item.deadline) {
+    if (now + wait + least_call_time < item.deadline) {
       ++ahead;
       return false;
     }
@@ -308,6 +337,17 @@
   return told > 1.0 ? std::max(observed, told) : observed;
 }
 
+// A server that is slow all the time is no worse than usual. Estimates show no
+// more than the highest slowness.
+bool BatchScheduler::IsUnusuallySlow(const ServerRecord& server, TimePoint now,
+                                     const SpeedView& speeds) const {
+  const double steady =
+      speeds.SteadySlownessOf(server.entry, WorkKind::kStageCall);
+  return SlownessNow(server, now, speeds) >=
+         std::min(kSlowFactor * std::max(1.0, steady),
+                  ServerSpeeds::kHighestSlowness);
+}
+
 double BatchScheduler::Capacity(std::span<ServerRecord* const> servers,
                                 TimePoint now, const SpeedView& speeds) const {
   double capacity = 0;
@@ -320,7 +360,7 @@
                                 TimePoint now, const SpeedView& speeds) const {
   return std::all_of(servers.begin(), servers.end(),
                      [&](const ServerRecord* server) {
-                       return SlownessNow(*server, now, speeds) >= kSlowFactor;
+                       return IsUnusuallySlow(*server, now, speeds);
                      });
 }
 
@@ -331,11 +371,14 @@
   if (queue_.empty()) return calls;
   SortQueue(now);
   std::vector<ServerRecord*> free;
-  bool has_fast_server = false;
+  bool has_usual_server = false;
+  double fast_capacity = 0;
   for (ServerRecord* server : servers) {
     const ServerState& state = states_[server->entry.id];
-    has_fast_server =
-        has_fast_server || SlownessNow(*server, now, speeds) < kSlowFactor;
+    const double slowness = SlownessNow(*server, now, speeds);
+    has_usual_server =
+        has_usual_server || !IsUnusuallySlow(*server, now, speeds);
+    if (slowness < kSlowFactor) fast_capacity += 1 / std::max(1.0, slowness);
     if (IsFree(state, now)) free.push_back(server);
   }
   std::sort(free.begin(), free.end(),
@@ -351,8 +394,13 @@
             });
   for (ServerRecord* server : free) {
     ServerState& state = states_[server->entry.id];
-    if (has_fast_server && SlownessNow(*server, now, speeds) >= kSlowFactor)
-      continue;
+    if (has_usual_server && IsUnusuallySlow(*server, now, speeds)) continue;
+    const double slowness = SlownessNow(*server, now, speeds);
+    // The others would take these items before this server is done with them.
+    const bool is_later =
+        static_cast<double>(queue_.size()) <=
+        (slowness - 1) * fast_capacity * static_cast<double>(limits_.items);
+    if (slowness >= kSlowFactor && is_later) continue;
     // The calls chosen above may have left less than a full batch.
     if (!IsFree(state, now)) continue;
     std::vector<QueuedItem> items = TakeItems(state, now);
--- a/libraries/routing/batch_scheduler.h
+++ b/libraries/routing/batch_scheduler.h
@@ -78,7 +78,14 @@
   // Removes and returns the items that cannot finish before their hard
   // deadline, estimated from the queue before them and the servers' capacity.
   // Their requests can then fail at once instead of at the deadline.
-  std::vector<QueuedItem> TakeInfeasible(double capacity, TimePoint now);
+  // `least_slowness` is the steady one of the fastest server.
+  std::vector<QueuedItem> TakeInfeasible(double capacity, TimePoint now,
+                                         double least_slowness = 1);
+
+  // Returns the steady slowness of the fastest server, at least 1; 1 without
+  // servers.
+  static double LeastSlowness(std::span<ServerRecord* const> servers,
+                              const SpeedView& speeds);
 
   // Decides which of the queued stages get room, of which from then on those
   // that can meet their objectives go first, the others of them after these.
@@ -150,18 +157,18 @@
   Duration CallTime(std::size_t items) const;
 
   // Returns after which time the items of a running call should be sent to
-  // another server as well.
-  Duration HedgeDelay(std::size_t items) const;
+  // another server as well. `slowness` is the steady one of its server.
+  Duration HedgeDelay(std::size_t items, double slowness = 1) const;
 
   // Returns after which time a call counts as failed.
-  Duration CallTimeout(std::size_t items) const;
+  Duration CallTimeout(std::size_t items, double slowness = 1) const;
 
   // Returns the servers' total speed, in units of one server of the expected
   // speed.
   double Capacity(std::span<ServerRecord* const> servers, TimePoint now,
                   const SpeedView& speeds = {}) const;
 
-  // Returns whether every server is much slower than expected.
+  // Returns whether every server is much slower than usual for it.
   bool AreAllSlow(std::span<ServerRecord* const> servers, TimePoint now,
                   const SpeedView& speeds = {}) const;
 
@@ -204,6 +211,8 @@
   double SlownessNow(const ServerState& state, TimePoint now) const;
   double SlownessNow(const ServerRecord& server, TimePoint now,
                      const SpeedView& speeds) const;
+  bool IsUnusuallySlow(const ServerRecord& server, TimePoint now,
+                       const SpeedView& speeds) const;
   std::vector<QueuedItem> TakeItems(const ServerState& state, TimePoint now);
   static std::int64_t ExternalBytes(const ServerState& state, TimePoint now);
 
--- a/libraries/routing/prompt_placement.h
+++ b/libraries/routing/prompt_placement.h
@@ -18,6 +18,8 @@
 
   // Returns the number of tokens in the parts shared with other requests.
   std::uint32_t SharedTokens() const;
+  // Returns the number of all other tokens.
+  std::uint32_t OwnTokens() const;
 };
 
 struct PromptServerChoice {
@@ -35,13 +37,17 @@
 // without messages, by rendezvous hashing. Handles the load pattern "hot key":
 // requests beyond the capacity of the first home go to the next in order.
 // Handles "uneven servers": a server is the home of fewer parts the slower it
-// is. Handles "moment of slow work": a slow server is left for one that begins
-// the response earlier although it reads shared parts again.
+// is, and of still fewer for streams that are decoded for long. Handles "moment
+// of slow work": a slow server is left for one that begins the response earlier
+// although it reads shared parts again.
 class PromptPlacement {
  public:
   // Prefill speed of the median server, from the deployments' data sheets. Only
   // the relative weight of the loads depends on it.
   static constexpr double kPrefillTokensPerMillisecond = 30.9;
+  // Time of a decode step there, which gives one token. Only tells prompts that
+  // are mostly read from those that are mostly decoded.
+  static constexpr double kDecodeMillisecondsPerToken = 6.17;
 
   // `host_count` is the number of hosts that place requests on these servers.
   // The result has no server if `usable` is empty. The choice among servers of
@@ -49,6 +55,13 @@
   PromptServerChoice Choose(std::span<ServerRecord* const> usable,
                             const Prompt& prompt, std::size_t host_count,
                             const SpeedView& speeds = {}) const;
+
+  // Returns the least time in which one of the servers would read the part of
+  // the prompt that no server caches, by their steady slowness; zero without
+  // servers.
+  static Duration LeastPrefillTime(std::span<ServerRecord* const> servers,
+                                   const Prompt& prompt,
+                                   const SpeedView& speeds);
 };
 
 }  // namespace lovagecleat::routing
--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -27,3 +27,4 @@
 #include "routing/stream_origins.h"       // IWYU pragma: export
 #include "routing/stream_version.h"       // IWYU pragma: export
 #include "routing/version_history.h"      // IWYU pragma: export
+#include "routing/zone_spill.h"           // IWYU pragma: export
--- a/tests/routing/batch_scheduler_test.cc
+++ b/tests/routing/batch_scheduler_test.cc
@@ -166,6 +166,120 @@
   REQUIRE(scheduler.TakeCalls(servers.all(), AtMs(7500)).size() == 1);
 }
 
+// Estimates by which the first of several servers has the given slowness.
+class Speeds {
+ public:
+  explicit Speeds(double slowness) {
+    for (int i = 0; i < 20; ++i) {
+      now_ += milliseconds(500);
+      for (int server = 0; server < 4; ++server)
+        speeds_.Observe(kService, IncarnationOf(server), WorkKind::kStageCall,
+                        std::chrono::duration_cast<Duration>(
+                            milliseconds(100) * (server == 0 ? slowness : 1.0)),
+                        milliseconds(100), now_);
+    }
+    now_ += std::chrono::seconds(2);
+  }
+
+  // Lets the first server say that work takes that much longer now.
+  void SetReported(double slowdown) {
+    speeds_.SetReported(kService, IncarnationOf(0), slowdown, now_);
+  }
+
+  SpeedView view() const { return {speeds_, now_}; }
+
+ private:
+  static inline const ServiceId kService{};
+  static ServerIncarnation IncarnationOf(int server) {
+    return {ServerId("s" + std::to_string(server)), "", "", 0};
+  }
+  ServerSpeeds speeds_;
+  TimePoint now_{std::chrono::seconds(100)};
+};
+
+// Guards against a server that is left out although it is only a little slower
+// than usual: its steady slowness was counted as a moment of slow work.
+TEST_CASE("A slow server in a small moment gets the items that wait") {
+  BatchScheduler scheduler(MakeLimits(4));
+  Servers servers(2);
+  Speeds speeds(1.6);
+  speeds.SetReported(1.7);
+  for (std::uint64_t i = 0; i < 40; ++i)
+    scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i)));
+  REQUIRE(scheduler.TakeCalls(servers.all(), AtMs(0), speeds.view()).size() ==
+          2);
+}
+
+TEST_CASE("A slow server in a moment of slow work gets no calls") {
+  BatchScheduler scheduler(MakeLimits(4));
+  Servers servers(2);
+  Speeds speeds(1.6);
+  speeds.SetReported(3.0);
+  for (std::uint64_t i = 0; i < 40; ++i)
+    scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i)));
+  const auto calls = scheduler.TakeCalls(servers.all(), AtMs(0), speeds.view());
+  REQUIRE(calls.size() == 1);
+  REQUIRE(calls[0].server == ServerId("s1"));
+}
+
+// Guards against servers of a slow kind of machine that idle while items wait
+// for the others.
+TEST_CASE("A much slower server gets items that wait longer for the others") {
+  Speeds speeds(4.0);
+  const auto calls_for = [&speeds](std::uint64_t items) {
+    BatchScheduler scheduler(MakeLimits(4));
+    Servers servers(2);
+    for (std::uint64_t i = 0; i < items; ++i)
+      scheduler.Add(MakeItem(i + 1, "r" + std::to_string(i)));
+    return scheduler.TakeCalls(servers.all(), AtMs(0), speeds.view()).size();
+  };
+  REQUIRE(calls_for(8) == 1);
+  REQUIRE(calls_for(40) == 2);
+}
+
+TEST_CASE(
+    "Servers that are all slow all the time are no reason to leave them") {
+  BatchScheduler scheduler(MakeLimits());
+  Servers servers(1);
+  Speeds speeds(4.0);
+  REQUIRE_FALSE(scheduler.AreAllSlow(servers.all(), AtMs(0), speeds.view()));
+  speeds.SetReported(3.0);
+  REQUIRE(scheduler.AreAllSlow(servers.all(), AtMs(0), speeds.view()));
+}
+
+// Guards against calls that are sent a second time as a rule, only since their
+// server is of a slow kind of machine.
+TEST_CASE("Limits of a call are those of its server, within bounds") {
+  const BatchScheduler scheduler(MakeLimits());
+  const Duration usual = scheduler.HedgeDelay(3);
+  REQUIRE(scheduler.HedgeDelay(3, 2.0) == 2 * usual);
+  REQUIRE(scheduler.CallTimeout(3, 2.0) == 2 * scheduler.CallTimeout(3));
+  REQUIRE(scheduler.HedgeDelay(3, 0.3) == usual);
+  REQUIRE(scheduler.HedgeDelay(3, 8.0) == 3 * usual);
+  REQUIRE(scheduler.CallTimeout(3, 8.0) == 3 * scheduler.CallTimeout(3));
+}
+
+// Guards against items that wait although no server can finish them in time.
+TEST_CASE("An item that even the fastest server finishes late is dropped") {
+  Servers servers(2);
+  Speeds speeds(1.6);
+  std::vector<ServerRecord*> slow = servers.all();
+  slow.resize(1);
+  const double least_slow = BatchScheduler::LeastSlowness(slow, speeds.view());
+  REQUIRE(least_slow == Approx(1.6).epsilon(0.1));
+  REQUIRE(BatchScheduler::LeastSlowness(servers.all(), speeds.view()) == 1.0);
+  REQUIRE(BatchScheduler::LeastSlowness({}, speeds.view()) == 1.0);
+  const auto dropped = [](double slowness) {
+    BatchScheduler scheduler(MakeLimits());
+    QueuedItem item = MakeItem(1, "r");
+    item.deadline = AtMs(200);  // a call of one item takes 166 ms as a rule
+    scheduler.Add(std::move(item));
+    return scheduler.TakeInfeasible(1.0, AtMs(0), slowness).size();
+  };
+  REQUIRE(dropped(1.0) == 0);
+  REQUIRE(dropped(least_slow) == 1);
+}
+
 // Guards against a failure seen in incident inc-efac of the second site: calls
 // to a slow server were abandoned while it still ran them, and the calls
 // sent after them were queued at the server and abandoned in turn.
