--- a/libraries/routing/prompt_placement.cc
+++ b/libraries/routing/prompt_placement.cc
@@ -23,29 +23,15 @@
 // inference engines batch requests.
 constexpr double kDelayPerRunningRequestMs = 0.5;
 
-// A server's part of the homes falls with this power of its slowness. Prompts
-// that are mostly read keep all servers equally busy. A stream that is decoded
-// for long ends as late as its server is slow, so few of them have their home
-// at slow servers, which are busy with reading instead. Reading makes the
-// pauses of streams longer, so it should not follow them.
-constexpr double kReadHomeSharePower = 1.0;
-constexpr double kDecodeHomeSharePower = 5.0;
-// A prompt is decoded for long if that takes this many times as long as reading
-// all of it.
-constexpr double kLongDecodeFactor = 2.0;
-
-bool IsDecodedForLong(const Prompt& prompt) {
-  const double read_ms =
-      prompt.prompt_tokens / PromptPlacement::kPrefillTokensPerMillisecond;
-  const double decode_ms =
-      prompt.output_tokens * PromptPlacement::kDecodeMillisecondsPerToken;
-  return decode_ms > kLongDecodeFactor * read_ms;
-}
+// A server's part of the homes falls with this power of its slowness. With 1
+// all servers would be equally busy; with more, slow servers keep free time, so
+// that pauses of streams stay short there.
+constexpr double kHomeSharePower = 2.0;
 
 // Orders the servers by weighted rendezvous hashing. Without weights (all 1)
 // that is the order of the hashes.
 void OrderByRank(std::vector<ServerRecord*>& servers, std::string_view part,
-                 const SpeedView& speeds, double share_power) {
+                 const SpeedView& speeds) {
   struct Ranked {
     ServerRecord* server;
     std::uint64_t hash;
@@ -62,7 +48,7 @@
     is_even = is_even && slowness == 1.0;
     const double unit = (static_cast<double>(hash) + 1.0) * 0x1p-64;
     ranked.push_back(
-        {server, hash, -std::log(unit) * std::pow(slowness, share_power)});
+        {server, hash, -std::log(unit) * std::pow(slowness, kHomeSharePower)});
   }
   std::sort(ranked.begin(), ranked.end(),
             [is_even](const Ranked& a, const Ranked& b) {
@@ -107,9 +93,7 @@
   HomeOrder order;
   order.servers.assign(usable.begin(), usable.end());
   if (prompt.parts.size() < 2 || usable.empty()) return order;
-  const double share_power =
-      IsDecodedForLong(prompt) ? kDecodeHomeSharePower : kReadHomeSharePower;
-  OrderByRank(order.servers, prompt.parts.front().id, speeds, share_power);
+  OrderByRank(order.servers, prompt.parts.front().id, speeds);
   order.group = std::min(
       std::max(kMinimumGroupSize, order.servers.size() / kGroupDivisor),
       order.servers.size());
@@ -118,7 +102,7 @@
   std::vector<ServerRecord*> group_servers(
       order.servers.begin(),
       order.servers.begin() + static_cast<std::ptrdiff_t>(order.group));
-  OrderByRank(group_servers, last_shared_part, speeds, share_power);
+  OrderByRank(group_servers, last_shared_part, speeds);
   std::copy(group_servers.begin(), group_servers.end(), order.servers.begin());
   return order;
 }
--- a/libraries/routing/prompt_placement.h
+++ b/libraries/routing/prompt_placement.h
@@ -37,17 +37,13 @@
 // without messages, by rendezvous hashing. Handles the load pattern "hot key":
 // requests beyond the capacity of the first home go to the next in order.
 // Handles "uneven servers": a server is the home of fewer parts the slower it
-// is, and of still fewer for streams that are decoded for long. Handles "moment
-// of slow work": a slow server is left for one that begins the response earlier
-// although it reads shared parts again.
+// is. Handles "moment of slow work": a slow server is left for one that begins
+// the response earlier although it reads shared parts again.
 class PromptPlacement {
  public:
   // Prefill speed of the median server, from the deployments' data sheets. Only
   // the relative weight of the loads depends on it.
   static constexpr double kPrefillTokensPerMillisecond = 30.9;
-  // Time of a decode step there, which gives one token. Only tells prompts that
-  // are mostly read from those that are mostly decoded.
-  static constexpr double kDecodeMillisecondsPerToken = 6.17;
 
   // `host_count` is the number of hosts that place requests on these servers.
   // The result has no server if `usable` is empty. The choice among servers of
