Prompt queues: Tell hosts which servers have many prompts to read

Callers in a crowd waited at the homes of their prompts while other servers were free: of 64 hosts each sent too few prompts to a home to see its queue.

--- a/libraries/policy/core_peers.cc
+++ b/libraries/policy/core_peers.cc
@@ -50,6 +50,7 @@
     case Body::kServerNotices:
     case Body::kContentReports:
     case Body::kServerSpeeds:
+    case Body::kPromptQueues:
     case Body::kRollouts:
     case Body::BODY_NOT_SET:
       return;
--- a/libraries/routing/prompt_placement.cc
+++ b/libraries/routing/prompt_placement.cc
@@ -22,6 +22,12 @@
 // Delay that one more running request adds to the others. It is small, since
 // inference engines batch requests.
 constexpr double kDelayPerRunningRequestMs = 0.5;
+// Weight of the wait for other hosts' prompts as long as the response begins in
+// time. Reading shared parts elsewhere would delay other requests in exchange
+// for time that this one has.
+constexpr double kWaitInTimeWeight = 0.25;
+// From the end of reading until the first event arrives.
+constexpr double kFirstEventMs = 100;
 
 // A server's part of the homes falls with this power of its slowness. With 1
 // all servers would be equally busy; with more, slow servers keep free time, so
@@ -58,15 +64,28 @@
                  [](const Ranked& entry) { return entry.server; });
 }
 
+double ReadingMs(double tokens) {
+  return tokens / PromptPlacement::kPrefillTokensPerMillisecond;
+}
+
 // Returns the expected delay in milliseconds, from this host's own requests.
 // Running requests of the other hosts are assumed to be half as many per host.
 double ExpectedDelayMs(const ServerRecord& server, std::size_t host_count) {
   const double scale = 1.0 + 0.5 * static_cast<double>(host_count - 1);
-  const double prefill_ms = static_cast<double>(server.pending_tokens) /
-                            PromptPlacement::kPrefillTokensPerMillisecond;
+  const double prefill_ms =
+      ReadingMs(static_cast<double>(server.pending_tokens));
   return prefill_ms + kDelayPerRunningRequestMs * scale * server.in_flight;
 }
 
+// Returns the time in milliseconds for which the server reads prompts that this
+// host has not sent.
+double OtherPromptsMs(const ServerRecord& server,
+                      const PromptQueueView& queues) {
+  const std::uint64_t tokens = queues.TokensAt(server.entry);
+  if (tokens <= server.pending_tokens) return 0;
+  return ReadingMs(static_cast<double>(tokens - server.pending_tokens));
+}
+
 }  // namespace
 
 std::uint32_t Prompt::SharedTokens() const {
@@ -121,20 +140,31 @@
 
 PromptServerChoice PromptPlacement::Choose(
     std::span<ServerRecord* const> usable, const Prompt& prompt,
-    std::size_t host_count, const SpeedView& speeds) const {
+    std::size_t host_count, const SpeedView& speeds,
+    const PromptQueueView& queues) const {
   const HomeOrder order = OrderHomes(usable, prompt, speeds);
   const std::uint32_t own_tokens = prompt.OwnTokens();
-  const double own_prefill_ms = own_tokens / kPrefillTokensPerMillisecond;
+  const double own_prefill_ms = ReadingMs(own_tokens);
+  const double left_ms =
+      std::chrono::duration<double, std::milli>(queues.time_left()).count();
+  // A response that is late in any case is in no hurry.
+  const bool has_time = left_ms > own_prefill_ms + kFirstEventMs;
   PromptServerChoice best;
   double best_cost = 0;
   double best_uncached = 0;
   for (std::size_t i = 0; i < order.servers.size(); ++i) {
     const double uncached = UncachedTokensAt(order, i, prompt);
-    const double delay_ms =
-        ExpectedDelayMs(*order.servers[i], host_count) +
-        kCacheMissWeight * uncached / kPrefillTokensPerMillisecond;
+    const double own_delay_ms = ExpectedDelayMs(*order.servers[i], host_count);
     const ServerEntry& entry = order.servers[i]->entry;
     const double slowness = speeds.SlownessOf(entry, WorkKind::kPrefill);
+    const double others_ms = OtherPromptsMs(*order.servers[i], queues);
+    const double begin_ms = slowness * (own_delay_ms + others_ms +
+                                        ReadingMs(uncached) + own_prefill_ms) +
+                            kFirstEventMs;
+    const bool is_late = others_ms > 0 && has_time && begin_ms > left_ms;
+    const double delay_ms = own_delay_ms +
+                            (is_late ? 1.0 : kWaitInTimeWeight) * others_ms +
+                            kCacheMissWeight * ReadingMs(uncached);
     // The homes are spread by the steady part already; with it here, all hosts
     // would meet at the servers with the lowest estimates.
     const double moment =
--- a/libraries/routing/prompt_placement.h
+++ b/libraries/routing/prompt_placement.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "routing/model.h"
+#include "routing/prompt_queues.h"
 #include "routing/server_directory.h"
 #include "routing/server_speed.h"
 
@@ -35,7 +36,8 @@
 // prompt (its home server), unless that one is so loaded that prefill on
 // another server is faster. All hosts agree on the home servers of a part
 // without messages, by rendezvous hashing. Handles the load pattern "hot key":
-// requests beyond the capacity of the first home go to the next in order.
+// requests beyond the capacity of the first home go to the next in order, also
+// if each of many hosts sends only few of them.
 // Handles "uneven servers": a server is the home of fewer parts the slower it
 // is. Handles "moment of slow work": a slow server is left for one that begins
 // the response earlier although it reads shared parts again.
@@ -47,10 +49,12 @@
 
   // `host_count` is the number of hosts that place requests on these servers.
   // The result has no server if `usable` is empty. The choice among servers of
-  // one slowness does not depend on `speeds`.
+  // one slowness does not depend on `speeds`. `queues` are the prompts that all
+  // hosts have sent there.
   PromptServerChoice Choose(std::span<ServerRecord* const> usable,
                             const Prompt& prompt, std::size_t host_count,
-                            const SpeedView& speeds = {}) const;
+                            const SpeedView& speeds = {},
+                            const PromptQueueView& queues = {}) const;
 
   // Returns the least time in which one of the servers would read the part of
   // the prompt that no server caches, by their steady slowness; zero without
--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -10,6 +10,7 @@
 #include "routing/model.h"                // IWYU pragma: export
 #include "routing/origin_copies.h"        // IWYU pragma: export
 #include "routing/prompt_placement.h"     // IWYU pragma: export
+#include "routing/prompt_queues.h"        // IWYU pragma: export
 #include "routing/received_results.h"     // IWYU pragma: export
 #include "routing/rollout_coordinator.h"  // IWYU pragma: export
 #include "routing/rollouts.h"             // IWYU pragma: export
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -38,6 +38,7 @@
   // that reads it.
   bool is_store_available = false;
   routing::ServerSpeeds speeds{};
+  routing::PromptQueues prompt_queues{};
   routing::Rollouts rollouts{HostId(), 0, TimePoint{}};
   routing::ServerProcesses processes{settings.limits.maximum_change_delay};
 
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -163,6 +163,15 @@
             *message.mutable_server_speeds() = speeds;
             return SendPeerMessage(peer, std::move(message));
           }),
+      prompt_queue_exchange_(
+          context_,
+          [this](const std::string& peer) { return stages_.IsReachable(peer); },
+          [this](const std::string& peer,
+                 const messages::PromptQueues& queues) {
+            messages::PeerMessage message;
+            *message.mutable_prompt_queues() = queues;
+            return SendPeerMessage(peer, std::move(message));
+          }),
       runner_(context_, notices_),
       stages_(context_, runner_,
               [this](const std::string& peer,
@@ -557,6 +566,7 @@
   }
   stages_.SetHosts(others);
   origins_.SetHosts(others);
+  prompt_queue_exchange_.SetHosts(others);
   relays_.SetHosts(std::move(relay_hosts));
   speed_exchange_.SetHosts(others_in_zone);
   notices_.SetHosts(std::move(others_in_zone), all_others);
@@ -702,6 +712,9 @@
   }
   if (message.has_server_speeds())
     return speed_exchange_.OnMessage(message.server_speeds());
+  if (message.has_prompt_queues())
+    return prompt_queue_exchange_.OnMessage(message.sender(),
+                                            message.prompt_queues());
   if (message.has_rollouts()) {
     ConnectPeer(message.sender());
     return rollouts_.OnTraffic(message.sender(), message.rollouts());
--- a/services/gateway/gateway.h
+++ b/services/gateway/gateway.h
@@ -9,6 +9,7 @@
 
 #include "services/gateway/content_blocks.h"
 #include "services/gateway/context.h"
+#include "services/gateway/prompt_queue_exchange.h"
 #include "services/gateway/request_flow.h"
 #include "services/gateway/request_relays.h"
 #include "services/gateway/rollout_control.h"
@@ -106,6 +107,7 @@
   ServerNotices notices_;
   ContentBlocks content_blocks_;
   SpeedExchange speed_exchange_;
+  PromptQueueExchange prompt_queue_exchange_;
   StageRunner runner_;
   StageRouter stages_;
   StreamOriginExchange origins_;
--- a/services/gateway/request_flow.h
+++ b/services/gateway/request_flow.h
@@ -169,6 +169,8 @@
   TimePoint LatestSend() const;
   std::optional<TimePoint> FirstReturnOf(const ServiceId& service) const;
   std::optional<TimePoint> TooLateReturn() const;
+  // The server has begun to respond, or nothing waits for it any more.
+  void RemovePendingTokens();
   void EndSend(routing::CallResult result, std::string_view outcome);
   void StartResponseTimer(Duration limit);
   void OnResponseTimeout();
--- a/services/gateway/request_flow_response.cc
+++ b/services/gateway/request_flow_response.cc
@@ -151,13 +151,7 @@
     UpdateOrigin();
   }
   CountStreamBegin();
-  if (counts_pending_tokens_) {
-    counts_pending_tokens_ = false;
-    routing::ServerRecord* server = context_.directory.Find(server_);
-    if (server != nullptr)
-      server->pending_tokens -=
-          std::min(server->pending_tokens, pending_tokens_);
-  }
+  RemovePendingTokens();
   // A server that has sent an event no longer needs the stage results.
   DropStageWork();
   event_deadline_ = std::min(deadline_, Now() + EventTimeLimit());
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -93,8 +93,9 @@
   if (usable.empty()) return {};
   usable = WithKnownProcess(std::move(usable));
   if (route_->uses_prompts)
-    return context_.placement.Choose(usable, request_.prompt,
-                                     context_.host_count, context_.SpeedsNow());
+    return context_.placement.Choose(
+        usable, request_.prompt, context_.host_count, context_.SpeedsNow(),
+        {context_.prompt_queues, Now(), latency_target_at_ - Now()});
   return {ChooseLeastLoadedServer(usable), 0, 0};
 }
 
@@ -223,12 +224,14 @@
   ++server.in_flight;
   CountVersionSend(server);
   home_rank_ = choice.home_rank;
-  tokens_ahead_ = server.pending_tokens;
+  tokens_ahead_ = std::max(server.pending_tokens,
+                           context_.prompt_queues.TokensAt(server.entry, now));
   event_at_.reset();
   event_gaps_ = {};
   pending_tokens_ = choice.prefill_tokens;
   server.pending_tokens += pending_tokens_;
   counts_pending_tokens_ = true;
+  if (pending_tokens_ > 0) context_.prompt_queues.OnOwnChange(server_);
   context_.limiter.CountSend(server_, now);
   context_.server_limits.CountSend(incarnation_,
                                    routing::ServerUsers::kAllHosts, now);
@@ -327,6 +330,14 @@
               .empty();
 }
 
+void RequestFlow::RemovePendingTokens() {
+  if (!std::exchange(counts_pending_tokens_, false)) return;
+  routing::ServerRecord* server = context_.directory.Find(server_);
+  if (server == nullptr || pending_tokens_ == 0) return;
+  server->pending_tokens -= std::min(server->pending_tokens, pending_tokens_);
+  context_.prompt_queues.OnOwnChange(server_);
+}
+
 void RequestFlow::EndSend(routing::CallResult result,
                           std::string_view outcome) {
   context_.loop.Cancel(response_timer_);
@@ -337,11 +348,8 @@
   if (server != nullptr) {
     server->in_flight = std::max(0, server->in_flight - 1);
     if (server->in_flight == 0 && heard_at_) server->silent_since.reset();
-    if (counts_pending_tokens_)
-      server->pending_tokens -=
-          std::min(server->pending_tokens, pending_tokens_);
   }
-  counts_pending_tokens_ = false;
+  RemovePendingTokens();
   // Without a path, failures say nothing of the server.
   context_.directory.Report(
       server_, path_.is_lost() ? routing::CallResult::kNoEvidence : result,
