--- a/libraries/routing/prompt_queues.h
+++ b/libraries/routing/prompt_queues.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/base.h"
@@ -18,7 +19,11 @@
   ServerId id;
   std::uint64_t started_unix_ms = 0;
 
-  friend auto operator<=>(const ServerStart&, const ServerStart&) = default;
+  friend bool operator==(const ServerStart&, const ServerStart&) = default;
+  friend bool operator<(const ServerStart& a, const ServerStart& b) {
+    return std::tie(a.id, a.started_unix_ms) <
+           std::tie(b.id, b.started_unix_ms);
+  }
 };
 
 // Prompt tokens that a server has yet to read.
--- a/tests/platform_adapter/store_client_test.cc
+++ b/tests/platform_adapter/store_client_test.cc
@@ -315,10 +315,12 @@
   CHECK(row->status ==
         routing::RolloutStatus{"v2", routing::RolloutState::kRunning,
                                milliseconds(7), milliseconds(12500)});
+  constexpr const char* above_the_range =
+      "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjoxODQ0Njc0NDA3Mz"
+      "cwOTU1MTYxNX0=";
   // Times that are none: 18446744073709551615, 1e300, -5, "soon", null.
   for (const char* value :
-       {"eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjoxODQ0Njc0NDA3Mz"
-        "cwOTU1MTYxNX0=",
+       {above_the_range,
         "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjoxZTMwMH0=",
         "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjotNX0=",
         "eyJzdGF0ZSI6InJ1bm5pbmciLCJ0byI6InYyIiwic3RhcnRlZE1zIjoic29vbiJ9",
