Prompt queues: Make room for servers after those without prompts

A host that adds up prompts stopped counting for good once it had heard of 4,096 server processes, each with a short queue: they were removed only when a long queue was told, and with all places taken no new one was counted.

Test: "Servers without prompts make room for others" failed before, both with prompts that were read and with those of a lost host, and passes.

--- a/libraries/routing/prompt_queues.cc
+++ b/libraries/routing/prompt_queues.cc
@@ -25,6 +25,8 @@
 void PromptQueueSums::Report(const std::string& host, const ServerStart& server,
                              std::uint64_t tokens, TimePoint now) {
   if (tokens == 0 && !servers_.contains(server)) return;
+  if (!servers_.contains(server) && servers_.size() >= kMaximumServers)
+    RemoveIdle(now);
   if (!servers_.contains(server) && servers_.size() >= kMaximumServers) return;
   Server& kept = servers_[server];
   RemoveExpired(kept, now);
@@ -49,8 +51,8 @@
 
 std::vector<PromptQueue> PromptQueueSums::TakeDue(TimePoint now) {
   std::vector<PromptQueue> due;
+  RemoveIdle(now);
   for (auto& [id, server] : servers_) {
-    RemoveExpired(server, now);
     if (server.told_at != TimePoint{} && now - server.told_at < kTellPeriod)
       continue;
     const std::uint64_t expected = Remaining(server.told, server.told_at, now);
@@ -61,12 +63,17 @@
     server.told_at = now;
     due.push_back({id, server.sum});
   }
+  return due;
+}
+
+// A server without prompts is kept while others expect some there.
+void PromptQueueSums::RemoveIdle(TimePoint now) {
+  for (auto& [id, server] : servers_) RemoveExpired(server, now);
   std::erase_if(servers_, [now](const auto& entry) {
     const Server& server = entry.second;
     return server.hosts.empty() &&
            Remaining(server.told, server.told_at, now) < kToldTokens;
   });
-  return due;
 }
 
 std::optional<TimePoint> PromptQueueSums::NextDue() const {
--- a/libraries/routing/prompt_queues.h
+++ b/libraries/routing/prompt_queues.h
@@ -76,6 +76,7 @@
   };
 
   static void RemoveExpired(Server& server, TimePoint now);
+  void RemoveIdle(TimePoint now);
 
   std::map<ServerStart, Server> servers_;
 };
--- a/tests/routing/prompt_queues_test.cc
+++ b/tests/routing/prompt_queues_test.cc
@@ -350,6 +350,22 @@
   REQUIRE(sums.server_count() <= PromptQueueSums::kMaximumServers);
 }
 
+// Guards against a host that counts no queue any more after it has heard of
+// many server processes, each of which had a short one.
+TEST_CASE("Servers without prompts make room for others") {
+  const bool is_read = GENERATE(true, false);
+  PromptQueueSums sums;
+  for (std::size_t i = 0; i < PromptQueueSums::kMaximumServers; ++i) {
+    const ServerStart server{ServerId(std::to_string(i)), 1};
+    sums.Report("a", server, 1, After({}));
+    if (is_read) sums.Report("a", server, 0, After({}));
+  }
+  const TimePoint later = After(PromptQueueSums::kReportLifetime);
+  sums.Report("a", kServer, kLong, later);
+  REQUIRE(sums.TakeDue(later) == std::vector<PromptQueue>{{kServer, kLong}});
+  REQUIRE(sums.server_count() == 1);
+}
+
 TEST_CASE("What was told of a server shrinks, expires and ends with it") {
   PromptQueues queues;
   ServerEntry entry;
