--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -72,6 +73,12 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode("latin-1") + body
 
 
+def reset(writer):
+    """Ends a connection by a reset; transport.abort alone ends it like any other close."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Listener:
     """Accepts connections on a loopback port; subclasses implement `handle`."""
 
