Gateway: Log for how long a removed server is still used

After an outage of the store, and for removals learnt from other hosts, a server stays in use for some time although its entry is gone. The log did not say for how long, so a request that reached a server late could not be told apart from a removal that was read late. server_removed now has held_ms.

--- a/services/gateway/content_blocks.cc
+++ b/services/gateway/content_blocks.cc
@@ -50,10 +50,6 @@
           at, Before(at, crash.sent_age_us())};
 }
 
-double Milliseconds(Duration time) {
-  return static_cast<double>(time.count()) / 1000.0;
-}
-
 // Keys that another host could not have made are dropped.
 template <typename Texts>
 std::vector<routing::ContentKey> ReadKeys(const Texts& texts) {
--- a/services/gateway/context.h
+++ b/services/gateway/context.h
@@ -53,6 +53,11 @@
   }
 };
 
+// Returns a time in milliseconds, for a field of the log.
+inline double Milliseconds(Duration time) {
+  return static_cast<double>(time.count()) / 1000.0;
+}
+
 // Kinds of calls to a server.
 inline constexpr const char* kRequestCalls = "request";
 inline constexpr const char* kStageCalls = "stage";
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -464,6 +464,7 @@
   const routing::ServerEntry before =
       known != nullptr ? known->entry : routing::ServerEntry();
   if (row.is_removed) {
+    TimePoint expires_at = now;
     switch (origin) {
       case RowOrigin::kStore:
         context_.directory.Remove(id, now);
@@ -472,17 +473,20 @@
         context_.pool.CloseIdleConnections(before.incarnation().Key());
         break;
       case RowOrigin::kStoreAfterOutage:
-        context_.directory.ExpireAt(id, *follower_.recovering_until());
+        expires_at = *follower_.recovering_until();
+        context_.directory.ExpireAt(id, expires_at);
         break;
       case RowOrigin::kPeer:
-        context_.directory.ExpireAt(id, now + kPeerRemovalDelay);
+        expires_at = now + kPeerRemovalDelay;
+        context_.directory.ExpireAt(id, expires_at);
         break;
     }
     context_.log.Write("server_removed", "",
                        {{"server", name},
                         {"row_version", row.version.number()},
                         {"store_era", row.version.era()},
-                        {"origin", static_cast<int>(origin)}});
+                        {"origin", static_cast<int>(origin)},
+                        {"held_ms", Milliseconds(expires_at - now)}});
     return;
   }
   const auto entry = context_.codec.ReadServer(name, row.value);
--- a/services/gateway/quiet_servers.cc
+++ b/services/gateway/quiet_servers.cc
@@ -10,9 +10,9 @@
       routing::MakeQuietPeriod(quiet_time, now, context.random);
   if (!context.directory.SetQuiet(server, period, now)) return;
   context.metrics.Count("lovagecleat_quiet_periods_total");
-  context.log.Write("server_quiet", "",
-                    {{"server", server.id.value()},
-                     {"ms", static_cast<double>(quiet_time.count()) / 1000.0}});
+  context.log.Write(
+      "server_quiet", "",
+      {{"server", server.id.value()}, {"ms", Milliseconds(quiet_time)}});
 }
 
 }  // namespace lovagecleat::gateway
--- a/services/gateway/request_flow.cc
+++ b/services/gateway/request_flow.cc
@@ -36,10 +36,6 @@
 constexpr Duration kStreamAgeMargin = milliseconds(1000);
 constexpr int kMostUrgentPriority = 0;
 
-double Milliseconds(Duration time) {
-  return static_cast<double>(time.count()) / 1000.0;
-}
-
 std::string_view WithoutPort(std::string_view host) {
   const std::size_t colon = host.rfind(':');
   return colon == std::string_view::npos ? host : host.substr(0, colon);
--- a/services/gateway/request_flow_sending.cc
+++ b/services/gateway/request_flow_sending.cc
@@ -28,10 +28,6 @@
 constexpr int kUrgencyStep = 2;
 constexpr int kLowestUrgency = 9;
 
-double Milliseconds(Duration time) {
-  return static_cast<double>(time.count()) / 1000.0;
-}
-
 routing::Warmth WarmthOf(const routing::ServerRecord& server, TimePoint now) {
   return server.cold_until > now ? routing::Warmth::kUnknown
                                  : routing::Warmth::kWarm;
--- a/services/gateway/request_relays.cc
+++ b/services/gateway/request_relays.cc
@@ -35,10 +35,6 @@
   return fields;
 }
 
-double Milliseconds(Duration time) {
-  return static_cast<double>(time.count()) / 1000.0;
-}
-
 }  // namespace
 
 class RequestRelays::Relay final : public http::ExchangeObserver,
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -216,9 +216,9 @@
   const Duration outage = now - *table.failing_since;
   table.failing_since.reset();
   table.consecutive_failures = 0;
-  context_.log.Write("store_regained", "",
-                     {{"table", table.name},
-                      {"away_ms", static_cast<double>(outage.count()) / 1000}});
+  context_.log.Write(
+      "store_regained", "",
+      {{"table", table.name}, {"away_ms", Milliseconds(outage)}});
   if (outage >= kMinOutage) recovering_until_ = now + kRecoveryTime;
 }
 
--- a/services/gateway/stream_origin_rows.cc
+++ b/services/gateway/stream_origin_rows.cc
@@ -54,7 +54,7 @@
          });
 }
 
-std::int64_t Milliseconds(Duration time) {
+std::int64_t WholeMilliseconds(Duration time) {
   return std::chrono::duration_cast<milliseconds>(time).count();
 }
 
@@ -242,7 +242,7 @@
   const TimePoint now = context_.Now();
   const Duration store_time = *rows_.StoreTime();
   const auto in_store_time = [&](TimePoint at) {
-    return Milliseconds(store_time - (now - at));
+    return WholeMilliseconds(store_time - (now - at));
   };
   std::map<std::pair<ServiceId, std::string>, Json> streams;
   std::size_t bytes = 0;
@@ -278,7 +278,7 @@
                         {kVersionsField, std::move(versions)}});
   }
   const Json value = {{kEraField, era_.value_or(0)},
-                      {kWrittenField, Milliseconds(store_time)},
+                      {kWrittenField, WholeMilliseconds(store_time)},
                       {kOriginsField, std::move(origins)},
                       {kServicesField, std::move(services)}};
   return value.dump(-1, ' ', false, Json::error_handler_t::replace);
