Gateway: Bound how long removed servers are kept after an outage

Cause: after an outage, removals were held back for 2 s, as entries of running servers that expired in it may return. The 2 s began when a read of any table succeeded again. A read waits for a change, up to 2 s for the operators' table and 20 s for the table of hosts, so the time began long after the store was back, and began anew with each table. A lost long poll of the hosts table counted as an outage of 20 s. Hosts that were fed held removals back for the time that their reader asked for, also if only the reader had been away.

Change: routing::StoreOutage holds a removal back until entries have returned, but not beyond store_contact_timeout from the start of the last read that failed: the host was cut off then, and is not bound by changes until that time has passed. A host that no read has failed at holds it at most for the bound on changes from when it last knew all of them. So no removal is kept longer than the host's own cut or the bound on changes excuses, however late the end of an outage is noticed and whoever reports it.

--- a/libraries/routing/routing.h
+++ b/libraries/routing/routing.h
@@ -25,6 +25,7 @@
 #include "routing/server_speed.h"         // IWYU pragma: export
 #include "routing/stage_plan.h"           // IWYU pragma: export
 #include "routing/stage_zones.h"          // IWYU pragma: export
+#include "routing/store_outage.h"         // IWYU pragma: export
 #include "routing/stream_origins.h"       // IWYU pragma: export
 #include "routing/stream_version.h"       // IWYU pragma: export
 #include "routing/version_history.h"      // IWYU pragma: export
--- a/services/gateway/gateway.cc
+++ b/services/gateway/gateway.cc
@@ -473,7 +473,7 @@
         context_.pool.CloseIdleConnections(before.incarnation().Key());
         break;
       case RowOrigin::kStoreAfterOutage:
-        expires_at = *follower_.recovering_until();
+        expires_at = *follower_.removals_held_until();
         context_.directory.ExpireAt(id, expires_at);
         break;
       case RowOrigin::kPeer:
--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -39,11 +39,9 @@
 // After failing reads for this long the store counts as unavailable, and rows
 // are fetched from other hosts.
 constexpr Duration kUnavailableAfter = milliseconds(300);
-// Entries that expired during an outage of the store are written again within
-// this time.
-constexpr Duration kRecoveryTime = milliseconds(2000);
-// No entry expires in an outage shorter than this.
-constexpr Duration kMinOutage = milliseconds(1000);
+// Servers write entries that a restore of the store has lost again within this
+// time.
+constexpr Duration kServerSettleTime = milliseconds(2000);
 // Operators write what a restore of the store has lost again within seconds. An
 // evacuation that stays in force for longer costs capacity only.
 constexpr Duration kOperatorSettleTime = milliseconds(10000);
@@ -60,7 +58,7 @@
     case RowSubject::Kind::kRouting:
       return std::nullopt;
     case RowSubject::Kind::kServer:
-      return kRecoveryTime;
+      return kServerSettleTime;
     case RowSubject::Kind::kHost:
       return kHostSettleTime;
     case RowSubject::Kind::kEvacuation:
@@ -104,6 +102,7 @@
 void RowFollower::Read(Table& table) {
   const std::uint64_t read_id = ++table.read_id;
   table.is_reading = true;
+  table.read_began_at = context_.Now();
   const bool is_full_read = MustReadAll(table);
   const Duration timeout =
       kReadTimeout + (is_full_read ? Duration::zero() : LongPollTime(table));
@@ -152,10 +151,7 @@
   // The changes between two eras are not known.
   if (!was_full_read && era != table.position.era()) return Read(table);
   OnReadSucceeded(table);
-  const bool is_recovering =
-      recovering_until_ && context_.Now() < *recovering_until_;
-  const RowOrigin origin =
-      is_recovering ? RowOrigin::kStoreAfterOutage : RowOrigin::kStore;
+  const RowOrigin origin = DecideRemovals(table);
   // A feed has brought a newer version meanwhile. It omits rows that have
   // changed back since, whose earlier changes must not be applied after it.
   if (!was_full_read && response.version < table.position)
@@ -180,6 +176,7 @@
   const routing::RowVersion before = table.position;
   // A feed may have brought a newer version in the meantime.
   table.position = std::max(before, response.version);
+  table.known_at = context_.Now();
   const bool is_first =
       !std::exchange(table.has_read, true) && before == routing::RowVersion();
   if (was_full_read) {
@@ -213,16 +210,25 @@
 void RowFollower::OnReadSucceeded(Table& table) {
   if (!table.failing_since) return;
   const TimePoint now = context_.Now();
-  const Duration outage = now - *table.failing_since;
-  table.failing_since.reset();
+  const auto failing_since = std::exchange(table.failing_since, std::nullopt);
   table.consecutive_failures = 0;
   context_.log.Write(
       "store_regained", "",
-      {{"table", table.name}, {"away_ms", Milliseconds(outage)}});
-  if (outage >= kMinOutage) recovering_until_ = now + kRecoveryTime;
+      {{"table", table.name}, {"away_ms", Milliseconds(now - *failing_since)}});
+  outage_.OnReadSucceeded(*failing_since, now);
+}
+
+RowOrigin RowFollower::DecideRemovals(const Table& table) {
+  const configuration::GatewayLimits& limits = context_.settings.limits;
+  removals_held_until_ = outage_.HoldRemovalUntil(
+      table.known_at, context_.Now(),
+      {limits.store_contact_timeout, limits.maximum_change_delay});
+  return removals_held_until_ ? RowOrigin::kStoreAfterOutage
+                              : RowOrigin::kStore;
 }
 
 void RowFollower::OnReadFailed(Table& table) {
+  outage_.OnReadFailed(table.read_began_at);
   if (IsFed(table) && !table.IsBehind()) {
     // Another host reads the table for this one.
     context_.loop.Cancel(table.timer);
@@ -417,9 +423,7 @@
     first.rows.clear();
     first.must_read = true;
   }
-  if (recovering_until_)
-    first.recovering =
-        std::max(*recovering_until_ - context_.Now(), Duration::zero());
+  first.recovering = outage_.RecoveryTime(context_.Now());
   // Tables with a long poll in progress have not changed.
   for (const Table& other : tables_)
     if (&other != &table && IsReader(other))
@@ -461,17 +465,16 @@
     });
   }
   if (!table.has_read || changes.version <= table.position) return;
-  RowOrigin origin = RowOrigin::kStore;
-  if (changes.recovering > Duration::zero()) {
-    origin = RowOrigin::kStoreAfterOutage;
-    const TimePoint until = context_.Now() + changes.recovering;
-    recovering_until_ = std::max(recovering_until_.value_or(until), until);
-  }
+  if (changes.recovering > Duration::zero())
+    outage_.OnRecoveryReported(changes.recovering, context_.Now());
+  const RowOrigin origin = DecideRemovals(table);
   for (const routing::Row& row : changes.rows) Merge(row, origin);
   table.announced_version = std::max(table.announced_version, changes.version);
   if (!changes.must_read && era == table.position.era() &&
-      changes.after <= table.position && !OmitsKnownChange(changes))
+      changes.after <= table.position && !OmitsKnownChange(changes)) {
     table.position = changes.version;
+    table.known_at = context_.Now();
+  }
   // Missing changes are read from the store, unless a read is in progress.
   if (table.IsBehind() && !table.is_reading) Read(table);
 }
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -29,7 +29,7 @@
   routing::RowVersion version;
   std::vector<routing::Row> rows;
   bool must_read = false;  // too large for the feed; read them from the store
-  Duration recovering{};   // removals are not final for this long
+  Duration recovering{};   // removed entries may return for this long
 };
 
 // Keeps a replica of the store's tables: reads each table once, then follows
@@ -72,9 +72,10 @@
   // milliseconds.
   bool is_store_unavailable() const;
 
-  // Removals of servers are not final before this instant.
-  std::optional<TimePoint> recovering_until() const {
-    return recovering_until_;
+  // Until when the removals that are being applied are held back, if their
+  // origin is kStoreAfterOutage.
+  std::optional<TimePoint> removals_held_until() const {
+    return removals_held_until_;
   }
 
   // Returns the store's version up to which every table is known.
@@ -94,6 +95,9 @@
     // The store's version up to which the table is known.
     routing::RowVersion position;
     routing::RowVersion announced_version;  // the newest one named by a feed
+    TimePoint read_began_at{};              // the newest read
+    // When this host last learned of all changes, from the store or a feed.
+    TimePoint known_at{};
     std::optional<TimePoint> failing_since;
     int consecutive_failures = 0;
     std::uint64_t read_id = 0;  // the newest read; others are ignored
@@ -125,6 +129,9 @@
   void ScheduleSettling(Table& table, RowSubject::Kind kind);
   void EndSettling(Table& table, RowSubject::Kind kind);
   void Merge(const routing::Row& row, RowOrigin origin);
+  // Decides when removals that are learnt now take effect, and returns their
+  // origin.
+  RowOrigin DecideRemovals(const Table& table);
   bool IsAcceptableFromPeer(const routing::Row& row) const;
   bool IsHostsTable(const Table& table) const;
   Duration LongPollTime(const Table& table) const;
@@ -153,7 +160,8 @@
   // End of the time for which rows of older eras stay in force that are missing
   // in the restored store, by table and kind.
   std::map<std::pair<std::string, RowSubject::Kind>, TimerId> settle_timers_;
-  std::optional<TimePoint> recovering_until_;
+  routing::StoreOutage outage_;
+  std::optional<TimePoint> removals_held_until_;
   TimePoint started_at_;
   FeedCallback feed_;
   std::size_t rank_ = 0;
--- a/tests/gateway/row_follower_test.cc
+++ b/tests/gateway/row_follower_test.cc
@@ -120,7 +120,7 @@
   rows.status = RowsResponse::Status::kRead;
   RunUntil([&] { return applied.size() == 2; });
   REQUIRE(applied[1].origin == RowOrigin::kStoreAfterOutage);
-  REQUIRE(follower.recovering_until());
+  REQUIRE(follower.removals_held_until());
   // Each table becomes available with its own next read.
   RunUntil([&] { return !follower.is_store_unavailable(); });
 }
@@ -293,7 +293,7 @@
   follower.ApplyFeed(std::span<const TableChanges>(&change, 1));
   REQUIRE(applied.size() == 2);
   REQUIRE(applied[1].origin == RowOrigin::kStoreAfterOutage);
-  REQUIRE(follower.recovering_until());
+  REQUIRE(follower.removals_held_until());
 }
 
 TEST_CASE_METHOD(FollowerFixture,
--- a/tests/gateway/store_era_fixture.h
+++ b/tests/gateway/store_era_fixture.h
@@ -28,6 +28,8 @@
 
 // Reaches the common store from one host: it may be cut off, and its responses
 // may be held back.
+//
+// Without WaitForChanges, reads that follow a table complete at once.
 class StoreView final : public RowSource {
  public:
   explicit StoreView(FakeRowSource& store) : store_(store) {}
@@ -39,11 +41,14 @@
   void ReadAll(const std::string& table, Callback callback) override {
     ++full_reads;
     if (is_cut) return callback({});
+    if (IsSilent(table)) return;
     store_.ReadAll(table, Deliver(std::move(callback)));
   }
   void Follow(const std::string& table, routing::RowVersion version,
               Duration wait, Callback callback) override {
     if (is_cut) return callback({});
+    if (waiting_loop_ != nullptr)
+      return Wait(table, version, wait, std::move(callback));
     store_.Follow(table, version, wait, Deliver(std::move(callback)));
   }
   void WriteHost(const HostId& host, std::string value,
@@ -85,17 +90,46 @@
     return store_.StoreTime();
   }
 
+  // Makes reads that follow a table wait for a change, as the store does.
+  void WaitForChanges(transport::Loop& loop) { waiting_loop_ = &loop; }
+
   // Completes the calls whose responses were held back.
   void Release() {
     is_holding = false;
     for (const auto& deliver : std::exchange(held_, {})) deliver();
   }
 
-  bool is_cut = false;
+  bool is_cut = false;       // calls are refused
+  bool is_silent = false;    // calls get no response
+  std::string silent_table;  // nor do those for this table
   bool is_holding = false;
   int full_reads = 0;
 
  private:
+  static constexpr Duration kWaitStep = std::chrono::milliseconds(10);
+
+  bool IsSilent(const std::string& table) const {
+    return is_silent || table == silent_table;
+  }
+
+  void Wait(const std::string& table, routing::RowVersion version,
+            Duration wait, Callback callback) {
+    if (is_cut) return callback({});
+    if (IsSilent(table)) return;
+    RowsResponse response;
+    store_.Follow(table, version, wait, [&response](RowsResponse received) {
+      response = std::move(received);
+    });
+    const bool is_unchanged =
+        response.status == RowsResponse::Status::kRead && response.rows.empty();
+    if (!is_unchanged || wait <= Duration::zero())
+      return Deliver(std::move(callback))(std::move(response));
+    waiting_loop_->After(kWaitStep, [this, table, version, wait,
+                                     callback = std::move(callback)] {
+      Wait(table, version, wait - kWaitStep, callback);
+    });
+  }
+
   Callback Deliver(Callback callback) {
     if (!is_holding) return callback;
     return
@@ -105,6 +139,7 @@
   }
 
   FakeRowSource& store_;
+  transport::Loop* waiting_loop_ = nullptr;
   std::vector<std::function<void()>> held_;
 };
 
@@ -195,7 +230,7 @@
       case RowSubject::Kind::kServer: {
         if (row.is_removed) {
           if (origin == RowOrigin::kStoreAfterOutage) {
-            expires_at_[row.key] = *follower.recovering_until();
+            expires_at_[row.key] = *follower.removals_held_until();
           } else {
             servers.erase(row.key);
           }
@@ -249,7 +284,7 @@
 
   FakeRowSource store;
 
- private:
+ protected:
   ManualClock clock_;
   transport::Loop loop_{clock_};
 
