Gateway: Notice the end of an outage of the store at once

Cause: a read that follows a table waits for a change, also the one that could tell that the store is back. Nothing changes in the operators' table for long, and less in the table of hosts.

Change: the first read after a failure does not wait.

Test: "The end of an outage is noticed while nothing changes" failed before (3 of 3 ways) and passes.

--- a/services/gateway/row_follower.cc
+++ b/services/gateway/row_follower.cc
@@ -104,8 +104,11 @@
   table.is_reading = true;
   table.read_began_at = context_.Now();
   const bool is_full_read = MustReadAll(table);
-  const Duration timeout =
-      kReadTimeout + (is_full_read ? Duration::zero() : LongPollTime(table));
+  // The first read after a failure does not wait for a change, which would tell
+  // that the store is available as much later.
+  const bool is_long_poll = !is_full_read && !table.failing_since;
+  const Duration wait = is_long_poll ? LongPollTime(table) : Duration::zero();
+  const Duration timeout = kReadTimeout + wait;
   context_.loop.Cancel(table.timer);
   table.timer = context_.loop.After(timeout, [this, &table] {
     ++table.read_id;
@@ -118,8 +121,7 @@
   if (is_full_read) {
     source_.ReadAll(table.name, std::move(on_complete));
   } else {
-    source_.Follow(table.name, table.position, LongPollTime(table),
-                   std::move(on_complete));
+    source_.Follow(table.name, table.position, wait, std::move(on_complete));
   }
 }
 
--- a/tests/gateway/removed_server_test.cc
+++ b/tests/gateway/removed_server_test.cc
@@ -18,6 +18,9 @@
 // That does not bind a host until this time after it was cut off.
 constexpr Duration kContactTime = seconds(3);
 constexpr Duration kHeartbeatPeriod = milliseconds(1200);
+// From the return of the store until a host notices it: the longest time
+// between two reads that fail, which includes the time-out of the first.
+constexpr Duration kNoticeTime = milliseconds(2000);
 // A running server whose entry has expired writes it again within a heartbeat.
 constexpr const char* kRunningServer = "running";
 
@@ -159,6 +162,32 @@
   RunWithLeavingServers(seconds(50), host, now());
 }
 
+// Guards against a store that counted as unavailable for up to 20 s after it
+// was back: the read that could have told so waited for a change.
+TEST_CASE_METHOD(RemovalFixture,
+                 "The end of an outage is noticed while nothing changes") {
+  StartHosts();
+  is_beating = false;
+  SECTION("after a cut") {
+    bool StoreView::*const cut =
+        GENERATE(&StoreView::is_cut, &StoreView::is_silent);
+    host.view.*cut = true;
+    Run(seconds(4));
+    REQUIRE(host.follower.is_store_unavailable());
+    host.view.*cut = false;
+  }
+  SECTION("after a lost long poll") {
+    host.view.silent_table = "hosts";
+    Run(seconds(1));
+    host.view.silent_table.clear();
+    const TimePoint end = now() + seconds(30);
+    while (!host.follower.is_store_unavailable() && now() < end)
+      Run(milliseconds(10));
+  }
+  Run(kNoticeTime);
+  REQUIRE_FALSE(host.follower.is_store_unavailable());
+}
+
 TEST_CASE_METHOD(RemovalFixture,
                  "A server whose entry expired in an outage stays in use") {
   StartHosts();
