HTTP client: Withdraw requests that a lost server did not get

What callers saw: a request that had been answered 502, or by another server, ran once more seconds later at a server that had left meanwhile (DRAIN).

Cause: the request was written to a connection whose path was cut, and this host's kernel ended that connection, after 1.5 s without an acknowledgement or for keep-alive probes that were unanswered before. That sends no reset, and what was on its way was delivered after the cut.

Sends that the host itself left as silent, with a reset, never arrived.

Change: a connection on which the server's kernel has acknowledged nothing of a request at two checks, 0.5 s apart, is reset. The kernel sends no keep-alive probes meanwhile. A server that only reads nothing is not affected.

Test: "A request that is not acknowledged is withdrawn" failed before (no reset within 20 s) and passes.

--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -13,6 +13,15 @@
 // A server in the same region accepts a connection within a few milliseconds;
 // TCP retransmits a lost SYN only after one second.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+// A request that the server's kernel has not acknowledged at two checks in a
+// row is withdrawn by a reset. Left to this kernel's own time limit, it could
+// still be delivered after the caller was answered. Two checks, since at the
+// first one after a pause of this machine an acknowledgement may wait to be
+// processed.
+constexpr Duration kAcknowledgementCheckTime = std::chrono::milliseconds(500);
+// A connection that was idle for less than this has had no keep-alive probe
+// that could be unanswered.
+constexpr Duration kProbeFreeIdleTime = std::chrono::milliseconds(1000);
 // Used for servers that send no Keep-Alive timeout.
 constexpr Duration kDefaultKeepAliveTime = std::chrono::seconds(4);
 // Subtracted from the timeout that a server announces, so that the server does
@@ -74,6 +83,7 @@
 
   ~Connection() override {
     loop().Cancel(connect_timer_);
+    loop().Cancel(acknowledgement_timer_);
     ReportClose(ConnectionClose::kHere);
   }
 
@@ -91,11 +101,15 @@
     has_response_bytes_ = false;
     skipped_responses_ = 0;
     is_head_request_ = bytes.starts_with("HEAD ");
+    request_bytes_ = bytes.size();
     BeginResponse();
+    PauseKeepAlive();
     stream_->Write(bytes);
+    if (connected_at_) CheckAcknowledgementLater(/*is_last=*/false);
   }
 
   void Detach() {
+    loop().Cancel(acknowledgement_timer_);
     if (observer_ != nullptr) --pool_.active_calls_;
     observer_ = nullptr;
     call_ = nullptr;
@@ -131,6 +145,7 @@
             ? pool_.connection_observer_->OnConnectionOpened(server())
             : connected_at_;
     if (pool_.observer_ != nullptr) pool_.observer_->OnServerConnected();
+    if (observer_ != nullptr) CheckAcknowledgementLater(/*is_last=*/false);
   }
 
   void OnBytes(std::string_view bytes) override;
@@ -158,6 +173,9 @@
         *this);
   }
 
+  void PauseKeepAlive();
+  void CheckAcknowledgementLater(bool is_last);
+  void OnAcknowledged();
   bool DeliverProgress();
   void Complete();
   void Fail(CallFailure failure, bool is_server_lost = false);
@@ -166,6 +184,10 @@
   IdleKey key_;
   std::unique_ptr<TcpStream> stream_;
   TimerId connect_timer_;
+  TimerId acknowledgement_timer_;
+  std::size_t request_bytes_ = 0;
+  bool is_keep_alive_paused_ = false;
+  TimePoint idle_since_{};
   CallObserver* observer_ = nullptr;
   PooledCall* call_ = nullptr;
   std::unique_ptr<MessageReader> reader_;
@@ -229,7 +251,7 @@
     pool_.RemoveIdle(this);
     return;
   }
-  has_response_bytes_ = true;
+  if (!std::exchange(has_response_bytes_, true)) OnAcknowledged();
   if (pool_.observer_ != nullptr) pool_.observer_->OnServerBytes();
   unparsed_.append(bytes);
   const std::shared_ptr<bool> alive = alive_;
@@ -282,6 +304,34 @@
   return true;
 }
 
+// The kernel would end the connection for probes that were unanswered before
+// the request was sent, and sooner than the request is withdrawn.
+void ConnectionPool::Connection::PauseKeepAlive() {
+  if (!was_reused_ || loop().clock().Now() - idle_since_ < kProbeFreeIdleTime)
+    return;
+  is_keep_alive_paused_ = true;
+  stream_->SetKeepAlive(false);
+}
+
+void ConnectionPool::Connection::OnAcknowledged() {
+  loop().Cancel(acknowledgement_timer_);
+  if (std::exchange(is_keep_alive_paused_, false)) stream_->SetKeepAlive(true);
+}
+
+void ConnectionPool::Connection::CheckAcknowledgementLater(bool is_last) {
+  acknowledgement_timer_ =
+      loop().After(kAcknowledgementCheckTime, [this, is_last] {
+        // The server's kernel takes the first bytes even if the server itself
+        // reads nothing.
+        const auto unacknowledged = stream_->UnacknowledgedBytes();
+        if (!unacknowledged || *unacknowledged < request_bytes_)
+          return OnAcknowledged();
+        if (!is_last) return CheckAcknowledgementLater(/*is_last=*/true);
+        ReportClose(ConnectionClose::kLost);
+        Fail(CallFailure::kConnectionLost, /*is_server_lost=*/true);
+      });
+}
+
 void ConnectionPool::Connection::Complete() {
   CallObserver* observer = observer_;
   std::unique_ptr<Connection> self = call_->Release();
@@ -295,6 +345,7 @@
   Detach();
   if (is_reusable && keep_alive_time > Duration::zero()) {
     was_reused_ = true;
+    idle_since_ = loop().clock().Now();
     pool_.AddIdle(std::move(self), keep_alive_time);
   } else {
     CloseNow();
@@ -316,7 +367,7 @@
   const std::shared_ptr<bool> alive = alive_;
   // A server that has not got the whole request has not answered it; it may be
   // about to reset the connection.
-  if (end == StreamEnd::kEndOfFile && stream_->IsAllAcknowledged() &&
+  if (end == StreamEnd::kEndOfFile && stream_->UnacknowledgedBytes() == 0U &&
       !is_skipping_ && reader_->FeedEnd()) {
     if (!DeliverProgress() || !*alive) return;
     return Complete();
--- a/libraries/http/tcp_stream.cc
+++ b/libraries/http/tcp_stream.cc
@@ -174,6 +174,11 @@
   SetOption(descriptor_, SOL_SOCKET, SO_LINGER, abort);
 }
 
+void TcpStream::SetKeepAlive(bool is_on) {
+  if (descriptor_ < 0) return;
+  SetOption(descriptor_, SOL_SOCKET, SO_KEEPALIVE, is_on ? 1 : 0);
+}
+
 void TcpStream::Write(std::string_view bytes) {
   if (state_ == State::kEnded) return;
   if (state_ == State::kConnecting || unsent_bytes() > 0) {
@@ -197,11 +202,12 @@
   return taken;
 }
 
-bool TcpStream::IsAllAcknowledged() const {
-  if (unsent_bytes() > 0 || write_failure_) return false;
+std::optional<std::size_t> TcpStream::UnacknowledgedBytes() const {
   int unacknowledged = 0;
-  return ioctl(descriptor_, SIOCOUTQ, &unacknowledged) == 0 &&
-         unacknowledged == 0;
+  if (write_failure_ || ioctl(descriptor_, SIOCOUTQ, &unacknowledged) != 0 ||
+      unacknowledged < 0)
+    return std::nullopt;
+  return unsent_bytes() + static_cast<std::size_t>(unacknowledged);
 }
 
 // A peer that always leaves some bytes unsent would otherwise keep all.
--- a/libraries/http/tcp_stream.h
+++ b/libraries/http/tcp_stream.h
@@ -65,12 +65,17 @@
   // so far for a complete message.
   void ResetOnClose();
 
+  // Sets whether the kernel probes the peer while the connection is idle, which
+  // it does by default, and ends the connection if probes are unanswered.
+  void SetKeepAlive(bool is_on);
+
   std::size_t unsent_bytes() const {
     return send_buffer_.size() - send_offset_;
   }
-  // Returns whether the peer has acknowledged all bytes written. Valid until
-  // Close, also after the end of the connection.
-  bool IsAllAcknowledged() const;
+  // Returns how many of the bytes written the peer has not acknowledged;
+  // nothing if the kernel does not tell. Valid until Close, also after the end
+  // of the connection.
+  std::optional<std::size_t> UnacknowledgedBytes() const;
   // Returns what the buffer for unsent bytes occupies.
   std::size_t buffered_bytes() const { return send_buffer_.capacity(); }
   // Returns how many bytes were passed to the kernel.
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -217,6 +217,32 @@
   REQUIRE_FALSE(recorder.has_ended());
 }
 
+// Guards against a request that reaches its server after its caller was
+// answered: bytes on their way are delivered when a cut of the path ends,
+// unless the connection was reset.
+TEST_CASE_METHOD(ClientFixture,
+                 "A request that is not acknowledged is withdrawn") {
+  std::atomic<bool> is_cut = false;
+  std::atomic<bool> was_reset = false;
+  RawServer server([&](RawConnection& connection) {
+    if (!connection.ReadRequest()) return;
+    connection.Write(kResponse);
+    connection.DropIncomingButResets();
+    is_cut = true;
+    connection.WaitForClose();
+    was_reset = true;
+  });
+  Recorder first;
+  Call(server.address(), first);
+  RunUntil([&] { return is_cut.load(); });
+  Recorder recorder;
+  Call(server.address(), recorder);
+  REQUIRE(recorder.end);
+  REQUIRE(recorder.end->was_reused);
+  REQUIRE(recorder.end->is_server_lost);
+  RunUntil([&] { return was_reset.load(); });
+}
+
 // Guards against memory and time without bounds: a server sends one part of a
 // response without end.
 TEST_CASE_METHOD(ClientFixture, "A response without end fails the call") {
--- a/tests/transport/raw_server.cc
+++ b/tests/transport/raw_server.cc
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 #include <cerrno>
 #include <charconv>
+#include <span>
 
 namespace lovagecleat::transport {
 
@@ -114,13 +115,40 @@
 
 void RawConnection::DropIncoming() { transport::DropIncoming(descriptor_); }
 
-bool DropIncoming(int descriptor) {
-  sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
-  const sock_fprog program{1, &drop_all};
+void RawConnection::DropIncomingButResets() {
+  transport::DropIncomingButResets(descriptor_);
+}
+
+namespace {
+
+bool AttachFilter(int descriptor, std::span<sock_filter> filter) {
+  const sock_fprog program{static_cast<std::uint16_t>(filter.size()),
+                           filter.data()};
   return setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
                     sizeof(program)) == 0;
 }
 
+}  // namespace
+
+bool DropIncoming(int descriptor) {
+  std::array filter{sock_filter{BPF_RET | BPF_K, 0, 0, 0}};
+  return AttachFilter(descriptor, filter);
+}
+
+bool DropIncomingButResets(int descriptor) {
+  // The filter sees a packet from its TCP header on.
+  constexpr std::uint32_t flags_offset = 13;
+  constexpr std::uint32_t reset_flag = 0x04;
+  constexpr std::uint32_t whole_packet = 0xffffffff;
+  std::array filter{
+      sock_filter{BPF_LD | BPF_B | BPF_ABS, 0, 0, flags_offset},
+      sock_filter{BPF_JMP | BPF_JSET | BPF_K, 0, 1, reset_flag},
+      sock_filter{BPF_RET | BPF_K, 0, 0, whole_packet},
+      sock_filter{BPF_RET | BPF_K, 0, 0, 0},
+  };
+  return AttachFilter(descriptor, filter);
+}
+
 RawServer::RawServer(Serve serve)
     : serve_(std::move(serve)), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
   port_ = BindToAnyPort(listener_);
--- a/tests/transport/raw_server.h
+++ b/tests/transport/raw_server.h
@@ -34,8 +34,9 @@
   void ShutdownSending();
   // Closes the connection with a reset, whatever is unread.
   void Reset();
-  // As the function below, for this connection.
+  // As the functions below, for this connection.
   void DropIncoming();
+  void DropIncomingButResets();
 
  private:
   bool ReadSome();
@@ -97,6 +98,9 @@
 // were gone. Returns whether that could be set.
 bool DropIncoming(int descriptor);
 
+// The same, except for packets that reset the connection.
+bool DropIncomingButResets(int descriptor);
+
 // Returns a port on which nothing listens.
 std::uint16_t UnusedPort();
 
