Store outage: Drop a result that nobody uses

The tests ask for RecoveryTime instead. The test of withdrawn requests also lets the connection be idle, so that it runs the pause of keep-alive.

--- a/libraries/routing/store_outage.cc
+++ b/libraries/routing/store_outage.cc
@@ -22,10 +22,8 @@
       std::max(failed_read_began_at_.value_or(began_at), began_at);
 }
 
-bool StoreOutage::OnReadSucceeded(TimePoint failing_since, TimePoint now) {
-  if (now - failing_since < kMinOutage) return false;
-  recovered_at_ = now + kRecoveryTime;
-  return true;
+void StoreOutage::OnReadSucceeded(TimePoint failing_since, TimePoint now) {
+  if (now - failing_since >= kMinOutage) recovered_at_ = now + kRecoveryTime;
 }
 
 void StoreOutage::OnRecoveryReported(Duration recovery_time, TimePoint now) {
@@ -41,7 +39,8 @@
 std::optional<TimePoint> StoreOutage::HoldRemovalUntil(
     TimePoint known_at, TimePoint now, const Bounds& bounds) const {
   if (!recovered_at_) return std::nullopt;
-  // The server was removed after `known_at`.
+  // The server was removed later than `known_at`, and the outage ended later
+  // than the start of the last failed read.
   TimePoint latest = known_at + bounds.change_delay;
   if (failed_read_began_at_)
     latest = std::max(latest, *failed_read_began_at_ + bounds.contact_timeout);
--- a/libraries/routing/store_outage.h
+++ b/libraries/routing/store_outage.h
@@ -27,9 +27,9 @@
   // A read that began at `began_at` has failed.
   void OnReadFailed(TimePoint began_at);
 
-  // A read has succeeded after all reads since `failing_since` had failed.
-  // Returns whether that was long enough for entries to expire.
-  bool OnReadSucceeded(TimePoint failing_since, TimePoint now);
+  // A read has succeeded after all reads since `failing_since` had failed. Has
+  // no effect if that was too short for entries to expire.
+  void OnReadSucceeded(TimePoint failing_since, TimePoint now);
 
   // The host that reads the store for this one has seen an outage, after which
   // entries may still return for `recovery_time`.
--- a/services/gateway/row_follower.h
+++ b/services/gateway/row_follower.h
@@ -129,7 +129,7 @@
   void ScheduleSettling(Table& table, RowSubject::Kind kind);
   void EndSettling(Table& table, RowSubject::Kind kind);
   void Merge(const routing::Row& row, RowOrigin origin);
-  // Decides when removals that are learnt now take effect, and returns their
+  // Decides when removals that are learned now take effect, and returns their
   // origin.
   RowOrigin DecideRemovals(const Table& table);
   bool IsAcceptableFromPeer(const routing::Row& row) const;
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -222,6 +222,8 @@
 // unless the connection was reset.
 TEST_CASE_METHOD(ClientFixture,
                  "A request that is not acknowledged is withdrawn") {
+  const auto idle_time =
+      GENERATE(std::chrono::milliseconds(0), std::chrono::milliseconds(1500));
   std::atomic<bool> is_cut = false;
   std::atomic<bool> was_reset = false;
   RawServer server([&](RawConnection& connection) {
@@ -234,7 +236,8 @@
   });
   Recorder first;
   Call(server.address(), first);
-  RunUntil([&] { return is_cut.load(); });
+  const TimePoint idle_until = loop().clock().Now() + idle_time;
+  RunUntil([&] { return is_cut && loop().clock().Now() >= idle_until; });
   Recorder recorder;
   Call(server.address(), recorder);
   REQUIRE(recorder.end);
--- a/tests/routing/store_outage_test.cc
+++ b/tests/routing/store_outage_test.cc
@@ -18,7 +18,8 @@
 
   SECTION("nor after reads that failed for a short time") {
     outage.OnReadFailed(At(400));
-    REQUIRE_FALSE(outage.OnReadSucceeded(At(400), At(1300)));
+    outage.OnReadSucceeded(At(400), At(1300));
+    REQUIRE(outage.RecoveryTime(At(1300)) == Duration::zero());
     REQUIRE_FALSE(outage.HoldRemovalUntil(At(300), At(1300), kBounds));
   }
 }
@@ -27,7 +28,7 @@
   StoreOutage outage;
   outage.OnReadFailed(At(1000));
   outage.OnReadFailed(At(9000));
-  REQUIRE(outage.OnReadSucceeded(At(1000), At(9400)));
+  outage.OnReadSucceeded(At(1000), At(9400));
   REQUIRE(outage.RecoveryTime(At(9500)) == milliseconds(1900));
 
   SECTION("for as long as entries return") {
@@ -43,11 +44,11 @@
 TEST_CASE("A removal is not held back longer than a cut excuses") {
   StoreOutage outage;
   outage.OnReadFailed(At(1000));
-  REQUIRE(outage.OnReadSucceeded(At(1200), At(3200)));
+  outage.OnReadSucceeded(At(1200), At(3200));
   REQUIRE(outage.HoldRemovalUntil(At(800), At(3200), kBounds) == At(3500));
 
   SECTION("also if a further table is read later") {
-    REQUIRE(outage.OnReadSucceeded(At(1200), At(23000)));
+    outage.OnReadSucceeded(At(1200), At(23000));
     REQUIRE_FALSE(outage.HoldRemovalUntil(At(20000), At(23000), kBounds));
   }
 }
